lib: define the core types and the borders between crates

Cause: agreement, cell, leases, routing and front meet at types that must not change while each is built. Change: names, result codes, Sharded<T>, agreement events and actions, commands and queries of the cell, reports and orders of workers, announcements of executors and the Backend trait.

--- /dev/null
+++ b/cli/src/bin/tarragond.rs
@@ -0,0 +1,3 @@
+//! Daemon of an entry host.
+
+fn main() {}
--- /dev/null
+++ b/lib/catalogue/src/limits.rs
@@ -0,0 +1,40 @@
+use serde::{Deserialize, Serialize};
+use tarragon_names::Resources;
+
+/// Limits that a catalogue entry sets. Every field has a default, so an entry names only what
+/// differs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Most tasks a job may have.
+    pub max_tasks: u32,
+    /// Most resources a task may ask for; zero amounts mean no limit.
+    pub max_task: Resources,
+    /// Longest run time a job may declare, in milliseconds.
+    pub max_run_ms: u64,
+    /// Most attempts for each task.
+    pub max_attempts: u32,
+    /// Most jobs of the entry that may wait or run.
+    pub max_jobs: u32,
+    /// Time limit of a service request, in milliseconds.
+    pub request_timeout_ms: u64,
+    /// Most service requests that may wait on one host.
+    pub max_waiting: u32,
+    /// Most times a repeatable request is sent.
+    pub max_sends: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_tasks: 1_000,
+            max_task: Resources::ZERO,
+            max_run_ms: 24 * 3_600 * 1_000,
+            max_attempts: 4,
+            max_jobs: 10_000,
+            request_timeout_ms: 2_000,
+            max_waiting: 64,
+            max_sends: 1,
+        }
+    }
+}
--- /dev/null
+++ b/lib/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP client for callers and operators.
--- /dev/null
+++ b/lib/codes/src/code.rs
@@ -0,0 +1,130 @@
+use derive_more::TryFrom;
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $status:literal, $advice:literal;)*) => {
+        /// Kind of an error, with a number that stays the same between releases.
+        #[derive(
+            Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd,
+            Serialize, TryFrom,
+        )]
+        #[repr(u16)]
+        #[serde(into = "u16", try_from = "u16")]
+        #[try_from(repr)]
+        pub enum Code {
+            $($(#[$doc])* $name = $number,)*
+        }
+
+        impl Code {
+            /// All codes in ascending order.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// HTTP status that goes with the code.
+            pub fn http_status(self) -> u16 {
+                match self {
+                    $(Self::$name => $status,)*
+                }
+            }
+
+            /// What the reader can do about it.
+            pub fn advice(self) -> &'static str {
+                match self {
+                    $(Self::$name => $advice,)*
+                }
+            }
+        }
+    };
+}
+
+codes! {
+    /// malformed request
+    Malformed = 1001, 400, "Correct the request; the cause names the field.";
+    /// request too large
+    TooLarge = 1002, 413, "Send a smaller request; docs/http.md lists the limits.";
+    /// no such call
+    NoSuchCall = 1003, 404, "Check path and method against docs/http.md.";
+    /// not authorized
+    Unauthorized = 1004, 401, "Send the operator's token.";
+    /// no such job
+    NoSuchJob = 1005, 404, "Check the job id; ended jobs are kept for a limited time.";
+    /// idempotency key already used with another request
+    KeyReused = 1006, 422, "Use a new key for a new request.";
+    /// no such worker, executor or host
+    NoSuchTarget = 1007, 404, "List the known names and check the spelling.";
+    /// request took too long to arrive
+    SlowRequest = 1008, 408, "Send the whole request within the time limit.";
+    /// no catalogue entry for this name
+    NoEntry = 2101, 404, "Ask an operator for a catalogue entry that covers the name.";
+    /// revision conflict
+    RevisionConflict = 2102, 409, "Read the entry again and repeat the change on its current revision.";
+    /// catalogue entry contradicts itself
+    BadEntry = 2103, 422, "Correct the entry; the cause names the contradiction.";
+    /// catalogue entry does not allow this kind of work
+    KindNotAllowed = 2104, 403, "Submit a kind of work that the entry allows, or change the entry.";
+    /// queue full
+    QueueFull = 3101, 503, "Try again after the time in Retry-After.";
+    /// beyond the team's quota
+    QuotaExceeded = 3102, 403, "Ask for less, or have the team's quota raised.";
+    /// no free slot before the deadline
+    NoSlot = 3103, 503, "Try again after the time in Retry-After.";
+    /// larger than any worker
+    LargerThanAnyWorker = 3104, 422, "Ask for less for each task, or add larger workers.";
+    /// beyond the entry's limits
+    BeyondLimits = 3105, 422, "Stay within the limits of the catalogue entry, or change the entry.";
+    /// idempotency key table full
+    KeyTableFull = 3106, 503, "Try again after the time in Retry-After.";
+    /// too many connections or requests from this caller
+    TooManyRequests = 3107, 429, "Slow down and try again after the time in Retry-After.";
+    /// outcome not known; the request was not and will not be sent again
+    NotKnown = 4201, 502, "Check the effect at the backend server before you decide to repeat it.";
+    /// request with this key is still in progress
+    InProgress = 4202, 409, "Ask again with the same key later.";
+    /// answer cut short
+    CutShort = 4203, 502, "The backend server answered only in part; check its effect before a repeat.";
+    /// deadline passed before the request was sent
+    DeadlinePassed = 4204, 504, "The request was not run; repeat it with a longer time limit.";
+    /// task failed
+    TaskFailed = 4205, 500, "Read the task's exit status and correct the job.";
+    /// job was not run and never will be
+    NotRun = 4206, 410, "Submit it again if it is still wanted.";
+    /// no leader known
+    NoLeader = 5101, 503, "Try again after the time in Retry-After; see 'tarragonctl hosts'.";
+    /// this host does not lead
+    NotLeader = 5102, 503, "Ask the leader, or let the host forward the call.";
+    /// catalogue not proven fresh on this host
+    CatalogueNotFresh = 5103, 503, "Ask another host; this one is cut off from the leader.";
+    /// host is stopping
+    Stopping = 5104, 503, "Ask another host.";
+    /// write not confirmed in time; it may still take effect
+    NotConfirmed = 5105, 504, "Ask again with the same key or request id to learn the outcome.";
+    /// no executor for this pool
+    NoExecutor = 5106, 503, "Check that executors of the pool are running and announce themselves.";
+    /// host cannot be reached
+    HostUnreachable = 5107, 503, "Try another host; check the network between the hosts.";
+    /// fault in a settings file
+    BadSettings = 6101, 500, "Correct each listed place in the settings file.";
+    /// corrupt record in the data folder
+    CorruptRecord = 7101, 500, "Replace the host's data: see 'lose a disk' in docs/operations.md.";
+    /// disk full or not writable
+    DiskFull = 7102, 500, "Free space in the data folder and start the host again.";
+    /// sync to disk failed
+    SyncFailed = 7103, 500, "Check the disk; the host starts again from what the disk holds.";
+    /// data folder in use or foreign
+    ForeignData = 7104, 500, "Point data_dir to this host's own folder.";
+    /// internal error
+    Internal = 9001, 500, "Report it with the log lines of the request.";
+}
+
+impl Code {
+    /// The number of the code.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
--- /dev/null
+++ b/lib/explore/src/lib.rs
@@ -0,0 +1,1 @@
+//! Breadth-first explorer of state spaces, for tests only.
--- /dev/null
+++ b/lib/health/src/lib.rs
@@ -0,0 +1,1 @@
+//! Attribution of failures to workers or to jobs.
--- /dev/null
+++ b/lib/names/src/attempt.rs
@@ -0,0 +1,29 @@
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+/// Number of a try to run a task, starting at 1.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    From,
+    Hash,
+    Into,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+pub struct Attempt(pub u32);
+
+impl Attempt {
+    /// The attempt that follows this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/lib/names/src/id.rs
@@ -0,0 +1,40 @@
+//! Number types of the replicated log.
+
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Display, Eq, From, Hash, Into, Ord,
+            PartialEq, PartialOrd, Serialize,
+        )]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The value that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+    };
+}
+
+number_type! {
+    /// Term of a leader; at most one leader exists in a term.
+    Term
+}
+number_type! {
+    /// Position of an entry in the replicated log; the first entry has index 1.
+    LogIndex
+}
+number_type! {
+    /// Identity of a replica, drawn anew whenever a host starts with an empty data folder.
+    MemberId
+}
+number_type! {
+    /// Revision of the catalogue, counted over all entries; 0 stands for "does not exist".
+    Revision
+}
--- /dev/null
+++ b/lib/names/src/lib.rs
@@ -0,0 +1,32 @@
+//! Names, identifiers and resource amounts shared by every crate.
+//!
+//! All types here are plain values: they hold no handle and read no clock.
+
+mod attempt;
+mod class;
+mod fence;
+mod id;
+mod job_id;
+mod millis;
+mod name;
+mod resources;
+mod session;
+mod task_id;
+mod typed_name;
+mod workload;
+
+pub use attempt::Attempt;
+pub use class::Class;
+pub use fence::Fence;
+pub use id::{LogIndex, MemberId, Revision, Term};
+pub use job_id::JobId;
+pub use millis::{DRIFT_PERCENT, MARGIN, Millis};
+pub use name::Name;
+pub use resources::Resources;
+pub use session::Session;
+pub use task_id::TaskId;
+pub use typed_name::{
+    DomainName, ExecutorName, HostName, JobName, KeyName, PoolName, RackName, RegionName, TeamName,
+    WorkerName,
+};
+pub use workload::Workload;
--- /dev/null
+++ b/lib/names/src/resources.rs
@@ -0,0 +1,105 @@
+use derive_more::{Add, AddAssign, Display, Sum};
+use serde::{Deserialize, Serialize};
+
+/// Amounts of what a worker offers and a task needs.
+#[derive(
+    Add,
+    AddAssign,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    Hash,
+    PartialEq,
+    Serialize,
+    Sum,
+)]
+#[display("{cpu_milli}m cpu, {memory_mb} MB, {accelerators} acc")]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// No resources at all.
+    pub const ZERO: Self = Self {
+        cpu_milli: 0,
+        memory_mb: 0,
+        accelerators: 0,
+    };
+
+    /// Amounts in the order processor, memory, accelerators.
+    pub const fn new(cpu_milli: u64, memory_mb: u64, accelerators: u64) -> Self {
+        Self {
+            cpu_milli,
+            memory_mb,
+            accelerators,
+        }
+    }
+
+    /// Tells whether every amount is at most that of `free`.
+    pub fn fits(&self, free: &Self) -> bool {
+        self.cpu_milli <= free.cpu_milli
+            && self.memory_mb <= free.memory_mb
+            && self.accelerators <= free.accelerators
+    }
+
+    /// Difference of each amount, or `None` if one would be negative.
+    #[must_use]
+    pub fn checked_sub(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu_milli: self.cpu_milli.checked_sub(other.cpu_milli)?,
+            memory_mb: self.memory_mb.checked_sub(other.memory_mb)?,
+            accelerators: self.accelerators.checked_sub(other.accelerators)?,
+        })
+    }
+
+    /// Difference of each amount, at least zero.
+    #[must_use]
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// The greater of each amount.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// The smaller of each amount.
+    #[must_use]
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Each amount times `n`.
+    #[must_use]
+    pub fn times(&self, n: u64) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(n),
+            memory_mb: self.memory_mb.saturating_mul(n),
+            accelerators: self.accelerators.saturating_mul(n),
+        }
+    }
+}
--- /dev/null
+++ b/lib/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement of tasks on workers behind one trait.
--- /dev/null
+++ b/lib/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Path of service requests from an entry host to executors.
--- /dev/null
+++ b/lib/queue/src/lib.rs
@@ -0,0 +1,1 @@
+//! Queue order, team quotas, ageing and preemption choice.
--- /dev/null
+++ b/lib/routing/src/announcement.rs
@@ -0,0 +1,42 @@
+use serde::{Deserialize, Serialize};
+use tarragon_names::{DomainName, ExecutorName, PoolName};
+
+/// What an executor says of itself to its home host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// The executor.
+    pub name: ExecutorName,
+    /// Pool that it serves.
+    pub pool: PoolName,
+    /// Failure domain that it runs in.
+    pub domain: DomainName,
+    /// Address to send requests to, as `ip:port`.
+    pub address: String,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// Connections it accepts.
+    pub connections: u32,
+    /// Requests that run in it now.
+    pub busy: u32,
+    /// Whether it leaves and wants no new request.
+    pub leaving: bool,
+    /// Start of the executor's process; a higher one replaces a lower one.
+    pub epoch: u64,
+    /// Clock reading from the home host's last answer; absent in the first announcement.
+    ///
+    /// The lease runs from this reading, so a delayed announcement cannot extend it.
+    #[serde(default)]
+    pub echo: Option<u64>,
+}
+
+/// Answer of the home host to an announcement.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AnnouncementReply {
+    /// Clock reading of the home host, to be echoed.
+    pub clock: u64,
+    /// Whether the executor should announce itself to another host, because this one stops.
+    pub moving: bool,
+    /// Whether an operator has drained the executor.
+    pub draining: bool,
+}
--- /dev/null
+++ b/lib/routing/src/executor_view.rs
@@ -0,0 +1,21 @@
+use serde::{Deserialize, Serialize};
+use tarragon_names::{DomainName, ExecutorName, HostName, PoolName};
+
+/// An executor as it is shown to operators.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ExecutorView {
+    /// The executor.
+    pub name: ExecutorName,
+    /// Pool that it serves.
+    pub pool: PoolName,
+    /// Failure domain that it runs in.
+    pub domain: DomainName,
+    /// Its home host.
+    pub home: HostName,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// Slots that are taken.
+    pub busy: u32,
+    /// `serving`, `leaving`, `draining` or `silent`.
+    pub state: String,
+}
--- /dev/null
+++ b/lib/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files and their checks.
--- /dev/null
+++ b/lib/sizing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Correction of declared sizes from usage reports.
--- /dev/null
+++ b/lib/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in workers and executors for trials and tests.
--- /dev/null
+++ b/lib/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, vote record and snapshot files behind a storage trait.
--- /dev/null
+++ b/lib/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs, metrics and event names.
--- /dev/null
+++ b/lib/timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Merge of the logs of all processes into one causal order.
--- /dev/null
+++ b/lib/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between processes and their framing.
