wire: encode worker, peer and log messages

Cause: the processes need one encoding that keeps decisions free of it. Change: prost frames for the worker link and the peer link, postcard records with a version byte, and the tarpc service Control; conversions only, no decision.

--- a/lib/codes/src/failure.rs
+++ b/lib/codes/src/failure.rs
@@ -15,7 +15,7 @@
     /// One line that says what went wrong here.
     pub cause: String,
     /// Time after which a retry may succeed, where that is known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub retry_after_ms: Option<u64>,
 }
 
--- /dev/null
+++ b/lib/wire/src/convert/order.rs
@@ -0,0 +1,205 @@
+//! Orders to workers.
+
+use std::sync::Arc;
+
+use tarragon_leases::{TaskSpec, WorkerOrder};
+use tarragon_names::{Millis, Term};
+
+use super::value::{
+    AttemptMsg, FenceMsg, ResourcesMsg, SessionMsg, workload_from_number, workload_to_number,
+};
+use crate::WireError;
+
+/// Encoding of an order to a worker.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OrderMsg {
+    #[prost(oneof = "OrderBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    body: Option<OrderBody>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum OrderBody {
+    #[prost(message, tag = "1")]
+    Welcome(GrantMsg),
+    #[prost(message, tag = "2")]
+    HeartbeatReply(GrantMsg),
+    #[prost(uint64, tag = "3")]
+    UnknownSession(u64),
+    #[prost(message, tag = "4")]
+    Start(StartMsg),
+    #[prost(message, tag = "5")]
+    Stop(TargetMsg),
+    #[prost(message, tag = "6")]
+    Throttle(ThrottleMsg),
+    #[prost(message, tag = "7")]
+    Checkpoint(TargetMsg),
+    #[prost(message, tag = "8")]
+    EndRecorded(AttemptMsg),
+    #[prost(bool, tag = "9")]
+    Move(bool),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct GrantMsg {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(message, required, tag = "2")]
+    session: SessionMsg,
+    #[prost(uint64, tag = "3")]
+    clock: u64,
+    #[prost(uint64, tag = "4")]
+    lease: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct TargetMsg {
+    #[prost(message, required, tag = "1")]
+    fence: FenceMsg,
+    #[prost(message, required, tag = "2")]
+    attempt: AttemptMsg,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ThrottleMsg {
+    #[prost(message, required, tag = "1")]
+    target: TargetMsg,
+    #[prost(uint64, tag = "2")]
+    cpu_milli: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct StartMsg {
+    #[prost(message, required, tag = "1")]
+    target: TargetMsg,
+    #[prost(string, tag = "2")]
+    name: String,
+    #[prost(uint32, tag = "3")]
+    workload: u32,
+    #[prost(message, required, tag = "4")]
+    resources: ResourcesMsg,
+    #[prost(uint64, tag = "5")]
+    run_ms: u64,
+    #[prost(bytes = "vec", tag = "6")]
+    payload: Vec<u8>,
+}
+
+pub fn order_to_msg(order: &WorkerOrder) -> OrderMsg {
+    let target = |fence: &tarragon_names::Fence, task, attempt| TargetMsg {
+        fence: (*fence).into(),
+        attempt: AttemptMsg::new(task, attempt),
+    };
+    let body = match order {
+        WorkerOrder::Welcome {
+            term,
+            session,
+            clock,
+            lease,
+        } => OrderBody::Welcome(GrantMsg {
+            term: term.0,
+            session: (*session).into(),
+            clock: clock.0,
+            lease: lease.0,
+        }),
+        WorkerOrder::HeartbeatReply {
+            term,
+            session,
+            clock,
+            lease,
+        } => OrderBody::HeartbeatReply(GrantMsg {
+            term: term.0,
+            session: (*session).into(),
+            clock: clock.0,
+            lease: lease.0,
+        }),
+        WorkerOrder::UnknownSession { term } => OrderBody::UnknownSession(term.0),
+        WorkerOrder::Start {
+            fence,
+            task,
+            attempt,
+            spec,
+        } => OrderBody::Start(StartMsg {
+            target: target(fence, *task, *attempt),
+            name: spec.name.to_string(),
+            workload: workload_to_number(spec.workload),
+            resources: spec.resources.into(),
+            run_ms: spec.run_ms,
+            payload: spec.payload.to_vec(),
+        }),
+        WorkerOrder::Stop {
+            fence,
+            task,
+            attempt,
+        } => OrderBody::Stop(target(fence, *task, *attempt)),
+        WorkerOrder::Throttle {
+            fence,
+            task,
+            attempt,
+            cpu_milli,
+        } => OrderBody::Throttle(ThrottleMsg {
+            target: target(fence, *task, *attempt),
+            cpu_milli: *cpu_milli,
+        }),
+        WorkerOrder::Checkpoint {
+            fence,
+            task,
+            attempt,
+        } => OrderBody::Checkpoint(target(fence, *task, *attempt)),
+        WorkerOrder::EndRecorded { task, attempt } => {
+            OrderBody::EndRecorded(AttemptMsg::new(*task, *attempt))
+        }
+        WorkerOrder::Move => OrderBody::Move(true),
+    };
+    OrderMsg { body: Some(body) }
+}
+
+pub fn order_from_msg(msg: OrderMsg) -> Result<WorkerOrder, WireError> {
+    let body = msg.body.ok_or(WireError::Field("order"))?;
+    Ok(match body {
+        OrderBody::Welcome(msg) => WorkerOrder::Welcome {
+            term: Term(msg.term),
+            session: msg.session.into(),
+            clock: Millis(msg.clock),
+            lease: Millis(msg.lease),
+        },
+        OrderBody::HeartbeatReply(msg) => WorkerOrder::HeartbeatReply {
+            term: Term(msg.term),
+            session: msg.session.into(),
+            clock: Millis(msg.clock),
+            lease: Millis(msg.lease),
+        },
+        OrderBody::UnknownSession(term) => WorkerOrder::UnknownSession { term: Term(term) },
+        OrderBody::Start(msg) => WorkerOrder::Start {
+            fence: msg.target.fence.into(),
+            task: msg.target.attempt.task(),
+            attempt: msg.target.attempt.attempt(),
+            spec: TaskSpec {
+                name: msg.name.into(),
+                workload: workload_from_number(msg.workload)?,
+                resources: msg.resources.into(),
+                run_ms: msg.run_ms,
+                payload: Arc::from(msg.payload),
+            },
+        },
+        OrderBody::Stop(msg) => WorkerOrder::Stop {
+            fence: msg.fence.into(),
+            task: msg.attempt.task(),
+            attempt: msg.attempt.attempt(),
+        },
+        OrderBody::Throttle(msg) => WorkerOrder::Throttle {
+            fence: msg.target.fence.into(),
+            task: msg.target.attempt.task(),
+            attempt: msg.target.attempt.attempt(),
+            cpu_milli: msg.cpu_milli,
+        },
+        OrderBody::Checkpoint(msg) => WorkerOrder::Checkpoint {
+            fence: msg.fence.into(),
+            task: msg.attempt.task(),
+            attempt: msg.attempt.attempt(),
+        },
+        OrderBody::EndRecorded(msg) => WorkerOrder::EndRecorded {
+            task: msg.task(),
+            attempt: msg.attempt(),
+        },
+        OrderBody::Move(_) => WorkerOrder::Move,
+    })
+}
--- /dev/null
+++ b/lib/wire/src/convert/report.rs
@@ -0,0 +1,140 @@
+//! Reports of workers.
+
+use tarragon_leases::WorkerReport;
+use tarragon_names::Millis;
+
+use super::value::{EndMsg, ResourcesMsg, RunningMsg, SessionMsg};
+use crate::WireError;
+
+/// Encoding of a worker's report.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReportMsg {
+    #[prost(oneof = "ReportBody", tags = "1, 2, 3, 4")]
+    body: Option<ReportBody>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum ReportBody {
+    #[prost(message, tag = "1")]
+    Register(RegisterMsg),
+    #[prost(message, tag = "2")]
+    Heartbeat(HeartbeatMsg),
+    #[prost(message, tag = "3")]
+    Ended(EndedMsg),
+    #[prost(message, tag = "4")]
+    Leaving(SessionMsg),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct RegisterMsg {
+    #[prost(string, tag = "1")]
+    worker: String,
+    #[prost(string, tag = "2")]
+    domain: String,
+    #[prost(string, tag = "3")]
+    rack: String,
+    #[prost(message, required, tag = "4")]
+    capacity: ResourcesMsg,
+    #[prost(uint64, tag = "5")]
+    clock: u64,
+    #[prost(message, repeated, tag = "6")]
+    running: Vec<RunningMsg>,
+    #[prost(message, repeated, tag = "7")]
+    ended: Vec<EndMsg>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct HeartbeatMsg {
+    #[prost(message, required, tag = "1")]
+    session: SessionMsg,
+    #[prost(uint64, tag = "2")]
+    clock: u64,
+    #[prost(message, repeated, tag = "3")]
+    running: Vec<RunningMsg>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EndedMsg {
+    #[prost(message, required, tag = "1")]
+    session: SessionMsg,
+    #[prost(message, required, tag = "2")]
+    end: EndMsg,
+}
+
+pub fn report_to_msg(report: &WorkerReport) -> ReportMsg {
+    let body = match report {
+        WorkerReport::Register {
+            worker,
+            domain,
+            rack,
+            capacity,
+            clock,
+            running,
+            ended,
+        } => ReportBody::Register(RegisterMsg {
+            worker: worker.to_string(),
+            domain: domain.to_string(),
+            rack: rack.to_string(),
+            capacity: (*capacity).into(),
+            clock: clock.0,
+            running: running.iter().map(RunningMsg::from).collect(),
+            ended: ended
+                .iter()
+                .map(|(task, attempt, end)| EndMsg::new(*task, *attempt, *end))
+                .collect(),
+        }),
+        WorkerReport::Heartbeat {
+            session,
+            clock,
+            running,
+        } => ReportBody::Heartbeat(HeartbeatMsg {
+            session: (*session).into(),
+            clock: clock.0,
+            running: running.iter().map(RunningMsg::from).collect(),
+        }),
+        WorkerReport::TaskEnded {
+            session,
+            task,
+            attempt,
+            end,
+        } => ReportBody::Ended(EndedMsg {
+            session: (*session).into(),
+            end: EndMsg::new(*task, *attempt, *end),
+        }),
+        WorkerReport::Leaving { session } => ReportBody::Leaving((*session).into()),
+    };
+    ReportMsg { body: Some(body) }
+}
+
+pub fn report_from_msg(msg: ReportMsg) -> Result<WorkerReport, WireError> {
+    let body = msg.body.ok_or(WireError::Field("report"))?;
+    Ok(match body {
+        ReportBody::Register(msg) => WorkerReport::Register {
+            worker: msg.worker.into(),
+            domain: msg.domain.into(),
+            rack: msg.rack.into(),
+            capacity: msg.capacity.into(),
+            clock: Millis(msg.clock),
+            running: msg.running.into_iter().map(Into::into).collect(),
+            ended: msg
+                .ended
+                .iter()
+                .map(|end| Ok((end.attempt.task(), end.attempt.attempt(), end.end()?)))
+                .collect::<Result<_, WireError>>()?,
+        },
+        ReportBody::Heartbeat(msg) => WorkerReport::Heartbeat {
+            session: msg.session.into(),
+            clock: Millis(msg.clock),
+            running: msg.running.into_iter().map(Into::into).collect(),
+        },
+        ReportBody::Ended(msg) => WorkerReport::TaskEnded {
+            session: msg.session.into(),
+            task: msg.end.attempt.task(),
+            attempt: msg.end.attempt.attempt(),
+            end: msg.end.end()?,
+        },
+        ReportBody::Leaving(session) => WorkerReport::Leaving {
+            session: session.into(),
+        },
+    })
+}
--- a/lib/wire/src/lib.rs
+++ b/lib/wire/src/lib.rs
@@ -1,1 +1,17 @@
 //! Messages between processes and their framing.
+//!
+//! Conversions only: every decision is made by the crates whose types are converted here.
+//!
+//! - [`worker`]: frames between a worker and its gateway.
+//! - [`peer`]: frames between entry hosts.
+//! - [`record`]: records of the replicated log and snapshots.
+//! - [`control`]: calls between entry hosts.
+
+pub mod control;
+mod convert;
+mod framing;
+pub mod peer;
+pub mod record;
+pub mod worker;
+
+pub use framing::{Frames, MAX_PEER_FRAME, MAX_WORKER_FRAME, WireError, frames, read, write};
--- /dev/null
+++ b/lib/wire/src/worker.rs
@@ -0,0 +1,57 @@
+//! Frames between a worker and its gateway.
+
+use tarragon_leases::{WorkerOrder, WorkerReport};
+use tarragon_names::WorkerName;
+
+use crate::{WireError, convert};
+
+pub use crate::convert::{OrderMsg, ReportMsg};
+
+/// Frame from a worker to its gateway.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct UpFrame {
+    /// Name of the worker, in every frame, so that a gateway keeps no state for it.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// The report; absent in a frame that only keeps the connection alive.
+    #[prost(message, optional, tag = "2")]
+    pub report: Option<ReportMsg>,
+}
+
+/// Frame from a gateway to a worker.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DownFrame {
+    /// The order; absent in a frame that only keeps the connection alive.
+    #[prost(message, optional, tag = "1")]
+    pub order: Option<OrderMsg>,
+}
+
+impl UpFrame {
+    /// A frame with a report.
+    pub fn new(worker: &WorkerName, report: &WorkerReport) -> Self {
+        Self {
+            worker: worker.to_string(),
+            report: Some(convert::report_to_msg(report)),
+        }
+    }
+
+    /// Worker and report of the frame.
+    pub fn parts(self) -> Result<(WorkerName, Option<WorkerReport>), WireError> {
+        let report = self.report.map(convert::report_from_msg).transpose()?;
+        Ok((WorkerName::from(self.worker), report))
+    }
+}
+
+impl DownFrame {
+    /// A frame with an order.
+    pub fn new(order: &WorkerOrder) -> Self {
+        Self {
+            order: Some(convert::order_to_msg(order)),
+        }
+    }
+
+    /// Order of the frame.
+    pub fn order(self) -> Result<Option<WorkerOrder>, WireError> {
+        self.order.map(convert::order_from_msg).transpose()
+    }
+}
