catalogue: resolve names, check entries and hold the freshness lease

Hosts need one rule for which entry governs a name, and both sides of the freshness lease need to agree on what a poll proves.

--- /dev/null
+++ b/lib/catalogue/src/catalogue.rs
@@ -0,0 +1,209 @@
+use std::{
+    collections::BTreeMap,
+    ops::Bound::{Excluded, Included, Unbounded},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{JobName, Name, Revision};
+
+use crate::{CatalogueEntry, Change, HISTORY_KEPT, Pattern};
+
+/// All entries with their revisions.
+///
+/// Entries are shared, so a clone copies pointers and a reader can keep one copy while a writer
+/// makes the next.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "Stored", into = "Stored")]
+pub struct Catalogue {
+    revision: Revision,
+    /// Last revisions of each pattern, oldest first; deleted entries stay as their deletion.
+    changes: BTreeMap<Pattern, Vec<Change>>,
+    /// Pattern changed last at each revision, so that a poll reads only what it lacks.
+    by_revision: BTreeMap<Revision, Pattern>,
+    exact: BTreeMap<JobName, Arc<CatalogueEntry>>,
+    prefixes: BTreeMap<Name, Arc<CatalogueEntry>>,
+}
+
+/// Serialized form; the other fields are worked out from it.
+#[derive(Deserialize, Serialize)]
+struct Stored {
+    revision: Revision,
+    changes: Vec<(Pattern, Vec<Change>)>,
+}
+
+impl From<Catalogue> for Stored {
+    fn from(catalogue: Catalogue) -> Self {
+        Self {
+            revision: catalogue.revision,
+            changes: catalogue.changes.into_iter().collect(),
+        }
+    }
+}
+
+impl From<Stored> for Catalogue {
+    fn from(stored: Stored) -> Self {
+        let mut catalogue = Self {
+            revision: stored.revision,
+            ..Self::default()
+        };
+        for (pattern, changes) in stored.changes {
+            if let Some(last) = changes.last() {
+                catalogue.index(&pattern, last.revision, last.entry.clone());
+            }
+            catalogue.changes.insert(pattern, changes);
+        }
+        catalogue
+    }
+}
+
+impl Catalogue {
+    /// Revision of the last change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Entry that governs a name: the one for exactly this name, else the longest prefix.
+    pub fn resolve(&self, name: &JobName) -> Option<&Arc<CatalogueEntry>> {
+        self.exact
+            .get(name)
+            .or_else(|| self.longest_prefix(name.as_str()))
+    }
+
+    /// Entry written for exactly this pattern.
+    pub fn get(&self, pattern: &Pattern) -> Option<&Arc<CatalogueEntry>> {
+        match pattern {
+            Pattern::Exact(name) => self.exact.get(name),
+            Pattern::Prefix(prefix) => self.prefixes.get(prefix),
+        }
+    }
+
+    /// Revision that the next write of the pattern has to expect; 0 if it never existed.
+    ///
+    /// A deleted entry keeps the revision of its deletion. A creation that is resent after the
+    /// deletion therefore conflicts and does not bring the entry back.
+    pub fn expected(&self, pattern: &Pattern) -> Revision {
+        self.last(pattern)
+            .map_or(Revision(0), |change| change.revision)
+    }
+
+    /// Last change of a pattern.
+    pub fn last(&self, pattern: &Pattern) -> Option<&Change> {
+        self.changes.get(pattern)?.last()
+    }
+
+    /// Kept revisions of a pattern, oldest first.
+    pub fn history(&self, pattern: &Pattern) -> &[Change] {
+        self.changes.get(pattern).map_or(&[], Vec::as_slice)
+    }
+
+    /// Last change of each pattern that changed after `revision`, oldest first.
+    pub fn since(&self, revision: Revision) -> impl Iterator<Item = (&Pattern, &Change)> {
+        self.by_revision
+            .range((Excluded(revision), Unbounded))
+            .filter_map(|(_, pattern)| Some((pattern, self.last(pattern)?)))
+    }
+
+    /// Creates or replaces an entry.
+    pub fn put(&mut self, expected: Revision, entry: CatalogueEntry) -> Outcome<Revision> {
+        entry.check()?;
+        let pattern = entry.pattern.clone();
+        self.check_expected(&pattern, expected)?;
+        Ok(self.write(pattern, Some(Arc::new(entry))))
+    }
+
+    /// Deletes an entry.
+    pub fn delete(&mut self, expected: Revision, pattern: &Pattern) -> Outcome<Revision> {
+        if self.get(pattern).is_none() {
+            return Err(Failure::new(
+                Code::NoEntry,
+                format!("no entry for '{pattern}'"),
+            ));
+        }
+        self.check_expected(pattern, expected)?;
+        Ok(self.write(pattern.clone(), None))
+    }
+
+    /// Takes over a change made elsewhere; an older one than the one held is ignored.
+    pub fn install(&mut self, pattern: Pattern, change: Change) {
+        if change.revision <= self.expected(&pattern) {
+            return;
+        }
+        self.revision = self.revision.max(change.revision);
+        self.record(pattern, change);
+    }
+
+    /// Notes that all changes up to `revision` are held.
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    fn check_expected(&self, pattern: &Pattern, expected: Revision) -> Outcome<()> {
+        let current = self.expected(pattern);
+        if current == expected {
+            return Ok(());
+        }
+        Err(Failure::new(
+            Code::RevisionConflict,
+            format!("'{pattern}' is at revision {current}, the write expects {expected}"),
+        ))
+    }
+
+    fn write(&mut self, pattern: Pattern, entry: Option<Arc<CatalogueEntry>>) -> Revision {
+        let revision = self.revision.next();
+        self.revision = revision;
+        self.record(pattern, Change { revision, entry });
+        revision
+    }
+
+    fn record(&mut self, pattern: Pattern, change: Change) {
+        self.index(&pattern, change.revision, change.entry.clone());
+        let changes = self.changes.entry(pattern).or_default();
+        changes.push(change);
+        if changes.len() > HISTORY_KEPT {
+            changes.remove(0);
+        }
+    }
+
+    fn index(&mut self, pattern: &Pattern, revision: Revision, entry: Option<Arc<CatalogueEntry>>) {
+        let previous = self.expected(pattern);
+        self.by_revision.remove(&previous);
+        self.by_revision.insert(revision, pattern.clone());
+        match (pattern, entry) {
+            (Pattern::Exact(name), Some(entry)) => {
+                self.exact.insert(name.clone(), entry);
+            }
+            (Pattern::Exact(name), None) => {
+                self.exact.remove(name);
+            }
+            (Pattern::Prefix(prefix), Some(entry)) => {
+                self.prefixes.insert(prefix.clone(), entry);
+            }
+            (Pattern::Prefix(prefix), None) => {
+                self.prefixes.remove(prefix);
+            }
+        }
+    }
+
+    /// Steps from the greatest key not above the name to the part that both share. Each step
+    /// shortens the bound and skips no prefix of the name, because such a prefix sorts between.
+    fn longest_prefix(&self, name: &str) -> Option<&Arc<CatalogueEntry>> {
+        let mut bound = name;
+        loop {
+            let (prefix, entry) = self
+                .prefixes
+                .range::<str, _>((Unbounded, Included(bound)))
+                .next_back()?;
+            if name.starts_with(prefix.as_str()) {
+                return Some(entry);
+            }
+            let shared = name
+                .char_indices()
+                .zip(prefix.chars())
+                .find(|((_, a), b)| a != b)
+                .map_or(0, |((at, _), _)| at);
+            bound = &name[..shared];
+        }
+    }
+}
--- a/lib/catalogue/src/pattern.rs
+++ b/lib/catalogue/src/pattern.rs
@@ -14,6 +14,24 @@
     Prefix(Name),
 }
 
+impl Pattern {
+    /// The name or the prefix, without the trailing `*`.
+    pub fn text(&self) -> &str {
+        match self {
+            Self::Exact(name) => name.as_str(),
+            Self::Prefix(prefix) => prefix.as_str(),
+        }
+    }
+
+    /// Tells whether the pattern covers a name.
+    pub fn covers(&self, name: &JobName) -> bool {
+        match self {
+            Self::Exact(exact) => exact == name,
+            Self::Prefix(prefix) => name.starts_with(prefix.as_str()),
+        }
+    }
+}
+
 impl From<String> for Pattern {
     fn from(text: String) -> Self {
         text.strip_suffix('*').map_or_else(
