names: write job ids as text in text formats

The answer to a submission showed j12, the view of the same job 12. JobId now serializes as j12 in text formats and stays a number in binary ones.

--- a/lib/names/src/job_id.rs
+++ b/lib/names/src/job_id.rs
@@ -1,24 +1,13 @@
 use std::{num::ParseIntError, str::FromStr};
 
 use derive_more::{Display, From, Into};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 
 /// Identifier of an accepted job: the log index of its acceptance.
+///
+/// Text formats hold it as callers write it (`j12`), binary formats as a number.
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    Hash,
-    Into,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
+    Clone, Copy, Debug, Default, Display, Eq, From, Hash, Into, Ord, PartialEq, PartialOrd,
 )]
 #[display("j{_0}")]
 pub struct JobId(pub u64);
@@ -30,3 +19,31 @@
         s.strip_prefix('j').unwrap_or(s).parse().map(Self)
     }
 }
+
+impl Serialize for JobId {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            serializer.serialize_u64(self.0)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for JobId {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        if deserializer.is_human_readable() {
+            String::deserialize(deserializer)?
+                .parse()
+                .map_err(D::Error::custom)
+        } else {
+            u64::deserialize(deserializer).map(Self)
+        }
+    }
+}
