front: serve the calls of the HTTP interface

Callers, operators and executors had no way into a host. serve() reads each call with limits on connections, sizes and times, checks the operators' token in constant time, carries the call out through Backend and answers errors with their number. A shutdown closes idle connections and bounds those in flight.

--- /dev/null
+++ b/lib/front/src/calls/catalogue.rs
@@ -0,0 +1,108 @@
+//! Reading and changing the catalogue.
+
+use serde_json::{Value, json};
+use tarragon_catalogue::{CatalogueEntry, Pattern};
+use tarragon_cell::{Answer, Command, Query, QueryAnswer};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::Revision;
+
+use super::{unconfirmed, unexpected_answer, unexpected_read, write};
+use crate::{Backend, FrontConfig, reply::Reply, request::Request};
+
+pub(super) async fn list(backend: &dyn Backend) -> Outcome<Reply> {
+    entries(Query::EntriesSince(Revision(0)), backend).await
+}
+
+pub(super) async fn one(pattern: Pattern, backend: &dyn Backend) -> Outcome<Reply> {
+    let answer = backend.query(Query::Entry(pattern.clone())).await?;
+    let QueryAnswer::Entries { entries, .. } = answer else {
+        return Err(unexpected_read(answer));
+    };
+    match entries.into_iter().next() {
+        Some((pattern, revision, Some(entry))) => {
+            Ok(Reply::ok(&shown(&pattern, revision, Some(&entry))))
+        }
+        _ => Err(Failure::new(
+            Code::NoEntry,
+            format!("the catalogue has no entry for {pattern}"),
+        )),
+    }
+}
+
+pub(super) async fn history(pattern: Pattern, backend: &dyn Backend) -> Outcome<Reply> {
+    entries(Query::History(pattern), backend).await
+}
+
+pub(super) async fn in_force(revision: Revision, backend: &dyn Backend) -> Outcome<Reply> {
+    let in_force = backend.in_force(revision).await?;
+    Ok(Reply::ok(
+        &json!({"revision": revision, "in_force": in_force}),
+    ))
+}
+
+pub(super) async fn put(
+    pattern: Pattern,
+    req: &Request,
+    backend: &dyn Backend,
+    cfg: &FrontConfig,
+) -> Outcome<Reply> {
+    let entry = req.json::<CatalogueEntry>()?;
+    if entry.pattern != pattern {
+        return Err(Failure::new(
+            Code::Malformed,
+            format!("the body is for {}, the path for {pattern}", entry.pattern),
+        ));
+    }
+    let command = Command::PutEntry {
+        request_id: req.write_id()?.into(),
+        expected: req.expected()?,
+        entry,
+    };
+    written(command, backend, cfg).await
+}
+
+pub(super) async fn delete(
+    pattern: Pattern,
+    req: &Request,
+    backend: &dyn Backend,
+    cfg: &FrontConfig,
+) -> Outcome<Reply> {
+    let command = Command::DeleteEntry {
+        request_id: req.write_id()?.into(),
+        expected: req.expected()?,
+        pattern,
+    };
+    written(command, backend, cfg).await
+}
+
+/// Writes a change and answers with its revision.
+pub(super) async fn written(
+    command: Command,
+    backend: &dyn Backend,
+    cfg: &FrontConfig,
+) -> Outcome<Reply> {
+    match write(command, backend, cfg).await {
+        Ok(Answer::Written(revision)) => Ok(Reply::ok(&json!({"revision": revision}))),
+        Ok(Answer::Done) => Ok(Reply::ok(&json!({}))),
+        Ok(other) => Err(unexpected_answer(&other)),
+        Err(failure) => Ok(unconfirmed(failure, &json!({}))),
+    }
+}
+
+async fn entries(query: Query, backend: &dyn Backend) -> Outcome<Reply> {
+    let answer = backend.query(query).await?;
+    let QueryAnswer::Entries { entries, revision } = answer else {
+        return Err(unexpected_read(answer));
+    };
+    let entries = entries
+        .iter()
+        .map(|(pattern, revision, entry)| shown(pattern, *revision, entry.as_ref()))
+        .collect::<Vec<_>>();
+    Ok(Reply::ok(
+        &json!({"revision": revision, "entries": entries}),
+    ))
+}
+
+fn shown(pattern: &Pattern, revision: Revision, entry: Option<&CatalogueEntry>) -> Value {
+    json!({"pattern": pattern, "revision": revision, "entry": entry})
+}
--- /dev/null
+++ b/lib/front/src/calls/jobs.rs
@@ -0,0 +1,95 @@
+//! Submitting, reading and cancelling jobs.
+
+use hyper::StatusCode;
+use serde_json::json;
+use tarragon_cell::{Answer, Command, JobSpec, JobState, Query, QueryAnswer};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{JobId, KeyName, TeamName, Workload};
+
+use super::{unconfirmed, unexpected_answer, unexpected_read, write};
+use crate::{Backend, FrontConfig, reply::Reply, request::Request};
+
+pub(super) async fn submit(
+    req: &Request,
+    backend: &dyn Backend,
+    cfg: &FrontConfig,
+) -> Outcome<Reply> {
+    let spec = req.json::<JobSpec>()?;
+    check(&spec)?;
+    let key = req.key()?;
+    let command = Command::AcceptJob {
+        key: key.clone(),
+        spec,
+    };
+    match write(command, backend, cfg).await {
+        Ok(Answer::Accepted(job)) => Ok(Reply::json(
+            StatusCode::ACCEPTED,
+            &json!({"job": job.to_string(), "state": JobState::Queued}),
+        )),
+        Ok(other) => Err(unexpected_answer(&other)),
+        Err(failure) => Ok(unconfirmed(failure, &json!({"key": key}))),
+    }
+}
+
+pub(super) async fn one(id: JobId, backend: &dyn Backend) -> Outcome<Reply> {
+    view(Query::Job(id), backend).await
+}
+
+pub(super) async fn by_key(key: KeyName, backend: &dyn Backend) -> Outcome<Reply> {
+    view(Query::JobByKey(key), backend).await
+}
+
+pub(super) async fn list(
+    team: Option<TeamName>,
+    state: Option<JobState>,
+    limit: u32,
+    backend: &dyn Backend,
+) -> Outcome<Reply> {
+    match backend.query(Query::Jobs { team, state, limit }).await? {
+        QueryAnswer::Jobs(jobs) => Ok(Reply::ok(&jobs)),
+        other => Err(unexpected_read(other)),
+    }
+}
+
+pub(super) async fn explain(id: JobId, backend: &dyn Backend) -> Outcome<Reply> {
+    backend.explain(id).await.map(|why| Reply::ok(&why))
+}
+
+pub(super) async fn cancel(job: JobId, backend: &dyn Backend, cfg: &FrontConfig) -> Outcome<Reply> {
+    if let Err(failure) = write(Command::Cancel { job }, backend, cfg).await {
+        return Ok(unconfirmed(failure, &json!({"job": job.to_string()})));
+    }
+    // The command only stops further starts, so the state is read rather than assumed.
+    match backend.query(Query::Job(job)).await {
+        Ok(QueryAnswer::Job(view)) => Ok(Reply::json(StatusCode::ACCEPTED, &view)),
+        _ => Ok(Reply::json(
+            StatusCode::ACCEPTED,
+            &json!({"job": job, "state": JobState::Unknown}),
+        )),
+    }
+}
+
+async fn view(query: Query, backend: &dyn Backend) -> Outcome<Reply> {
+    match backend.query(query).await? {
+        QueryAnswer::Job(view) => Ok(Reply::ok(&view)),
+        other => Err(unexpected_read(other)),
+    }
+}
+
+/// Refuses what no catalogue entry could allow, before it reaches the log.
+fn check(spec: &JobSpec) -> Outcome<()> {
+    let cause = if spec.name.as_str().is_empty() {
+        "name: must not be empty"
+    } else if spec.name.as_str().chars().any(char::is_control) {
+        "name: must not hold control characters"
+    } else if spec.tasks == 0 {
+        "tasks: must be above 0"
+    } else if spec.kind == Workload::Request {
+        "kind: must be batch, service or all_or_nothing"
+    } else if spec.deadline_ms == Some(0) {
+        "deadline_ms: must be above 0"
+    } else {
+        return Ok(());
+    };
+    Err(Failure::new(Code::Malformed, cause))
+}
--- /dev/null
+++ b/lib/front/src/calls/nodes.rs
@@ -0,0 +1,91 @@
+//! Workers, executors and hosts.
+
+use serde::Deserialize;
+use serde_json::json;
+use tarragon_cell::Command;
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{ExecutorName, MemberId, WorkerName};
+use tarragon_routing::Announcement;
+
+use super::{unconfirmed, write};
+use crate::{Backend, FrontConfig, reply::Reply, request::Request};
+
+/// Most slots or connections that an executor may announce.
+const EXECUTOR_UNITS_MAX: u32 = 65_536;
+
+/// Body of the call that replaces a voter.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Replacement {
+    remove: MemberId,
+    add: MemberId,
+}
+
+pub(super) async fn workers(backend: &dyn Backend) -> Outcome<Reply> {
+    backend.workers().await.map(|workers| Reply::ok(&workers))
+}
+
+pub(super) async fn drain_worker(
+    worker: WorkerName,
+    draining: bool,
+    backend: &dyn Backend,
+    cfg: &FrontConfig,
+) -> Outcome<Reply> {
+    let shown = json!({"worker": worker, "draining": draining});
+    match write(Command::DrainWorker { worker, draining }, backend, cfg).await {
+        Ok(_) => Ok(Reply::ok(&shown)),
+        Err(failure) => Ok(unconfirmed(failure, &shown)),
+    }
+}
+
+pub(super) async fn executors(backend: &dyn Backend) -> Outcome<Reply> {
+    backend.executors().await.map(|all| Reply::ok(&all))
+}
+
+pub(super) async fn drain_executor(
+    name: ExecutorName,
+    draining: bool,
+    backend: &dyn Backend,
+) -> Outcome<Reply> {
+    backend.drain_executor(name.clone(), draining).await?;
+    Ok(Reply::ok(&json!({"executor": name, "draining": draining})))
+}
+
+pub(super) fn announce(req: &Request, backend: &dyn Backend) -> Outcome<Reply> {
+    let announcement = req.json::<Announcement>()?;
+    check(&announcement)?;
+    backend
+        .announce(announcement)
+        .map(|reply| Reply::ok(&reply))
+}
+
+pub(super) async fn hosts(backend: &dyn Backend) -> Outcome<Reply> {
+    let hosts = backend.hosts().await?;
+    Ok(Reply::ok(&json!({"asked": backend.host(), "hosts": hosts})))
+}
+
+pub(super) async fn replace_member(req: &Request, backend: &dyn Backend) -> Outcome<Reply> {
+    let Replacement { remove, add } = req.json()?;
+    backend.replace_member(remove, add).await?;
+    Ok(Reply::ok(&json!({"removed": remove, "added": add})))
+}
+
+fn check(announcement: &Announcement) -> Outcome<()> {
+    let units = 1..=EXECUTOR_UNITS_MAX;
+    let cause = if announcement.name.as_str().is_empty() {
+        "name: must not be empty"
+    } else if announcement.pool.as_str().is_empty() {
+        "pool: must not be empty"
+    } else if announcement
+        .address
+        .parse::<std::net::SocketAddr>()
+        .is_err()
+    {
+        "address: must be ip:port"
+    } else if !units.contains(&announcement.slots) || !units.contains(&announcement.connections) {
+        "slots and connections: must be from 1 to 65536"
+    } else {
+        return Ok(());
+    };
+    Err(Failure::new(Code::Malformed, cause))
+}
--- a/lib/front/src/lib.rs
+++ b/lib/front/src/lib.rs
@@ -1,9 +1,26 @@
 //! HTTP interface of an entry host.
+//!
+//! Reading a request (`route`, `request`, `access`) is kept apart from carrying out the call
+//! (`calls`), which talks to the rest of the host through [`Backend`].
 
+mod access;
 mod backend;
+mod calls;
+mod front_config;
+mod front_limits;
 mod host_view;
+mod percent;
+mod query_params;
+mod reply;
+mod request;
+mod route;
+mod server;
 mod service_call;
+mod stall_limit;
 
 pub use backend::{Backend, BoxOutcome};
+pub use front_config::{FrontConfig, LogLevelSetter, MetricsPage};
+pub use front_limits::FrontLimits;
 pub use host_view::HostView;
+pub use server::serve;
 pub use service_call::{ServiceCall, ServiceReply};
--- /dev/null
+++ b/lib/front/src/percent.rs
@@ -0,0 +1,39 @@
+//! Percent-encoding of path segments and query values.
+
+use tarragon_codes::{Code, Failure, Outcome};
+
+/// Decodes `%XX` triplets; the result must be UTF-8 without control characters.
+pub(crate) fn decode(text: &str) -> Outcome<String> {
+    let bad = || {
+        Failure::new(
+            Code::Malformed,
+            "path or query is not valid percent-encoding",
+        )
+    };
+    let mut out = Vec::with_capacity(text.len());
+    let mut bytes = text.bytes();
+    while let Some(byte) = bytes.next() {
+        if byte != b'%' {
+            out.push(byte);
+            continue;
+        }
+        let mut digit = || {
+            bytes
+                .next()
+                .and_then(|b| char::from(b).to_digit(16))
+                .ok_or_else(bad)
+        };
+        let value = digit()? * 16 + digit()?;
+        out.push(value as u8);
+    }
+    let Ok(text) = String::from_utf8(out) else {
+        return Err(bad());
+    };
+    if text.chars().any(char::is_control) {
+        return Err(Failure::new(
+            Code::Malformed,
+            "path or query holds a control character",
+        ));
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/lib/front/src/stall_limit.rs
@@ -0,0 +1,98 @@
+use std::{
+    fmt, io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Sleep, sleep},
+};
+
+/// A stream whose peer must accept bytes from time to time.
+///
+/// A caller that stops reading its answer would otherwise hold its connection and the answer's
+/// memory for as long as it likes.
+pub(crate) struct StallLimit {
+    stream: TcpStream,
+    limit: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl StallLimit {
+    pub(crate) fn new(stream: TcpStream, limit: Duration) -> Self {
+        Self {
+            stream,
+            limit,
+            stalled: None,
+        }
+    }
+
+    fn check<T>(&mut self, cx: &mut Context<'_>, poll: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if poll.is_ready() {
+            self.stalled = None;
+            return poll;
+        }
+        let limit = self.limit;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(stalled.as_mut().poll(cx));
+        Poll::Ready(Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "the peer accepts no bytes",
+        )))
+    }
+}
+
+impl AsyncRead for StallLimit {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for StallLimit {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check(cx, poll)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check(cx, poll)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let poll = Pin::new(&mut self.stream).poll_flush(cx);
+        self.check(cx, poll)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let poll = Pin::new(&mut self.stream).poll_shutdown(cx);
+        self.check(cx, poll)
+    }
+}
+
+impl fmt::Debug for StallLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StallLimit")
+            .field("limit", &self.limit)
+            .finish_non_exhaustive()
+    }
+}
