--- /dev/null
+++ b/lib/host/src/control_clients.rs
@@ -0,0 +1,104 @@
+use std::{
+    collections::HashMap,
+    future::Future,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use tarpc::{
+    client::{self, RpcError},
+    context::{self, Context},
+    serde_transport::tcp,
+    tokio_serde::formats::Bincode,
+};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::HostName;
+use tarragon_settings::{HostAddress, HostSettings};
+use tarragon_wire::control::ControlClient;
+use tokio::time::timeout;
+
+/// Largest message between hosts in bytes: a request body of 64 MiB and its envelope.
+pub(crate) const MAX_FRAME: usize = 65 << 20;
+
+/// Failure of a call to another host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallFailure {
+    /// The call was not made, so it has no effect.
+    NotSent(Failure),
+    /// The call may have had its effect.
+    Ambiguous(Failure),
+}
+
+impl CallFailure {
+    /// The failure as it is told to callers.
+    pub fn into_failure(self) -> Failure {
+        match self {
+            Self::NotSent(failure) | Self::Ambiguous(failure) => failure,
+        }
+    }
+}
+
+/// Clients for calls to the other entry hosts, each on one connection.
+///
+/// A client whose call timed out is dropped, so that the next call is made on a fresh connection.
+#[derive(Debug)]
+pub struct ControlClients {
+    hosts: HashMap<HostName, HostAddress>,
+    clients: Mutex<HashMap<HostName, ControlClient>>,
+    connect: Duration,
+}
+
+impl ControlClients {
+    /// Clients for the hosts of the settings, connected on first use.
+    pub fn new(cfg: &HostSettings) -> Self {
+        Self {
+            hosts: cfg.hosts.iter().map(|host| (host.name.clone(), host.clone())).collect(),
+            clients: Mutex::new(HashMap::new()),
+            connect: Duration::from_millis(cfg.timing.link_silent.0),
+        }
+    }
+
+    /// Makes a call that ends within `limit`.
+    pub async fn call<F, R, T>(
+        &self,
+        host: &HostName,
+        limit: Duration,
+        call: F,
+    ) -> Result<T, CallFailure>
+    where
+        F: FnOnce(ControlClient, Context) -> R,
+        R: Future<Output = Result<T, RpcError>>,
+    {
+        let deadline = Instant::now() + limit;
+        let client = self.client(host, limit).await.map_err(CallFailure::NotSent)?;
+        let mut cx = context::current();
+        cx.deadline = deadline;
+        call(client, cx).await.map_err(|e| {
+            self.clients.lock().remove(host);
+            let cause = format!("call to {host} failed: {e}");
+            match e {
+                RpcError::Server(_) => CallFailure::NotSent(Failure::new(Code::Internal, cause)),
+                _ => CallFailure::Ambiguous(Failure::new(Code::HostUnreachable, cause)),
+            }
+        })
+    }
+
+    async fn client(&self, host: &HostName, limit: Duration) -> Outcome<ControlClient> {
+        if let Some(client) = self.clients.lock().get(host) {
+            return Ok(client.clone());
+        }
+        let unreachable = |cause: &str| {
+            Failure::new(Code::HostUnreachable, format!("cannot connect to {host}: {cause}"))
+        };
+        let address = self.hosts.get(host).ok_or_else(|| unreachable("not listed in settings"))?;
+        let mut connect = tcp::connect(address.control, Bincode::default);
+        connect.config_mut().max_frame_length(MAX_FRAME);
+        let transport = timeout(limit.min(self.connect), connect)
+            .await
+            .map_err(|_elapsed| unreachable("timed out"))?
+            .map_err(|e| unreachable(&e.to_string()))?;
+        let client = ControlClient::new(client::Config::default(), transport).spawn();
+        self.clients.lock().insert(host.clone(), client.clone());
+        Ok(client)
+    }
+}
--- /dev/null
+++ b/lib/host/src/leader_hint.rs
@@ -0,0 +1,29 @@
+use arc_swap::ArcSwapOption;
+use tarragon_names::{HostName, Term};
+
+/// Leader as far as this host knows, with the term it led in.
+#[derive(Debug, Default)]
+pub struct LeaderHint(ArcSwapOption<(Term, HostName)>);
+
+impl LeaderHint {
+    /// The host believed to lead.
+    pub fn get(&self) -> Option<HostName> {
+        self.0.load().as_ref().map(|known| known.1.clone())
+    }
+
+    /// Notes a leader; an older term changes nothing.
+    pub fn set(&self, term: Term, leader: HostName) {
+        self.0.rcu(|known| match known {
+            Some(known) if known.0 > term => Some(std::sync::Arc::clone(known)),
+            _ => Some(std::sync::Arc::new((term, leader.clone()))),
+        });
+    }
+
+    /// Forgets the leader if it is still `host`, because a call to it failed.
+    pub fn forget(&self, host: &HostName) {
+        self.0.rcu(|known| match known {
+            Some(known) if known.1 != *host => Some(std::sync::Arc::clone(known)),
+            _ => None,
+        });
+    }
+}
--- /dev/null
+++ b/lib/host/src/replica_handle.rs
@@ -0,0 +1,153 @@
+use std::{
+    sync::mpsc::{SyncSender, TrySendError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tarragon_agreement::{Event, MemberStatus, Members, Replica};
+use tarragon_cell::{Answer, Command};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{HostName, MemberId, Term};
+use tarragon_wire::record::Record;
+use tokio::{sync::oneshot, time::timeout};
+
+use crate::waiters::{DoneWaiter, ProposalWaiter};
+
+/// Wait told to callers whose write finds the queue of the replica full, in milliseconds.
+const FULL_RETRY_MS: u64 = 500;
+
+/// Input of the replica's thread.
+pub(crate) enum Input {
+    /// An event of the agreement.
+    Event(Event),
+    /// A record to append.
+    Propose { record: Bytes, waiter: ProposalWaiter },
+    /// A read of the state.
+    Read(DoneWaiter),
+    /// A change of the member list.
+    Change { members: Members, waiter: DoneWaiter },
+    /// A new learner.
+    Join { id: MemberId, host: HostName, waiter: DoneWaiter },
+    /// A look at the replica.
+    Inspect(Box<dyn FnOnce(&Replica) + Send>),
+    /// The end of the thread.
+    Stop,
+}
+
+/// State of the replica group as this replica sees it.
+#[derive(Clone, Debug)]
+pub struct ReplicaStatus {
+    /// Its identity.
+    pub id: MemberId,
+    /// Current term.
+    pub term: Term,
+    /// Host of the leader, if known.
+    pub leader: Option<HostName>,
+    /// Member list in force.
+    pub members: Members,
+    /// State of each member.
+    pub status: Vec<MemberStatus>,
+}
+
+/// Access to the replica of this host from other threads.
+#[derive(Clone, Debug)]
+pub struct ReplicaHandle {
+    tx: SyncSender<Input>,
+}
+
+impl ReplicaHandle {
+    pub(crate) fn new(tx: SyncSender<Input>) -> Self {
+        Self { tx }
+    }
+
+    /// Passes on a message of another replica; it is lost when the queue is full.
+    pub(crate) fn event(&self, event: Event) {
+        let _lost = self.tx.try_send(Input::Event(event));
+    }
+
+    /// Proposes a command without waiting for its result.
+    pub(crate) fn propose_and_forget(&self, at_ms: u64, command: Command) -> Outcome<()> {
+        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: None })
+    }
+
+    /// Proposes a command and waits for the result of applying it.
+    pub async fn propose(
+        &self,
+        at_ms: u64,
+        command: Command,
+        limit: Duration,
+    ) -> Outcome<Answer> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: Some(tx) })?;
+        match timeout(limit, rx).await {
+            Ok(Ok(result)) => result,
+            _ => Err(Failure::of(Code::NotConfirmed)),
+        }
+    }
+
+    /// Waits until the state on this host reflects everything committed before the call.
+    pub async fn read(&self, limit: Duration) -> Outcome<()> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Input::Read(tx))?;
+        wait(rx, limit).await
+    }
+
+    /// Changes the member list.
+    pub async fn change_members(&self, members: Members, limit: Duration) -> Outcome<()> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Input::Change { members, waiter: tx })?;
+        wait(rx, limit).await
+    }
+
+    /// Adds a learner.
+    pub async fn join(&self, id: MemberId, host: HostName, limit: Duration) -> Outcome<()> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Input::Join { id, host, waiter: tx })?;
+        wait(rx, limit).await
+    }
+
+    /// State of the replica group.
+    pub async fn status(&self, limit: Duration) -> Outcome<ReplicaStatus> {
+        let (tx, rx) = oneshot::channel();
+        self.send(Input::Inspect(Box::new(move |replica| {
+            let _gone = tx.send(Ok(ReplicaStatus {
+                id: replica.id(),
+                term: replica.term(),
+                leader: replica.leader().cloned(),
+                members: replica.members().clone(),
+                status: replica.member_status(),
+            }));
+        })))?;
+        wait(rx, limit).await
+    }
+
+    /// Asks the replica to hand leadership over, if it leads.
+    pub(crate) fn transfer(&self) {
+        self.event(Event::TransferLeadership);
+    }
+
+    /// Ends the thread.
+    pub(crate) fn stop(&self) {
+        let _ended = self.tx.send(Input::Stop);
+    }
+
+    fn send(&self, input: Input) -> Outcome<()> {
+        self.tx.try_send(input).map_err(|e| match e {
+            TrySendError::Full(_) => Failure::of(Code::QueueFull).retry_after(FULL_RETRY_MS),
+            TrySendError::Disconnected(_) => Failure::of(Code::Stopping),
+        })
+    }
+}
+
+fn encode(at_ms: u64, command: Command) -> Outcome<Bytes> {
+    Record::new(at_ms, command)
+        .encode()
+        .map_err(|e| Failure::new(Code::Internal, e.to_string()))
+}
+
+async fn wait<T>(rx: oneshot::Receiver<Outcome<T>>, limit: Duration) -> Outcome<T> {
+    match timeout(limit, rx).await {
+        Ok(Ok(result)) => result,
+        _ => Err(Failure::of(Code::NoLeader)),
+    }
+}
--- /dev/null
+++ b/lib/host/src/waiters.rs
@@ -0,0 +1,118 @@
+use std::collections::{BTreeMap, HashMap};
+
+use tarragon_agreement::Token;
+use tarragon_cell::Answer;
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{HostName, LogIndex, Term};
+use tokio::sync::oneshot;
+
+/// Receiver of the result of a proposal; absent for proposals of the own scheduler.
+pub(crate) type ProposalWaiter = Option<oneshot::Sender<Outcome<Answer>>>;
+
+/// Receiver of a permission to read or of the result of a member change.
+pub(crate) type DoneWaiter = oneshot::Sender<Outcome<()>>;
+
+/// Requests whose results are still to come.
+#[derive(Debug, Default)]
+pub(crate) struct Waiters {
+    next: Token,
+    batches: HashMap<Token, Vec<ProposalWaiter>>,
+    appended: BTreeMap<LogIndex, (Term, ProposalWaiter)>,
+    done: HashMap<Token, DoneWaiter>,
+    reads: BTreeMap<LogIndex, Vec<DoneWaiter>>,
+}
+
+impl Waiters {
+    /// Keeps the waiters of a batch of proposals.
+    pub(crate) fn add_batch(&mut self, waiters: Vec<ProposalWaiter>) -> Token {
+        self.next += 1;
+        self.batches.insert(self.next, waiters);
+        self.next
+    }
+
+    /// Keeps the waiter of a read or of a member change.
+    pub(crate) fn add_done(&mut self, waiter: DoneWaiter) -> Token {
+        self.next += 1;
+        self.done.insert(self.next, waiter);
+        self.next
+    }
+
+    /// Notes where the records of a batch were appended.
+    pub(crate) fn appended(&mut self, token: Token, first: LogIndex, term: Term) {
+        let waiters = self.batches.remove(&token).unwrap_or_default();
+        for (i, waiter) in waiters.into_iter().enumerate() {
+            let index = LogIndex(first.0 + i as u64);
+            if let Some((_, replaced)) = self.appended.insert(index, (term, waiter)) {
+                answer(replaced, Err(replaced_failure()));
+            }
+        }
+    }
+
+    /// Passes on the result of an applied entry.
+    ///
+    /// An entry of another term at the same index proves that the proposal never takes effect.
+    pub(crate) fn applied(&mut self, index: LogIndex, term: Term, result: Option<Answer>) {
+        if let Some((expected, waiter)) = self.appended.remove(&index) {
+            let result = result.filter(|_| expected == term).ok_or_else(replaced_failure);
+            answer(waiter, result);
+        }
+        while let Some(entry) = self.reads.first_entry() {
+            if *entry.key() > index {
+                break;
+            }
+            for waiter in entry.remove() {
+                permit(waiter, Ok(()));
+            }
+        }
+    }
+
+    /// Passes on a permission once `index` is applied.
+    pub(crate) fn done(&mut self, token: Token, index: LogIndex, applied: LogIndex) {
+        let Some(waiter) = self.done.remove(&token) else { return };
+        if index <= applied {
+            permit(waiter, Ok(()));
+        } else {
+            self.reads.entry(index).or_default().push(waiter);
+        }
+    }
+
+    /// Passes on a refusal; the request has no effect.
+    pub(crate) fn refused(&mut self, token: Token, leader: Option<&HostName>) {
+        let cause = match leader {
+            Some(leader) => Failure::new(Code::NotLeader, leader.to_string()),
+            None => Failure::of(Code::NoLeader),
+        };
+        for waiter in self.batches.remove(&token).unwrap_or_default() {
+            answer(waiter, Err(cause.clone()));
+        }
+        if let Some(waiter) = self.done.remove(&token) {
+            permit(waiter, Err(cause));
+        }
+    }
+
+    /// Gives up all requests whose results cannot be told any more, after a snapshot replaced the
+    /// entries that they wait for.
+    pub(crate) fn forget(&mut self) {
+        for (_, (_, waiter)) in std::mem::take(&mut self.appended) {
+            answer(waiter, Err(Failure::of(Code::NotConfirmed)));
+        }
+        for waiter in std::mem::take(&mut self.reads).into_values().flatten() {
+            permit(waiter, Err(Failure::of(Code::NoLeader)));
+        }
+    }
+}
+
+fn replaced_failure() -> Failure {
+    Failure::new(Code::NoLeader, "the leader changed before the write was replicated")
+}
+
+fn answer(waiter: ProposalWaiter, result: Outcome<Answer>) {
+    if let Some(waiter) = waiter {
+        // The caller may have given up.
+        let _gone = waiter.send(result);
+    }
+}
+
+fn permit(waiter: DoneWaiter, result: Outcome<()>) {
+    let _gone = waiter.send(result);
+}
