codes: always serialize the retry time of a failure

Records of the log and the calls between hosts use formats without field names. A skipped field shifts what follows, so a stored failure did not read back.

--- a/lib/codes/src/failure.rs
+++ b/lib/codes/src/failure.rs
@@ -15,7 +15,10 @@
     /// One line that says what went wrong here.
     pub cause: String,
     /// Time after which a retry may succeed, where that is known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ///
+    /// Always serialized: the records of the log have no field names, so a skipped field would
+    /// shift what follows.
+    #[serde(default)]
     pub retry_after_ms: Option<u64>,
 }
 
