cell: apply commands to jobs, keys, catalogue and quotas

The replicated state needs one deterministic machine that every replica runs. Jobs and keys are sharded, so readers and the applying thread seldom meet.

--- /dev/null
+++ b/lib/cell/src/cell_query.rs
@@ -0,0 +1,94 @@
+//! Reads of the replicated state.
+
+use tarragon_catalogue::Change;
+use tarragon_codes::{Code, Failure};
+use tarragon_names::{JobId, Revision, TeamName};
+
+use crate::{Cell, JobState, MAX_LISTED, Query, QueryAnswer};
+
+impl Cell {
+    /// Answers a read.
+    pub fn query(&self, query: &Query) -> QueryAnswer {
+        match query {
+            Query::Job(job) => self.job(*job),
+            Query::JobByKey(key) => match self.job_of_key(key) {
+                Some(job) => self.job(job),
+                None => QueryAnswer::Failed(Failure::new(
+                    Code::NoSuchJob,
+                    "no job was accepted under this key",
+                )),
+            },
+            Query::Jobs { team, state, limit } => self.list(team.as_ref(), *state, *limit),
+            Query::Entry(pattern) => {
+                let catalogue = self.catalogue();
+                match catalogue.last(pattern) {
+                    Some(change) => QueryAnswer::Entries {
+                        entries: vec![(pattern.clone(), change.revision, owned(change))],
+                        revision: catalogue.revision(),
+                    },
+                    None => QueryAnswer::Failed(Failure::new(
+                        Code::NoEntry,
+                        format!("no entry for '{pattern}'"),
+                    )),
+                }
+            }
+            Query::EntriesSince(revision) => {
+                let catalogue = self.catalogue();
+                let entries = catalogue
+                    .since(*revision)
+                    .map(|(pattern, change)| (pattern.clone(), change.revision, owned(change)))
+                    .collect();
+                QueryAnswer::Entries {
+                    entries,
+                    revision: catalogue.revision(),
+                }
+            }
+            Query::History(pattern) => {
+                let catalogue = self.catalogue();
+                let entries = catalogue
+                    .history(pattern)
+                    .iter()
+                    .map(|change| (pattern.clone(), change.revision, owned(change)))
+                    .collect();
+                QueryAnswer::Entries {
+                    entries,
+                    revision: catalogue.revision(),
+                }
+            }
+            Query::Quota(team) => {
+                let registry = self.registry.lock();
+                let found = registry.quotas.get(team).cloned();
+                let (quota, revision) = found.unwrap_or((crate::Quota::default(), Revision(0)));
+                QueryAnswer::Quota(quota, revision)
+            }
+        }
+    }
+
+    fn job(&self, job: JobId) -> QueryAnswer {
+        match self.with_job(job, |record| record.view(true)) {
+            Some(view) => QueryAnswer::Job(Box::new(view)),
+            None => QueryAnswer::Failed(Failure::new(Code::NoSuchJob, format!("no job {job}"))),
+        }
+    }
+
+    fn list(&self, team: Option<&TeamName>, state: Option<JobState>, limit: u32) -> QueryAnswer {
+        let limit = (limit as usize).min(MAX_LISTED);
+        let mut found = Vec::new();
+        self.jobs.for_each(|jobs| {
+            let matching = jobs
+                .values()
+                .rev()
+                .filter(|job| team.is_none_or(|team| job.team == *team))
+                .filter(|job| state.is_none_or(|state| job.state() == state))
+                .take(limit);
+            found.extend(matching.map(|job| job.view(false)));
+        });
+        found.sort_unstable_by_key(|view| std::cmp::Reverse(view.job));
+        found.truncate(limit);
+        QueryAnswer::Jobs(found)
+    }
+}
+
+fn owned(change: &Change) -> Option<tarragon_catalogue::CatalogueEntry> {
+    change.entry.as_deref().cloned()
+}
--- /dev/null
+++ b/lib/cell/src/cell_state.rs
@@ -0,0 +1,19 @@
+use serde::{Deserialize, Serialize};
+use tarragon_catalogue::Catalogue;
+use tarragon_names::{JobId, KeyName};
+
+use crate::{
+    JobRecord,
+    key_table::{Claim, RequestKey},
+    registry::Registry,
+};
+
+/// The whole state of a cell, for a snapshot.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CellState {
+    pub(crate) catalogue: Catalogue,
+    pub(crate) registry: Registry,
+    pub(crate) jobs: Vec<JobRecord>,
+    pub(crate) job_keys: Vec<(KeyName, JobId)>,
+    pub(crate) request_keys: Vec<(RequestKey, Claim)>,
+}
--- a/lib/cell/src/lib.rs
+++ b/lib/cell/src/lib.rs
@@ -3,15 +3,34 @@
 //! [`Command`]s from the log change the state, always with the same result on every replica.
 
 mod answer;
+mod cell;
+mod cell_jobs;
+mod cell_keys;
+mod cell_query;
+mod cell_state;
 mod command;
+mod constants;
+mod job_record;
 mod job_spec;
 mod job_view;
+mod key_table;
 mod query;
 mod quota;
+mod registry;
+mod task_record;
+mod writes;
 
 pub use answer::Answer;
+pub use cell::Cell;
+pub use cell_state::CellState;
 pub use command::{ClaimId, Command, Ended};
+pub use constants::{
+    ENDED_KEPT_MS, KEY_RETENTION_MS, MAX_ENDED_JOBS, MAX_JOBS, MAX_KEYS, MAX_LISTED, MAX_PAYLOAD,
+    MAX_STORED_BODY, MAX_STORED_BYTES, MAX_TASKS, WRITES_KEPT,
+};
+pub use job_record::JobRecord;
 pub use job_spec::JobSpec;
 pub use job_view::{JobState, JobView, TaskState, TaskView};
 pub use query::{Query, QueryAnswer};
 pub use quota::Quota;
+pub use task_record::{Began, TaskRecord};
--- /dev/null
+++ b/lib/cell/tests/jobs.rs
@@ -0,0 +1,221 @@
+//! States of jobs and rules for attempts.
+
+mod common;
+
+use common::{Fixture, entry, spec};
+use tarragon_cell::{
+    Answer, Command, ENDED_KEPT_MS, Ended, JobRecord, JobSpec, JobState, Query, QueryAnswer, Quota,
+};
+use tarragon_codes::Code;
+use tarragon_names::{JobId, Resources, Revision, Workload};
+use yare::parameterized;
+
+/// Guards against a job being told as `not_run` when it ran or may have run.
+#[parameterized(
+    never_assigned = { &[], JobState::NotRun },
+    never_began = { &[Ended::NeverBegan], JobState::NotRun },
+    stopped = { &[Ended::Stopped], JobState::Stopped },
+    lost = { &[Ended::LeaseEnded], JobState::Unknown },
+    lost_then_never_began = { &[Ended::LeaseEnded, Ended::NeverBegan], JobState::Unknown },
+    failed_then_never_began = { &[Ended::Exited(1), Ended::NeverBegan], JobState::Stopped },
+    ended_first = { &[Ended::Exited(0)], JobState::Ran },
+)]
+fn state_after_cancel(ends: &[Ended], expected: JobState) {
+    let cell = Fixture::new();
+    let job = cell.accept(Workload::Batch, 1);
+    for (at, ended) in ends.iter().enumerate() {
+        assert!(cell.assign(job, 0, at as u32 + 1));
+        if at + 1 == ends.len() && *ended != Ended::Exited(0) {
+            cell.apply(&Command::Cancel { job });
+            assert_eq!(cell.state(job), JobState::Cancelling);
+        }
+        cell.end(job, 0, at as u32 + 1, *ended);
+    }
+    cell.apply(&Command::Cancel { job });
+    assert_eq!(cell.state(job), expected);
+}
+
+/// Guards against a task that starts after it was cancelled or refused, twice, or out of turn.
+#[test]
+fn only_the_next_attempt_of_a_waiting_task_is_assigned() {
+    let cell = Fixture::new();
+    let job = cell.accept(Workload::Batch, 1);
+    assert!(!cell.assign(job, 0, 2));
+    assert!(cell.assign(job, 0, 1));
+    assert!(!cell.assign(job, 0, 1));
+    assert!(!cell.assign(job, 0, 2));
+    cell.end(job, 0, 1, Ended::Checkpointed);
+    assert!(!cell.assign(job, 0, 1));
+    cell.apply(&Command::Cancel { job });
+    assert!(!cell.assign(job, 0, 2));
+    let refused = cell.accept(Workload::Batch, 1);
+    cell.apply(&Command::Refuse {
+        job: refused,
+        reason: Code::LargerThanAnyWorker.into(),
+    });
+    assert!(!cell.assign(refused, 0, 1));
+    assert_eq!(cell.state(refused), JobState::NotRun);
+}
+
+/// Guards against a lost or failing task that is dropped early or retried forever.
+#[parameterized(
+    lost = { Workload::Batch, Ended::LeaseEnded, 1, JobState::Queued },
+    lost_twice = { Workload::Batch, Ended::LeaseEnded, 2, JobState::Unknown },
+    failed = { Workload::Batch, Ended::Exited(3), 1, JobState::Queued },
+    failed_twice = { Workload::Batch, Ended::Exited(3), 2, JobState::Ran },
+    withdrawn_is_no_fault = { Workload::Batch, Ended::NeverBegan, 5, JobState::Queued },
+    checkpointed_is_no_fault = { Workload::Batch, Ended::Checkpointed, 5, JobState::Queued },
+    service_restarts = { Workload::Service, Ended::Exited(0), 5, JobState::Queued },
+    together_failed_twice = { Workload::AllOrNothing, Ended::Exited(3), 2, JobState::Ran },
+)]
+fn retries(kind: Workload, ended: Ended, times: u32, expected: JobState) {
+    let cell = Fixture::new();
+    let job = cell.accept(kind, 1);
+    for attempt in 1..=times {
+        assert!(cell.assign(job, 0, attempt));
+        cell.end(job, 0, attempt, ended);
+    }
+    assert_eq!(cell.state(job), expected);
+}
+
+/// Guards against repeating work whose end arrives after the lease of its attempt ended.
+#[test]
+fn late_end_counts_until_the_next_attempt() {
+    let cell = Fixture::new();
+    let job = cell.accept(Workload::Batch, 2);
+    for index in 0..2 {
+        assert!(cell.assign(job, index, 1));
+        cell.end(job, index, 1, Ended::LeaseEnded);
+    }
+    cell.end(job, 0, 1, Ended::Exited(0));
+    assert!(!cell.assign(job, 0, 2));
+    assert!(cell.assign(job, 1, 2));
+    cell.end(job, 1, 1, Ended::Exited(0));
+    assert_eq!(cell.state(job), JobState::Running);
+    cell.end(job, 1, 2, Ended::Exited(0));
+    let success = cell.cell.with_job(job, JobRecord::success).unwrap();
+    assert_eq!((cell.state(job), success), (JobState::Ran, Some(true)));
+}
+
+/// Guards against accepting what the entry, the quota or the bounds exclude.
+#[parameterized(
+    no_entry = { |s| s.name = "b".into(), Code::NoEntry },
+    kind = { |s| s.kind = Workload::Request, Code::KindNotAllowed },
+    no_tasks = { |s| s.tasks = 0, Code::Malformed },
+    no_resources = { |s| s.resources = Resources::ZERO, Code::Malformed },
+    tasks = { |s| s.tasks = 1_001, Code::BeyondLimits },
+    resources = { |s| s.resources.cpu_milli = 8_001, Code::BeyondLimits },
+    run_time = { |s| s.run_ms = u64::MAX, Code::BeyondLimits },
+    payload = { |s| s.payload = "x".repeat(70_000).into(), Code::TooLarge },
+)]
+fn refused_at_acceptance(change: fn(&mut JobSpec), code: Code) {
+    let cell = Fixture::new();
+    let mut spec = spec(Workload::Batch, 1);
+    change(&mut spec);
+    let answer = cell.apply(&Command::AcceptJob { key: None, spec });
+    assert!(matches!(answer, Answer::Failed(failure) if failure.code == code));
+}
+
+/// Guards against counts of open jobs that do not fall when jobs end.
+#[parameterized(entry_limit = { 0, 5, Code::QueueFull }, team_limit = { 3, 3, Code::QuotaExceeded })]
+fn open_jobs_are_limited(quota: u32, limit: u32, code: Code) {
+    let cell = Fixture::new();
+    cell.apply(&Command::PutQuota {
+        request_id: "q".into(),
+        expected: Revision(0),
+        team: "reels".into(),
+        quota: Quota {
+            max_jobs: quota,
+            ..Quota::default()
+        },
+    });
+    let jobs = (0..limit)
+        .map(|_| cell.accept(Workload::Batch, 1))
+        .collect::<Vec<_>>();
+    let one_more = Command::AcceptJob {
+        key: None,
+        spec: spec(Workload::Batch, 1),
+    };
+    let full = cell.apply(&one_more);
+    assert!(matches!(full, Answer::Failed(failure) if failure.code == code));
+    cell.apply(&Command::Cancel { job: jobs[0] });
+    assert!(matches!(cell.apply(&one_more), Answer::Accepted(_)));
+}
+
+/// Guards against a resent job running twice and against a key that stands for two jobs.
+#[test]
+fn key_gives_the_first_job() {
+    let cell = Fixture::new();
+    let accept = |tasks| Command::AcceptJob {
+        key: Some("k".into()),
+        spec: spec(Workload::Batch, tasks),
+    };
+    let first = cell.apply(&accept(1));
+    assert_eq!(cell.apply(&accept(1)), first);
+    let other = cell.apply(&accept(2));
+    assert!(matches!(other, Answer::Failed(failure) if failure.code == Code::KeyReused));
+    assert!(matches!(
+        cell.cell.query(&Query::JobByKey("k".into())),
+        QueryAnswer::Job(_)
+    ));
+}
+
+/// Guards against ended jobs that pile up or vanish early.
+#[test]
+fn ended_jobs_are_kept_for_a_day() {
+    let cell = Fixture::new();
+    let job = cell.accept(Workload::Batch, 1);
+    cell.apply_at(1_000, &Command::Cancel { job });
+    let known = |at_ms| {
+        let drain = Command::DrainWorker {
+            worker: "w".into(),
+            draining: true,
+        };
+        cell.apply_at(at_ms, &drain);
+        cell.cell.with_job(job, |_| ()).is_some()
+    };
+    assert!(known(999 + ENDED_KEPT_MS));
+    assert!(!known(1_000 + ENDED_KEPT_MS));
+}
+
+/// Guards against a second effect of a resent write and a lost update between two operators.
+#[test]
+fn writes_are_conditional_and_idempotent() {
+    let cell = Fixture::new();
+    let put = |id: &str, expected| Command::PutEntry {
+        request_id: id.into(),
+        expected: Revision(expected),
+        entry: entry("b"),
+    };
+    assert_eq!(cell.apply(&put("1", 0)), Answer::Written(Revision(2)));
+    let racing = cell.apply(&put("2", 0));
+    assert!(matches!(&racing, Answer::Failed(failure) if failure.code == Code::RevisionConflict));
+    assert_eq!(cell.apply(&put("3", 2)), Answer::Written(Revision(3)));
+    assert_eq!(cell.apply(&put("1", 0)), Answer::Written(Revision(2)));
+    assert_eq!(cell.apply(&put("2", 0)), racing);
+    let reused = cell.apply(&put("1", 3));
+    assert!(matches!(reused, Answer::Failed(failure) if failure.code == Code::KeyReused));
+}
+
+/// Guards against a snapshot that loses state or a record format that does not read back.
+#[test]
+fn snapshot_restores_everything() {
+    let cell = Fixture::new();
+    let job = cell.accept(Workload::Batch, 3);
+    assert!(cell.assign(job, 0, 1));
+    cell.apply(&Command::AcceptJob {
+        key: Some("k".into()),
+        spec: spec(Workload::Service, 1),
+    });
+    cell.apply(&Command::Refuse {
+        job: JobId(4),
+        reason: Code::LargerThanAnyWorker.into(),
+    });
+    let state = cell.cell.snapshot();
+    let bytes = postcard::to_allocvec(&state).unwrap();
+    let copy = Fixture::new();
+    copy.cell.restore(postcard::from_bytes(&bytes).unwrap());
+    assert_eq!(copy.cell.snapshot(), state);
+    assert_eq!(copy.state(job), JobState::Running);
+    assert_eq!(copy.cell.unfinished(), cell.cell.unfinished());
+}
