placement: define the placer trait with a first-fit placer

Cause: the scheduler is written against the trait while the placers are built. Change: Placer, PlaceRequest, Placement, HeadReservation, Horizon; first fit over racks in shards.

--- a/lib/placement/src/lib.rs
+++ b/lib/placement/src/lib.rs
@@ -1,1 +1,31 @@
 //! Placement of tasks on workers behind one trait.
+//!
+//! Every placer keeps the same ledger: workers split into shards by rack, each shard under its own
+//! lock. A decision reserves what it places before it returns, so two decisions cannot hand out
+//! the same capacity.
+
+mod first_fit;
+mod head_reservation;
+mod horizon;
+mod indexed_placer;
+mod ledger;
+mod place_request;
+mod placed;
+mod placer;
+mod policy_weights;
+mod rack_shard;
+mod random_of_two;
+mod totals;
+mod worker_info;
+
+pub use first_fit::FirstFit;
+pub use head_reservation::HeadReservation;
+pub use horizon::Horizon;
+pub use indexed_placer::IndexedPlacer;
+pub use place_request::PlaceRequest;
+pub use placed::Placement;
+pub use placer::Placer;
+pub use policy_weights::PolicyWeights;
+pub use random_of_two::RandomOfTwo;
+pub use totals::Totals;
+pub use worker_info::WorkerInfo;
--- /dev/null
+++ b/lib/placement/src/place_request.rs
@@ -0,0 +1,54 @@
+use std::sync::Arc;
+
+use tarragon_names::{DomainName, Millis, Resources, WorkerName, Workload};
+
+use crate::HeadReservation;
+
+/// Tasks of one job that are to be placed in one decision.
+#[derive(Clone, Debug)]
+pub struct PlaceRequest {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// What each task needs.
+    pub resources: Resources,
+    /// Kind of work; tasks of `AllOrNothing` are placed all or not at all.
+    pub workload: Workload,
+    /// Whether tasks go to the failure domains that hold the fewest tasks of the job.
+    pub spread: bool,
+    /// Failure domains of the tasks of the job that already run, one entry a task.
+    pub running_in: Vec<DomainName>,
+    /// Failure domain that the job's data or caller is in.
+    pub prefer_domain: Option<DomainName>,
+    /// Workers that must not be used, for example because the job failed there.
+    pub exclude: Vec<WorkerName>,
+    /// Time at which the tasks end at the latest; `None` if that is not known.
+    pub ends: Option<Millis>,
+    /// Reservation of the job at the head of the queue, which the tasks must not delay.
+    pub held: Option<Arc<HeadReservation>>,
+}
+
+impl PlaceRequest {
+    /// Asks for `tasks` tasks with `resources` each, spread if they are tasks of a service.
+    pub fn new(tasks: u32, resources: Resources, workload: Workload) -> Self {
+        Self {
+            tasks,
+            resources,
+            workload,
+            spread: workload == Workload::Service,
+            running_in: Vec::new(),
+            prefer_domain: None,
+            exclude: Vec::new(),
+            ends: None,
+            held: None,
+        }
+    }
+
+    /// Tells whether the request rules `worker` out, whatever is free there.
+    pub(crate) fn rules_out(&self, worker: &WorkerName) -> bool {
+        self.exclude.contains(worker)
+            || self
+                .held
+                .as_ref()
+                .is_some_and(|held| held.blocks(worker, self.ends))
+    }
+}
