health, sizing: define the tables with a first working rule set

Cause: the scheduler is written against these types at the same time. Change: HealthTable with verdicts, quarantine and probes; Estimator with an aged histogram for each catalogue entry.

--- a/lib/health/src/lib.rs
+++ b/lib/health/src/lib.rs
@@ -1,1 +1,14 @@
 //! Attribution of failures to workers or to jobs.
+//!
+//! A failed task counts against its worker and its job. The table turns the counts into verdicts;
+//! the caller carries them out and logs them.
+
+mod health_config;
+mod health_table;
+mod job_failures;
+mod verdict;
+mod worker_health;
+
+pub use health_config::HealthConfig;
+pub use health_table::HealthTable;
+pub use verdict::Verdict;
