queue: order by class, slack, fair share and age

Cause: 390 teams and 100,000 waiting jobs must not be sorted for a decision. Change: JobQueue keeps teams by share and by latest start for each class, so the first jobs are found by a merge over teams; quotas with borrowing, ageing with a bounded number of jobs a call, deadline warnings, and the choice of tasks that give way where it pays.

--- /dev/null
+++ b/lib/queue/src/claim.rs
@@ -0,0 +1,18 @@
+use tarragon_names::{Class, Millis, Resources};
+
+/// A waiting job for which running work may have to give way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Claim {
+    /// Class of the job.
+    pub class: Class,
+    /// Whether its team uses more than its guarantee.
+    pub borrows: bool,
+    /// What each task needs.
+    pub resources: Resources,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Whether the tasks are of use only together.
+    pub whole: bool,
+    /// Time that the job would wait without preemption.
+    pub wait: Millis,
+}
--- /dev/null
+++ b/lib/queue/src/job_queue.rs
@@ -0,0 +1,214 @@
+use std::{
+    collections::HashMap,
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use tarragon_names::{Class, JobId, Millis, Resources, TeamName};
+use tarragon_shard::Sharded;
+
+use crate::{
+    Position, PushError, QueueConfig, QueuedJob, Quota, Quotas, Warning, team_shard::TeamShard,
+};
+
+const SHARDS: usize = 8;
+
+/// Jobs that `next` looks at behind a head that does not fit.
+const LOOKAHEAD: usize = 64;
+
+/// Waiting jobs of all teams, sharded by team.
+///
+/// Lock order: directory of jobs, team shard, quotas.
+pub struct JobQueue {
+    cfg: QueueConfig,
+    directory: Sharded<HashMap<JobId, TeamName>>,
+    shards: Sharded<TeamShard>,
+    quotas: Quotas,
+    waiting: AtomicUsize,
+}
+
+impl JobQueue {
+    /// An empty queue.
+    pub fn new(cfg: QueueConfig) -> Self {
+        Self {
+            directory: Sharded::new(SHARDS, |_| HashMap::new()),
+            shards: Sharded::new(SHARDS, |_| TeamShard::default()),
+            quotas: Quotas::new(cfg.default_quota),
+            waiting: AtomicUsize::new(0),
+            cfg,
+        }
+    }
+
+    /// Quotas and use of the teams.
+    pub fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
+    /// Number of waiting jobs.
+    pub fn len(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether no job waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds a job. Costs O(log jobs of the team + log teams).
+    pub fn push(&self, job: QueuedJob) -> Result<(), PushError> {
+        self.directory.with(&job.job.clone(), |directory| {
+            if directory.contains_key(&job.job) {
+                return Err(PushError::Duplicate);
+            }
+            let (id, team) = (job.job, job.team.clone());
+            self.shards.with(&team, |shard| {
+                if shard.team_waiting(&team) >= self.cfg.max_team_jobs {
+                    return Err(PushError::TeamFull);
+                }
+                let max = self.cfg.max_jobs;
+                self.waiting
+                    .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |waiting| {
+                        (waiting < max).then_some(waiting + 1)
+                    })
+                    .map_err(|_full| PushError::QueueFull)?;
+                shard.push(job, self.quotas.team(&team), &self.cfg);
+                Ok(())
+            })?;
+            directory.insert(id, team);
+            Ok(())
+        })
+    }
+
+    /// Takes a job out. Costs O(log jobs of the team + log teams).
+    pub fn remove(&self, job: JobId) -> Option<Arc<QueuedJob>> {
+        self.directory.with(&job, |directory| {
+            let team = directory.remove(&job)?;
+            let removed = self.shards.with(&team, |shard| shard.remove(job));
+            if removed.is_some() {
+                self.waiting.fetch_sub(1, Ordering::Relaxed);
+            }
+            removed
+        })
+    }
+
+    /// Tells whether the job waits.
+    pub fn contains(&self, job: JobId) -> bool {
+        self.directory
+            .with(&job, |directory| directory.contains_key(&job))
+    }
+
+    /// First job in order of which a task fits into `free`, among the first `LOOKAHEAD`.
+    pub fn next(&self, now: Millis, free: &Resources) -> Option<Arc<QueuedJob>> {
+        let head = self.candidates(now, 1).pop()?;
+        if head.resources.fits(free) {
+            return Some(head);
+        }
+        self.candidates(now, LOOKAHEAD)
+            .into_iter()
+            .find(|job| job.resources.fits(free))
+    }
+
+    /// First `limit` jobs in order, without those of teams at their ceiling.
+    ///
+    /// Costs O(limit × log teams) in each shard and a sort of `limit` × shards; independent of the
+    /// number of waiting jobs.
+    pub fn candidates(&self, now: Millis, limit: usize) -> Vec<Arc<QueuedJob>> {
+        let mut ranked = Vec::new();
+        self.shards.for_each(|shard| {
+            shard.age(now, &self.cfg);
+            shard.candidates(now, &self.cfg, limit, &mut ranked);
+        });
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        ranked.truncate(limit);
+        ranked.into_iter().map(|(_, job)| job).collect()
+    }
+
+    /// Sets the quota of a team.
+    pub fn set_quota(&self, team: &TeamName, quota: Quota) {
+        self.shards.with(team, |shard| {
+            shard.set_usage(team, self.quotas.set(team, quota));
+        });
+    }
+
+    /// Counts resources as used by a team. Costs O(log teams).
+    pub fn started(&self, team: &TeamName, resources: &Resources) {
+        self.shards.with(team, |shard| {
+            shard.set_usage(team, self.quotas.started(team, resources));
+        });
+    }
+
+    /// Counts resources as no longer used by a team. Costs O(log teams).
+    pub fn ended(&self, team: &TeamName, resources: &Resources) {
+        self.shards.with(team, |shard| {
+            shard.set_usage(team, self.quotas.ended(team, resources));
+        });
+    }
+
+    /// Where a job stands. Costs O(older jobs of the same team and class).
+    pub fn position(&self, job: JobId) -> Option<Position> {
+        let team = self
+            .directory
+            .with(&job, |directory| directory.get(&job).cloned())?;
+        let (class, team_ahead, usage, queued) =
+            self.shards.with(&team, |shard| shard.place_of(job))?;
+        let load = self.load();
+        Some(Position {
+            class,
+            classes_ahead: load[..class as usize].iter().map(|(count, _)| count).sum(),
+            in_class: load[class as usize].0,
+            team_ahead,
+            team_percent: usage.share() / 10_000,
+            at_ceiling: !usage.may_start(&queued.least()),
+            latest_start: queued.latest_start(),
+        })
+    }
+
+    /// Time that a new job of a class waits if the whole capacity works off what is ahead of it.
+    ///
+    /// A lower bound: running work and fragmentation add to it.
+    pub fn expected_wait(&self, class: Class, capacity: &Resources) -> Millis {
+        let load = self.load();
+        let work = load[..=class as usize]
+            .iter()
+            .map(|(_, work)| work)
+            .sum::<u128>();
+        let wait = work / u128::from(capacity.cpu_milli.max(1));
+        Millis(u64::try_from(wait).unwrap_or(u64::MAX))
+    }
+
+    /// Jobs that are expected to miss their deadline, each reported once, at most `limit` a call.
+    pub fn warnings(&self, now: Millis, capacity: &Resources, limit: usize) -> Vec<Warning> {
+        let expected = Class::ALL.map(|class| now + self.expected_wait(class, capacity));
+        let mut warnings = Vec::new();
+        self.shards.for_each(|shard| {
+            for class in Class::ALL {
+                shard.warn(class, expected[class as usize], limit, &mut warnings);
+            }
+        });
+        warnings
+    }
+
+    fn load(&self) -> [(usize, u128); Class::ALL.len()] {
+        let mut load = [(0, 0); Class::ALL.len()];
+        self.shards.for_each(|shard| {
+            for class in Class::ALL {
+                let (count, work) = shard.class_load(class);
+                load[class as usize].0 += count;
+                load[class as usize].1 += work;
+            }
+        });
+        load
+    }
+}
+
+impl fmt::Debug for JobQueue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("JobQueue")
+            .field("cfg", &self.cfg)
+            .field("waiting", &self.len())
+            .finish_non_exhaustive()
+    }
+}
