telemetry: write events from a thread of their own and keep metrics

A log written by the caller holds up decisions when the disk is slow. Events go through a bounded queue to a writing thread; what finds the queue full is dropped and counted. Each event has a count within its process and may name the event of the message it follows, so that the timeline can order the logs of hosts whose clocks differ. Metrics cover each promise and each measure.

--- a/lib/telemetry/src/lib.rs
+++ b/lib/telemetry/src/lib.rs
@@ -1,1 +1,20 @@
-//! Structured logs, metrics and event names.
+//! Structured events and metrics.
+//!
+//! Events are JSON lines, one an event, that `tarragon-timeline` merges over all processes. Code
+//! that emits them knows only the trait [`EventSink`].
+
+mod counting_drain;
+mod event;
+mod event_sink;
+mod events;
+mod mark;
+mod metrics;
+mod null_sink;
+
+pub use event::Event;
+pub use event_sink::EventSink;
+pub use events::Events;
+pub use mark::Mark;
+pub use metrics::Metrics;
+pub use null_sink::NullSink;
+pub use slog::Level;
--- /dev/null
+++ b/lib/telemetry/src/metrics.rs
@@ -0,0 +1,186 @@
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
+};
+use tarragon_names::{Class, DomainName};
+
+/// Buckets in seconds for steps of a request or of a decision.
+const SHORT: [f64; 10] = [0.0001, 0.0005, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0];
+
+/// Buckets in seconds for waits; 3.3, 5 and 9 are bounds of the promises.
+const LONG: [f64; 10] = [0.1, 0.5, 1.0, 2.0, 3.3, 5.0, 9.0, 30.0, 300.0, 3_600.0];
+
+macro_rules! metrics {
+    ($($(#[doc = $help:literal])* $field:ident: $type:ty = $make:ident($name:literal $(, $arg:expr)*);)*) => {
+        /// Metrics of a host: one or more for each promise and each measure.
+        #[derive(Debug)]
+        pub struct Metrics {
+            registry: Registry,
+            $($(#[doc = $help])* pub $field: $type,)*
+        }
+
+        impl Metrics {
+            /// All metrics at zero.
+            pub fn new() -> Self {
+                let registry = Registry::new();
+                $(let $field = $make($name, concat!($($help),*).trim() $(, &$arg)*);)*
+                $(register(&registry, &$field);)*
+                Self { registry, $($field,)* }
+            }
+        }
+    };
+}
+
+metrics! {
+    /// Time from acceptance to the first start of a job's tasks, by class.
+    job_wait: HistogramVec = histogram_vec("tarragon_job_wait_seconds", LONG, ["class"]);
+    /// Jobs that wait, by class.
+    queued_jobs: IntGaugeVec = gauge_vec("tarragon_queued_jobs", ["class"]);
+    /// Tasks placed on workers.
+    placements: IntCounter = counter("tarragon_placements_total");
+    /// Time of a placement decision.
+    placement_time: Histogram = histogram("tarragon_placement_seconds", SHORT);
+    /// Attempts that ended, by end.
+    task_ends: IntCounterVec = counter_vec("tarragon_task_ends_total", ["end"]);
+    /// Amounts that the workers offer, by resource.
+    capacity: IntGaugeVec = gauge_vec("tarragon_capacity", ["resource"]);
+    /// Amounts that are reserved on the workers, by resource.
+    reserved: IntGaugeVec = gauge_vec("tarragon_reserved", ["resource"]);
+    /// Workers, by state.
+    workers: IntGaugeVec = gauge_vec("tarragon_workers", ["state"]);
+    /// Workers whose reservations or usage are above their capacity.
+    overcommitted_workers: IntGauge = gauge("tarragon_overcommitted_workers");
+    /// Worker leases that ended without a renewal.
+    leases_ended: IntCounter = counter("tarragon_worker_leases_ended_total");
+    /// Sessions granted to workers.
+    sessions: IntCounter = counter("tarragon_worker_sessions_total");
+    /// Slots of the executors at home on this host, by state.
+    executor_slots: IntGaugeVec = gauge_vec("tarragon_executor_slots", ["state"]);
+    /// Executors at home on this host, by state.
+    executors: IntGaugeVec = gauge_vec("tarragon_executors", ["state"]);
+    /// Executors whose announcement lease ended without a word.
+    executors_lost: IntCounter = counter("tarragon_executors_lost_total");
+    /// Service requests answered, by outcome.
+    requests: IntCounterVec = counter_vec("tarragon_requests_total", ["outcome"]);
+    /// Time of a service request on this host.
+    request_time: Histogram = histogram("tarragon_request_seconds", SHORT);
+    /// Service requests in flight.
+    requests_in_flight: IntGauge = gauge("tarragon_requests_in_flight");
+    /// Service requests forwarded to another host.
+    forwards: IntCounter = counter("tarragon_forwards_total");
+    /// Service requests sent once more.
+    retries: IntCounter = counter("tarragon_retries_total");
+    /// Answers "not known", to requests and to writes.
+    unknown_outcomes: IntCounter = counter("tarragon_unknown_outcomes_total");
+    /// Answers of executors that arrived after their request was closed.
+    late_answers: IntCounter = counter("tarragon_late_answers_total");
+    /// Refusals, by number of the result code.
+    refused: IntCounterVec = counter_vec("tarragon_refused_total", ["code"]);
+    /// Requests cut off by a planned stop.
+    cut_off: IntCounter = counter("tarragon_requests_cut_off_total");
+    /// Control messages sent, by failure domain of both ends.
+    control_messages: IntCounterVec = counter_vec("tarragon_control_messages_total", ["from", "to"]);
+    /// Bytes of control messages sent, by failure domain of both ends.
+    control_bytes: IntCounterVec = counter_vec("tarragon_control_bytes_total", ["from", "to"]);
+    /// Connections between processes that were closed after silence.
+    silent_links: IntCounter = counter("tarragon_silent_links_total");
+    /// Revision of the catalogue that this host decides by.
+    catalogue_revision: IntGauge = gauge("tarragon_catalogue_revision");
+    /// Whether the freshness lease of the catalogue holds.
+    catalogue_fresh: IntGauge = gauge("tarragon_catalogue_fresh");
+    /// Time from the commit of a catalogue change until it is in force everywhere.
+    catalogue_in_force: Histogram = histogram("tarragon_catalogue_in_force_seconds", LONG);
+    /// Elections that this replica began.
+    elections: IntCounter = counter("tarragon_elections_total");
+    /// Whether this replica leads.
+    leading: IntGauge = gauge("tarragon_leading");
+    /// Term of this replica.
+    term: IntGauge = gauge("tarragon_term");
+    /// Entries of the replicated log that this replica committed.
+    commits: IntCounter = counter("tarragon_commits_total");
+    /// Time from a proposal to its commit.
+    commit_time: Histogram = histogram("tarragon_commit_seconds", SHORT);
+    /// Time of a sync to disk.
+    sync_time: Histogram = histogram("tarragon_sync_seconds", SHORT);
+    /// Events of the log that were dropped.
+    events_dropped: IntGauge = gauge("tarragon_events_dropped");
+    /// Open connections of callers.
+    connections: IntGauge = gauge("tarragon_connections");
+}
+
+impl Metrics {
+    /// Counts a refusal.
+    pub fn count_refusal(&self, code: u16) {
+        self.refused.with_label_values(&[&code.to_string()]).inc();
+    }
+
+    /// Counts a control message between two failure domains.
+    pub fn count_message(&self, from: &DomainName, to: &DomainName, bytes: usize) {
+        let link = [from.as_str(), to.as_str()];
+        self.control_messages.with_label_values(&link).inc();
+        self.control_bytes
+            .with_label_values(&link)
+            .inc_by(bytes as u64);
+    }
+
+    /// Notes how long a job waited for its first start.
+    pub fn observe_wait(&self, class: Class, seconds: f64) {
+        self.job_wait
+            .with_label_values(&[&class.to_string()])
+            .observe(seconds);
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut buf = Vec::new();
+        if TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .is_err()
+        {
+            buf.clear();
+        }
+        String::from_utf8(buf).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+const UNIQUE: &str = "names of metrics are valid and unique";
+
+fn register<C>(registry: &Registry, collector: &C)
+where
+    C: Clone + Collector + 'static,
+{
+    registry
+        .register(Box::new(collector.clone()))
+        .expect(UNIQUE);
+}
+
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect(UNIQUE)
+}
+
+fn counter_vec(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect(UNIQUE)
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect(UNIQUE)
+}
+
+fn gauge_vec(name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    IntGaugeVec::new(Opts::new(name, help), labels).expect(UNIQUE)
+}
+
+fn histogram(name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets.to_vec())).expect(UNIQUE)
+}
+
+fn histogram_vec(name: &str, help: &str, buckets: &[f64], labels: &[&str]) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    HistogramVec::new(opts, labels).expect(UNIQUE)
+}
--- /dev/null
+++ b/lib/telemetry/tests/events.rs
@@ -0,0 +1,113 @@
+//! Guards against log lines that the timeline cannot order, and against callers that wait.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, mpsc},
+};
+
+use serde_json::Value;
+use tarragon_names::{JobId, TaskId};
+use tarragon_telemetry::{Event, EventSink, Events, Level, Mark, NullSink};
+use yare::parameterized;
+
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Shared {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn lines<F>(level: Level, emit: F) -> Vec<Value>
+where
+    F: FnOnce(&Events),
+{
+    let out = Shared::default();
+    let host = "zilina-1".into();
+    let events = Events::new(&host, &"zilina".into(), Box::new(out.clone()), level);
+    emit(&events);
+    drop(events);
+    let bytes = out.0.lock().unwrap().clone();
+    String::from_utf8(bytes)
+        .unwrap()
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect()
+}
+
+#[test]
+fn line_holds_identifiers_and_cause() {
+    let task = TaskId {
+        job: JobId(7),
+        index: 2,
+    };
+    let found = lines(Level::Info, |events| {
+        let first = events.emit(&Event::info("job_accepted").job(JobId(7)));
+        events.emit(&Event::info("task_assigned").task(task).after(first));
+    });
+    assert_eq!(found[0]["host"], "zilina-1");
+    assert_eq!(found[0]["domain"], "zilina");
+    assert_eq!(found[0]["event"], "job_accepted");
+    assert_eq!(found[0]["seq"], 1);
+    assert!(found[0]["ts"].is_u64() && found[0]["mono"].is_u64());
+    assert_eq!(found[1]["job"], "j7");
+    assert_eq!(found[1]["task"], "j7.2");
+    let after: Mark = found[1]["after"].as_str().unwrap().parse().unwrap();
+    assert_eq!(found[0]["process"], after.process.as_str());
+    assert_eq!(after.seq, 1);
+}
+
+#[parameterized(
+    info = { Level::Info, &["b"] },
+    debug = { Level::Debug, &["a", "b"] },
+    error = { Level::Error, &[] },
+)]
+fn level_changes_while_it_runs(level: Level, expected: &[&str]) {
+    let found = lines(Level::Error, |events| {
+        events.set_level(level);
+        events.emit(&Event::debug("a"));
+        events.emit(&Event::info("b"));
+    });
+    let names: Vec<_> = found
+        .iter()
+        .map(|line| line["event"].as_str().unwrap())
+        .collect();
+    assert_eq!(names, expected);
+}
+
+/// Writer that takes nothing until the test lets it.
+struct Stuck(mpsc::Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        // The sender is dropped at the end of the test, which lets every write through.
+        let _released = self.0.recv();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn full_queue_drops_and_counts() {
+    let (release, held) = mpsc::channel();
+    let host = "zilina-1".into();
+    let events = Events::new(&host, &"zilina".into(), Box::new(Stuck(held)), Level::Info);
+    for _ in 0..20_000 {
+        events.emit(&Event::info("a"));
+    }
+    assert!(events.dropped() > 10_000, "{}", events.dropped());
+    drop(release);
+}
+
+#[test]
+fn null_sink_gives_no_mark() {
+    assert_eq!(NullSink.emit(&Event::info("a")).seq, 0);
+}
--- /dev/null
+++ b/lib/telemetry/tests/metrics.rs
@@ -0,0 +1,34 @@
+//! Guards against metrics that are missing from the text or named against the conventions.
+
+use tarragon_names::Class;
+use tarragon_telemetry::Metrics;
+use yare::parameterized;
+
+#[parameterized(
+    wait = { "tarragon_job_wait_seconds_count{class=\"urgent\"} 1" },
+    refusal = { "tarragon_refused_total{code=\"3101\"} 1" },
+    messages = { "tarragon_control_messages_total{from=\"zilina\",to=\"martin\"} 2" },
+    bytes = { "tarragon_control_bytes_total{from=\"zilina\",to=\"martin\"} 150" },
+    untouched = { "tarragon_elections_total 0" },
+)]
+fn rendered(line: &str) {
+    let metrics = Metrics::new();
+    metrics.observe_wait(Class::Urgent, 0.4);
+    metrics.count_refusal(3101);
+    metrics.count_message(&"zilina".into(), &"martin".into(), 100);
+    metrics.count_message(&"zilina".into(), &"martin".into(), 50);
+    let text = metrics.render();
+    assert!(text.lines().any(|l| l == line), "{text}");
+}
+
+#[test]
+fn counters_end_in_total() {
+    for line in Metrics::new().render().lines() {
+        if let Some((name, "counter")) = line
+            .strip_prefix("# TYPE ")
+            .and_then(|rest| rest.split_once(' '))
+        {
+            assert!(name.ends_with("_total"), "{name}");
+        }
+    }
+}
