agreement: elect leaders and replicate a log

The daemon needs a replica that decides without I/O.

A change that promotes one learner and removes one voter is two single-server steps, the removal first, so that the majority does not grow meanwhile.

--- a/lib/agreement/src/action.rs
+++ b/lib/agreement/src/action.rs
@@ -4,13 +4,13 @@
 use crate::{Entry, PeerMsg, SnapshotMeta, Token};
 
 /// Output of a replica, to be carried out in order.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Action {
     /// Send a message; it may be lost.
     Send {
         /// Receiver.
         to: MemberId,
-        /// Its host.
+        /// Its host; empty if neither the member list nor an `Event::Contact` names it.
         host: HostName,
         /// The message.
         msg: PeerMsg,
@@ -36,7 +36,8 @@
         /// The entries.
         entries: Vec<Entry>,
     },
-    /// Replace the application's state by this snapshot and save it.
+    /// Replace the application's state by this snapshot, save and sync it, then report
+    /// `Event::SnapshotSaved`.
     InstallSnapshot {
         /// What the snapshot covers.
         meta: SnapshotMeta,
--- a/lib/agreement/src/entry.rs
+++ b/lib/agreement/src/entry.rs
@@ -1,10 +1,11 @@
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use tarragon_names::{LogIndex, Term};
 
 use crate::Members;
 
 /// Contents of a log entry.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Payload {
     /// Written by a new leader so that entries of earlier terms can commit.
     Noop,
@@ -15,7 +16,7 @@
 }
 
 /// One entry of the replicated log.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Entry {
     /// Term of the leader that created the entry.
     pub term: Term,
--- a/lib/agreement/src/event.rs
+++ b/lib/agreement/src/event.rs
@@ -18,6 +18,13 @@
         /// The message.
         msg: PeerMsg,
     },
+    /// A link to a member names its host; used until the member list names it.
+    Contact {
+        /// The member.
+        id: MemberId,
+        /// Its host.
+        host: HostName,
+    },
     /// The application wants these records appended, all or none, in order.
     Propose {
         /// Matches the answer.
@@ -44,7 +51,10 @@
         /// Matches the answer.
         token: Token,
     },
-    /// An operator or the leader replaces the member list; it may differ by one voter only.
+    /// An operator or the leader replaces the member list.
+    ///
+    /// One learner may become a voter and one voter may be removed. A request that does both is
+    /// carried out as two single-server changes, the removal first.
     ChangeMembers {
         /// Matches the answer.
         token: Token,
@@ -60,7 +70,8 @@
         /// Its host.
         host: HostName,
     },
-    /// The application saved a snapshot that covers the log up to `meta.index`.
+    /// A snapshot that covers the log up to `meta.index` is synced on the own disk; also reported
+    /// for an installed snapshot.
     SnapshotSaved {
         /// What the snapshot covers.
         meta: SnapshotMeta,
--- /dev/null
+++ b/lib/agreement/src/log.rs
@@ -0,0 +1,166 @@
+use std::collections::VecDeque;
+
+use tarragon_names::{LogIndex, Term};
+
+use crate::{Entry, Members, Payload, SnapshotMeta};
+
+/// Entries held in memory, and what of them is synced on the own disk.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Log {
+    /// Entry before the first one held, with the member list at that point.
+    base: SnapshotMeta,
+    entries: VecDeque<Entry>,
+    /// Member lists among `entries`, ascending.
+    member_lists: Vec<(LogIndex, Members)>,
+    synced: LogIndex,
+}
+
+impl Log {
+    pub(crate) fn new(base: SnapshotMeta, entries: Vec<Entry>) -> Self {
+        let mut log = Self {
+            synced: base.index,
+            base,
+            entries: VecDeque::new(),
+            member_lists: Vec::new(),
+        };
+        for entry in entries {
+            if entry.index == log.last_index().next() {
+                log.push(entry);
+            }
+        }
+        log.synced = log.last_index();
+        log
+    }
+
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base.index
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex(self.base.index.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base.term, |e| e.term)
+    }
+
+    pub(crate) fn synced(&self) -> LogIndex {
+        self.synced
+    }
+
+    /// Term of the entry at `index`, if it is held or is the one before the first held.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|e| e.term)
+    }
+
+    /// The member list in force, which is the last one appended.
+    pub(crate) fn members(&self) -> &Members {
+        self.member_lists
+            .last()
+            .map_or(&self.base.members, |(_, members)| members)
+    }
+
+    /// What a snapshot up to `index` covers, if that entry is held.
+    pub(crate) fn meta_at(&self, index: LogIndex) -> Option<SnapshotMeta> {
+        let term = self.term_at(index)?;
+        let lists = self.member_lists.iter().rev();
+        let members = lists
+            .filter(|(at, _)| *at <= index)
+            .map(|(_, members)| members)
+            .next()
+            .unwrap_or(&self.base.members);
+        Some(SnapshotMeta {
+            index,
+            term,
+            members: members.clone(),
+        })
+    }
+
+    /// Entries from `from` on, bounded by count and by size of the records.
+    pub(crate) fn batch(&self, from: LogIndex, count: usize, bytes: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let start = from.0.saturating_sub(self.base.index.0 + 1) as usize;
+        self.entries
+            .range(start.min(self.entries.len())..)
+            .take(count)
+            .take_while(|e| {
+                let fits = size < bytes;
+                if let Payload::Record(record) = &e.payload {
+                    size += record.len();
+                }
+                fits
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Entries from `from` to `to`, both included.
+    pub(crate) fn range(&self, from: LogIndex, to: LogIndex) -> Vec<Entry> {
+        let count = (to.0 + 1).saturating_sub(from.0) as usize;
+        self.batch(from, count, usize::MAX)
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index().next(), "gap in the log");
+        if let Payload::Members(members) = &entry.payload {
+            self.member_lists.push((entry.index, members.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) {
+        let keep = index.0.saturating_sub(self.base.index.0 + 1) as usize;
+        self.entries.truncate(keep);
+        self.member_lists.retain(|(at, _)| *at < index);
+        self.synced = self.synced.min(self.last_index());
+    }
+
+    /// Records that everything up to this entry is synced; returns whether that is news.
+    ///
+    /// The term tells a report on an entry that was dropped since from one on its successor.
+    pub(crate) fn mark_synced(&mut self, index: LogIndex, term: Term) -> bool {
+        if index <= self.synced || self.term_at(index) != Some(term) {
+            return false;
+        }
+        self.synced = index;
+        true
+    }
+
+    /// Drops entries that a synced snapshot covers, but for the last `keep`.
+    pub(crate) fn compact(&mut self, snapshot: LogIndex, keep: u64) {
+        self.synced = self.synced.max(snapshot.min(self.last_index()));
+        let to = LogIndex(snapshot.0.saturating_sub(keep));
+        let Some(term) = self.term_at(to).filter(|_| to > self.base.index) else {
+            return;
+        };
+        self.rebase(to, term);
+    }
+
+    /// Starts over from a snapshot of the leader that does not fit the entries held.
+    pub(crate) fn install(&mut self, meta: SnapshotMeta, commit: LogIndex) {
+        self.entries.clear();
+        self.member_lists.clear();
+        // Synced entries after the commit index may be other ones than the snapshot covers.
+        self.synced = self.synced.min(commit);
+        self.base = meta;
+    }
+
+    fn rebase(&mut self, to: LogIndex, term: Term) {
+        let drop = to.0.saturating_sub(self.base.index.0) as usize;
+        self.entries.drain(..drop.min(self.entries.len()));
+        let after = self.member_lists.partition_point(|(at, _)| *at <= to);
+        if let Some((_, members)) = self.member_lists.drain(..after).next_back() {
+            self.base.members = members;
+        }
+        self.base.index = to;
+        self.base.term = term;
+    }
+
+    fn get(&self, index: LogIndex) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        self.entries.get(offset as usize)
+    }
+}
--- a/lib/agreement/src/members.rs
+++ b/lib/agreement/src/members.rs
@@ -1,9 +1,10 @@
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
 use tarragon_names::{HostName, MemberId};
 
 /// What a member of the replica group does.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Role {
     /// Counts for elections and commits.
     Voter,
@@ -12,7 +13,7 @@
 }
 
 /// One member of the replica group.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Member {
     /// Host on which the member runs.
     pub host: HostName,
@@ -21,7 +22,7 @@
 }
 
 /// Member list of the replica group.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Members {
     /// Members by identity.
     pub by_id: BTreeMap<MemberId, Member>,
--- a/lib/agreement/src/peer_msg.rs
+++ b/lib/agreement/src/peer_msg.rs
@@ -1,10 +1,11 @@
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use tarragon_names::{LogIndex, Term};
 
 use crate::{Entry, Members};
 
 /// What a snapshot covers.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct SnapshotMeta {
     /// Last index that the snapshot covers.
     pub index: LogIndex,
