host: drive the replica, call the leader and answer other hosts

Cause: every host forwards writes and reads to the leader, and the leader's disk must be synced in batches on a thread of its own.

--- a/lib/host/src/leader_hint.rs
+++ b/lib/host/src/leader_hint.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use arc_swap::ArcSwapOption;
 use tarragon_names::{HostName, Term};
 
@@ -11,18 +13,23 @@
         self.0.load().as_ref().map(|known| known.1.clone())
     }
 
+    /// The host believed to lead, with its term.
+    pub fn with_term(&self) -> Option<(Term, HostName)> {
+        self.0.load().as_deref().cloned()
+    }
+
     /// Notes a leader; an older term changes nothing.
     pub fn set(&self, term: Term, leader: HostName) {
         self.0.rcu(|known| match known {
-            Some(known) if known.0 > term => Some(std::sync::Arc::clone(known)),
-            _ => Some(std::sync::Arc::new((term, leader.clone()))),
+            Some(known) if known.0 > term => Some(Arc::clone(known)),
+            _ => Some(Arc::new((term, leader.clone()))),
         });
     }
 
     /// Forgets the leader if it is still `host`, because a call to it failed.
     pub fn forget(&self, host: &HostName) {
         self.0.rcu(|known| match known {
-            Some(known) if known.1 != *host => Some(std::sync::Arc::clone(known)),
+            Some(known) if known.1 != *host => Some(Arc::clone(known)),
             _ => None,
         });
     }
--- /dev/null
+++ b/lib/host/src/local_leader.rs
@@ -0,0 +1,158 @@
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tarragon_agreement::{Member, Role};
+use tarragon_catalogue::InForce;
+use tarragon_cell::{Answer, Cell, Command, Query, QueryAnswer};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{HostName, JobId, MemberId, Millis, Revision, Term};
+use tarragon_scheduler::{Explanation, WorkerView};
+use tarragon_wire::control::{CatalogueGrant, CataloguePoll, GroupView, MemberView};
+
+use crate::{Clock, ReplicaHandle, SchedulerHandle};
+
+/// Time since the last answer after which a member is shown as unreachable.
+const UNREACHABLE: Millis = Millis(3_000);
+
+/// Time for a read at the own replica; with a valid leader lease it takes one turn of its thread.
+const READ_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// What only the leading host answers.
+///
+/// Each operation fails with `NotLeader` on a host that does not lead, before it has any effect.
+#[derive(Debug)]
+pub struct LocalLeader {
+    host: HostName,
+    replica: ReplicaHandle,
+    cell: Arc<Cell>,
+    scheduler: SchedulerHandle,
+    clock: Arc<dyn Clock>,
+    in_force: Mutex<Option<(Term, InForce)>>,
+}
+
+impl LocalLeader {
+    /// Operations on the replica of this host.
+    pub fn new(
+        host: HostName,
+        replica: ReplicaHandle,
+        cell: Arc<Cell>,
+        scheduler: SchedulerHandle,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self { host, replica, cell, scheduler, clock, in_force: Mutex::new(None) }
+    }
+
+    /// Begins to keep track of polls under a new term.
+    pub fn became_leader(&self, term: Term) {
+        *self.in_force.lock() = Some((term, InForce::new(self.clock.now())));
+    }
+
+    /// Forgets the polls, because another host takes them now.
+    pub fn lost_leadership(&self) {
+        *self.in_force.lock() = None;
+    }
+
+    /// Writes a command.
+    pub async fn propose(&self, command: Command, limit: Duration) -> Outcome<Answer> {
+        self.replica.propose(self.clock.wall_ms(), command, limit).await
+    }
+
+    /// Reads the state, up to date with everything committed before the call.
+    pub async fn query(&self, query: &Query) -> Outcome<QueryAnswer> {
+        self.replica.read(READ_LIMIT).await?;
+        Ok(self.cell.query(query))
+    }
+
+    /// Answers a poll for catalogue changes.
+    ///
+    /// The permission to read comes after the poll, so the grant covers all that was committed
+    /// when the host sent it.
+    pub async fn poll(&self, poll: CataloguePoll) -> Outcome<CatalogueGrant> {
+        let answer = self.query(&Query::EntriesSince(poll.revision)).await?;
+        let QueryAnswer::Entries { entries, revision } = answer else {
+            return Err(Failure::of(Code::Internal));
+        };
+        let mut in_force = self.in_force.lock();
+        let (term, polls) = in_force.as_mut().ok_or_else(|| Failure::of(Code::NotLeader))?;
+        polls.polled(self.clock.now(), poll.host, poll.revision);
+        Ok(CatalogueGrant { clock: poll.clock, term: *term, revision, entries })
+    }
+
+    /// Tells whether a catalogue revision is in force everywhere.
+    pub async fn in_force(&self, revision: Revision) -> Outcome<bool> {
+        self.replica.read(READ_LIMIT).await?;
+        let committed = self.cell.catalogue().revision();
+        if revision > committed {
+            return Err(Failure::new(
+                Code::RevisionConflict,
+                format!("the catalogue is at revision {committed}"),
+            ));
+        }
+        let mut in_force = self.in_force.lock();
+        let (_, polls) = in_force.as_mut().ok_or_else(|| Failure::of(Code::NotLeader))?;
+        Ok(polls.revision(self.clock.now(), committed) >= revision)
+    }
+
+    /// Lists workers.
+    pub async fn workers(&self) -> Outcome<Vec<WorkerView>> {
+        self.replica.read(READ_LIMIT).await?;
+        self.scheduler.workers().await
+    }
+
+    /// Says why a job is in its state.
+    pub async fn explain(&self, job: JobId) -> Outcome<Explanation> {
+        self.replica.read(READ_LIMIT).await?;
+        self.scheduler.explain(job).await
+    }
+
+    /// Describes the replica group.
+    pub async fn group(&self) -> Outcome<GroupView> {
+        self.replica.read(READ_LIMIT).await?;
+        let status = self.replica.status(READ_LIMIT).await?;
+        let members = status
+            .status
+            .into_iter()
+            .map(|member| MemberView {
+                reachable: member.id == status.id
+                    || member.silent.is_some_and(|silent| silent < UNREACHABLE),
+                host: member.host,
+                member: member.id,
+                voter: member.role == Role::Voter,
+                synced: member.matched,
+            })
+            .collect();
+        let now = self.clock.now();
+        let hosts = self.in_force.lock().as_ref().map(|(_, polls)| polls.hosts(now));
+        Ok(GroupView {
+            leader: self.host.clone(),
+            term: status.term,
+            members,
+            hosts: hosts.unwrap_or_default(),
+        })
+    }
+
+    /// Adds a learner.
+    pub async fn join(&self, host: HostName, member: MemberId, limit: Duration) -> Outcome<()> {
+        self.replica.join(member, host, limit).await
+    }
+
+    /// Makes a learner a voter in place of another member.
+    pub async fn replace_member(
+        &self,
+        remove: MemberId,
+        add: MemberId,
+        limit: Duration,
+    ) -> Outcome<()> {
+        let mut members = self.replica.status(READ_LIMIT).await?.members;
+        let unknown = |id: MemberId| {
+            Failure::new(Code::NoSuchTarget, format!("no member with the identity {id}"))
+        };
+        let Member { host, .. } = members.by_id.get(&add).cloned().ok_or_else(|| unknown(add))?;
+        if !members.by_id.contains_key(&remove) {
+            return Err(unknown(remove));
+        }
+        members.by_id.remove(&remove);
+        members.by_id.insert(add, Member { host, role: Role::Voter });
+        self.replica.change_members(members, limit).await
+    }
+}
--- /dev/null
+++ b/lib/host/src/replica_driver.rs
@@ -0,0 +1,296 @@
+use std::{
+    process,
+    sync::{
+        Arc,
+        mpsc::{Receiver, RecvTimeoutError, sync_channel},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tarragon_agreement::{Action, Entry, Event, Payload, PeerMsg, Replica, SnapshotMeta};
+use tarragon_cell::{Cell, CellState};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{HostName, LogIndex, MemberId, Term};
+use tarragon_storage::LogStore;
+use tarragon_telemetry::{Event as LogEvent, EventSink};
+use tarragon_wire::{
+    peer::PeerEvent,
+    record::{self, Record},
+};
+
+use crate::{
+    ApplySink, Clock, LeaderHint, Links, ReplicaHandle, replica_handle::Input, waiters::Waiters,
+};
+
+/// Inputs that may wait for the replica's thread; it bounds the memory under overload.
+const QUEUE: usize = 16_384;
+
+/// Time between two ticks of the replica.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Most inputs handled between two syncs; it bounds how long a heartbeat waits.
+const BATCH: usize = 2_048;
+
+/// Entries applied after which the state is saved and the log is cut.
+const SNAPSHOT_EVERY: u64 = 20_000;
+
+/// What the replica's thread works with.
+#[derive(Debug)]
+pub struct ReplicaParts {
+    /// The replica.
+    pub replica: Replica,
+    /// Its disk.
+    pub store: Box<dyn LogStore>,
+    /// The state that the log builds up.
+    pub cell: Arc<Cell>,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Links to the other hosts.
+    pub links: Arc<Links>,
+    /// Observer of the state.
+    pub sink: Arc<dyn ApplySink>,
+    /// Where to note the leader.
+    pub hint: Arc<LeaderHint>,
+    /// Where events go.
+    pub events: Arc<dyn EventSink>,
+}
+
+/// Thread that owns the replica and its disk and carries out the replica's actions.
+#[derive(Debug)]
+pub struct ReplicaDriver {
+    parts: ReplicaParts,
+    waiters: Waiters,
+    rx: Receiver<Input>,
+    id: MemberId,
+    leading: bool,
+    applied: LogIndex,
+    snapshot: LogIndex,
+    unsynced: Option<(LogIndex, Term)>,
+    unsynced_vote: Option<(Term, Option<MemberId>)>,
+}
+
+impl ReplicaDriver {
+    /// Starts the thread. `applied` is the index that the state of the cell holds already.
+    pub fn start(parts: ReplicaParts, applied: LogIndex) -> (ReplicaHandle, JoinHandle<()>) {
+        let (tx, rx) = sync_channel(QUEUE);
+        let id = parts.replica.id();
+        let driver = Self {
+            parts,
+            waiters: Waiters::default(),
+            rx,
+            id,
+            leading: false,
+            applied,
+            snapshot: applied,
+            unsynced: None,
+            unsynced_vote: None,
+        };
+        let spawned = thread::Builder::new().name("replica".to_owned()).spawn(|| driver.run());
+        let thread = spawned.expect("the process may start a thread at its start");
+        (ReplicaHandle::new(tx), thread)
+    }
+
+    fn run(mut self) {
+        loop {
+            match self.turn() {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(failure) => self.fail(&failure),
+            }
+        }
+    }
+
+    /// Ends the process: after a failed write or sync the page cache cannot be trusted, so the
+    /// host has to start again from what the disk holds.
+    fn fail(&self, failure: &Failure) -> ! {
+        let event = LogEvent::error("storage_failed").code(failure.code.number());
+        self.parts.events.emit(&event.detail(failure.cause.clone()));
+        // The event thread needs a moment to write the line.
+        thread::sleep(Duration::from_millis(100));
+        process::exit(3)
+    }
+
+    /// Handles one batch of inputs; false at the stop.
+    fn turn(&mut self) -> Outcome<bool> {
+        let mut inputs = Vec::new();
+        match self.rx.recv_timeout(TICK) {
+            Ok(input) => inputs.push(input),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return Ok(false),
+        }
+        inputs.extend(self.rx.try_iter().take(BATCH));
+
+        let mut records = Vec::new();
+        let mut waiters = Vec::new();
+        for input in inputs {
+            match input {
+                Input::Propose { record, waiter } => {
+                    records.push(record);
+                    waiters.push(waiter);
+                }
+                Input::Stop => return Ok(false),
+                other => self.input(other)?,
+            }
+        }
+        if !records.is_empty() {
+            let token = self.waiters.add_batch(waiters);
+            self.step(Event::Propose { token, records })?;
+        }
+        self.step(Event::Tick)?;
+        self.sync()?;
+        self.save_snapshot_if_due()?;
+        Ok(true)
+    }
+
+    fn input(&mut self, input: Input) -> Outcome<()> {
+        match input {
+            Input::Event(event) => self.step(event),
+            Input::Read(waiter) => {
+                let token = self.waiters.add_done(waiter);
+                self.step(Event::Read { token })
+            }
+            Input::Change { members, waiter } => {
+                let token = self.waiters.add_done(waiter);
+                self.step(Event::ChangeMembers { token, members })
+            }
+            Input::Join { id, host, waiter } => {
+                let token = self.waiters.add_done(waiter);
+                self.step(Event::AddLearner { token, id, host })
+            }
+            Input::Inspect(look) => {
+                look(&self.parts.replica, self.parts.clock.now());
+                Ok(())
+            }
+            Input::Propose { .. } | Input::Stop => Ok(()),
+        }
+    }
+
+    fn step(&mut self, event: Event) -> Outcome<()> {
+        let now = self.parts.clock.now();
+        let actions = self.parts.replica.step(now, event);
+        actions.into_iter().try_for_each(|action| self.act(action))
+    }
+
+    /// Syncs what was written in this turn, once, and tells the replica.
+    fn sync(&mut self) -> Outcome<()> {
+        while self.unsynced.is_some() || self.unsynced_vote.is_some() {
+            self.parts.store.sync()?;
+            if let Some((term, voted_for)) = self.unsynced_vote.take() {
+                self.step(Event::VoteSynced { term, voted_for })?;
+            }
+            if let Some((index, term)) = self.unsynced.take() {
+                self.step(Event::Synced { index, term })?;
+            }
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, action: Action) -> Outcome<()> {
+        match action {
+            Action::Send { to, host, msg } => self.send(to, &host, msg),
+            Action::SaveVote { term, voted_for } => {
+                self.parts.store.save_vote(term, voted_for)?;
+                self.unsynced_vote = Some((term, voted_for));
+            }
+            Action::Append { truncate_from, entries } => self.append(truncate_from, &entries)?,
+            Action::Apply { entries } => entries.iter().try_for_each(|e| self.apply(e))?,
+            Action::InstallSnapshot { meta, state } => self.install(&meta, state)?,
+            Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term)?,
+            Action::Proposed { token, first, term } => self.waiters.appended(token, first, term),
+            Action::Done { token, index } => self.waiters.done(token, index, self.applied),
+            Action::Refused { token, .. } => self.waiters.refused(token),
+            Action::BecameLeader { term } => {
+                self.leading = true;
+                self.emit(LogEvent::info("became_leader").term(term).index(self.applied));
+                self.parts.sink.became_leader(term);
+            }
+            Action::LostLeadership { term } => {
+                self.leading = false;
+                self.emit(LogEvent::info("lost_leadership").term(term));
+                self.parts.sink.lost_leadership(term);
+            }
+            Action::LeaderChanged { term, leader: Some(leader) } => {
+                self.emit(LogEvent::info("leader_changed").term(term).peer(leader.clone()));
+                self.parts.hint.set(term, leader);
+            }
+            Action::LeaderChanged { leader: None, .. } => {}
+        }
+        Ok(())
+    }
+
+    fn send(&self, to: MemberId, host: &HostName, msg: PeerMsg) {
+        let event = PeerEvent::Agreement { from: self.id, to, msg };
+        self.parts.links.send(host, event);
+    }
+
+    fn append(&mut self, truncate_from: Option<LogIndex>, entries: &[Entry]) -> Outcome<()> {
+        if let Some(index) = truncate_from {
+            self.parts.store.truncate_from(index)?;
+        }
+        self.parts.store.append(entries)?;
+        if let Some(last) = entries.last() {
+            self.unsynced = Some((last.index, last.term));
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) -> Outcome<()> {
+        let mut result = None;
+        if let Payload::Record(buf) = &entry.payload {
+            let record = Record::decode(buf)
+                .map_err(|e| Failure::new(Code::CorruptRecord, format!("{}: {e}", entry.index)))?;
+            let answer = self.parts.cell.apply(entry.index, record.at_ms, &record.command);
+            if self.leading {
+                self.parts.sink.applied(entry.index, &record.command, &answer);
+            }
+            result = Some(answer);
+        }
+        self.applied = entry.index;
+        self.waiters.applied(entry.index, entry.term, result);
+        Ok(())
+    }
+
+    fn install(&mut self, meta: &SnapshotMeta, state: Bytes) -> Outcome<()> {
+        self.parts.cell.restore(decode_state(&state)?);
+        self.parts.store.save_snapshot(meta, state)?;
+        self.applied = meta.index;
+        self.snapshot = meta.index;
+        self.waiters.forget();
+        self.emit(LogEvent::info("snapshot_installed").index(meta.index));
+        self.step(Event::SnapshotSaved { meta: meta.clone() })
+    }
+
+    fn send_snapshot(&mut self, to: MemberId, host: &HostName, term: Term) -> Outcome<()> {
+        if let Some((meta, state)) = self.parts.store.load_snapshot()? {
+            self.send(to, host, PeerMsg::Snapshot { term, meta, state });
+        }
+        Ok(())
+    }
+
+    fn save_snapshot_if_due(&mut self) -> Outcome<()> {
+        if self.applied.0 < self.snapshot.0 + SNAPSHOT_EVERY {
+            return Ok(());
+        }
+        let Some(meta) = self.parts.replica.snapshot_meta(self.applied) else { return Ok(()) };
+        let state = record::encode(&self.parts.cell.snapshot())
+            .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
+        self.parts.store.save_snapshot(&meta, state)?;
+        self.snapshot = self.applied;
+        self.emit(LogEvent::info("snapshot_saved").index(meta.index));
+        self.step(Event::SnapshotSaved { meta })
+    }
+
+    fn emit(&self, event: LogEvent) {
+        self.parts.events.emit(&event);
+    }
+}
+
+/// State in a snapshot; the first snapshot of a group is empty.
+pub(crate) fn decode_state(state: &[u8]) -> Outcome<CellState> {
+    if state.is_empty() {
+        return Ok(CellState::default());
+    }
+    record::decode(state).map_err(|e| Failure::new(Code::CorruptRecord, e.to_string()))
+}
--- a/lib/host/src/replica_handle.rs
+++ b/lib/host/src/replica_handle.rs
@@ -7,7 +7,7 @@
 use tarragon_agreement::{Event, MemberStatus, Members, Replica};
 use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, MemberId, Term};
+use tarragon_names::{HostName, MemberId, Millis, Term};
 use tarragon_wire::record::Record;
 use tokio::{sync::oneshot, time::timeout};
 
@@ -29,7 +29,7 @@
     /// A new learner.
     Join { id: MemberId, host: HostName, waiter: DoneWaiter },
     /// A look at the replica.
-    Inspect(Box<dyn FnOnce(&Replica) + Send>),
+    Inspect(Box<dyn FnOnce(&Replica, Millis) + Send>),
     /// The end of the thread.
     Stop,
 }
@@ -109,13 +109,13 @@
     /// State of the replica group.
     pub async fn status(&self, limit: Duration) -> Outcome<ReplicaStatus> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Inspect(Box::new(move |replica| {
+        self.send(Input::Inspect(Box::new(move |replica, now| {
             let _gone = tx.send(Ok(ReplicaStatus {
                 id: replica.id(),
                 term: replica.term(),
-                leader: replica.leader().cloned(),
+                leader: replica.leader_host(),
                 members: replica.members().clone(),
-                status: replica.member_status(),
+                status: replica.member_status(now),
             }));
         })))?;
         wait(rx, limit).await
--- a/lib/host/src/waiters.rs
+++ b/lib/host/src/waiters.rs
@@ -3,7 +3,7 @@
 use tarragon_agreement::Token;
 use tarragon_cell::Answer;
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, LogIndex, Term};
+use tarragon_names::{LogIndex, Term};
 use tokio::sync::oneshot;
 
 /// Receiver of the result of a proposal; absent for proposals of the own scheduler.
@@ -77,11 +77,8 @@
     }
 
     /// Passes on a refusal; the request has no effect.
-    pub(crate) fn refused(&mut self, token: Token, leader: Option<&HostName>) {
-        let cause = match leader {
-            Some(leader) => Failure::new(Code::NotLeader, leader.to_string()),
-            None => Failure::of(Code::NoLeader),
-        };
+    pub(crate) fn refused(&mut self, token: Token) {
+        let cause = Failure::of(Code::NotLeader);
         for waiter in self.batches.remove(&token).unwrap_or_default() {
             answer(waiter, Err(cause.clone()));
         }
@@ -103,7 +100,7 @@
 }
 
 fn replaced_failure() -> Failure {
-    Failure::new(Code::NoLeader, "the leader changed before the write was replicated")
+    Failure::new(Code::NotLeader, "the leader changed before the write was replicated")
 }
 
 fn answer(waiter: ProposalWaiter, result: Outcome<Answer>) {
--- a/lib/wire/src/control.rs
+++ b/lib/wire/src/control.rs
@@ -128,6 +128,6 @@
     async fn executors() -> Vec<ExecutorView>;
     /// Marks an executor of the called host as draining or takes it back; false if unknown there.
     async fn drain_executor(name: ExecutorName, draining: bool) -> bool;
-    /// Tells whether the called host is a replica of a group that has elected a leader.
-    async fn group_exists() -> bool;
+    /// Leader as far as the called host knows, with its term.
+    async fn leader() -> Option<(Term, HostName)>;
 }
--- a/lib/wire/tests/round_trip.rs
+++ b/lib/wire/tests/round_trip.rs
@@ -18,12 +18,25 @@
 };
 use yare::parameterized;
 
-const TASK: TaskId = TaskId { job: JobId(7), index: 3 };
-const SESSION: Session = Session { term: Term(4), counter: 9 };
-const FENCE: Fence = Fence { term: Term(4), session: SESSION, seq: 11 };
+const TASK: TaskId = TaskId {
+    job: JobId(7),
+    index: 3,
+};
+const SESSION: Session = Session {
+    term: Term(4),
+    counter: 9,
+};
+const FENCE: Fence = Fence {
+    term: Term(4),
+    session: SESSION,
+    seq: 11,
+};
 
 fn members() -> Members {
-    let member = |host: &str, role| Member { host: HostName::from(host), role };
+    let member = |host: &str, role| Member {
+        host: HostName::from(host),
+        role,
+    };
     Members {
         by_id: BTreeMap::from([
             (MemberId(u64::MAX), member("h1", Role::Voter)),
@@ -81,7 +94,10 @@
 )]
 fn worker_order_survives(order: WorkerOrder) {
     let buf = DownFrame::new(&order).encode_to_vec();
-    assert_eq!(DownFrame::decode(buf.as_slice()).unwrap().order().unwrap(), Some(order));
+    assert_eq!(
+        DownFrame::decode(buf.as_slice()).unwrap().order().unwrap(),
+        Some(order)
+    );
 }
 
 #[parameterized(
@@ -108,7 +124,11 @@
     timeout_now = { PeerMsg::TimeoutNow { term: Term(3) } },
 )]
 fn peer_message_survives(msg: PeerMsg) {
-    let event = PeerEvent::Agreement { from: MemberId(1), to: MemberId(u64::MAX), msg };
+    let event = PeerEvent::Agreement {
+        from: MemberId(1),
+        to: MemberId(u64::MAX),
+        msg,
+    };
     let host = HostName::from("h1");
     let buf = PeerFrame::new(&host, Some(&event)).encode_to_vec();
     let parts = PeerFrame::decode(buf.as_slice()).unwrap().parts().unwrap();
