client: typed calls over several hosts

A call moves on to the next host only where a second arrival is harmless or where the first host certainly did nothing; otherwise the answer says that the outcome is not known.

--- /dev/null
+++ b/lib/client/src/calls/mod.rs
@@ -0,0 +1,8 @@
+//! Typed methods of the client, one file a call group.
+
+mod catalogue;
+mod jobs;
+mod nodes;
+mod platform;
+mod requests;
+mod teams;
--- /dev/null
+++ b/lib/client/src/calls/teams.rs
@@ -0,0 +1,30 @@
+use hyper::{Method, header::IF_MATCH};
+use tarragon_cell::Quota;
+use tarragon_codes::Outcome;
+use tarragon_names::{Revision, TeamName};
+
+use super::catalogue::{REQUEST_ID, Written};
+use crate::{Client, QuotaView, call::Call, percent::encode};
+
+impl Client {
+    /// Reads the quota of a team.
+    pub async fn quota(&self, team: &TeamName) -> Outcome<QuotaView> {
+        self.json(Call::get(format!("/v1/teams/{}", encode(team))))
+            .await
+    }
+
+    /// Sets the quota of a team whose revision is `expected`, 0 for a new one.
+    pub async fn put_quota(
+        &self,
+        team: &TeamName,
+        quota: &Quota,
+        expected: Revision,
+        request_id: &str,
+    ) -> Outcome<Revision> {
+        let call = Call::new(Method::PUT, format!("/v1/teams/{}", encode(team)))
+            .header(IF_MATCH, &expected)
+            .header(REQUEST_ID, request_id)
+            .json(quota)?;
+        self.json::<Written>(call).await.map(|done| done.revision)
+    }
+}
--- /dev/null
+++ b/lib/client/src/quota_view.rs
@@ -0,0 +1,14 @@
+use serde::{Deserialize, Serialize};
+use tarragon_cell::Quota;
+use tarragon_names::{Revision, TeamName};
+
+/// Quota of a team with the revision of its last change.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuotaView {
+    /// The team.
+    pub team: TeamName,
+    /// Revision of the last change, 0 if the team has no quota.
+    pub revision: Revision,
+    /// The quota.
+    pub quota: Quota,
+}
--- /dev/null
+++ b/lib/client/src/submitted.rs
@@ -0,0 +1,12 @@
+use serde::{Deserialize, Serialize};
+use tarragon_cell::JobState;
+use tarragon_names::JobId;
+
+/// Answer to the submission of a job.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Submitted {
+    /// Identifier of the job.
+    pub job: JobId,
+    /// State at the time of acceptance.
+    pub state: JobState,
+}
