--- a/lib/client/src/call.rs
+++ b/lib/client/src/call.rs
@@ -52,9 +52,9 @@
     }
 
     /// The same call with a header.
-    pub(crate) fn header<V>(mut self, name: HeaderName, value: V) -> Self
+    pub(crate) fn header<V>(mut self, name: HeaderName, value: &V) -> Self
     where
-        V: ToString,
+        V: ToString + ?Sized,
     {
         self.headers.push((name, value.to_string()));
         self
--- a/lib/client/src/calls/catalogue.rs
+++ b/lib/client/src/calls/catalogue.rs
@@ -49,7 +49,7 @@
         request_id: &str,
     ) -> Outcome<Revision> {
         let call = Call::new(Method::PUT, path(&entry.pattern))
-            .header(IF_MATCH, expected)
+            .header(IF_MATCH, &expected)
             .header(REQUEST_ID, request_id)
             .json(entry)?;
         self.json::<Written>(call).await.map(|done| done.revision)
@@ -63,7 +63,7 @@
         request_id: &str,
     ) -> Outcome<()> {
         let call = Call::new(Method::DELETE, path(pattern))
-            .header(IF_MATCH, expected)
+            .header(IF_MATCH, &expected)
             .header(REQUEST_ID, request_id);
         self.done(call).await
     }
--- a/lib/client/src/calls/jobs.rs
+++ b/lib/client/src/calls/jobs.rs
@@ -39,10 +39,12 @@
     ) -> Outcome<Vec<JobView>> {
         let mut path = format!("/v1/jobs?limit={limit}");
         if let Some(team) = team {
-            path += &format!("&team={}", encode(team));
+            path.push_str("&team=");
+            path.push_str(&encode(team));
         }
         if let Some(state) = state {
-            path += &format!("&state={state}");
+            path.push_str("&state=");
+            path.push_str(&state.to_string());
         }
         self.json(Call::get(path)).await
     }
--- a/lib/client/src/calls/requests.rs
+++ b/lib/client/src/calls/requests.rs
@@ -21,7 +21,7 @@
         let mut call = Call::new(Method::POST, format!("/v1/requests/{}", encode(name)));
         call.body = body;
         if let Some(ms) = timeout_ms {
-            call = call.header(TIMEOUT_MS, ms);
+            call = call.header(TIMEOUT_MS, &ms);
         }
         let call = match key {
             Some(key) => call.header(IDEMPOTENCY_KEY, key),
--- a/lib/client/src/calls/teams.rs
+++ b/lib/client/src/calls/teams.rs
@@ -22,7 +22,7 @@
         request_id: &str,
     ) -> Outcome<Revision> {
         let call = Call::new(Method::PUT, format!("/v1/teams/{}", encode(team)))
-            .header(IF_MATCH, expected)
+            .header(IF_MATCH, &expected)
             .header(REQUEST_ID, request_id)
             .json(quota)?;
         self.json::<Written>(call).await.map(|done| done.revision)
