--- /dev/null
+++ b/cli/src/ctl/members/mod.rs
@@ -0,0 +1,5 @@
+//! Subcommands on the replicas.
+
+mod replace;
+
+pub(super) use replace::Replace;
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,3 @@
+//! Command lines over the libraries of the workspace; the binaries only call into this crate.
+
+pub mod ctl;
