--- /dev/null
+++ b/lib/leases/src/guard_config.rs
@@ -0,0 +1,36 @@
+use tarragon_names::{DomainName, Millis, RackName, Resources, WorkerName};
+
+use crate::WORKER_BEAT;
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct GuardConfig {
+    /// The worker.
+    pub worker: WorkerName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its rack.
+    pub rack: RackName,
+    /// All that it offers.
+    pub capacity: Resources,
+    /// Time between two heartbeats.
+    pub beat: Millis,
+}
+
+impl GuardConfig {
+    /// A worker with the usual heartbeat.
+    pub fn new(
+        worker: WorkerName,
+        domain: DomainName,
+        rack: RackName,
+        capacity: Resources,
+    ) -> Self {
+        Self {
+            worker,
+            domain,
+            rack,
+            capacity,
+            beat: WORKER_BEAT,
+        }
+    }
+}
--- a/lib/leases/src/task_end.rs
+++ b/lib/leases/src/task_end.rs
@@ -1,5 +1,5 @@
 /// How an attempt ended on its worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum TaskEnd {
     /// The task ran to its end with this exit status; 0 is success.
     Exited(i32),
