placement: find workers through an index over free capacity

Cause: a decision must not look at 2,800 workers, and work without accelerators must not block those that have some. Change: each shard keeps its workers in buckets by free processor and memory, with a grid for each number of free accelerators; best fit by a score that weighs the scarcer resource, domains by penalty; all-or-nothing requests under all shard locks; RandomOfTwo; tests of all placers.

--- a/lib/placement/src/first_fit.rs
+++ b/lib/placement/src/first_fit.rs
@@ -1,9 +1,7 @@
-use tarragon_names::Workload;
-
 use crate::{
     PlaceRequest, Placement, Placer,
     ledger::{Ledger, forward_to_ledger},
-    rack_shard::RackShard,
+    together::place_together,
 };
 
 /// Baseline that takes the first worker with room, in the order of shards.
@@ -16,7 +14,7 @@
     /// A placer without workers.
     pub fn new() -> Self {
         Self {
-            ledger: Ledger::new(),
+            ledger: Ledger::new(false),
         }
     }
 }
@@ -31,34 +29,14 @@
     forward_to_ledger!();
 
     fn place(&self, req: &PlaceRequest) -> Placement {
-        self.ledger.racks.with_all(|shards| {
-            let mut taken = Vec::new();
-            for _ in 0..req.tasks {
-                let found = shards
+        place_together(&self.ledger, req, |shards| {
+            shards.iter().enumerate().find_map(|(shard, racks)| {
+                let slot = racks
+                    .slots
                     .iter()
-                    .enumerate()
-                    .find_map(|(shard, racks)| first_fit(racks, req).map(|slot| (shard, slot)));
-                let Some((shard, slot)) = found else { break };
-                shards[shard].take(slot, &req.resources);
-                taken.push((shard, slot));
-            }
-            if req.workload == Workload::AllOrNothing && taken.len() < req.tasks as usize {
-                for (shard, slot) in taken.drain(..) {
-                    shards[shard].give_back(slot, &req.resources);
-                }
-            }
-            Placement {
-                workers: taken
-                    .into_iter()
-                    .map(|(shard, slot)| shards[shard].slots[slot].name.clone())
-                    .collect(),
-            }
+                    .position(|slot| req.accepts(&slot.info))?;
+                Some((shard, slot))
+            })
         })
     }
 }
-
-fn first_fit(racks: &RackShard, req: &PlaceRequest) -> Option<usize> {
-    racks.slots.iter().position(|info| {
-        info.schedulable && req.resources.fits(&info.free()) && !req.rules_out(&info.name)
-    })
-}
--- a/lib/placement/src/ledger.rs
+++ b/lib/placement/src/ledger.rs
@@ -1,38 +1,55 @@
-use std::{collections::HashMap, fmt};
+use std::{
+    collections::HashMap,
+    fmt,
+    sync::atomic::{AtomicUsize, Ordering::Relaxed},
+};
 
-use tarragon_names::{Resources, WorkerName};
+use tarragon_names::{DomainName, Resources, WorkerName};
 use tarragon_shard::Sharded;
 
-use crate::{Totals, WorkerInfo, rack_shard::RackShard};
+use crate::{Totals, WorkerInfo, rack_shard::RackShard, search::DOMAINS, sums::Sums};
 
 /// Number of shards. Workers of a rack share one, so a decision about a rack takes one lock.
-const SHARDS: usize = 16;
+pub(crate) const SHARDS: usize = 16;
 
 /// Workers and their reservations, which all placers keep in the same way.
 ///
-/// Lock order: a directory shard, then worker shards in ascending order.
+/// Lock order: a directory shard, the domains, then worker shards in ascending order.
 pub(crate) struct Ledger {
     directory: Sharded<HashMap<WorkerName, usize>>,
+    /// Failure domains by number; a domain keeps its number for the life of the ledger.
+    domains: Sharded<Vec<DomainName>>,
     pub(crate) racks: Sharded<RackShard>,
+    workers: AtomicUsize,
+    capacity: Sums,
+    pub(crate) reserved: Sums,
 }
 
 impl Ledger {
-    pub(crate) fn new() -> Self {
+    /// An empty ledger, with an index over free capacity if `indexed`.
+    pub(crate) fn new(indexed: bool) -> Self {
         Self {
             directory: Sharded::new(SHARDS, |_| HashMap::new()),
-            racks: Sharded::new(SHARDS, |_| RackShard::default()),
+            domains: Sharded::new(1, |_| Vec::new()),
+            racks: Sharded::new(SHARDS, |_| RackShard::new(indexed)),
+            workers: AtomicUsize::new(0),
+            capacity: Sums::default(),
+            reserved: Sums::default(),
         }
     }
 
     pub(crate) fn upsert(&self, info: WorkerInfo) {
         let shard = self.racks.shard_of(&info.rack);
         self.directory.with(&info.name.clone(), |directory| {
-            if let Some(old) = directory.insert(info.name.clone(), shard)
-                && old != shard
-            {
-                self.racks.with_shard(old, |racks| racks.remove(&info.name));
+            if let Some(old) = directory.insert(info.name.clone(), shard) {
+                self.remove_from(old, &info.name);
             }
-            self.racks.with_shard(shard, |racks| racks.upsert(info));
+            let domain = self.domain_number(&info.domain);
+            self.workers.fetch_add(1, Relaxed);
+            self.capacity.add(&info.capacity);
+            self.reserved.add(&info.reserved);
+            self.racks
+                .with_shard(shard, |racks| racks.insert(info, domain));
         });
     }
 
@@ -40,19 +57,56 @@
         self.directory.with(worker, |directory| {
             directory
                 .remove(worker)
-                .is_some_and(|shard| self.racks.with_shard(shard, |racks| racks.remove(worker)))
+                .is_some_and(|shard| self.remove_from(shard, worker))
         })
     }
 
+    fn remove_from(&self, shard: usize, worker: &WorkerName) -> bool {
+        let Some(info) = self.racks.with_shard(shard, |racks| racks.remove(worker)) else {
+            return false;
+        };
+        self.workers.fetch_sub(1, Relaxed);
+        self.capacity.sub(&info.capacity);
+        self.reserved.sub(&info.reserved);
+        true
+    }
+
     pub(crate) fn update<F, R>(&self, worker: &WorkerName, f: F) -> Option<R>
     where
         F: FnOnce(&mut WorkerInfo) -> R,
     {
-        let shard = self
-            .directory
-            .with(worker, |directory| directory.get(worker).copied())?;
-        self.racks
-            .with_shard(shard, |racks| racks.update(worker, f))
+        let shard = self.shard_of(worker)?;
+        self.racks.with_shard(shard, |racks| {
+            racks.update(worker, |info| {
+                let before = info.reserved;
+                let result = f(info);
+                self.reserved.change(&before, &info.reserved);
+                result
+            })
+        })
+    }
+
+    fn shard_of(&self, worker: &WorkerName) -> Option<usize> {
+        self.directory
+            .with(worker, |directory| directory.get(worker).copied())
+    }
+
+    /// Number of a failure domain; all beyond the first `DOMAINS` share the last number.
+    pub(crate) fn domain_number(&self, domain: &DomainName) -> u8 {
+        self.domains.with_shard(0, |domains| {
+            let known = domains.iter().position(|known| known == domain);
+            known.unwrap_or_else(|| {
+                if domains.len() < DOMAINS {
+                    domains.push(domain.clone());
+                }
+                domains.len() - 1
+            }) as u8
+        })
+    }
+
+    /// Number of known failure domains.
+    pub(crate) fn domain_count(&self) -> usize {
+        self.domains.with_shard(0, |domains| domains.len())
     }
 
     pub(crate) fn set_schedulable(&self, worker: &WorkerName, schedulable: bool) -> bool {
@@ -75,9 +129,7 @@
     }
 
     pub(crate) fn free(&self, worker: &WorkerName) -> Option<Resources> {
-        let shard = self
-            .directory
-            .with(worker, |directory| directory.get(worker).copied())?;
+        let shard = self.shard_of(worker)?;
         self.racks
             .with_shard(shard, |racks| racks.get(worker).map(WorkerInfo::free))
     }
@@ -102,18 +154,16 @@
     }
 
     pub(crate) fn totals(&self) -> Totals {
-        let mut totals = Totals::default();
-        self.visit(&mut |info| {
-            totals.workers += 1;
-            totals.capacity += info.capacity;
-            totals.reserved += info.reserved;
-        });
-        totals
+        Totals {
+            workers: self.workers.load(Relaxed),
+            capacity: self.capacity.get(),
+            reserved: self.reserved.get(),
+        }
     }
 
     pub(crate) fn visit(&self, f: &mut dyn FnMut(&WorkerInfo)) {
         self.racks
-            .for_each(|racks| racks.slots.iter().for_each(&mut *f));
+            .for_each(|racks| racks.slots.iter().for_each(|slot| f(&slot.info)));
     }
 }
 
@@ -121,6 +171,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Ledger")
             .field("racks", &self.racks)
+            .field("workers", &self.workers)
             .finish_non_exhaustive()
     }
 }
--- a/lib/placement/src/lib.rs
+++ b/lib/placement/src/lib.rs
@@ -4,7 +4,10 @@
 //! lock. A decision reserves what it places before it returns, so two decisions cannot hand out
 //! the same capacity.
 
+mod candidate;
 mod first_fit;
+mod free_index;
+mod grid;
 mod head_reservation;
 mod horizon;
 mod indexed_placer;
@@ -15,6 +18,11 @@
 mod policy_weights;
 mod rack_shard;
 mod random_of_two;
+mod scarcity;
+mod search;
+mod slot;
+mod sums;
+mod together;
 mod totals;
 mod worker_info;
 
--- a/lib/placement/src/place_request.rs
+++ b/lib/placement/src/place_request.rs
@@ -2,7 +2,10 @@
 
 use tarragon_names::{DomainName, Millis, Resources, WorkerName, Workload};
 
-use crate::HeadReservation;
+use crate::{HeadReservation, WorkerInfo};
+
+/// Searches that one decision makes for tasks that need not be spread.
+const MOST_PICKS: usize = 64;
 
 /// Tasks of one job that are to be placed in one decision.
 #[derive(Clone, Debug)]
@@ -43,6 +46,28 @@
         }
     }
 
+    /// Tells whether one task can be placed on the worker now.
+    pub(crate) fn accepts(&self, info: &WorkerInfo) -> bool {
+        info.schedulable && self.resources.fits(&info.free()) && !self.rules_out(&info.name)
+    }
+
+    /// Tasks that go to a worker once it is chosen.
+    ///
+    /// A job with many tasks takes several at a time, so that a decision makes a bounded number of
+    /// searches.
+    pub(crate) fn tasks_a_pick(&self) -> usize {
+        if self.spread {
+            1
+        } else {
+            (self.tasks as usize).div_ceil(MOST_PICKS)
+        }
+    }
+
+    /// Tells whether the tasks are placed all or not at all.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.workload == Workload::AllOrNothing
+    }
+
     /// Tells whether the request rules `worker` out, whatever is free there.
     pub(crate) fn rules_out(&self, worker: &WorkerName) -> bool {
         self.exclude.contains(worker)
--- a/lib/placement/src/policy_weights.rs
+++ b/lib/placement/src/policy_weights.rs
@@ -21,11 +21,13 @@
     };
 
     /// Weights for a user that weighs packing and control cost most.
+    ///
+    /// Locality equals packing, so the preferred failure domain wins whenever it has room.
     pub const PACKING: Self = Self {
         wait: 10,
         packing: 90,
         spread: 40,
-        locality: 60,
+        locality: 90,
     };
 }
 
