--- a/lib/client/src/calls/catalogue.rs
+++ b/lib/client/src/calls/catalogue.rs
@@ -5,9 +5,10 @@
 use serde::Deserialize;
 use tarragon_catalogue::{CatalogueEntry, Pattern};
 use tarragon_codes::Outcome;
+use tarragon_front::percent::encode;
 use tarragon_names::Revision;
 
-use crate::{Client, EntryView, call::Call, percent::encode};
+use crate::{Client, EntryView, call::Call};
 
 pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
--- a/lib/client/src/calls/jobs.rs
+++ b/lib/client/src/calls/jobs.rs
@@ -1,10 +1,11 @@
 use hyper::{Method, header::HeaderName};
 use tarragon_cell::{JobSpec, JobState, JobView};
 use tarragon_codes::{Code, Outcome};
+use tarragon_front::percent::encode;
 use tarragon_names::{JobId, KeyName, TeamName};
 use tarragon_scheduler::Explanation;
 
-use crate::{Client, Submitted, call::Call, percent::encode};
+use crate::{Client, Submitted, call::Call};
 
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
--- a/lib/client/src/calls/nodes.rs
+++ b/lib/client/src/calls/nodes.rs
@@ -3,11 +3,12 @@
 use serde_json::json;
 use tarragon_codes::{Code, Outcome};
 use tarragon_front::HostView;
+use tarragon_front::percent::encode;
 use tarragon_names::{ExecutorName, MemberId, WorkerName};
 use tarragon_routing::{Announcement, AnnouncementReply, ExecutorView};
 use tarragon_scheduler::WorkerView;
 
-use crate::{Client, call::Call, percent::encode};
+use crate::{Client, call::Call};
 
 impl Client {
     /// Lists the workers.
--- a/lib/client/src/calls/requests.rs
+++ b/lib/client/src/calls/requests.rs
@@ -1,9 +1,10 @@
 use bytes::Bytes;
 use hyper::{Method, header::HeaderName};
 use tarragon_codes::{Code, Outcome};
+use tarragon_front::percent::encode;
 use tarragon_names::{JobName, KeyName};
 
-use crate::{Client, RequestReply, call::Call, percent::encode};
+use crate::{Client, RequestReply, call::Call};
 
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const TIMEOUT_MS: HeaderName = HeaderName::from_static("x-tarragon-timeout-ms");
--- a/lib/client/src/calls/teams.rs
+++ b/lib/client/src/calls/teams.rs
@@ -1,10 +1,11 @@
 use hyper::{Method, header::IF_MATCH};
 use tarragon_cell::Quota;
 use tarragon_codes::Outcome;
+use tarragon_front::percent::encode;
 use tarragon_names::{Revision, TeamName};
 
 use super::catalogue::{REQUEST_ID, Written};
-use crate::{Client, QuotaView, call::Call, percent::encode};
+use crate::{Client, QuotaView, call::Call};
 
 impl Client {
     /// Reads the quota of a team.
--- a/lib/client/src/lib.rs
+++ b/lib/client/src/lib.rs
@@ -6,7 +6,6 @@
 mod client;
 mod client_config;
 mod entry_view;
-mod percent;
 mod quota_view;
 mod request_reply;
 mod submitted;
--- a/lib/front/src/lib.rs
+++ b/lib/front/src/lib.rs
@@ -9,7 +9,7 @@
 mod front_config;
 mod front_limits;
 mod host_view;
-mod percent;
+pub mod percent;
 mod query_params;
 mod reply;
 mod request;
--- a/lib/front/src/percent.rs
+++ b/lib/front/src/percent.rs
@@ -1,9 +1,11 @@
 //! Percent-encoding of path segments and query values.
 
+use std::fmt::Write;
+
 use tarragon_codes::{Code, Failure, Outcome};
 
 /// Decodes `%XX` triplets; the result must be UTF-8 without control characters.
-pub(crate) fn decode(text: &str) -> Outcome<String> {
+pub fn decode(text: &str) -> Outcome<String> {
     let bad = || {
         Failure::new(
             Code::Malformed,
@@ -37,3 +39,22 @@
     }
     Ok(text)
 }
+
+/// Encodes all but unreserved characters, so that a name is always one path segment.
+pub fn encode(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            out.push(char::from(byte));
+        } else {
+            // Writing to a string does not fail.
+            let _written = write!(out, "%{byte:02X}");
+        }
+    }
+    // Some intermediaries remove dot segments.
+    match out.as_str() {
+        "." => "%2E".to_owned(),
+        ".." => "%2E%2E".to_owned(),
+        _ => out,
+    }
+}
