--- a/lib/routing/src/announcement.rs
+++ b/lib/routing/src/announcement.rs
@@ -2,7 +2,7 @@
 use tarragon_names::{DomainName, ExecutorName, PoolName};
 
 /// What an executor says of itself to its home host.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// The executor.
--- a/lib/routing/src/executor_view.rs
+++ b/lib/routing/src/executor_view.rs
@@ -16,6 +16,6 @@
     pub slots: u32,
     /// Slots that are taken.
     pub busy: u32,
-    /// `serving`, `leaving`, `draining` or `silent`.
+    /// `serving`, `joining`, `leaving`, `draining`, `avoided` (after failures) or `silent`.
     pub state: String,
 }
--- a/lib/routing/src/lib.rs
+++ b/lib/routing/src/lib.rs
@@ -1,7 +1,31 @@
 //! Routing decisions for service requests.
+//!
+//! Time is handed in as [`tarragon_names::Millis`], so every decision can be tested with a moved
+//! clock. [`HomeExecutor`] holds the rules of one executor, [`ExecutorTable`] those of all
+//! executors of a home host, [`Router`] chooses between them and other home hosts.
 
+mod admission;
 mod announcement;
+mod executor_table;
 mod executor_view;
+mod grant;
+mod home_executor;
+mod load_summary;
+mod remote_loads;
+mod request_end;
+mod retry_budget;
+mod router;
+mod routing_config;
 
+pub use admission::Admission;
 pub use announcement::{Announcement, AnnouncementReply};
+pub use executor_table::ExecutorTable;
 pub use executor_view::ExecutorView;
+pub use grant::Grant;
+pub use home_executor::HomeExecutor;
+pub use load_summary::{LoadSummary, PoolLoad};
+pub use remote_loads::RemoteLoads;
+pub use request_end::RequestEnd;
+pub use retry_budget::RetryBudget;
+pub use router::{Choice, Router, Target};
+pub use routing_config::RoutingConfig;
