host: run scheduler, control calls and the backend of the HTTP interface

Cause: the parts need a runtime that carries their actions. Change: scheduler thread, routes to workers, table of polls, ports of the request path, backend.

--- a/lib/agreement/src/leader.rs
+++ b/lib/agreement/src/leader.rs
@@ -223,10 +223,14 @@
 
     /// Tells whether no other replica can lead at `now`.
     pub(crate) fn lease_valid(&self, core: &Core, now: Millis) -> bool {
+        self.lease_until(core, now).is_some_and(|until| now < until)
+    }
+
+    /// Time before which no other replica can have been elected.
+    pub(crate) fn lease_until(&self, core: &Core, now: Millis) -> Option<Millis> {
         let transferring = self.transfer.as_ref().is_some_and(|t| t.sent);
-        let acked = self.majority(core, Some(now), |p| p.acked_sent);
-        let fresh = acked.is_some_and(|sent| now.since(sent) < core.cfg.leader_lease);
-        self.ready && !transferring && fresh
+        let acked = self.majority(core, Some(now), |p| p.acked_sent)?;
+        (self.ready && !transferring).then_some(acked + core.cfg.leader_lease)
     }
 
     pub(crate) fn progress_of(&self, id: MemberId) -> Option<&Progress> {
--- a/lib/agreement/src/replica.rs
+++ b/lib/agreement/src/replica.rs
@@ -145,6 +145,14 @@
         self.core.log.meta_at(index)
     }
 
+    /// Time before which no other replica can have been elected; `None` if this one does not lead.
+    pub fn lease_until(&self, now: Millis) -> Option<Millis> {
+        match &self.standing {
+            Standing::Leader(leader) => leader.lease_until(&self.core, now),
+            _ => None,
+        }
+    }
+
     /// Tells whether this replica leads and no other can lead at `now`, so that a read of its
     /// applied state is not stale.
     pub fn lease_valid(&self, now: Millis) -> bool {
--- a/lib/catalogue/src/in_force.rs
+++ b/lib/catalogue/src/in_force.rs
@@ -53,6 +53,15 @@
         self.reported
     }
 
+    /// Each host that polled, with what it held and whether it may still decide by it.
+    pub fn hosts(&self, now: Millis) -> Vec<(HostName, Revision, bool)> {
+        let lease = FRESH_LEASE.lease_end();
+        self.polls
+            .iter()
+            .map(|(host, (at, held))| (host.clone(), *held, now.since(*at) <= lease))
+            .collect()
+    }
+
     /// Hosts that may still decide by something older than `revision`.
     pub fn behind(&self, now: Millis, revision: Revision) -> Vec<HostName> {
         self.polls
--- a/lib/host/src/apply_sink.rs
+++ b/lib/host/src/apply_sink.rs
@@ -1,7 +1,7 @@
 use std::fmt::Debug;
 
 use tarragon_cell::{Answer, Command};
-use tarragon_names::{LogIndex, Term};
+use tarragon_names::{LogIndex, Millis, Term};
 
 /// Observer of the replicated state on this host.
 ///
@@ -15,4 +15,10 @@
 
     /// This host no longer leads.
     fn lost_leadership(&self, term: Term);
+
+    /// Commands of the scheduler were refused and have no effect.
+    fn not_proposed(&self, commands: Vec<Command>);
+
+    /// No other host can be elected before `until`; reported with every turn of the thread.
+    fn leads_until(&self, until: Millis);
 }
--- a/lib/host/src/local_leader.rs
+++ b/lib/host/src/local_leader.rs
@@ -1,15 +1,13 @@
 use std::{sync::Arc, time::Duration};
 
-use parking_lot::Mutex;
 use tarragon_agreement::{Member, Role};
-use tarragon_catalogue::InForce;
 use tarragon_cell::{Answer, Cell, Command, Query, QueryAnswer};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, JobId, MemberId, Millis, Revision, Term};
+use tarragon_names::{HostName, JobId, MemberId, Millis, Revision};
 use tarragon_scheduler::{Explanation, WorkerView};
 use tarragon_wire::control::{CatalogueGrant, CataloguePoll, GroupView, MemberView};
 
-use crate::{Clock, ReplicaHandle, SchedulerHandle};
+use crate::{Clock, PollTable, ReplicaHandle, SchedulerHandle};
 
 /// Time since the last answer after which a member is shown as unreachable.
 const UNREACHABLE: Millis = Millis(3_000);
@@ -27,7 +25,7 @@
     cell: Arc<Cell>,
     scheduler: SchedulerHandle,
     clock: Arc<dyn Clock>,
-    in_force: Mutex<Option<(Term, InForce)>>,
+    polls: Arc<PollTable>,
 }
 
 impl LocalLeader {
@@ -38,18 +36,9 @@
         cell: Arc<Cell>,
         scheduler: SchedulerHandle,
         clock: Arc<dyn Clock>,
+        polls: Arc<PollTable>,
     ) -> Self {
-        Self { host, replica, cell, scheduler, clock, in_force: Mutex::new(None) }
-    }
-
-    /// Begins to keep track of polls under a new term.
-    pub fn became_leader(&self, term: Term) {
-        *self.in_force.lock() = Some((term, InForce::new(self.clock.now())));
-    }
-
-    /// Forgets the polls, because another host takes them now.
-    pub fn lost_leadership(&self) {
-        *self.in_force.lock() = None;
+        Self { host, replica, cell, scheduler, clock, polls }
     }
 
     /// Writes a command.
@@ -72,10 +61,8 @@
         let QueryAnswer::Entries { entries, revision } = answer else {
             return Err(Failure::of(Code::Internal));
         };
-        let mut in_force = self.in_force.lock();
-        let (term, polls) = in_force.as_mut().ok_or_else(|| Failure::of(Code::NotLeader))?;
-        polls.polled(self.clock.now(), poll.host, poll.revision);
-        Ok(CatalogueGrant { clock: poll.clock, term: *term, revision, entries })
+        let term = self.polls.polled(poll.host, poll.revision)?;
+        Ok(CatalogueGrant { clock: poll.clock, term, revision, entries })
     }
 
     /// Tells whether a catalogue revision is in force everywhere.
@@ -88,9 +75,7 @@
                 format!("the catalogue is at revision {committed}"),
             ));
         }
-        let mut in_force = self.in_force.lock();
-        let (_, polls) = in_force.as_mut().ok_or_else(|| Failure::of(Code::NotLeader))?;
-        Ok(polls.revision(self.clock.now(), committed) >= revision)
+        Ok(self.polls.in_force(committed)? >= revision)
     }
 
     /// Lists workers.
@@ -121,13 +106,11 @@
                 synced: member.matched,
             })
             .collect();
-        let now = self.clock.now();
-        let hosts = self.in_force.lock().as_ref().map(|(_, polls)| polls.hosts(now));
         Ok(GroupView {
             leader: self.host.clone(),
             term: status.term,
             members,
-            hosts: hosts.unwrap_or_default(),
+            hosts: self.polls.hosts(),
         })
     }
 
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -12,7 +12,7 @@
 use tarragon_agreement::{Action, Entry, Event, Payload, PeerMsg, Replica, SnapshotMeta};
 use tarragon_cell::{Cell, CellState};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, LogIndex, MemberId, Term};
+use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event as LogEvent, EventSink};
 use tarragon_wire::{
@@ -43,6 +43,8 @@
     pub replica: Replica,
     /// Its disk.
     pub store: Box<dyn LogStore>,
+    /// Latest saved snapshot, for members that need entries from before it.
+    pub saved: Option<(SnapshotMeta, Bytes)>,
     /// The state that the log builds up.
     pub cell: Arc<Cell>,
     /// Source of time.
@@ -68,7 +70,7 @@
     applied: LogIndex,
     snapshot: LogIndex,
     unsynced: Option<(LogIndex, Term)>,
-    unsynced_vote: Option<(Term, Option<MemberId>)>,
+    saved_vote: Option<(Term, Option<MemberId>)>,
 }
 
 impl ReplicaDriver {
@@ -85,7 +87,7 @@
             applied,
             snapshot: applied,
             unsynced: None,
-            unsynced_vote: None,
+            saved_vote: None,
         };
         let spawned = thread::Builder::new().name("replica".to_owned()).spawn(|| driver.run());
         let thread = spawned.expect("the process may start a thread at its start");
@@ -141,9 +143,15 @@
         self.step(Event::Tick)?;
         self.sync()?;
         self.save_snapshot_if_due()?;
+        self.parts.sink.leads_until(self.leads_until());
         Ok(true)
     }
 
+    fn leads_until(&self) -> Millis {
+        let now = self.parts.clock.now();
+        self.parts.replica.lease_until(now).unwrap_or_default()
+    }
+
     fn input(&mut self, input: Input) -> Outcome<()> {
         match input {
             Input::Event(event) => self.step(event),
@@ -175,9 +183,11 @@
 
     /// Syncs what was written in this turn, once, and tells the replica.
     fn sync(&mut self) -> Outcome<()> {
-        while self.unsynced.is_some() || self.unsynced_vote.is_some() {
-            self.parts.store.sync()?;
-            if let Some((term, voted_for)) = self.unsynced_vote.take() {
+        while self.unsynced.is_some() || self.saved_vote.is_some() {
+            if self.unsynced.is_some() {
+                self.parts.store.sync()?;
+            }
+            if let Some((term, voted_for)) = self.saved_vote.take() {
                 self.step(Event::VoteSynced { term, voted_for })?;
             }
             if let Some((index, term)) = self.unsynced.take() {
@@ -192,15 +202,20 @@
             Action::Send { to, host, msg } => self.send(to, &host, msg),
             Action::SaveVote { term, voted_for } => {
                 self.parts.store.save_vote(term, voted_for)?;
-                self.unsynced_vote = Some((term, voted_for));
+                self.saved_vote = Some((term, voted_for));
             }
             Action::Append { truncate_from, entries } => self.append(truncate_from, &entries)?,
             Action::Apply { entries } => entries.iter().try_for_each(|e| self.apply(e))?,
             Action::InstallSnapshot { meta, state } => self.install(&meta, state)?,
-            Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term)?,
+            Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term),
             Action::Proposed { token, first, term } => self.waiters.appended(token, first, term),
             Action::Done { token, index } => self.waiters.done(token, index, self.applied),
-            Action::Refused { token, .. } => self.waiters.refused(token),
+            Action::Refused { token, .. } => {
+                let commands = self.waiters.refused(token);
+                if !commands.is_empty() {
+                    self.parts.sink.not_proposed(commands);
+                }
+            }
             Action::BecameLeader { term } => {
                 self.leading = true;
                 self.emit(LogEvent::info("became_leader").term(term).index(self.applied));
@@ -253,8 +268,9 @@
     }
 
     fn install(&mut self, meta: &SnapshotMeta, state: Bytes) -> Outcome<()> {
+        self.parts.store.save_snapshot(meta, &state)?;
         self.parts.cell.restore(decode_state(&state)?);
-        self.parts.store.save_snapshot(meta, state)?;
+        self.parts.saved = Some((meta.clone(), state));
         self.applied = meta.index;
         self.snapshot = meta.index;
         self.waiters.forget();
@@ -262,11 +278,10 @@
         self.step(Event::SnapshotSaved { meta: meta.clone() })
     }
 
-    fn send_snapshot(&mut self, to: MemberId, host: &HostName, term: Term) -> Outcome<()> {
-        if let Some((meta, state)) = self.parts.store.load_snapshot()? {
+    fn send_snapshot(&self, to: MemberId, host: &HostName, term: Term) {
+        if let Some((meta, state)) = self.parts.saved.clone() {
             self.send(to, host, PeerMsg::Snapshot { term, meta, state });
         }
-        Ok(())
     }
 
     fn save_snapshot_if_due(&mut self) -> Outcome<()> {
@@ -276,7 +291,8 @@
         let Some(meta) = self.parts.replica.snapshot_meta(self.applied) else { return Ok(()) };
         let state = record::encode(&self.parts.cell.snapshot())
             .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
-        self.parts.store.save_snapshot(&meta, state)?;
+        self.parts.store.save_snapshot(&meta, &state)?;
+        self.parts.saved = Some((meta.clone(), state));
         self.snapshot = self.applied;
         self.emit(LogEvent::info("snapshot_saved").index(meta.index));
         self.step(Event::SnapshotSaved { meta })
--- a/lib/host/src/replica_handle.rs
+++ b/lib/host/src/replica_handle.rs
@@ -65,9 +65,11 @@
         let _lost = self.tx.try_send(Input::Event(event));
     }
 
-    /// Proposes a command without waiting for its result.
-    pub(crate) fn propose_and_forget(&self, at_ms: u64, command: Command) -> Outcome<()> {
-        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: None })
+    /// Proposes a command of the scheduler, which learns of its result as it is applied.
+    pub(crate) fn propose_for_scheduler(&self, at_ms: u64, command: Command) -> Outcome<()> {
+        let record = encode(at_ms, command.clone())?;
+        let waiter = ProposalWaiter::Scheduler(Box::new(command));
+        self.send(Input::Propose { record, waiter })
     }
 
     /// Proposes a command and waits for the result of applying it.
@@ -78,7 +80,7 @@
         limit: Duration,
     ) -> Outcome<Answer> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: Some(tx) })?;
+        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: ProposalWaiter::Call(tx) })?;
         match timeout(limit, rx).await {
             Ok(Ok(result)) => result,
             _ => Err(Failure::of(Code::NotConfirmed)),
--- /dev/null
+++ b/lib/host/src/scheduler_events.rs
@@ -0,0 +1,74 @@
+//! Events and metrics of the scheduler's decisions.
+
+use tarragon_cell::Ended;
+use tarragon_scheduler::SchedLog;
+use tarragon_telemetry::{Event, Metrics};
+
+/// Counts what a decision means for the metrics.
+pub(crate) fn record(metrics: &Metrics, log: &SchedLog) {
+    match log {
+        SchedLog::SessionConfirmed { .. } => metrics.sessions.inc(),
+        SchedLog::LeaseEnded { .. } => metrics.leases_ended.inc(),
+        SchedLog::StartSent { resent: false, .. } => metrics.placements.inc(),
+        SchedLog::Ended { ended, .. } => {
+            metrics.task_ends.with_label_values(&[end_label(*ended)]).inc();
+        }
+        SchedLog::Refused { reason, .. } => metrics.count_refusal(reason.code.number()),
+        _ => {}
+    }
+}
+
+/// The event that the time line shows for a decision.
+pub(crate) fn event(log: SchedLog) -> Event {
+    match log {
+        SchedLog::TookOver { term, jobs, assigned } => Event::info("scheduler_took_over")
+            .term(term)
+            .detail(format!("{jobs} unfinished jobs, {assigned} assigned tasks")),
+        SchedLog::SessionConfirmed { worker, session, adopted, lost } => {
+            Event::info("worker_session")
+                .worker(worker)
+                .term(session.term)
+                .detail(format!("session {session}, {adopted} adopted, {lost} not running"))
+        }
+        SchedLog::LeaseEnded { worker, tasks } => Event::warning("worker_lease_ended")
+            .worker(worker)
+            .detail(format!("{tasks} tasks released")),
+        SchedLog::StartSent { worker, task, attempt, fence, resent } => {
+            let name = if resent { "start_resent" } else { "start_sent" };
+            Event::debug(name).task(task).attempt(attempt).worker(worker).term(fence.term)
+        }
+        SchedLog::StopSent { worker, task, attempt, fence } => {
+            Event::debug("stop_sent").task(task).attempt(attempt).worker(worker).term(fence.term)
+        }
+        SchedLog::Ended { worker, task, attempt, ended } => {
+            let event = Event::debug("attempt_ended")
+                .task(task)
+                .attempt(attempt)
+                .detail(format!("{ended:?}"));
+            match worker {
+                Some(worker) => event.worker(worker),
+                None => event,
+            }
+        }
+        SchedLog::Refused { job, reason } => Event::info("job_refused")
+            .job(job)
+            .code(reason.code.number())
+            .detail(reason.cause),
+        SchedLog::Quarantined { worker } => Event::warning("worker_quarantined").worker(worker),
+        SchedLog::Restored { worker } => Event::info("worker_restored").worker(worker),
+        SchedLog::Overcommitted { worker } => {
+            Event::warning("worker_overcommitted").worker(worker)
+        }
+    }
+}
+
+fn end_label(ended: Ended) -> &'static str {
+    match ended {
+        Ended::Exited(0) => "succeeded",
+        Ended::Exited(_) => "failed",
+        Ended::Stopped => "stopped",
+        Ended::Checkpointed => "checkpointed",
+        Ended::NeverBegan => "never_began",
+        Ended::LeaseEnded => "lease_ended",
+    }
+}
--- a/lib/host/src/waiters.rs
+++ b/lib/host/src/waiters.rs
@@ -1,13 +1,19 @@
 use std::collections::{BTreeMap, HashMap};
 
 use tarragon_agreement::Token;
-use tarragon_cell::Answer;
+use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{LogIndex, Term};
 use tokio::sync::oneshot;
 
-/// Receiver of the result of a proposal; absent for proposals of the own scheduler.
-pub(crate) type ProposalWaiter = Option<oneshot::Sender<Outcome<Answer>>>;
+/// Who waits for the result of a proposal.
+#[derive(Debug)]
+pub(crate) enum ProposalWaiter {
+    /// A call.
+    Call(oneshot::Sender<Outcome<Answer>>),
+    /// The own scheduler, which sees every applied command and is told only of refusals.
+    Scheduler(Box<Command>),
+}
 
 /// Receiver of a permission to read or of the result of a member change.
 pub(crate) type DoneWaiter = oneshot::Sender<Outcome<()>>;
@@ -76,15 +82,20 @@
         }
     }
 
-    /// Passes on a refusal; the request has no effect.
-    pub(crate) fn refused(&mut self, token: Token) {
+    /// Passes on a refusal; the request has no effect. Gives back the commands of the scheduler.
+    pub(crate) fn refused(&mut self, token: Token) -> Vec<Command> {
         let cause = Failure::of(Code::NotLeader);
+        let mut commands = Vec::new();
         for waiter in self.batches.remove(&token).unwrap_or_default() {
-            answer(waiter, Err(cause.clone()));
+            match waiter {
+                ProposalWaiter::Scheduler(command) => commands.push(*command),
+                waiter @ ProposalWaiter::Call(_) => answer(waiter, Err(cause.clone())),
+            }
         }
         if let Some(waiter) = self.done.remove(&token) {
             permit(waiter, Err(cause));
         }
+        commands
     }
 
     /// Gives up all requests whose results cannot be told any more, after a snapshot replaced the
@@ -104,7 +115,7 @@
 }
 
 fn answer(waiter: ProposalWaiter, result: Outcome<Answer>) {
-    if let Some(waiter) = waiter {
+    if let ProposalWaiter::Call(waiter) = waiter {
         // The caller may have given up.
         let _gone = waiter.send(result);
     }
--- a/lib/wire/src/peer.rs
+++ b/lib/wire/src/peer.rs
@@ -1,10 +1,9 @@
 //! Frames between entry hosts.
 
-use std::collections::BTreeMap;
-
 use tarragon_agreement::PeerMsg;
 use tarragon_leases::{WorkerOrder, WorkerReport};
-use tarragon_names::{HostName, MemberId, PoolName, WorkerName};
+use tarragon_names::{HostName, MemberId, WorkerName};
+use tarragon_routing::{LoadSummary, PoolLoad};
 
 use crate::{
     WireError,
@@ -34,7 +33,7 @@
     /// Order to a worker on its way to its gateway.
     #[prost(message, tag = "4")]
     Down(RelayDown),
-    /// Free slots at the sender.
+    /// Slots at the sender.
     #[prost(message, tag = "5")]
     Load(LoadMsg),
 }
@@ -75,12 +74,29 @@
     pub order: Option<OrderMsg>,
 }
 
-/// Free slots of a home host, by pool.
+/// Slots of a home host.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LoadMsg {
-    /// Free slots by pool.
-    #[prost(btree_map = "string, uint32", tag = "1")]
-    pub free: BTreeMap<String, u32>,
+    /// Rises with each summary of a process.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Its pools.
+    #[prost(message, repeated, tag = "2")]
+    pub pools: Vec<PoolLoadMsg>,
+}
+
+/// Slots of one pool at a home host.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PoolLoadMsg {
+    /// The pool.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Slots that a new request may take.
+    #[prost(uint32, tag = "2")]
+    pub free: u32,
+    /// All slots of executors that take requests.
+    #[prost(uint32, tag = "3")]
+    pub slots: u32,
 }
 
 /// Contents of a peer frame as the daemon handles them.
@@ -109,8 +125,8 @@
         /// The order.
         order: WorkerOrder,
     },
-    /// Free slots of the sender, by pool.
-    Load(BTreeMap<PoolName, u32>),
+    /// Slots at the sender.
+    Load(LoadSummary),
 }
 
 impl PeerFrame {
@@ -130,12 +146,7 @@
                 worker: worker.to_string(),
                 order: Some(convert::order_to_msg(order)),
             }),
-            PeerEvent::Load(free) => PeerBody::Load(LoadMsg {
-                free: free
-                    .iter()
-                    .map(|(pool, n)| (pool.to_string(), *n))
-                    .collect(),
-            }),
+            PeerEvent::Load(load) => PeerBody::Load(load.into()),
         });
         Self {
             from: from.to_string(),
@@ -145,12 +156,13 @@
 
     /// Sender and contents of the frame; no contents for a heartbeat.
     pub fn parts(self) -> Result<(HostName, Option<PeerEvent>), WireError> {
-        let event = self.body.map(event_from_body).transpose()?;
-        Ok((HostName::from(self.from), event))
+        let from = HostName::from(self.from);
+        let event = self.body.map(|body| event_from_body(&from, body)).transpose()?;
+        Ok((from, event))
     }
 }
 
-fn event_from_body(body: PeerBody) -> Result<PeerEvent, WireError> {
+fn event_from_body(from: &HostName, body: PeerBody) -> Result<PeerEvent, WireError> {
     Ok(match body {
         PeerBody::Agreement(frame) => PeerEvent::Agreement {
             from: MemberId(frame.from),
@@ -165,11 +177,31 @@
             worker: relay.worker.into(),
             order: convert::order_from_msg(relay.order.ok_or(WireError::Field("order"))?)?,
         },
-        PeerBody::Load(load) => PeerEvent::Load(
-            load.free
-                .into_iter()
-                .map(|(pool, n)| (pool.into(), n))
-                .collect(),
-        ),
+        PeerBody::Load(load) => PeerEvent::Load(LoadSummary {
+            host: from.clone(),
+            sequence: load.sequence,
+            pools: load.pools.into_iter().map(PoolLoad::from).collect(),
+        }),
     })
 }
+
+impl From<&LoadSummary> for LoadMsg {
+    fn from(load: &LoadSummary) -> Self {
+        let pools = load
+            .pools
+            .iter()
+            .map(|pool| PoolLoadMsg {
+                pool: pool.pool.to_string(),
+                free: pool.free,
+                slots: pool.slots,
+            })
+            .collect();
+        Self { sequence: load.sequence, pools }
+    }
+}
+
+impl From<PoolLoadMsg> for PoolLoad {
+    fn from(msg: PoolLoadMsg) -> Self {
+        Self { pool: msg.pool.into(), free: msg.free, slots: msg.slots }
+    }
+}
