scheduler: place jobs, keep leases and recover after an election

The leading host needs one place that decides what runs where. It reads the cell, proposes commands in batches and keeps what each attempt holds until its end is committed, so that unanswered starts count against the capacity.

--- a/lib/cell/src/cell.rs
+++ b/lib/cell/src/cell.rs
@@ -132,6 +132,11 @@
         self.registry.lock().draining.iter().cloned().collect()
     }
 
+    /// Tells whether an operator drains a worker.
+    pub fn is_draining(&self, worker: &WorkerName) -> bool {
+        self.registry.lock().draining.contains(worker)
+    }
+
     /// Quota of a team; no limits if none is set.
     pub fn quota(&self, team: &TeamName) -> Quota {
         self.registry
--- a/lib/cell/src/task_record.rs
+++ b/lib/cell/src/task_record.rs
@@ -72,17 +72,21 @@
         true
     }
 
-    /// Records the end of an attempt and tells whether the record changed.
+    /// Tells whether the end of an attempt would be recorded.
     ///
     /// An attempt whose lease ended may report its true end later. That end counts as long as no
     /// further attempt is assigned, so work that was done is not repeated.
+    pub fn counts(&self, attempt: Attempt, ended: Ended) -> bool {
+        let lost = self.last == Some(Ended::LeaseEnded) && ended != Ended::LeaseEnded;
+        attempt == self.attempt && (self.worker().is_some() || lost)
+    }
+
+    /// Records the end of an attempt and tells whether the record changed.
     pub(crate) fn end(&mut self, attempt: Attempt, ended: Ended, retry: Retry) -> bool {
-        let assigned = matches!(self.state, TaskState::Assigned(_));
-        let refined =
-            !assigned && self.last == Some(Ended::LeaseEnded) && ended != Ended::LeaseEnded;
-        if attempt != self.attempt || !(assigned || refined) {
+        if !self.counts(attempt, ended) {
             return false;
         }
+        let refined = self.worker().is_none();
         if refined {
             self.failures = self.failures.saturating_sub(1);
         }
--- /dev/null
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -0,0 +1,325 @@
+//! Placement of waiting jobs.
+
+use std::sync::Arc;
+
+use tarragon_cell::Command;
+use tarragon_codes::{Code, Failure};
+use tarragon_names::{Attempt, Class, Millis, Resources, TaskId, WorkerName, Workload};
+use tarragon_placement::PlaceRequest;
+use tarragon_queue::{Claim, PreemptMeans, Preemption, QueuedJob, Victim};
+
+use crate::{
+    Scheduler,
+    hold::{Hold, JobBrief, Stage},
+    lead::{Lead, QUEUE_EPOCH},
+};
+
+/// Jobs in one tick that are compared with all workers.
+const CHECKS: usize = 8;
+
+/// Quarantined workers that get a probe in one tick.
+const PROBES: usize = 4;
+
+/// Running tasks that one search for work that gives way looks at.
+const VICTIMS: usize = 4_096;
+
+/// Time between two searches for a reservation in time for the same job.
+const PLAN_EVERY: Millis = Millis(1_000);
+
+/// Assumed wait of an urgent job for which no end of running work is known.
+const UNKNOWN_WAIT: Millis = Millis(60_000);
+
+type Assignments = Vec<(TaskId, Attempt, WorkerName)>;
+
+impl Scheduler {
+    /// Places waiting jobs in order and proposes their assignment in one command.
+    pub(crate) fn place_jobs(&mut self, lead: &mut Lead, now: Millis) {
+        self.sync_jobs(lead, now);
+        let mut assigned = Vec::new();
+        self.probe(lead, now, &mut assigned);
+        let mut unfit = Vec::new();
+        while assigned.len() < self.cfg.batch {
+            let before = assigned.len();
+            unfit.clear();
+            let largest = self.placer.largest_free();
+            for job in lead.queue.candidates(now + QUEUE_EPOCH, self.cfg.lookahead) {
+                let left = self.cfg.batch.saturating_sub(assigned.len());
+                if left == 0 {
+                    break;
+                }
+                let placed = job.resources.fits(&largest)
+                    && self.place_job(lead, now, &job, left, &mut assigned);
+                if !placed {
+                    unfit.push(job);
+                }
+            }
+            if assigned.len() == before {
+                break;
+            }
+        }
+        if !assigned.is_empty() {
+            lead.proposals.push(Command::Assign { tasks: assigned });
+        }
+        self.refuse_impossible(lead, now, &unfit);
+        match unfit.iter().find(|job| lead.queue.contains(job.job)) {
+            Some(head) => {
+                self.plan_head(lead, now, head);
+                if head.class == Class::Urgent {
+                    self.preempt(lead, now, head);
+                }
+            }
+            None => lead.head = None,
+        }
+    }
+
+    /// Places what fits of one job, at most `limit` tasks; false if nothing fits.
+    fn place_job(
+        &self,
+        lead: &mut Lead,
+        now: Millis,
+        job: &QueuedJob,
+        limit: usize,
+        assigned: &mut Assignments,
+    ) -> bool {
+        let whole = job.kind == Workload::AllOrNothing;
+        let limit = if whole { usize::MAX } else { limit };
+        let found = self.cell.with_job(job.job, |record| {
+            let waiting = record
+                .waiting()
+                .filter(|(task, _)| !lead.holds.contains_key(task));
+            let waiting = waiting.take(limit).collect::<Vec<_>>();
+            (waiting, JobBrief::of(record))
+        });
+        let Some((waiting, brief)) = found.filter(|(waiting, _)| !waiting.is_empty()) else {
+            lead.queue.remove(job.job);
+            return true;
+        };
+        let mut req = PlaceRequest::new(waiting.len() as u32, job.resources, job.kind);
+        req.exclude = self.health.failed_on(job.job);
+        req.ends = (job.run > Millis(0)).then(|| now + job.run);
+        req.held = lead.head.clone().filter(|head| head.job != job.job);
+        if req.spread {
+            req.running_in = lead
+                .holds_of(job.job)
+                .filter_map(|(_, hold)| lead.workers.get(&hold.worker))
+                .map(|state| state.domain.clone())
+                .collect();
+        }
+        let mut placement = self.placer.place(&req);
+        if placement.is_empty() && !req.exclude.is_empty() {
+            req.exclude.clear();
+            placement = self.placer.place(&req);
+        }
+        if placement.is_empty() {
+            return false;
+        }
+        lead.queue.remove(job.job);
+        let placed = placement.len() as u32;
+        if placed < job.tasks {
+            let rest = QueuedJob {
+                tasks: job.tasks - placed,
+                ..job.clone()
+            };
+            let pushed = lead.queue.push(rest);
+            debug_assert!(
+                pushed.is_ok(),
+                "an accepted job must find room in the queue"
+            );
+        }
+        let brief = Arc::new(brief);
+        for ((task, attempt), worker) in waiting.into_iter().zip(placement.workers) {
+            Self::hold(lead, now, task, attempt, &worker, job.resources, &brief);
+            assigned.push((task, attempt, worker));
+        }
+        true
+    }
+
+    fn hold(
+        lead: &mut Lead,
+        now: Millis,
+        task: TaskId,
+        attempt: Attempt,
+        worker: &WorkerName,
+        reserved: Resources,
+        brief: &Arc<JobBrief>,
+    ) {
+        let hold = Hold {
+            attempt,
+            worker: worker.clone(),
+            reserved,
+            peak: Resources::ZERO,
+            brief: Arc::clone(brief),
+            stage: Stage::Proposed,
+            since: now,
+            due: None,
+            ending: false,
+            throttled: None,
+        };
+        lead.add_hold(task, hold);
+    }
+
+    /// Gives each quarantined worker that is due one batch task to prove itself.
+    fn probe(&self, lead: &mut Lead, now: Millis, assigned: &mut Assignments) {
+        for worker in self.health.probes(now, PROBES) {
+            if !self.probe_worker(lead, now, &worker, assigned) {
+                self.health.probe_not_started(&worker, now);
+            }
+        }
+    }
+
+    fn probe_worker(
+        &self,
+        lead: &mut Lead,
+        now: Millis,
+        worker: &WorkerName,
+        assigned: &mut Assignments,
+    ) -> bool {
+        let known = lead.workers.get(worker);
+        let usable = known.is_some_and(|state| state.placed && !state.leaving);
+        let Some(free) = self.placer.free(worker).filter(|_| usable) else {
+            return false;
+        };
+        if self.cell.is_draining(worker) {
+            return false;
+        }
+        let candidates = lead.queue.candidates(now + QUEUE_EPOCH, self.cfg.lookahead);
+        let fitting = candidates.into_iter().find(|job| {
+            job.kind == Workload::Batch
+                && job.resources.fits(&free)
+                && !self.health.failed_on(job.job).contains(worker)
+        });
+        let Some(job) = fitting else { return false };
+        let found = self.cell.with_job(job.job, |record| {
+            let mut waiting = record.waiting();
+            let task = waiting.find(|(task, _)| !lead.holds.contains_key(task));
+            task.map(|task| (task, JobBrief::of(record)))
+        });
+        let Some(((task, attempt), brief)) = found.flatten() else {
+            return false;
+        };
+        self.placer.reserve(worker, &job.resources);
+        let brief = Arc::new(brief);
+        Self::hold(lead, now, task, attempt, worker, job.resources, &brief);
+        lead.dirty.insert(job.job);
+        assigned.push((task, attempt, worker.clone()));
+        true
+    }
+
+    /// Refuses jobs that no set of workers could hold even if it were empty.
+    ///
+    /// After an election the workers need the time of a lease to register.
+    fn refuse_impossible(&self, lead: &mut Lead, now: Millis, unfit: &[Arc<QueuedJob>]) {
+        if now.since(lead.elected) < self.cfg.lease {
+            return;
+        }
+        let capacities = lead.workers.values().filter_map(|state| state.capacity);
+        let capacities = capacities.collect::<Vec<_>>();
+        if capacities.is_empty() {
+            return;
+        }
+        for job in unfit.iter().take(CHECKS) {
+            let needed = if job.kind == Workload::AllOrNothing {
+                u64::from(job.tasks)
+            } else {
+                1
+            };
+            let mut room = 0;
+            for capacity in &capacities {
+                room += holds(capacity, &job.resources);
+                if room >= needed {
+                    break;
+                }
+            }
+            if room >= needed {
+                continue;
+            }
+            let cause = if room == 0 {
+                format!("a task needs {}, more than any worker has", job.resources)
+            } else {
+                format!("all workers together hold {room} of {needed} tasks at once")
+            };
+            lead.queue.remove(job.job);
+            let reason = Failure::new(Code::LargerThanAnyWorker, cause);
+            Self::refuse(lead, job.job, reason);
+        }
+    }
+
+    /// Reserves workers in time for the first job that does not fit, so that smaller work which
+    /// goes ahead of it does not keep it waiting without end.
+    fn plan_head(&self, lead: &mut Lead, now: Millis, job: &QueuedJob) {
+        let held = lead.head.as_ref();
+        if held.is_some_and(|head| head.job == job.job && now < head.at) {
+            return;
+        }
+        let recent = lead.planned.filter(|(planned, _)| *planned == job.job);
+        if recent.is_some_and(|(_, at)| now.since(at) < PLAN_EVERY) {
+            return;
+        }
+        lead.planned = Some((job.job, now));
+        let tasks = if job.kind == Workload::AllOrNothing {
+            job.tasks
+        } else {
+            1
+        };
+        let req = PlaceRequest::new(tasks, job.resources, job.kind);
+        lead.head = lead
+            .horizon
+            .plan(now, job.job, &req, &*self.placer)
+            .map(Arc::new);
+    }
+
+    /// Makes running work of lower classes give way to an urgent job.
+    fn preempt(&self, lead: &mut Lead, now: Millis, job: &QueuedJob) {
+        let recent = lead.preempted.filter(|(last, _)| *last == job.job);
+        if recent.is_some_and(|(_, at)| now.since(at) < self.cfg.preempt_every) {
+            return;
+        }
+        lead.preempted = Some((job.job, now));
+        let head = lead.head.as_ref().filter(|head| head.job == job.job);
+        let claim = Claim {
+            class: job.class,
+            borrows: lead.queue.quotas().team(&job.team).borrows(),
+            resources: job.resources,
+            tasks: job.tasks,
+            whole: job.kind == Workload::AllOrNothing,
+            wait: head.map_or(UNKNOWN_WAIT, |head| head.at.since(now)),
+        };
+        let victims = lead
+            .holds
+            .iter()
+            .filter(|(_, hold)| hold.stage == Stage::Running && !hold.ending)
+            .filter(|(_, hold)| hold.brief.class > job.class)
+            .take(VICTIMS)
+            .map(|(task, hold)| Victim {
+                task: *task,
+                worker: hold.worker.clone(),
+                class: hold.brief.class,
+                borrowed: lead.queue.quotas().team(&hold.brief.team).borrows(),
+                kind: hold.brief.spec.kind,
+                resources: hold.reserved,
+                ran: now.since(hold.since),
+                left: hold.ends().map_or(UNKNOWN_WAIT, |ends| ends.since(now)),
+                checkpoints: true,
+            })
+            .collect::<Vec<_>>();
+        let free = |worker: &WorkerName| self.placer.free(worker).unwrap_or_default();
+        for action in Preemption::default().choose(&claim, &victims, free) {
+            match action.means {
+                PreemptMeans::Throttle => {
+                    self.throttle(lead, now, action.task, u64::MAX);
+                }
+                PreemptMeans::Checkpoint => self.send_checkpoint(lead, now, action.task),
+                PreemptMeans::Stop => self.stop_hold(lead, now, action.task),
+            }
+        }
+    }
+}
+
+/// Number of tasks that an empty worker holds.
+fn holds(capacity: &Resources, task: &Resources) -> u64 {
+    let times = |capacity: u64, task: u64| capacity.checked_div(task).unwrap_or(u64::MAX);
+    times(capacity.cpu_milli, task.cpu_milli)
+        .min(times(capacity.memory_mb, task.memory_mb))
+        .min(times(capacity.accelerators, task.accelerators))
+        .min(u64::from(u32::MAX))
+}
