standin: add workers and the program that runs them

Trials need workers that behave as badly as those of the users: they start what they are given, their tasks take up to four times longer or shorter and larger or smaller than declared, and settings make them fail every task, pause, go silent or lose reports of ends. Each start and end goes to a log line by line, so that a double run or an over-commitment is seen from outside of the system.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,3 +1,4 @@
 //! Command lines over the libraries of the workspace; the binaries only call into this crate.
 
 pub mod ctl;
+pub mod standin;
--- /dev/null
+++ b/cli/src/standin/mod.rs
@@ -0,0 +1,108 @@
+//! `tarragon-standin`: one process of stand-in workers and executors.
+//!
+//! Exit codes: 0 done, 1 a file could not be written, 2 wrong usage or settings.
+
+use std::{io, path::Path, process::ExitCode, sync::Arc, time::Duration};
+
+use getopts::Options;
+use tarragon_settings::StandinSettings;
+use tarragon_standin::{StandinWorker, TaskLog, WorkerConfig};
+use tarragon_telemetry::{EventSink, Events, Level};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    task::JoinSet,
+    time::sleep,
+};
+
+/// Runs one command line until a signal or the end of its time.
+pub fn run(args: &[String]) -> ExitCode {
+    let mut options = Options::new();
+    options
+        .optopt("", "config", "settings file", "FILE")
+        .optflag("", "check-config", "check the settings file only")
+        .optflag("", "help", "print this help")
+        .optflag("", "version", "print the version");
+    let usage = |cause: &str| {
+        eprintln!("tarragon-standin: {cause}");
+        ExitCode::from(2)
+    };
+    let matches = match options.parse(args) {
+        Ok(matches) => matches,
+        Err(e) => return usage(&e.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage("Usage: tarragon-standin --config FILE"));
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("version") {
+        println!("tarragon-standin {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = matches.opt_str("config") else {
+        return usage("give --config FILE");
+    };
+    let settings = match StandinSettings::load(&path) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+            return usage(&format!("{path}:\n{}", faults.join("\n")));
+        }
+    };
+    if matches.opt_present("check-config") {
+        return ExitCode::SUCCESS;
+    }
+    match start(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("tarragon-standin: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(settings: &StandinSettings) -> io::Result<()> {
+    let events = events(settings)?;
+    let log = settings.task_log.as_deref();
+    let log = log.map(TaskLog::to_file).transpose()?.unwrap_or_default();
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let (stop, stopped) = watch::channel(false);
+        let mut running = JoinSet::new();
+        for cfg in WorkerConfig::all(settings) {
+            let worker = StandinWorker::new(cfg, log.clone(), Arc::clone(&events));
+            running.spawn(worker.run(stopped.clone()));
+        }
+        wait_for_end(Duration::from_millis(settings.stop_after.0)).await?;
+        stop.send_replace(true);
+        while let Some(ended) = running.join_next().await {
+            ended.map_err(io::Error::other)??;
+        }
+        Ok(())
+    })
+}
+
+fn events(settings: &StandinSettings) -> io::Result<Arc<dyn EventSink>> {
+    let level = settings.log.level.to_string();
+    let level = level.parse().unwrap_or(Level::Info);
+    let (host, domain) = ("standin".into(), "standin".into());
+    Ok(Arc::new(match &settings.log.file {
+        Some(path) => Events::to_file(&host, &domain, Path::new(path), level)?,
+        None => Events::to_stderr(&host, &domain, level),
+    }))
+}
+
+async fn wait_for_end(limit: Duration) -> io::Result<()> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+        () = sleep(limit) => {}
+    }
+    Ok(())
+}
--- a/lib/settings/src/worker_fault.rs
+++ b/lib/settings/src/worker_fault.rs
@@ -17,7 +17,7 @@
     /// The worker runs on, but none of its messages leaves or arrives.
     #[display("silent")]
     Silent,
-    /// Messages arrive, but none of its answers leaves.
+    /// Reports of ended tasks are lost; heartbeats still leave.
     #[display("lose_answers")]
     LoseAnswers,
 }
--- /dev/null
+++ b/lib/standin/tests/worker_task.rs
@@ -0,0 +1,71 @@
+//! Guards against stand-ins whose errors are out of bounds or differ between runs.
+
+use std::sync::Arc;
+
+use tarragon_leases::TaskSpec;
+use tarragon_names::{Attempt, JobId, Millis, Resources, TaskId, Workload};
+use tarragon_standin::WorkerTask;
+use yare::parameterized;
+
+fn spec(name: &str, workload: Workload, payload: &str) -> TaskSpec {
+    TaskSpec {
+        name: name.into(),
+        workload,
+        resources: Resources::new(1_000, 1_000, 1),
+        run_ms: 1_000,
+        payload: Arc::from(payload.as_bytes()),
+    }
+}
+
+fn task(job: u64, factor: u32, spec: &TaskSpec) -> WorkerTask {
+    let id = TaskId {
+        job: JobId(job),
+        index: 0,
+    };
+    WorkerTask::begin(Millis(5_000), 7, factor, id, Attempt(1), spec)
+}
+
+#[parameterized(
+    exact = { 1, 1_000, 1_000 },
+    double = { 2, 500, 2_000 },
+    fourfold = { 4, 250, 4_000 },
+)]
+fn errors_stay_within_the_factor(factor: u32, least: u64, most: u64) {
+    let mut wrong = false;
+    for job in 0..200 {
+        let spec = spec(&format!("reel-{}", job % 10), Workload::Batch, "");
+        let task = task(job, factor, &spec);
+        let run = task.ends.unwrap() - task.began;
+        for amount in [run.0, task.usage.cpu_milli, task.usage.memory_mb] {
+            assert!((least - 1..=most + 1).contains(&amount), "{task:?}");
+            wrong |= amount.abs_diff(1_000) > 200;
+        }
+        assert_eq!(task, self::task(job, factor, &spec));
+    }
+    assert_eq!(wrong, factor > 1);
+}
+
+#[parameterized(
+    success = { "", 0 },
+    asked_for = { "exit=3", 3 },
+    other_text = { "reel 7", 0 },
+)]
+fn status_comes_from_payload(payload: &str, status: i32) {
+    assert_eq!(
+        task(1, 1, &spec("a", Workload::Batch, payload)).status,
+        status
+    );
+}
+
+#[test]
+fn service_never_ends_by_itself() {
+    assert_eq!(task(1, 4, &spec("a", Workload::Service, "")).ends, None);
+}
+
+#[test]
+fn throttled_task_runs_longer() {
+    let mut task = task(1, 1, &spec("a", Workload::Batch, ""));
+    task.throttle(Millis(5_500), 500);
+    assert_eq!(task.ends, Some(Millis(6_500)));
+    assert_eq!(task.usage.cpu_milli, 500);
+}
