standin: give up a gateway after three missing answers

A gateway sends a worker nothing but answers to heartbeats, one a second, while there is no work; a limit of one second closed sound connections.

--- a/lib/standin/src/worker_link.rs
+++ b/lib/standin/src/worker_link.rs
@@ -1,6 +1,6 @@
 use std::{future::pending, net::SocketAddr, time::Duration};
 
-use tarragon_leases::{WorkerOrder, WorkerReport};
+use tarragon_leases::{WORKER_BEAT, WorkerOrder, WorkerReport};
 use tarragon_names::WorkerName;
 use tarragon_wire::{
     Frames, MAX_WORKER_FRAME, WireError, frames, read,
@@ -15,8 +15,12 @@
 /// Time between two frames to the gateway, at most.
 const LINK_BEAT: Duration = Duration::from_millis(250);
 
-/// Time without a frame after which the gateway is given up.
-const LINK_SILENT: Duration = Duration::from_secs(1);
+/// Time without a frame after which the gateway is given up: three answers to heartbeats, since a
+/// gateway sends nothing else while there is no work.
+const LINK_SILENT: Duration = Duration::from_millis(3 * WORKER_BEAT.0);
+
+/// Time limit for opening a connection and for writing a frame.
+const STALLED: Duration = Duration::from_secs(1);
 
 /// Connection of a worker to its gateway, if there is one.
 #[derive(Debug, Default)]
@@ -32,7 +36,7 @@
 impl WorkerLink {
     /// Opens a connection.
     pub async fn open(gateway: SocketAddr) -> Option<Self> {
-        let stream = timeout(LINK_SILENT, TcpStream::connect(gateway))
+        let stream = timeout(STALLED, TcpStream::connect(gateway))
             .await
             .ok()?
             .ok()?;
@@ -108,7 +112,7 @@
         };
         open.sent = Instant::now();
         let written: Result<Result<(), WireError>, _> =
-            timeout(LINK_SILENT, write(&mut open.frames, &frame)).await;
+            timeout(STALLED, write(&mut open.frames, &frame)).await;
         if !matches!(written, Ok(Ok(()))) {
             self.close();
         }
