timeline: merge the logs of all processes in causal order

Clocks of hosts differ by seconds, so a merge by time shows effects before causes. The merge keeps the order within each process, follows the marks that messages carry and the epochs and indexes of the log, and corrects each clock by what contradicts them. tarragon-timeline filters and prints text, JSON or a picture with a lane for each host.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod ctl;
 pub mod standin;
+pub mod timeline;
--- /dev/null
+++ b/lib/timeline/tests/order.rs
@@ -0,0 +1,160 @@
+//! Guards against a timeline in which an effect precedes its cause.
+
+use serde_json::json;
+use tarragon_timeline::{Filter, Merge, Merged, json, svg, text};
+use yare::parameterized;
+
+/// A job's life over three processes whose clocks are `skew` ms apart; numbers are the true order.
+fn merged(skew: [i64; 3]) -> Vec<Merged> {
+    let line = |process: usize, seq: u64, time: i64, event: &str, after: Option<&str>| {
+        let ts = 1_000_000 + time + skew[process];
+        json!({
+            "host": format!("h{process}"), "process": format!("h{process}/1/1"), "seq": seq,
+            "ts": ts, "mono": 500 + time, "event": event, "after": after, "job": "j1",
+        })
+        .to_string()
+    };
+    let logs = [
+        [
+            line(0, 4, 60, "6_told", Some("h1/1/1:3")),
+            line(0, 1, 0, "1_received", None),
+        ],
+        [
+            line(1, 1, 10, "2_accepted", Some("h0/1/1:1")),
+            // The mark names an event below the log level; the last one logged before it counts.
+            line(1, 3, 50, "5_ended", Some("h2/1/1:9")),
+        ],
+        [
+            line(2, 1, 20, "3_began", Some("h1/1/1:2")),
+            line(2, 8, 40, "4_ran", None),
+        ],
+    ];
+    let mut merge = Merge::default();
+    for (process, lines) in logs.iter().enumerate() {
+        merge.add(&format!("h{process}.jsonl"), &lines.join("\n"));
+    }
+    assert!(merge.unread().is_empty());
+    merge.order()
+}
+
+#[parameterized(
+    equal = { [0, 0, 0] },
+    middle_ahead = { [0, 3_000, 0] },
+    middle_behind = { [0, -3_000, 0] },
+    first_ahead = { [7_000, 0, 0] },
+    first_behind = { [-7_000, 0, 0] },
+    last_ahead = { [0, 0, 5_000] },
+    all_differ = { [4_000, -2_000, 9_000] },
+)]
+fn cause_precedes_effect(skew: [i64; 3]) {
+    let events = merged(skew);
+    let names: Vec<_> = events.iter().map(|e| e.record.event.as_str()).collect();
+    assert_eq!(
+        names,
+        [
+            "1_received",
+            "2_accepted",
+            "3_began",
+            "4_ran",
+            "5_ended",
+            "6_told"
+        ]
+    );
+}
+
+/// Without a correction the unrelated events of a skewed host would all come first or last.
+#[test]
+fn unrelated_events_follow_corrected_time() {
+    let mut merge = Merge::default();
+    let line = |process: &str, seq: u64, ts: u64, event: &str, after: Option<&str>| {
+        json!({"process": process, "host": process, "seq": seq, "ts": ts, "event": event,
+               "after": after})
+        .to_string()
+    };
+    merge.add(
+        "a",
+        &[
+            line("a", 1, 10_000, "sent", None),
+            line("a", 2, 10_500, "later_here", None),
+        ]
+        .join("\n"),
+    );
+    merge.add(
+        "b",
+        &[
+            line("b", 1, 2_000, "got", Some("a:1")),
+            line("b", 2, 2_900, "later_there", None),
+        ]
+        .join("\n"),
+    );
+    let names: Vec<_> = merge
+        .order()
+        .iter()
+        .map(|e| e.record.event.to_string())
+        .collect();
+    assert_eq!(names, ["sent", "got", "later_here", "later_there"]);
+}
+
+#[test]
+fn log_entries_follow_their_proposal_and_its_leader() {
+    let line = |process: &str, ts: u64, event: &str, epoch: u64, index: Option<u64>| {
+        json!({"process": process, "host": process, "seq": 1 + ts % 10, "ts": ts, "event": event,
+               "epoch": epoch, "index": index})
+        .to_string()
+    };
+    let mut merge = Merge::default();
+    merge.add("follower", &line("f", 1, "applied", 2, Some(9)));
+    merge.add(
+        "leader",
+        &[
+            line("l", 9_001, "leader_elected", 2, None),
+            line("l", 9_002, "proposed", 2, Some(9)),
+        ]
+        .join("\n"),
+    );
+    let names: Vec<_> = merge
+        .order()
+        .iter()
+        .map(|e| e.record.event.to_string())
+        .collect();
+    assert_eq!(names, ["leader_elected", "proposed", "applied"]);
+}
+
+#[test]
+fn contradiction_and_cut_line_lose_no_event() {
+    let mut merge = Merge::default();
+    merge.add(
+        "a",
+        "{\"process\":\"a\",\"seq\":1,\"ts\":1,\"event\":\"x\",\"after\":\"b:1\"}\n{\"pro",
+    );
+    merge.add(
+        "b",
+        "{\"process\":\"b\",\"seq\":1,\"ts\":2,\"event\":\"y\",\"after\":\"a:1\"}\n",
+    );
+    assert_eq!(merge.unread().len(), 1);
+    assert_eq!(merge.order().len(), 2);
+}
+
+#[parameterized(
+    everything = { Filter::default(), 6 },
+    job = { Filter { job: Some("j1".into()), ..Filter::default() }, 6 },
+    other_job = { Filter { job: Some("j2".into()), ..Filter::default() }, 0 },
+    epoch = { Filter { epoch: Some(3), ..Filter::default() }, 0 },
+)]
+fn filter_admits(filter: Filter, count: usize) {
+    let events = merged([0, 0, 0]);
+    assert_eq!(
+        events.iter().filter(|e| filter.admits(&e.record)).count(),
+        count
+    );
+}
+
+#[test]
+fn forms_hold_every_event() {
+    let events = merged([0, 3_000, 0]);
+    assert_eq!(text(&events).lines().count(), 6);
+    assert_eq!(json(&events).lines().count(), 6);
+    let picture = svg(&events);
+    assert_eq!(picture.matches("<circle").count(), 6);
+    assert_eq!(picture.matches("marker-end").count(), 2);
+}
