--- a/cli/src/bin/tarragond.rs
+++ b/cli/src/bin/tarragond.rs
@@ -1,3 +1,8 @@
 //! Daemon of an entry host.
 
-fn main() {}
+use std::{env, process::ExitCode};
+
+fn main() -> ExitCode {
+    let args: Vec<_> = env::args().skip(1).collect();
+    tarragon_cli::daemon::run(&args)
+}
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! Command lines over the libraries of the workspace; the binaries only call into this crate.
 
 pub mod ctl;
+pub mod daemon;
 pub mod standin;
 pub mod timeline;
--- a/lib/host/src/catalogue_view.rs
+++ b/lib/host/src/catalogue_view.rs
@@ -27,7 +27,10 @@
     /// The copy, if this host may decide by it.
     pub fn fresh(&self, now: Millis) -> Option<Arc<Catalogue>> {
         // The lease is read first: a later change of the copy can only make it newer.
-        self.freshness.lock().is_fresh(now).then(|| self.catalogue.load_full())
+        self.freshness
+            .lock()
+            .is_fresh(now)
+            .then(|| self.catalogue.load_full())
     }
 
     /// Revision of the copy.
@@ -38,7 +41,11 @@
     /// Starts a poll.
     pub fn poll(&self, now: Millis) -> CataloguePoll {
         self.freshness.lock().poll_sent(now);
-        CataloguePoll { host: self.host.clone(), revision: self.revision(), clock: now }
+        CataloguePoll {
+            host: self.host.clone(),
+            revision: self.revision(),
+            clock: now,
+        }
     }
 
     /// Takes over the changes of a grant and renews the lease.
@@ -47,7 +54,13 @@
         if !grant.entries.is_empty() || grant.revision > self.revision() {
             let mut next = Catalogue::clone(&self.catalogue.load());
             for (pattern, revision, entry) in grant.entries {
-                next.install(pattern, Change { revision, entry: entry.map(Arc::new) });
+                next.install(
+                    pattern,
+                    Change {
+                        revision,
+                        entry: entry.map(Arc::new),
+                    },
+                );
             }
             next.advance(grant.revision);
             self.catalogue.store(Arc::new(next));
--- a/lib/host/src/clock.rs
+++ b/lib/host/src/clock.rs
@@ -23,7 +23,9 @@
 impl SystemClock {
     /// A clock that starts at 1 ms, so that zero never is a valid reading.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self {
+            start: Instant::now(),
+        }
     }
 }
 
@@ -33,6 +35,8 @@
     }
 
     fn wall_ms(&self) -> u64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis() as u64)
     }
 }
--- a/lib/host/src/control_clients.rs
+++ b/lib/host/src/control_clients.rs
@@ -1,6 +1,5 @@
 use std::{
     collections::HashMap,
-    future::Future,
     time::{Duration, Instant},
 };
 
@@ -52,7 +51,11 @@
     /// Clients for the hosts of the settings, connected on first use.
     pub fn new(cfg: &HostSettings) -> Self {
         Self {
-            hosts: cfg.hosts.iter().map(|host| (host.name.clone(), host.clone())).collect(),
+            hosts: cfg
+                .hosts
+                .iter()
+                .map(|host| (host.name.clone(), host.clone()))
+                .collect(),
             clients: Mutex::new(HashMap::new()),
             connect: Duration::from_millis(cfg.timing.link_silent.0),
         }
@@ -70,7 +73,10 @@
         R: Future<Output = Result<T, RpcError>>,
     {
         let deadline = Instant::now() + limit;
-        let client = self.client(host, limit).await.map_err(CallFailure::NotSent)?;
+        let client = self
+            .client(host, limit)
+            .await
+            .map_err(CallFailure::NotSent)?;
         let mut cx = context::current();
         cx.deadline = deadline;
         call(client, cx).await.map_err(|e| {
@@ -88,9 +94,15 @@
             return Ok(client.clone());
         }
         let unreachable = |cause: &str| {
-            Failure::new(Code::HostUnreachable, format!("cannot connect to {host}: {cause}"))
+            Failure::new(
+                Code::HostUnreachable,
+                format!("cannot connect to {host}: {cause}"),
+            )
         };
-        let address = self.hosts.get(host).ok_or_else(|| unreachable("not listed in settings"))?;
+        let address = self
+            .hosts
+            .get(host)
+            .ok_or_else(|| unreachable("not listed in settings"))?;
         let mut connect = tcp::connect(address.control, Bincode::default);
         connect.config_mut().max_frame_length(MAX_FRAME);
         let transport = timeout(limit.min(self.connect), connect)
--- a/lib/host/src/control_server.rs
+++ b/lib/host/src/control_server.rs
@@ -1,5 +1,6 @@
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use futures::StreamExt;
 use tarpc::{
     context::Context,
@@ -9,7 +10,9 @@
 };
 use tarragon_cell::{Answer, Command, Query, QueryAnswer};
 use tarragon_codes::{Code, Failure};
+use tarragon_front::ServiceCall;
 use tarragon_names::{ExecutorName, HostName, JobId, MemberId, Revision, Term};
+use tarragon_proxy::{ForwardReply, Proxy};
 use tarragon_routing::ExecutorView;
 use tarragon_scheduler::{Explanation, WorkerView};
 use tarragon_wire::control::{
@@ -26,12 +29,13 @@
 #[derive(Clone, Debug)]
 pub struct ControlServer {
     core: Arc<HostCore>,
+    proxy: Arc<Proxy>,
 }
 
 impl ControlServer {
     /// A server on the state of this host.
-    pub fn new(core: Arc<HostCore>) -> Self {
-        Self { core }
+    pub fn new(core: Arc<HostCore>, proxy: Arc<Proxy>) -> Self {
+        Self { core, proxy }
     }
 
     /// Accepts connections until the stop.
@@ -50,23 +54,27 @@
         Ok(())
     }
 
-    fn leader(&self) -> Result<&LocalLeader, Failure> {
-        self.core.leader.as_ref().ok_or_else(|| Failure::of(Code::NotLeader))
+    fn at_leader(&self) -> Result<&LocalLeader, Failure> {
+        self.core
+            .leader
+            .as_ref()
+            .ok_or_else(|| Failure::of(Code::NotLeader))
     }
 }
 
 /// Time that the caller still waits.
 fn left(cx: &Context) -> Duration {
-    cx.deadline.saturating_duration_since(std::time::Instant::now())
+    cx.deadline
+        .saturating_duration_since(std::time::Instant::now())
 }
 
 impl Control for ControlServer {
-    async fn propose(self, cx: Context, command: Command) -> Result<Answer, Failure> {
-        self.leader()?.propose(command, left(&cx)).await
+    async fn propose(self, context: Context, command: Command) -> Result<Answer, Failure> {
+        self.at_leader()?.propose(command, left(&context)).await
     }
 
     async fn query(self, _: Context, query: Query) -> Result<QueryAnswer, Failure> {
-        self.leader()?.query(&query).await
+        self.at_leader()?.query(&query).await
     }
 
     async fn poll_catalogue(
@@ -74,52 +82,67 @@
         _: Context,
         poll: CataloguePoll,
     ) -> Result<CatalogueGrant, Failure> {
-        self.leader()?.poll(poll).await
+        self.at_leader()?.poll(poll).await
     }
 
     async fn in_force(self, _: Context, revision: Revision) -> Result<bool, Failure> {
-        self.leader()?.in_force(revision).await
+        self.at_leader()?.in_force(revision).await
     }
 
     async fn workers(self, _: Context) -> Result<Vec<WorkerView>, Failure> {
-        self.leader()?.workers().await
+        self.at_leader()?.workers().await
     }
 
     async fn explain(self, _: Context, job: JobId) -> Result<Explanation, Failure> {
-        self.leader()?.explain(job).await
+        self.at_leader()?.explain(job).await
     }
 
     async fn group(self, _: Context) -> Result<GroupView, Failure> {
-        self.leader()?.group().await
+        self.at_leader()?.group().await
     }
 
-    async fn join(self, cx: Context, host: HostName, member: MemberId) -> Result<(), Failure> {
-        self.leader()?.join(host, member, left(&cx)).await
+    async fn join(self, context: Context, host: HostName, member: MemberId) -> Result<(), Failure> {
+        self.at_leader()?.join(host, member, left(&context)).await
     }
 
     async fn replace_member(
         self,
-        cx: Context,
+        context: Context,
         remove: MemberId,
         add: MemberId,
     ) -> Result<(), Failure> {
-        self.leader()?.replace_member(remove, add, left(&cx)).await
-    }
-
-    fn forward(
-        self,
-        _: Context,
-        call: ForwardedCall,
-    ) -> impl Future<Output = ForwardedReply> + Send {
-        async move { self.core.run_forwarded(call).await }
+        self.at_leader()?
+            .replace_member(remove, add, left(&context))
+            .await
+    }
+
+    async fn forward(self, _: Context, call: ForwardedCall) -> ForwardedReply {
+        let request = call.request;
+        let limit = Duration::from_millis(call.timeout_ms);
+        let call = ServiceCall {
+            name: call.name,
+            key: call.key,
+            timeout_ms: Some(call.timeout_ms),
+            body: Bytes::copy_from_slice(&call.body),
+        };
+        match self.proxy.serve_forwarded(call, limit).await {
+            ForwardReply::Answered(reply) => ForwardedReply::Answered {
+                request,
+                status: reply.status,
+                content_type: reply.content_type,
+                body: Arc::from(&*reply.body),
+            },
+            ForwardReply::NotSent(failure) => ForwardedReply::NotSent(failure),
+            ForwardReply::Lost(failure) => ForwardedReply::Unknown(failure),
+        }
     }
 
     async fn executors(self, _: Context) -> Vec<ExecutorView> {
-        self.core.own_executors()
+        self.proxy.executors()
     }
 
     async fn drain_executor(self, _: Context, name: ExecutorName, draining: bool) -> bool {
-        self.core.drain_own_executor(&name, draining)
+        self.proxy.drain_executor(&name, draining)
     }
 
     async fn leader(self, _: Context) -> Option<(Term, HostName)> {
--- /dev/null
+++ b/lib/host/src/find_leader.rs
@@ -0,0 +1,28 @@
+use std::time::Duration;
+
+use futures::future::join_all;
+use tarragon_names::HostName;
+use tarragon_settings::HostSettings;
+
+use crate::ControlClients;
+
+/// Time limit for the question to each host.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Asks all other hosts for the leader of the cell.
+pub async fn find_leader(cfg: &HostSettings) -> Option<HostName> {
+    let clients = ControlClients::new(cfg);
+    let others = cfg.hosts.iter().filter(|host| host.name != cfg.name);
+    let asked = others.map(|host| {
+        clients.call(&host.name, LIMIT, |client, cx| async move {
+            client.leader(cx).await
+        })
+    });
+    join_all(asked)
+        .await
+        .into_iter()
+        .flatten()
+        .flatten()
+        .map(|(_, leader)| leader)
+        .next()
+}
--- a/lib/host/src/host_backend.rs
+++ b/lib/host/src/host_backend.rs
@@ -1,6 +1,9 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
+use futures::{
+    FutureExt,
+    future::{BoxFuture, join_all},
+};
 use tarpc::{client::RpcError, context::Context};
 use tarragon_cell::{Answer, Command, Query, QueryAnswer};
 use tarragon_codes::{Code, Failure, Outcome};
@@ -55,34 +58,49 @@
         .await
     }
 
+    fn other_hosts(&self) -> Vec<HostName> {
+        let hosts = self.core.cfg.hosts.iter().map(|host| &host.name);
+        hosts
+            .filter(|host| *host != self.core.name())
+            .cloned()
+            .collect()
+    }
+
     async fn list_executors(&self) -> Vec<ExecutorView> {
-        let own = self.proxy.executors();
-        let others = self.core.cfg.hosts.iter().filter(|host| host.name != *self.core.name());
-        let asked = others.map(|host| async move {
-            let call = self.core.clients.call(&host.name, LIST_LIMIT, |client, cx| async move {
-                client.executors(cx).await
-            });
+        let asked = self.other_hosts().into_iter().map(|host| async move {
+            let call = self
+                .core
+                .clients
+                .call(&host, LIST_LIMIT, |client, cx| async move {
+                    client.executors(cx).await
+                });
             call.await.unwrap_or_default()
         });
-        let mut views = stream::iter(asked).buffer_unordered(16).concat().await;
-        views.extend(own);
+        let mut views = join_all(asked).await.concat();
+        views.extend(self.proxy.executors());
         views.sort_by(|a, b| a.name.cmp(&b.name));
         views
     }
 
     async fn drain(&self, name: ExecutorName, draining: bool) -> Outcome<()> {
         let mut known = self.proxy.drain_executor(&name, draining);
-        for host in self.core.cfg.hosts.iter().filter(|host| host.name != *self.core.name()) {
+        for host in self.other_hosts() {
             let name = name.clone();
-            let call = self.core.clients.call(&host.name, LIST_LIMIT, |client, cx| async move {
-                client.drain_executor(cx, name, draining).await
-            });
+            let call = self
+                .core
+                .clients
+                .call(&host, LIST_LIMIT, |client, cx| async move {
+                    client.drain_executor(cx, name, draining).await
+                });
             known |= call.await.unwrap_or(false);
         }
         if known {
             Ok(())
         } else {
-            Err(Failure::new(Code::NoSuchTarget, format!("no host is home to {name}")))
+            Err(Failure::new(
+                Code::NoSuchTarget,
+                format!("no host is home to {name}"),
+            ))
         }
     }
 
@@ -93,8 +111,7 @@
             .map(|(host, revision, fresh)| (host, (*revision, *fresh)))
             .collect();
         let view = |host: &tarragon_settings::HostAddress| {
-            let member =
-                group.and_then(|group| group.members.iter().find(|m| m.host == host.name));
+            let member = group.and_then(|group| group.members.iter().find(|m| m.host == host.name));
             let role = match (group, member) {
                 (Some(group), _) if group.leader == host.name => "leader",
                 (_, Some(member)) if member.voter => "voter",
@@ -112,10 +129,8 @@
                 synced: member.and_then(|member| member.synced),
                 revision: polled.map_or(Revision::default(), |(revision, _)| *revision),
                 reachable: own
-                    || polled.map_or_else(
-                        || self.core.meter.is_up(&host.name),
-                        |(_, fresh)| *fresh,
-                    ),
+                    || polled
+                        .map_or_else(|| self.core.meter.is_up(&host.name), |(_, fresh)| *fresh),
             }
         };
         self.core.cfg.hosts.iter().map(view).collect()
@@ -128,8 +143,14 @@
             if self.core.is_stopping() {
                 return Err(Failure::of(Code::Stopping));
             }
-            let answer = self.core.propose(self.core.with_key(command), timeout).await;
-            if answer.as_ref().is_err_and(|failure| failure.code == Code::NotConfirmed) {
+            let answer = self
+                .core
+                .propose(self.core.with_key(command), timeout)
+                .await;
+            if answer
+                .as_ref()
+                .is_err_and(|failure| failure.code == Code::NotConfirmed)
+            {
                 self.core.metrics.unknown_outcomes.inc();
             }
             answer
--- a/lib/host/src/host_core.rs
+++ b/lib/host/src/host_core.rs
@@ -1,7 +1,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -48,6 +48,10 @@
     pub leader: Option<LocalLeader>,
     /// Connected workers.
     pub gateway: Arc<WorkerGateway>,
+    /// Start of this process, drawn at random.
+    pub boot: u64,
+    /// Jobs taken without a key.
+    pub accepted: AtomicU64,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
 }
@@ -68,6 +72,22 @@
         !self.is_stopping() && self.view.fresh(self.clock.now()).is_some()
     }
 
+    /// Gives an acceptance without a key one of its own, so that it may be repeated when its
+    /// answer is lost.
+    pub fn with_key(&self, command: Command) -> Command {
+        match command {
+            Command::AcceptJob { key: None, spec } => {
+                let n = self.accepted.fetch_add(1, Ordering::Relaxed);
+                let key = format!("{}/{:x}/{n}", self.name(), self.boot);
+                Command::AcceptJob {
+                    key: Some(key.into()),
+                    spec,
+                }
+            }
+            command => command,
+        }
+    }
+
     /// Writes a command at the leader; the command must be safe to repeat.
     pub async fn propose(&self, command: Command, limit: Duration) -> Outcome<Answer> {
         let local = |left| {
--- a/lib/host/src/inbound.rs
+++ b/lib/host/src/inbound.rs
@@ -68,7 +68,9 @@
 
 impl ReportSink for Inbound {
     fn report(&self, worker: WorkerName, report: WorkerReport) {
-        let Some(leader) = self.hint.get() else { return };
+        let Some(leader) = self.hint.get() else {
+            return;
+        };
         if leader == *self.links.own() {
             self.to_scheduler(&leader, worker, report);
         } else {
--- a/lib/host/src/leader_calls.rs
+++ b/lib/host/src/leader_calls.rs
@@ -34,7 +34,12 @@
         hint: Arc<LeaderHint>,
         clients: Arc<ControlClients>,
     ) -> Self {
-        Self { own, replicas, hint, clients }
+        Self {
+            own,
+            replicas,
+            hint,
+            clients,
+        }
     }
 
     /// Makes a call at the leader: with `local` if this host leads, else with `remote`.
@@ -47,9 +52,15 @@
         let mut ambiguous = false;
         let mut turn = 0;
         loop {
-            let left = deadline.saturating_duration_since(Instant::now()).min(TRY_LIMIT);
+            let left = deadline
+                .saturating_duration_since(Instant::now())
+                .min(TRY_LIMIT);
             if left.is_zero() {
-                return Err(Failure::of(if ambiguous { Code::NotConfirmed } else { Code::NoLeader }));
+                return Err(Failure::of(if ambiguous {
+                    Code::NotConfirmed
+                } else {
+                    Code::NoLeader
+                }));
             }
             let Some(host) = self.hint.get() else {
                 self.find_leader(turn, left).await;
@@ -83,9 +94,12 @@
             return;
         };
         if *host != self.own {
-            let asked = self.clients.call(host, left, |client, cx| async move {
-                client.leader(cx).await
-            });
+            let asked =
+                self.clients.call(
+                    host,
+                    left,
+                    |client, cx| async move { client.leader(cx).await },
+                );
             if let Ok(Some((term, leader))) = asked.await {
                 self.hint.set(term, leader);
                 return;
@@ -99,6 +113,10 @@
 fn is_about_leader(code: Code) -> bool {
     matches!(
         code,
-        Code::NoLeader | Code::NotLeader | Code::NotConfirmed | Code::HostUnreachable | Code::Stopping
+        Code::NoLeader
+            | Code::NotLeader
+            | Code::NotConfirmed
+            | Code::HostUnreachable
+            | Code::Stopping
     )
 }
--- a/lib/host/src/link_meter.rs
+++ b/lib/host/src/link_meter.rs
@@ -44,7 +44,10 @@
     where
         I: IntoIterator<Item = (HostName, DomainName)>,
     {
-        let mut meter = Self { domains: HashMap::new(), hosts: HashMap::new() };
+        let mut meter = Self {
+            domains: HashMap::new(),
+            hosts: HashMap::new(),
+        };
         for (host, domain) in hosts {
             meter.domains.entry(domain).or_default();
             meter.hosts.entry(host).or_default();
@@ -81,7 +84,9 @@
 
     /// Tells whether the host answered on the present connection.
     pub fn is_up(&self, host: &HostName) -> bool {
-        self.hosts.get(host).is_some_and(|counters| counters.up.load(Ordering::Relaxed))
+        self.hosts
+            .get(host)
+            .is_some_and(|counters| counters.up.load(Ordering::Relaxed))
     }
 
     /// Traffic by failure domain.
@@ -98,13 +103,18 @@
 
     /// Messages that found a full queue.
     pub fn total_dropped(&self) -> u64 {
-        self.hosts.values().map(|counters| counters.dropped.load(Ordering::Relaxed)).sum()
+        self.hosts
+            .values()
+            .map(|counters| counters.dropped.load(Ordering::Relaxed))
+            .sum()
     }
 
     fn count(&self, domain: &DomainName, len: usize) {
         if let Some(counters) = self.domains.get(domain) {
             counters.messages.fetch_add(1, Ordering::Relaxed);
-            counters.bytes.fetch_add(len as u64 + FRAME_OVERHEAD, Ordering::Relaxed);
+            counters
+                .bytes
+                .fetch_add(len as u64 + FRAME_OVERHEAD, Ordering::Relaxed);
         }
     }
 }
--- a/lib/host/src/links.rs
+++ b/lib/host/src/links.rs
@@ -1,7 +1,6 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
-use prost::Message;
 use tarragon_names::{DomainName, HostName};
 use tarragon_settings::{HostAddress, HostSettings, Timing};
 use tarragon_wire::{
@@ -52,12 +51,18 @@
             tokio::spawn(async move { stop.run_until_cancelled(link.run()).await });
             queues.insert(host.name.clone(), tx);
         }
-        Self { own: cfg.name.clone(), queues, meter }
+        Self {
+            own: cfg.name.clone(),
+            queues,
+            meter,
+        }
     }
 
     /// Sends a message; it may be lost.
     pub fn send(&self, to: &HostName, event: PeerEvent) {
-        let Some(queue) = self.queues.get(to) else { return };
+        let Some(queue) = self.queues.get(to) else {
+            return;
+        };
         if queue.try_send(event).is_err() {
             self.meter.dropped(to);
         }
@@ -128,7 +133,7 @@
             if heard.elapsed() > silent {
                 return true;
             }
-            let buf = bytes::Bytes::from(frame.encode_to_vec());
+            let buf = frame.encoded();
             self.meter.sent(&self.host.name, &self.domain, buf.len());
             match timeout_at(Instant::now() + silent, frames.send(buf)).await {
                 Ok(Ok(())) => {}
--- a/lib/host/src/local_leader.rs
+++ b/lib/host/src/local_leader.rs
@@ -38,12 +38,21 @@
         clock: Arc<dyn Clock>,
         polls: Arc<PollTable>,
     ) -> Self {
-        Self { host, replica, cell, scheduler, clock, polls }
+        Self {
+            host,
+            replica,
+            cell,
+            scheduler,
+            clock,
+            polls,
+        }
     }
 
     /// Writes a command.
     pub async fn propose(&self, command: Command, limit: Duration) -> Outcome<Answer> {
-        self.replica.propose(self.clock.wall_ms(), command, limit).await
+        self.replica
+            .propose(self.clock.wall_ms(), command, limit)
+            .await
     }
 
     /// Reads the state, up to date with everything committed before the call.
@@ -62,7 +71,12 @@
             return Err(Failure::of(Code::Internal));
         };
         let term = self.polls.polled(poll.host, poll.revision)?;
-        Ok(CatalogueGrant { clock: poll.clock, term, revision, entries })
+        Ok(CatalogueGrant {
+            clock: poll.clock,
+            term,
+            revision,
+            entries,
+        })
     }
 
     /// Tells whether a catalogue revision is in force everywhere.
@@ -128,14 +142,27 @@
     ) -> Outcome<()> {
         let mut members = self.replica.status(READ_LIMIT).await?.members;
         let unknown = |id: MemberId| {
-            Failure::new(Code::NoSuchTarget, format!("no member with the identity {id}"))
+            Failure::new(
+                Code::NoSuchTarget,
+                format!("no member with the identity {id}"),
+            )
         };
-        let Member { host, .. } = members.by_id.get(&add).cloned().ok_or_else(|| unknown(add))?;
+        let Member { host, .. } = members
+            .by_id
+            .get(&add)
+            .cloned()
+            .ok_or_else(|| unknown(add))?;
         if !members.by_id.contains_key(&remove) {
             return Err(unknown(remove));
         }
         members.by_id.remove(&remove);
-        members.by_id.insert(add, Member { host, role: Role::Voter });
+        members.by_id.insert(
+            add,
+            Member {
+                host,
+                role: Role::Voter,
+            },
+        );
         self.replica.change_members(members, limit).await
     }
 }
--- /dev/null
+++ b/lib/host/src/metrics_page.rs
@@ -0,0 +1,42 @@
+//! Text of the metrics page.
+
+use std::fmt::Write;
+
+use tarragon_proxy::Proxy;
+
+use crate::HostCore;
+
+/// Metrics of the host, with the counters that other parts keep themselves.
+pub(crate) fn render(core: &HostCore, proxy: &Proxy) -> String {
+    let metrics = &core.metrics;
+    metrics
+        .catalogue_revision
+        .set(core.view.revision().0 as i64);
+    metrics
+        .catalogue_fresh
+        .set(i64::from(core.view.fresh(core.clock.now()).is_some()));
+    let mut text = metrics.render();
+    for traffic in core.meter.traffic() {
+        let labels = format!("{{from=\"{}\",to=\"{}\"}}", core.cfg.domain, traffic.domain);
+        let _infallible = writeln!(
+            text,
+            "tarragon_link_messages_total{labels} {}",
+            traffic.messages
+        );
+        let _infallible = writeln!(text, "tarragon_link_bytes_total{labels} {}", traffic.bytes);
+    }
+    let _infallible = writeln!(
+        text,
+        "tarragon_link_dropped_total {}",
+        core.meter.total_dropped()
+    );
+    let _infallible = writeln!(
+        text,
+        "tarragon_gateway_workers {}",
+        core.gateway.connected()
+    );
+    for (name, value) in proxy.stats().named() {
+        let _infallible = writeln!(text, "tarragon_proxy_{name}_total {value}");
+    }
+    text
+}
--- a/lib/host/src/order_routes.rs
+++ b/lib/host/src/order_routes.rs
@@ -21,29 +21,43 @@
 impl OrderRoutes {
     /// Routes over the own gateway and the links to the others.
     pub fn new(own: Arc<WorkerGateway>, links: Arc<Links>) -> Self {
-        Self { gateways: Sharded::new(SHARDS, |_| HashMap::new()), own, links }
+        Self {
+            gateways: Sharded::new(SHARDS, |_| HashMap::new()),
+            own,
+            links,
+        }
     }
 
     /// Notes the gateway through which a worker reported.
     pub fn reported(&self, worker: &WorkerName, gateway: &HostName) {
-        self.gateways.with(worker, |shard| match shard.get_mut(worker) {
-            Some(known) if known == gateway => {}
-            Some(known) => known.clone_from(gateway),
-            None => {
-                shard.insert(worker.clone(), gateway.clone());
-            }
-        });
+        self.gateways
+            .with(worker, |shard| match shard.get_mut(worker) {
+                Some(known) if known == gateway => {}
+                Some(known) => known.clone_from(gateway),
+                None => {
+                    shard.insert(worker.clone(), gateway.clone());
+                }
+            });
     }
 
     /// Sends an order to a worker; it may be lost.
     pub fn send(&self, worker: &WorkerName, order: WorkerOrder) {
-        let Some(gateway) = self.gateways.with(worker, |shard| shard.get(worker).cloned()) else {
+        let Some(gateway) = self
+            .gateways
+            .with(worker, |shard| shard.get(worker).cloned())
+        else {
             return;
         };
         if gateway == *self.links.own() {
             self.own.send(worker, order);
         } else {
-            self.links.send(&gateway, PeerEvent::Down { worker: worker.clone(), order });
+            self.links.send(
+                &gateway,
+                PeerEvent::Down {
+                    worker: worker.clone(),
+                    order,
+                },
+            );
         }
     }
 }
--- a/lib/host/src/peer_listener.rs
+++ b/lib/host/src/peer_listener.rs
@@ -29,7 +29,11 @@
 impl PeerListener {
     /// Binds the address.
     pub async fn bind(address: SocketAddr, own: HostName, timing: Timing) -> io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(address).await?, own, timing })
+        Ok(Self {
+            listener: TcpListener::bind(address).await?,
+            own,
+            timing,
+        })
     }
 
     /// Accepts links until the stop.
@@ -40,7 +44,8 @@
             let silent = Duration::from_millis(self.timing.link_silent.0);
             let stop = stop.clone();
             tokio::spawn(async move {
-                stop.run_until_cancelled(receive(stream, own, sink, silent)).await
+                stop.run_until_cancelled(receive(stream, own, sink, silent))
+                    .await
             });
         }
     }
@@ -54,7 +59,9 @@
     let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME);
     let beat = PeerFrame::new(&own, None);
     while let Ok(Ok(Some(frame))) = timeout(silent, tarragon_wire::read(&mut frames)).await {
-        let Ok((from, event)) = PeerFrame::parts(frame) else { return };
+        let Ok((from, event)) = PeerFrame::parts(frame) else {
+            return;
+        };
         match event {
             Some(event) => sink.receive(&from, event),
             None => match timeout(silent, tarragon_wire::write(&mut frames, &beat)).await {
--- a/lib/host/src/poll_table.rs
+++ b/lib/host/src/poll_table.rs
@@ -17,7 +17,10 @@
 impl PollTable {
     /// A table of a host that does not lead.
     pub fn new(clock: Arc<dyn Clock>) -> Self {
-        Self { clock, polls: Mutex::new(None) }
+        Self {
+            clock,
+            polls: Mutex::new(None),
+        }
     }
 
     /// Begins to keep track of polls under a new term.
@@ -48,7 +51,10 @@
     /// Each host that polled, with its revision and whether it may still decide by it.
     pub fn hosts(&self) -> Vec<(HostName, Revision, bool)> {
         let polls = self.polls.lock();
-        polls.as_ref().map(|(_, in_force)| in_force.hosts(self.clock.now())).unwrap_or_default()
+        polls
+            .as_ref()
+            .map(|(_, in_force)| in_force.hosts(self.clock.now()))
+            .unwrap_or_default()
     }
 }
 
--- a/lib/host/src/proxy_ports.rs
+++ b/lib/host/src/proxy_ports.rs
@@ -66,7 +66,10 @@
             return Err(Failure::of(Code::CatalogueNotFresh).retry_after(STALE_RETRY_MS));
         };
         catalogue.resolve(name).cloned().ok_or_else(|| {
-            Failure::new(Code::NoEntry, format!("no catalogue entry covers the name {name}"))
+            Failure::new(
+                Code::NoEntry,
+                format!("no catalogue entry covers the name {name}"),
+            )
         })
     }
 }
@@ -82,7 +85,11 @@
 impl ControlPeers {
     /// Forwards from the host `own`.
     pub fn new(own: HostName, clients: Arc<ControlClients>) -> Self {
-        Self { own, clients, next: AtomicU64::new(1) }
+        Self {
+            own,
+            clients,
+            next: AtomicU64::new(1),
+        }
     }
 
     async fn forward_once(
@@ -108,11 +115,19 @@
             failure: e.into_failure(),
         })?;
         Ok(match reply {
-            ForwardedReply::Answered { request: answered, status, content_type, body }
-                if answered == request =>
-            {
+            ForwardedReply::Answered {
+                request: answered,
+                status,
+                content_type,
+                body,
+            } if answered == request => {
                 let body = bytes::Bytes::copy_from_slice(&body);
-                ForwardReply::Answered(ServiceReply { status, content_type, body, stored: false })
+                ForwardReply::Answered(ServiceReply {
+                    status,
+                    content_type,
+                    body,
+                    stored: false,
+                })
             }
             ForwardedReply::Answered { .. } => ForwardReply::Lost(Failure::new(
                 Code::NotKnown,
--- /dev/null
+++ b/lib/host/src/replica_disk.rs
@@ -0,0 +1,89 @@
+use std::{
+    collections::BTreeMap,
+    fs,
+    hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
+    path::Path,
+};
+
+use bytes::Bytes;
+use tarragon_agreement::{Member, Members, Role, SnapshotMeta};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::{HostName, LogIndex, MemberId, Term};
+use tarragon_settings::HostSettings;
+use tarragon_storage::{FileStore, LogStore};
+
+/// Identity of an initial voter, the same on every host that works it out.
+///
+/// A host that lost its disk draws another one, so it never votes under this identity again.
+pub fn initial_member_id(cell: &str, host: &HostName) -> MemberId {
+    let hasher = BuildHasherDefault::<DefaultHasher>::default();
+    MemberId(hasher.hash_one((cell, host.as_str())) | 1)
+}
+
+/// Member list with which a group of replicas begins.
+pub fn initial_members(cfg: &HostSettings) -> Members {
+    let member = |host: &HostName| {
+        let member = Member {
+            host: host.clone(),
+            role: Role::Voter,
+        };
+        (initial_member_id(&cfg.cell, host), member)
+    };
+    Members {
+        by_id: cfg
+            .initial_voters
+            .iter()
+            .map(member)
+            .collect::<BTreeMap<_, _>>(),
+    }
+}
+
+/// Creates the data folder of an initial voter, once in the life of a cell.
+pub fn init_replica(cfg: &HostSettings) -> Outcome<MemberId> {
+    let dir = data_dir(cfg)?;
+    if !cfg.is_initial_voter() {
+        return Err(Failure::new(
+            Code::BadSettings,
+            format!("{} is not one of initial_voters", cfg.name),
+        ));
+    }
+    if FileStore::exists(dir) {
+        return Err(Failure::new(
+            Code::ForeignData,
+            format!("{} holds the data of a member already", dir.display()),
+        ));
+    }
+    let id = initial_member_id(&cfg.cell, &cfg.name);
+    let mut store = create(dir, id)?;
+    store.recover()?;
+    let meta = SnapshotMeta {
+        index: LogIndex(0),
+        term: Term(0),
+        members: initial_members(cfg),
+    };
+    store.save_snapshot(&meta, &Bytes::new())?;
+    Ok(id)
+}
+
+/// Opens the data folder of this host, or makes it that of a new member with the identity `fresh`.
+///
+/// The second value tells whether the member is new and has to join as a learner.
+pub(crate) fn open_replica(cfg: &HostSettings, fresh: MemberId) -> Outcome<(FileStore, bool)> {
+    let dir = data_dir(cfg)?;
+    if FileStore::exists(dir) {
+        return Ok((FileStore::open(dir)?, false));
+    }
+    Ok((create(dir, fresh)?, true))
+}
+
+fn create(dir: &Path, id: MemberId) -> Outcome<FileStore> {
+    fs::create_dir_all(dir)
+        .map_err(|e| Failure::new(Code::DiskFull, format!("{}: {e}", dir.display())))?;
+    FileStore::create(dir, id)
+}
+
+fn data_dir(cfg: &HostSettings) -> Outcome<&Path> {
+    cfg.data_dir
+        .as_deref()
+        .ok_or_else(|| Failure::new(Code::BadSettings, "this host has no data_dir"))
+}
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -14,7 +14,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 use tarragon_storage::LogStore;
-use tarragon_telemetry::{Event as LogEvent, EventSink};
+use tarragon_telemetry::{Event as LogEvent, EventSink, Metrics};
 use tarragon_wire::{
     peer::PeerEvent,
     record::{self, Record},
@@ -57,6 +57,8 @@
     pub hint: Arc<LeaderHint>,
     /// Where events go.
     pub events: Arc<dyn EventSink>,
+    /// Metrics of the host.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Thread that owns the replica and its disk and carries out the replica's actions.
@@ -89,7 +91,9 @@
             unsynced: None,
             saved_vote: None,
         };
-        let spawned = thread::Builder::new().name("replica".to_owned()).spawn(|| driver.run());
+        let spawned = thread::Builder::new()
+            .name("replica".to_owned())
+            .spawn(|| driver.run());
         let thread = spawned.expect("the process may start a thread at its start");
         (ReplicaHandle::new(tx), thread)
     }
@@ -185,6 +189,7 @@
     fn sync(&mut self) -> Outcome<()> {
         while self.unsynced.is_some() || self.saved_vote.is_some() {
             if self.unsynced.is_some() {
+                let _timer = self.parts.metrics.sync_time.start_timer();
                 self.parts.store.sync()?;
             }
             if let Some((term, voted_for)) = self.saved_vote.take() {
@@ -204,7 +209,10 @@
                 self.parts.store.save_vote(term, voted_for)?;
                 self.saved_vote = Some((term, voted_for));
             }
-            Action::Append { truncate_from, entries } => self.append(truncate_from, &entries)?,
+            Action::Append {
+                truncate_from,
+                entries,
+            } => self.append(truncate_from, &entries)?,
             Action::Apply { entries } => entries.iter().try_for_each(|e| self.apply(e))?,
             Action::InstallSnapshot { meta, state } => self.install(&meta, state)?,
             Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term),
@@ -218,16 +226,30 @@
             }
             Action::BecameLeader { term } => {
                 self.leading = true;
-                self.emit(LogEvent::info("became_leader").term(term).index(self.applied));
+                self.parts.metrics.leading.set(1);
+                self.parts.metrics.term.set(term.0 as i64);
+                self.emit(
+                    LogEvent::info("became_leader")
+                        .term(term)
+                        .index(self.applied),
+                );
                 self.parts.sink.became_leader(term);
             }
             Action::LostLeadership { term } => {
                 self.leading = false;
-                self.emit(LogEvent::info("lost_leadership").term(term));
+                self.parts.metrics.leading.set(0);
+                self.emit(&LogEvent::info("lost_leadership").term(term));
                 self.parts.sink.lost_leadership(term);
             }
-            Action::LeaderChanged { term, leader: Some(leader) } => {
-                self.emit(LogEvent::info("leader_changed").term(term).peer(leader.clone()));
+            Action::LeaderChanged {
+                term,
+                leader: Some(leader),
+            } => {
+                self.emit(
+                    LogEvent::info("leader_changed")
+                        .term(term)
+                        .peer(leader.clone()),
+                );
                 self.parts.hint.set(term, leader);
             }
             Action::LeaderChanged { leader: None, .. } => {}
@@ -236,7 +258,11 @@
     }
 
     fn send(&self, to: MemberId, host: &HostName, msg: PeerMsg) {
-        let event = PeerEvent::Agreement { from: self.id, to, msg };
+        let event = PeerEvent::Agreement {
+            from: self.id,
+            to,
+            msg,
+        };
         self.parts.links.send(host, event);
     }
 
@@ -256,13 +282,19 @@
         if let Payload::Record(buf) = &entry.payload {
             let record = Record::decode(buf)
                 .map_err(|e| Failure::new(Code::CorruptRecord, format!("{}: {e}", entry.index)))?;
-            let answer = self.parts.cell.apply(entry.index, record.at_ms, &record.command);
+            let answer = self
+                .parts
+                .cell
+                .apply(entry.index, record.at_ms, &record.command);
             if self.leading {
-                self.parts.sink.applied(entry.index, &record.command, &answer);
+                self.parts
+                    .sink
+                    .applied(entry.index, &record.command, &answer);
             }
             result = Some(answer);
         }
         self.applied = entry.index;
+        self.parts.metrics.commits.inc();
         self.waiters.applied(entry.index, entry.term, result);
         Ok(())
     }
@@ -274,7 +306,7 @@
         self.applied = meta.index;
         self.snapshot = meta.index;
         self.waiters.forget();
-        self.emit(LogEvent::info("snapshot_installed").index(meta.index));
+        self.emit(&LogEvent::info("snapshot_installed").index(meta.index));
         self.step(Event::SnapshotSaved { meta: meta.clone() })
     }
 
@@ -288,18 +320,20 @@
         if self.applied.0 < self.snapshot.0 + SNAPSHOT_EVERY {
             return Ok(());
         }
-        let Some(meta) = self.parts.replica.snapshot_meta(self.applied) else { return Ok(()) };
+        let Some(meta) = self.parts.replica.snapshot_meta(self.applied) else {
+            return Ok(());
+        };
         let state = record::encode(&self.parts.cell.snapshot())
             .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
         self.parts.store.save_snapshot(&meta, &state)?;
         self.parts.saved = Some((meta.clone(), state));
         self.snapshot = self.applied;
-        self.emit(LogEvent::info("snapshot_saved").index(meta.index));
+        self.emit(&LogEvent::info("snapshot_saved").index(meta.index));
         self.step(Event::SnapshotSaved { meta })
     }
 
-    fn emit(&self, event: LogEvent) {
-        self.parts.events.emit(&event);
+    fn emit(&self, event: &LogEvent) {
+        self.parts.events.emit(event);
     }
 }
 
--- a/lib/host/src/replica_handle.rs
+++ b/lib/host/src/replica_handle.rs
@@ -21,13 +21,23 @@
     /// An event of the agreement.
     Event(Event),
     /// A record to append.
-    Propose { record: Bytes, waiter: ProposalWaiter },
+    Propose {
+        record: Bytes,
+        waiter: ProposalWaiter,
+    },
     /// A read of the state.
     Read(DoneWaiter),
     /// A change of the member list.
-    Change { members: Members, waiter: DoneWaiter },
+    Change {
+        members: Members,
+        waiter: DoneWaiter,
+    },
     /// A new learner.
-    Join { id: MemberId, host: HostName, waiter: DoneWaiter },
+    Join {
+        id: MemberId,
+        host: HostName,
+        waiter: DoneWaiter,
+    },
     /// A look at the replica.
     Inspect(Box<dyn FnOnce(&Replica, Millis) + Send>),
     /// The end of the thread.
@@ -73,14 +83,12 @@
     }
 
     /// Proposes a command and waits for the result of applying it.
-    pub async fn propose(
-        &self,
-        at_ms: u64,
-        command: Command,
-        limit: Duration,
-    ) -> Outcome<Answer> {
+    pub async fn propose(&self, at_ms: u64, command: Command, limit: Duration) -> Outcome<Answer> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: ProposalWaiter::Call(tx) })?;
+        self.send(Input::Propose {
+            record: encode(at_ms, command)?,
+            waiter: ProposalWaiter::Call(tx),
+        })?;
         match timeout(limit, rx).await {
             Ok(Ok(result)) => result,
             _ => Err(Failure::of(Code::NotConfirmed)),
@@ -97,14 +105,21 @@
     /// Changes the member list.
     pub async fn change_members(&self, members: Members, limit: Duration) -> Outcome<()> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Change { members, waiter: tx })?;
+        self.send(Input::Change {
+            members,
+            waiter: tx,
+        })?;
         wait(rx, limit).await
     }
 
     /// Adds a learner.
     pub async fn join(&self, id: MemberId, host: HostName, limit: Duration) -> Outcome<()> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Join { id, host, waiter: tx })?;
+        self.send(Input::Join {
+            id,
+            host,
+            waiter: tx,
+        })?;
         wait(rx, limit).await
     }
 
--- /dev/null
+++ b/lib/host/src/replica_runtime.rs
@@ -0,0 +1,182 @@
+use std::{sync::Arc, thread::JoinHandle, time::Duration};
+
+use tarragon_agreement::{Config, Replica};
+use tarragon_cell::Cell;
+use tarragon_codes::Outcome;
+use tarragon_names::{LogIndex, MemberId};
+use tarragon_placement::{IndexedPlacer, PolicyWeights};
+use tarragon_scheduler::{Scheduler, SchedulerConfig};
+use tarragon_settings::HostSettings;
+use tarragon_storage::LogStore;
+use tarragon_telemetry::{Event, EventSink, Metrics};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Clock, HostCore, InboundReplica, LeaderHint, LeaderSink, Links, LocalLeader, OrderRoutes,
+    PollTable, ReplicaDriver, ReplicaParts, SchedulerHandle, SchedulerLoop, SchedulerParts,
+    replica_disk::open_replica, replica_driver::decode_state,
+};
+
+/// Time between two requests of a new member to join.
+const JOIN_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Threads and handles of the replica of a host.
+#[derive(Debug)]
+pub(crate) struct ReplicaRuntime {
+    pub(crate) inbound: InboundReplica,
+    /// Whether the member has to join the group as a learner.
+    pub(crate) is_new: bool,
+    cell: Arc<Cell>,
+    polls: Arc<PollTable>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// What a replica takes from the rest of the host.
+pub(crate) struct Surroundings<'a> {
+    pub(crate) cfg: &'a HostSettings,
+    pub(crate) clock: &'a Arc<dyn Clock>,
+    pub(crate) links: &'a Arc<Links>,
+    pub(crate) hint: &'a Arc<LeaderHint>,
+    pub(crate) routes: &'a Arc<OrderRoutes>,
+    pub(crate) events: &'a Arc<dyn EventSink>,
+    pub(crate) metrics: &'a Arc<Metrics>,
+}
+
+impl ReplicaRuntime {
+    /// Recovers the replica from its disk and starts its threads.
+    pub(crate) fn start(host: &Surroundings<'_>, seed: u64) -> Outcome<Self> {
+        let (mut store, is_new) = open_replica(host.cfg, MemberId(seed | 1))?;
+        let recovered = store.recover()?;
+        let cell = Arc::new(Cell::default());
+        let mut applied = LogIndex(0);
+        if let Some((meta, state)) = &recovered.snapshot {
+            cell.restore(decode_state(state)?);
+            applied = meta.index;
+        }
+        let saved = recovered.snapshot.clone();
+        let replica = Replica::new(agreement_config(host.cfg), recovered, seed);
+        let id = replica.id();
+        host.events.emit(
+            &Event::info("replica_recovered")
+                .index(replica.last_index())
+                .term(replica.term())
+                .detail(format!("member {id}")),
+        );
+
+        let polls = Arc::new(PollTable::new(Arc::clone(host.clock)));
+        let (scheduler, rx) = SchedulerHandle::channel();
+        let sink = LeaderSink::new(
+            scheduler.clone(),
+            Arc::clone(&polls),
+            Arc::clone(host.clock),
+        );
+        let parts = ReplicaParts {
+            replica,
+            store: Box::new(store),
+            saved,
+            cell: Arc::clone(&cell),
+            clock: Arc::clone(host.clock),
+            links: Arc::clone(host.links),
+            sink: Arc::new(sink),
+            hint: Arc::clone(host.hint),
+            events: Arc::clone(host.events),
+            metrics: Arc::clone(host.metrics),
+        };
+        let (handle, replica_thread) = ReplicaDriver::start(parts, applied);
+        let parts = SchedulerParts {
+            scheduler: scheduler_of(host.cfg, Arc::clone(&cell)),
+            replica: handle.clone(),
+            routes: Arc::clone(host.routes),
+            clock: Arc::clone(host.clock),
+            events: Arc::clone(host.events),
+            metrics: Arc::clone(host.metrics),
+        };
+        let scheduler_thread = SchedulerLoop::start(parts, scheduler.clone(), rx);
+        Ok(Self {
+            inbound: InboundReplica {
+                id,
+                handle,
+                scheduler,
+            },
+            is_new,
+            cell,
+            polls,
+            threads: vec![scheduler_thread, replica_thread],
+        })
+    }
+
+    /// Operations that this replica answers while it leads.
+    pub(crate) fn leader(&self, host: &Surroundings<'_>) -> LocalLeader {
+        LocalLeader::new(
+            host.cfg.name.clone(),
+            self.inbound.handle.clone(),
+            Arc::clone(&self.cell),
+            self.inbound.scheduler.clone(),
+            Arc::clone(host.clock),
+            Arc::clone(&self.polls),
+        )
+    }
+
+    /// Ends the threads; everything that was answered is on disk already.
+    pub(crate) fn stop(self) {
+        self.inbound.scheduler.stop();
+        self.inbound.handle.stop();
+        for thread in self.threads {
+            // A thread that panicked has logged its cause.
+            let _panicked = thread.join();
+        }
+    }
+}
+
+/// Asks the leader to add this member as a learner until it is one.
+pub(crate) async fn join_group(core: Arc<HostCore>, id: MemberId, stop: CancellationToken) {
+    use futures::FutureExt;
+
+    let host = core.name().clone();
+    let join = async {
+        loop {
+            let remote = |client: tarragon_wire::control::ControlClient, cx| {
+                let host = host.clone();
+                async move { client.join(cx, host, id).await }.boxed()
+            };
+            let local = |left| {
+                let host = host.clone();
+                core.at_local(move |leader| {
+                    async move { leader.join(host, id, left).await }.boxed()
+                })
+            };
+            if core.calls.call(JOIN_RETRY, local, remote).await.is_ok() {
+                core.events
+                    .emit(&Event::info("joined_as_learner").detail(format!("member {id}")));
+                return;
+            }
+            sleep(JOIN_RETRY).await;
+        }
+    };
+    stop.run_until_cancelled(join).await;
+}
+
+fn agreement_config(cfg: &HostSettings) -> Config {
+    Config {
+        heartbeat: cfg.timing.heartbeat,
+        election_min: cfg.timing.election_min,
+        election_max: cfg.timing.election_max,
+        leader_lease: cfg.timing.leader_lease,
+        ..Config::default()
+    }
+}
+
+fn scheduler_of(cfg: &HostSettings, cell: Arc<Cell>) -> Scheduler {
+    let weights = PolicyWeights {
+        wait: u32::from(cfg.policy.wait),
+        packing: u32::from(cfg.policy.packing),
+        spread: u32::from(cfg.policy.spread),
+        locality: u32::from(cfg.policy.locality),
+    };
+    let config = SchedulerConfig {
+        lease: cfg.timing.worker_lease,
+        ..SchedulerConfig::default()
+    };
+    Scheduler::new(config, cell, Arc::new(IndexedPlacer::new(weights)))
+}
--- a/lib/host/src/scheduler_events.rs
+++ b/lib/host/src/scheduler_events.rs
@@ -11,7 +11,10 @@
         SchedLog::LeaseEnded { .. } => metrics.leases_ended.inc(),
         SchedLog::StartSent { resent: false, .. } => metrics.placements.inc(),
         SchedLog::Ended { ended, .. } => {
-            metrics.task_ends.with_label_values(&[end_label(*ended)]).inc();
+            metrics
+                .task_ends
+                .with_label_values(&[end_label(*ended)])
+                .inc();
         }
         SchedLog::Refused { reason, .. } => metrics.count_refusal(reason.code.number()),
         _ => {}
@@ -21,26 +24,57 @@
 /// The event that the time line shows for a decision.
 pub(crate) fn event(log: SchedLog) -> Event {
     match log {
-        SchedLog::TookOver { term, jobs, assigned } => Event::info("scheduler_took_over")
+        SchedLog::TookOver {
+            term,
+            jobs,
+            assigned,
+        } => Event::info("scheduler_took_over")
             .term(term)
             .detail(format!("{jobs} unfinished jobs, {assigned} assigned tasks")),
-        SchedLog::SessionConfirmed { worker, session, adopted, lost } => {
-            Event::info("worker_session")
-                .worker(worker)
-                .term(session.term)
-                .detail(format!("session {session}, {adopted} adopted, {lost} not running"))
-        }
+        SchedLog::SessionConfirmed {
+            worker,
+            session,
+            adopted,
+            lost,
+        } => Event::info("worker_session")
+            .worker(worker)
+            .term(session.term)
+            .detail(format!(
+                "session {session}, {adopted} adopted, {lost} not running"
+            )),
         SchedLog::LeaseEnded { worker, tasks } => Event::warning("worker_lease_ended")
             .worker(worker)
             .detail(format!("{tasks} tasks released")),
-        SchedLog::StartSent { worker, task, attempt, fence, resent } => {
+        SchedLog::StartSent {
+            worker,
+            task,
+            attempt,
+            fence,
+            resent,
+        } => {
             let name = if resent { "start_resent" } else { "start_sent" };
-            Event::debug(name).task(task).attempt(attempt).worker(worker).term(fence.term)
-        }
-        SchedLog::StopSent { worker, task, attempt, fence } => {
-            Event::debug("stop_sent").task(task).attempt(attempt).worker(worker).term(fence.term)
+            Event::debug(name)
+                .task(task)
+                .attempt(attempt)
+                .worker(worker)
+                .term(fence.term)
         }
-        SchedLog::Ended { worker, task, attempt, ended } => {
+        SchedLog::StopSent {
+            worker,
+            task,
+            attempt,
+            fence,
+        } => Event::debug("stop_sent")
+            .task(task)
+            .attempt(attempt)
+            .worker(worker)
+            .term(fence.term),
+        SchedLog::Ended {
+            worker,
+            task,
+            attempt,
+            ended,
+        } => {
             let event = Event::debug("attempt_ended")
                 .task(task)
                 .attempt(attempt)
@@ -56,9 +90,7 @@
             .detail(reason.cause),
         SchedLog::Quarantined { worker } => Event::warning("worker_quarantined").worker(worker),
         SchedLog::Restored { worker } => Event::info("worker_restored").worker(worker),
-        SchedLog::Overcommitted { worker } => {
-            Event::warning("worker_overcommitted").worker(worker)
-        }
+        SchedLog::Overcommitted { worker } => Event::warning("worker_overcommitted").worker(worker),
     }
 }
 
--- a/lib/host/src/scheduler_handle.rs
+++ b/lib/host/src/scheduler_handle.rs
@@ -37,7 +37,13 @@
 impl SchedulerHandle {
     pub(crate) fn channel() -> (Self, Receiver<SchedInput>) {
         let (tx, rx) = sync_channel(QUEUE);
-        (Self { tx, leads_until: Arc::default() }, rx)
+        (
+            Self {
+                tx,
+                leads_until: Arc::default(),
+            },
+            rx,
+        )
     }
 
     /// Passes on a report; it is lost when the queue is full, and the worker repeats it.
@@ -48,13 +54,13 @@
 
     /// Lists workers.
     pub async fn workers(&self) -> Outcome<Vec<WorkerView>> {
-        self.inspect(Scheduler::workers).await
+        self.inspect(|scheduler, _| scheduler.workers()).await
     }
 
     /// Says why a job is in its state.
     pub async fn explain(&self, job: JobId) -> Outcome<Explanation> {
-        let explained = self.inspect(move |scheduler, now| scheduler.explain(now, job)).await?;
-        explained.ok_or_else(|| Failure::of(Code::NoSuchJob))
+        self.inspect(move |scheduler, now| scheduler.explain(now, job))
+            .await?
     }
 
     pub(crate) fn leads_until(&self) -> Millis {
@@ -74,7 +80,9 @@
         let input = SchedInput::Inspect(Box::new(move |scheduler, now| {
             let _gone = tx.send(look(scheduler, now));
         }));
-        self.tx.try_send(input).map_err(|_full| Failure::of(Code::QueueFull))?;
+        self.tx
+            .try_send(input)
+            .map_err(|_full| Failure::of(Code::QueueFull))?;
         rx.await.map_err(|_stopped| Failure::of(Code::Stopping))
     }
 
@@ -95,24 +103,30 @@
 
 impl LeaderSink {
     /// A sink for one host.
-    pub fn new(
-        scheduler: SchedulerHandle,
-        polls: Arc<PollTable>,
-        clock: Arc<dyn Clock>,
-    ) -> Self {
-        Self { scheduler, polls, clock }
+    pub fn new(scheduler: SchedulerHandle, polls: Arc<PollTable>, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            scheduler,
+            polls,
+            clock,
+        }
     }
 }
 
 impl ApplySink for LeaderSink {
     fn applied(&self, _: LogIndex, command: &Command, answer: &Answer) {
-        let event = SchedEvent::Committed { command: command.clone(), answer: answer.clone() };
+        let event = SchedEvent::Committed {
+            command: command.clone(),
+            answer: answer.clone(),
+        };
         self.scheduler.must_send(event);
     }
 
     fn became_leader(&self, term: Term) {
         self.polls.became_leader(term);
-        self.scheduler.must_send(SchedEvent::BecameLeader { term, at_ms: self.clock.wall_ms() });
+        self.scheduler.must_send(SchedEvent::BecameLeader {
+            term,
+            at_ms: self.clock.wall_ms(),
+        });
     }
 
     fn lost_leadership(&self, _: Term) {
--- a/lib/host/src/scheduler_loop.rs
+++ b/lib/host/src/scheduler_loop.rs
@@ -58,9 +58,15 @@
         handle: SchedulerHandle,
         rx: Receiver<SchedInput>,
     ) -> JoinHandle<()> {
-        let scheduler = Self { parts, handle, rx: Mutex::new(rx), ticked: Instant::now() };
-        let spawned =
-            thread::Builder::new().name("scheduler".to_owned()).spawn(|| scheduler.run());
+        let scheduler = Self {
+            parts,
+            handle,
+            rx: Mutex::new(rx),
+            ticked: Instant::now(),
+        };
+        let spawned = thread::Builder::new()
+            .name("scheduler".to_owned())
+            .spawn(|| scheduler.run());
         spawned.expect("the process may start a thread at its start")
     }
 
@@ -90,7 +96,9 @@
         }
         if self.ticked.elapsed() >= TICK {
             self.ticked = Instant::now();
-            self.step(SchedEvent::Tick { leader_until: self.handle.leads_until() });
+            self.step(SchedEvent::Tick {
+                leader_until: self.handle.leads_until(),
+            });
         }
         true
     }
@@ -123,7 +131,10 @@
         commands
             .into_iter()
             .filter(|command| {
-                self.parts.replica.propose_for_scheduler(at_ms, command.clone()).is_err()
+                self.parts
+                    .replica
+                    .propose_for_scheduler(at_ms, command.clone())
+                    .is_err()
             })
             .collect()
     }
--- a/lib/host/src/waiters.rs
+++ b/lib/host/src/waiters.rs
@@ -59,7 +59,9 @@
     /// An entry of another term at the same index proves that the proposal never takes effect.
     pub(crate) fn applied(&mut self, index: LogIndex, term: Term, result: Option<Answer>) {
         if let Some((expected, waiter)) = self.appended.remove(&index) {
-            let result = result.filter(|_| expected == term).ok_or_else(replaced_failure);
+            let result = result
+                .filter(|_| expected == term)
+                .ok_or_else(replaced_failure);
             answer(waiter, result);
         }
         while let Some(entry) = self.reads.first_entry() {
@@ -74,7 +76,9 @@
 
     /// Passes on a permission once `index` is applied.
     pub(crate) fn done(&mut self, token: Token, index: LogIndex, applied: LogIndex) {
-        let Some(waiter) = self.done.remove(&token) else { return };
+        let Some(waiter) = self.done.remove(&token) else {
+            return;
+        };
         if index <= applied {
             permit(waiter, Ok(()));
         } else {
@@ -111,7 +115,10 @@
 }
 
 fn replaced_failure() -> Failure {
-    Failure::new(Code::NotLeader, "the leader changed before the write was replicated")
+    Failure::new(
+        Code::NotLeader,
+        "the leader changed before the write was replicated",
+    )
 }
 
 fn answer(waiter: ProposalWaiter, result: Outcome<Answer>) {
--- a/lib/host/src/worker_gateway.rs
+++ b/lib/host/src/worker_gateway.rs
@@ -88,7 +88,9 @@
         while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
             let Ok((stream, _)) = accepted else { continue };
             // Beyond the bound the connection is closed at once and the worker tries another host.
-            let Ok(permit) = Arc::clone(&self.capacity).try_acquire_owned() else { continue };
+            let Ok(permit) = Arc::clone(&self.capacity).try_acquire_owned() else {
+                continue;
+            };
             generation += 1;
             let (gateway, sink, stop) = (Arc::clone(&self), Arc::clone(&sink), stop.clone());
             tokio::spawn(async move {
@@ -111,8 +113,9 @@
             tokio::select! {
                 order = rx.recv() => {
                     let Some(order) = order else { break };
-                    let sent = tarragon_wire::write(&mut frames, &DownFrame::new(&order));
-                    let Ok(Ok(())) = timeout(self.silent, sent).await else { break };
+                    let frame = DownFrame::new(&order);
+                    let sent = timeout(self.silent, tarragon_wire::write(&mut frames, &frame));
+                    let Ok(Ok(())) = sent.await else { break };
                 }
                 frame = timeout(self.silent, tarragon_wire::read::<_, UpFrame>(&mut frames)) => {
                     let Ok(Ok(Some(frame))) = frame else { break };
@@ -137,13 +140,20 @@
 
     /// Makes this the connection of the worker; an older one gets no more orders.
     fn connect(&self, worker: &WorkerName, generation: u64, tx: &mpsc::Sender<WorkerOrder>) {
-        let connection = Connection { generation, tx: tx.clone() };
-        self.connections.with(worker, |shard| shard.insert(worker.clone(), connection));
+        let connection = Connection {
+            generation,
+            tx: tx.clone(),
+        };
+        self.connections
+            .with(worker, |shard| shard.insert(worker.clone(), connection));
     }
 
     fn disconnect(&self, worker: &WorkerName, generation: u64) {
         self.connections.with(worker, |shard| {
-            if shard.get(worker).is_some_and(|connection| connection.generation == generation) {
+            if shard
+                .get(worker)
+                .is_some_and(|connection| connection.generation == generation)
+            {
                 shard.remove(worker);
             }
         });
--- a/lib/wire/src/peer.rs
+++ b/lib/wire/src/peer.rs
@@ -1,5 +1,7 @@
 //! Frames between entry hosts.
 
+use bytes::Bytes;
+use prost::Message;
 use tarragon_agreement::PeerMsg;
 use tarragon_leases::{WorkerOrder, WorkerReport};
 use tarragon_names::{HostName, MemberId, WorkerName};
@@ -154,10 +156,18 @@
         }
     }
 
+    /// Encoded frame, without its length.
+    pub fn encoded(&self) -> Bytes {
+        Bytes::from(self.encode_to_vec())
+    }
+
     /// Sender and contents of the frame; no contents for a heartbeat.
     pub fn parts(self) -> Result<(HostName, Option<PeerEvent>), WireError> {
         let from = HostName::from(self.from);
-        let event = self.body.map(|body| event_from_body(&from, body)).transpose()?;
+        let event = self
+            .body
+            .map(|body| event_from_body(&from, body))
+            .transpose()?;
         Ok((from, event))
     }
 }
@@ -196,12 +206,19 @@
                 slots: pool.slots,
             })
             .collect();
-        Self { sequence: load.sequence, pools }
+        Self {
+            sequence: load.sequence,
+            pools,
+        }
     }
 }
 
 impl From<PoolLoadMsg> for PoolLoad {
     fn from(msg: PoolLoadMsg) -> Self {
-        Self { pool: msg.pool.into(), free: msg.free, slots: msg.slots }
+        Self {
+            pool: msg.pool.into(),
+            free: msg.free,
+            slots: msg.slots,
+        }
     }
 }
