agreement: run groups of replicas through scripted and random faults

Fakes for network, disk and clock run whole groups; a checker holds one leader a term, one order of committed entries and no lease beside newer commits. Twelve datadriven scripts cover single faults and pairs; a seeded random run mixes crashes, torn tails, failed syncs, pauses, cuts, lost disks, transfers and member changes with clocks that differ by 1%. TARRAGON_RANDOM_RUNS runs more seeds.

--- /dev/null
+++ b/lib/agreement/tests/group/fakes/disk.rs
@@ -0,0 +1,90 @@
+use bytes::Bytes;
+use tarragon_agreement::{Entry, Event, Recovered, SnapshotMeta};
+use tarragon_names::{LogIndex, MemberId, Term};
+
+/// A write that is not synced yet.
+#[derive(Clone, Debug)]
+pub enum Write {
+    Vote(Term, Option<MemberId>),
+    Append(Option<LogIndex>, Vec<Entry>),
+    Snapshot(SnapshotMeta, Bytes),
+}
+
+/// A disk that loses what is not synced when its process ends.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    pub durable: Recovered,
+    pending: Vec<Write>,
+    pub fails: bool,
+}
+
+impl Disk {
+    pub fn new(durable: Recovered) -> Self {
+        Self {
+            durable,
+            ..Self::default()
+        }
+    }
+
+    pub fn write(&mut self, write: Write) {
+        self.pending.push(write);
+    }
+
+    pub fn is_clean(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Makes all writes durable and returns the reports for the replica, or `None` on failure.
+    pub fn sync(&mut self) -> Option<Vec<Event>> {
+        if self.fails {
+            return None;
+        }
+        let writes: Vec<_> = self.pending.drain(..).collect();
+        Some(writes.into_iter().map(|w| self.store(w)).collect())
+    }
+
+    /// Ends the process; of the unsynced appends the first `torn` entries survive.
+    pub fn crash(&mut self, torn: usize) {
+        let mut left = torn;
+        for write in std::mem::take(&mut self.pending) {
+            if let Write::Append(from, mut entries) = write
+                && left > 0
+            {
+                entries.truncate(left);
+                left -= entries.len();
+                self.store(Write::Append(from, entries));
+            }
+        }
+        self.fails = false;
+    }
+
+    fn store(&mut self, write: Write) -> Event {
+        let disk = &mut self.durable;
+        match write {
+            Write::Vote(term, voted_for) => {
+                (disk.term, disk.voted_for) = (term, voted_for);
+                Event::VoteSynced { term, voted_for }
+            }
+            Write::Append(from, entries) => {
+                if let Some(from) = from {
+                    disk.entries.retain(|e| e.index < from);
+                }
+                disk.entries.extend(entries);
+                let last = disk.entries.last().expect("appends are not empty");
+                Event::Synced {
+                    index: last.index,
+                    term: last.term,
+                }
+            }
+            Write::Snapshot(meta, state) => {
+                let fits = disk
+                    .entries
+                    .iter()
+                    .any(|e| e.index == meta.index && e.term == meta.term);
+                disk.entries.retain(|e| fits && e.index > meta.index);
+                disk.snapshot = Some((meta.clone(), state));
+                Event::SnapshotSaved { meta }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/agreement/tests/group/fakes/host.rs
@@ -0,0 +1,191 @@
+use bytes::Bytes;
+use tarragon_agreement::{Action, Config, Entry, Event, Payload, Replica, SnapshotMeta};
+use tarragon_names::{LogIndex, MemberId, Millis, Term};
+
+use super::{Checker, Disk, disk::Write, network::Packet};
+
+/// Entries between two snapshots.
+const SNAPSHOT_EVERY: u64 = 200;
+
+/// A host with a disk; its process runs while `replica` is set.
+#[derive(Debug)]
+pub struct Host {
+    pub name: String,
+    pub id: MemberId,
+    pub disk: Disk,
+    pub replica: Option<Replica>,
+    pub paused: bool,
+    pub inbox: Vec<Packet>,
+    pub applied: Vec<Bytes>,
+    pub applied_index: LogIndex,
+    pub leads: Option<Term>,
+    /// Requests answered: token and index, or no index if refused.
+    pub answers: Vec<(u64, Option<LogIndex>)>,
+    /// Rate of the clock in percent of the true rate.
+    pub rate: u64,
+    /// Rounds of the clock loop until the disk syncs what is written.
+    pub sync_after: u64,
+    pub snapshots_installed: u64,
+    snapshot_index: LogIndex,
+    sync_due: u64,
+}
+
+impl Host {
+    pub fn new(name: &str, disk: Disk) -> Self {
+        Self {
+            name: name.to_owned(),
+            id: disk.durable.id,
+            disk,
+            replica: None,
+            paused: false,
+            inbox: Vec::new(),
+            applied: Vec::new(),
+            applied_index: LogIndex(0),
+            leads: None,
+            answers: Vec::new(),
+            rate: 100,
+            sync_after: 2,
+            snapshots_installed: 0,
+            snapshot_index: LogIndex(0),
+            sync_due: 0,
+        }
+    }
+
+    pub fn clock(&self, now: u64) -> Millis {
+        Millis(now * self.rate / 100)
+    }
+
+    pub fn start(&mut self, seed: u64) {
+        let recovered = self.disk.durable.clone();
+        self.applied.clear();
+        self.applied_index = LogIndex(0);
+        if let Some((meta, state)) = &recovered.snapshot {
+            self.restore(&meta.clone(), &state.clone());
+        }
+        self.leads = None;
+        self.paused = false;
+        self.inbox.clear();
+        self.replica = Some(Replica::new(Config::default(), recovered, seed));
+    }
+
+    /// Ends the process; of the unsynced appends the first `torn` entries survive.
+    pub fn crash(&mut self, torn: usize) {
+        self.replica = None;
+        self.disk.crash(torn);
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.replica.is_some() && !self.paused
+    }
+
+    /// Hands an event to the replica and returns the messages to be sent.
+    pub fn step(&mut self, now: u64, event: Event, checker: &mut Checker) -> Vec<Packet> {
+        let clock = self.clock(now);
+        let Some(replica) = &mut self.replica else {
+            return Vec::new();
+        };
+        let actions = replica.step(clock, event);
+        let mut packets = Vec::new();
+        for action in actions {
+            packets.extend(self.carry_out(now, action, checker));
+        }
+        if let Some(replica) = &self.replica {
+            checker.observe(replica, clock);
+        }
+        packets
+    }
+
+    /// Syncs the disk if that is due; a failed sync ends the process.
+    pub fn sync(&mut self, now: u64) -> Vec<Event> {
+        if self.disk.is_clean() || now < self.sync_due {
+            return Vec::new();
+        }
+        self.disk.sync().unwrap_or_else(|| {
+            self.crash(0);
+            Vec::new()
+        })
+    }
+
+    fn carry_out(&mut self, now: u64, action: Action, checker: &mut Checker) -> Option<Packet> {
+        match action {
+            Action::Send { to, msg, .. } => return Some(self.packet(to, msg)),
+            Action::SaveVote { term, voted_for } => self.write(now, Write::Vote(term, voted_for)),
+            Action::Append {
+                truncate_from,
+                entries,
+            } => self.write(now, Write::Append(truncate_from, entries)),
+            Action::Apply { entries } => {
+                checker.applied(&entries);
+                for entry in entries {
+                    self.apply(entry);
+                }
+                self.snapshot(now);
+            }
+            Action::InstallSnapshot { meta, state } => {
+                self.restore(&meta, &state);
+                self.snapshots_installed += 1;
+                self.write(now, Write::Snapshot(meta, state));
+            }
+            Action::SendSnapshot { to, term, .. } => {
+                let (meta, state) = self.disk.durable.snapshot.clone().expect("a snapshot");
+                let msg = tarragon_agreement::PeerMsg::Snapshot { term, meta, state };
+                return Some(self.packet(to, msg));
+            }
+            Action::Done { token, index } => self.answers.push((token, Some(index))),
+            Action::Refused { token, .. } => self.answers.push((token, None)),
+            Action::BecameLeader { term } => self.leads = Some(term),
+            Action::LostLeadership { term } => {
+                assert_eq!(self.leads.take(), Some(term), "lost what was not announced");
+            }
+            Action::Proposed { .. } | Action::LeaderChanged { .. } => {}
+        }
+        None
+    }
+
+    fn packet(&self, to: MemberId, msg: tarragon_agreement::PeerMsg) -> Packet {
+        Packet {
+            from: self.id,
+            to,
+            msg,
+        }
+    }
+
+    fn write(&mut self, now: u64, write: Write) {
+        if self.disk.is_clean() {
+            self.sync_due = now + self.sync_after;
+        }
+        self.disk.write(write);
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        assert_eq!(
+            entry.index,
+            self.applied_index.next(),
+            "gap in what is applied"
+        );
+        self.applied_index = entry.index;
+        if let Payload::Record(record) = entry.payload {
+            self.applied.push(record);
+        }
+    }
+
+    fn snapshot(&mut self, now: u64) {
+        if self.applied_index.0 - self.snapshot_index.0 < SNAPSHOT_EVERY {
+            return;
+        }
+        let state = self.applied.join(&b'\n');
+        let replica = self.replica.as_ref().expect("a process");
+        let meta = replica
+            .snapshot_meta(self.applied_index)
+            .expect("entry held");
+        self.snapshot_index = meta.index;
+        self.write(now, Write::Snapshot(meta, Bytes::from(state)));
+    }
+
+    fn restore(&mut self, meta: &SnapshotMeta, state: &Bytes) {
+        self.applied_index = meta.index;
+        self.snapshot_index = meta.index;
+        let records = state.split(|b| *b == b'\n').filter(|r| !r.is_empty());
+        self.applied = records.map(|r| state.slice_ref(r)).collect();
+    }
+}
--- /dev/null
+++ b/lib/agreement/tests/group/main.rs
@@ -0,0 +1,7 @@
+//! Groups of replicas with fakes for network, disk and clock.
+
+mod fakes;
+mod random;
+mod replication;
+mod scenarios;
+mod script;
--- /dev/null
+++ b/lib/agreement/tests/group/random.rs
@@ -0,0 +1,194 @@
+use std::env;
+
+use bytes::Bytes;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::{Rng, SeedableRng},
+};
+use tarragon_agreement::{Event, Members, Role};
+use tarragon_names::HostName;
+use yare::parameterized;
+
+use crate::fakes::Cluster;
+
+/// Faults in one run.
+const FAULTS: u64 = 60;
+
+/// Set to a count to run that many further seeds; a failure prints its seed.
+const MORE: &str = "TARRAGON_RANDOM_RUNS";
+
+/// First of the further seeds, so that runs can go on where others ended.
+const FIRST: &str = "TARRAGON_RANDOM_FIRST";
+
+/// A group under random faults.
+struct RandomRun {
+    cluster: Cluster,
+    rng: ChaCha8Rng,
+}
+
+impl RandomRun {
+    fn new(seed: u64) -> Self {
+        let mut cluster = Cluster::new(5, 1, seed);
+        cluster.network.loss_percent = 2;
+        cluster.network.repeat_percent = 2;
+        cluster.network.delay = (1, 30);
+        for (host, rate) in cluster.hosts.iter_mut().zip([100, 101, 100, 101, 100, 101]) {
+            host.rate = rate;
+        }
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
+        Self { cluster, rng }
+    }
+
+    fn pick(&mut self, n: usize) -> usize {
+        self.rng.next_u64() as usize % n
+    }
+
+    fn run(&mut self) {
+        for _ in 0..FAULTS {
+            self.fault();
+            for _ in 0..20 {
+                self.requests();
+                let ms = self.pick(100) as u64;
+                self.cluster.run(ms);
+            }
+        }
+        self.recover();
+    }
+
+    fn fault(&mut self) {
+        let at = self.pick(self.cluster.hosts.len());
+        let name = self.cluster.hosts[at].name.clone();
+        let running = self.cluster.hosts[at].replica.is_some();
+        let up = self.cluster.hosts.iter().filter(|h| h.is_running()).count();
+        match self.pick(9) {
+            _ if !running => self.cluster.start(&name),
+            0 if up > 3 => {
+                let torn = self.pick(3);
+                self.cluster.kill(&name, torn);
+            }
+            1 if up > 3 => self.cluster.host(&name).paused = true,
+            2 => self.cluster.network.cut(&name),
+            3 | 4 => {
+                self.cluster.network.heal();
+                for host in &mut self.cluster.hosts {
+                    host.paused = false;
+                }
+            }
+            5 => self.cluster.host(&name).disk.fails = true,
+            6 => self.cluster.host(&name).sync_after = 1 + self.pick(40) as u64,
+            7 => self.cluster.step(&name, Event::TransferLeadership),
+            8 => self.replace_or_lose(&name),
+            _ => {}
+        }
+    }
+
+    /// Loses the disk of a learner, or makes a learner a voter in place of this host's voter.
+    fn replace_or_lose(&mut self, name: &str) {
+        let Some((leader, mut members)) = self.leading() else {
+            return;
+        };
+        let role_of = |members: &Members, id| members.by_id.get(&id).map(|m| m.role);
+        let id = self.cluster.host(name).id;
+        let learner = members.by_id.iter().find(|(_, m)| m.role == Role::Learner);
+        let learner = learner.map(|(id, _)| *id);
+        match (role_of(&members, id), learner) {
+            (Some(Role::Voter), Some(learner)) if name != leader => {
+                members.by_id.remove(&id);
+                members.by_id.get_mut(&learner).expect("a learner").role = Role::Voter;
+                let token = self.cluster.next_token();
+                let event = Event::ChangeMembers { token, members };
+                self.cluster.step(&leader, event);
+            }
+            // The list of the leader may be older than the role of the host.
+            (None, _) if self.is_no_voter_anywhere(id) => self.cluster.lose_disk(name),
+            _ => {}
+        }
+    }
+
+    fn is_no_voter_anywhere(&self, id: tarragon_names::MemberId) -> bool {
+        let replicas = self.cluster.hosts.iter().filter_map(|h| h.replica.as_ref());
+        replicas
+            .filter(|r| r.id() != id)
+            .all(|r| !r.members().is_voter(id))
+    }
+
+    fn leading(&mut self) -> Option<(String, Members)> {
+        let leader = self.cluster.leader()?;
+        let replica = self.cluster.host(&leader).replica.as_ref()?;
+        Some((leader.clone(), replica.members().clone()))
+    }
+
+    fn requests(&mut self) {
+        let leading: Vec<_> = self.cluster.leading().into_keys().collect();
+        for name in leading {
+            if !self.cluster.host(&name).is_running() {
+                continue;
+            }
+            let token = self.cluster.next_token();
+            let records = vec![Bytes::from(token.to_string())];
+            self.cluster.step(&name, Event::Propose { token, records });
+            self.cluster.step(&name, Event::Read { token });
+        }
+    }
+
+    /// After all faults end, every host has to agree again.
+    fn recover(&mut self) {
+        self.cluster.network.heal();
+        self.cluster.network.loss_percent = 0;
+        let names: Vec<_> = self.cluster.hosts.iter().map(|h| h.name.clone()).collect();
+        for name in &names {
+            let host = self.cluster.host(name);
+            host.paused = false;
+            host.disk.fails = false;
+            if host.replica.is_none() {
+                self.cluster.start(name);
+            }
+        }
+        self.cluster.run(15_000);
+        self.join_all(&names);
+        self.cluster.run(15_000);
+        let committed = self.cluster.committed_index();
+        assert!(self.cluster.records() > 0, "nothing was committed");
+        for host in &self.cluster.hosts {
+            assert_eq!(host.applied_index, committed, "host {}", host.name);
+        }
+    }
+
+    fn join_all(&mut self, names: &[String]) {
+        for name in names {
+            let (leader, members) = self.leading().expect("a leader after all faults ended");
+            let id = self.cluster.host(name).id;
+            if !members.by_id.contains_key(&id) {
+                let token = self.cluster.next_token();
+                let host = HostName::from(name.as_str());
+                self.cluster
+                    .step(&leader, Event::AddLearner { token, id, host });
+                self.cluster.run(1_000);
+            }
+        }
+    }
+}
+
+/// Guards against faults in combinations that no script names.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+    seed_5 = { 5 },
+    seed_6 = { 6 },
+)]
+fn random_faults(seed: u64) {
+    RandomRun::new(seed).run();
+}
+
+/// Runs further seeds on demand.
+#[test]
+fn further_random_faults() {
+    let number = |name| env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
+    let first = number(FIRST).unwrap_or(1_000);
+    for seed in (first..).take(number(MORE).unwrap_or(0) as usize) {
+        let run = std::panic::catch_unwind(|| RandomRun::new(seed).run());
+        assert!(run.is_ok(), "random faults failed with seed {seed}");
+    }
+}
