timeline: order attempts by the identity of the task

Orders to workers and their reports carry no mark of the event they follow. The attempt number names the cause as well: a start is sent before the worker begins, and the worker ends before the leader knows. Leaders are known by became_leader, the event that the daemon writes.

--- a/lib/timeline/src/edges.rs
+++ b/lib/timeline/src/edges.rs
@@ -9,14 +9,21 @@
 /// Event of a leader that proposes an entry of the replicated log.
 const PROPOSED: &str = "proposed";
 
+/// Events of an attempt, each certainly after the first one of the kind before it.
+const ATTEMPT: [(&str, &str); 2] = [
+    ("start_sent", "task_began"),
+    ("task_ended", "attempt_ended"),
+];
+
 /// Event of a replica that won an election.
-const ELECTED: &str = "leader_elected";
+const ELECTED: &str = "became_leader";
 
 /// Pairs of positions, the first before the second, for records sorted by process and count.
 pub fn edges(records: &[Record]) -> Vec<(usize, usize)> {
     let mut edges = within_processes(records);
     edges.extend(by_messages(records));
     edges.extend(by_log(records));
+    edges.extend(by_attempts(records));
     edges.retain(|(from, to)| from != to);
     edges
 }
@@ -76,3 +83,27 @@
     }
     edges
 }
+
+/// A leader sends a start before the worker begins, and the worker ends before the leader knows.
+fn by_attempts(records: &[Record]) -> Vec<(usize, usize)> {
+    let attempt = |record: &Record| Some((record.field("task")?, record.number("attempt")?));
+    let mut edges = Vec::new();
+    for (cause, effect) in ATTEMPT {
+        let mut first = HashMap::new();
+        for (from, record) in records.iter().enumerate() {
+            if record.event.as_str() == cause
+                && let Some(attempt) = attempt(record)
+            {
+                first.entry(attempt).or_insert(from);
+            }
+        }
+        for (to, record) in records.iter().enumerate() {
+            if record.event.as_str() == effect
+                && let Some(from) = attempt(record).and_then(|attempt| first.get(&attempt))
+            {
+                edges.push((*from, to));
+            }
+        }
+    }
+    edges
+}
--- a/lib/timeline/tests/order.rs
+++ b/lib/timeline/tests/order.rs
@@ -107,7 +107,7 @@
     merge.add(
         "leader",
         &[
-            line("l", 9_001, "leader_elected", 2, None),
+            line("l", 9_001, "became_leader", 2, None),
             line("l", 9_002, "proposed", 2, Some(9)),
         ]
         .join("\n"),
@@ -117,7 +117,43 @@
         .iter()
         .map(|e| e.record.event.to_string())
         .collect();
-    assert_eq!(names, ["leader_elected", "proposed", "applied"]);
+    assert_eq!(names, ["became_leader", "proposed", "applied"]);
+}
+
+/// Orders to workers carry no mark, so the identity of the attempt has to do.
+#[test]
+fn attempt_begins_after_its_start_and_ends_before_the_leader_knows() {
+    let line = |process: &str, seq: u64, ts: u64, event: &str| {
+        json!({"process": process, "host": process, "seq": seq, "ts": ts, "event": event,
+               "task": "j1.0", "attempt": 1})
+        .to_string()
+    };
+    let mut merge = Merge::default();
+    merge.add(
+        "leader",
+        &[
+            line("l", 1, 9_001, "start_sent"),
+            line("l", 2, 9_400, "attempt_ended"),
+        ]
+        .join("\n"),
+    );
+    merge.add(
+        "worker",
+        &[
+            line("w", 1, 100, "task_began"),
+            line("w", 2, 300, "task_ended"),
+        ]
+        .join("\n"),
+    );
+    let names: Vec<_> = merge
+        .order()
+        .iter()
+        .map(|e| e.record.event.to_string())
+        .collect();
+    assert_eq!(
+        names,
+        ["start_sent", "task_began", "task_ended", "attempt_ended"]
+    );
 }
 
 #[test]
