--- a/cli/src/standin/mod.rs
+++ b/cli/src/standin/mod.rs
@@ -2,11 +2,20 @@
 //!
 //! Exit codes: 0 done, 1 a file could not be written, 2 wrong usage or settings.
 
-use std::{io, path::Path, process::ExitCode, sync::Arc, time::Duration};
+use std::{
+    fs::File,
+    io::{self, BufWriter, Write},
+    net::SocketAddr,
+    path::Path,
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
 
 use getopts::Options;
-use tarragon_settings::StandinSettings;
-use tarragon_standin::{StandinWorker, TaskLog, WorkerConfig};
+use serde_json::json;
+use tarragon_settings::{ExecutorGroup, StandinHost, StandinSettings};
+use tarragon_standin::{ExecutorConfig, StandinExecutor, StandinWorker, TaskLog, WorkerConfig};
 use tarragon_telemetry::{EventSink, Events, Level};
 use tokio::{
     runtime::Builder,
@@ -16,6 +25,9 @@
     time::sleep,
 };
 
+/// Longest time that executors take to let their requests end.
+const LEAVE_MAX: Duration = Duration::from_secs(3);
+
 /// Runs one command line until a signal or the end of its time.
 pub fn run(args: &[String]) -> ExitCode {
     let mut options = Options::new();
@@ -77,8 +89,11 @@
             let worker = StandinWorker::new(cfg, log.clone(), Arc::clone(&events));
             running.spawn(worker.run(stopped.clone()));
         }
+        let executors = executors(settings).await?;
         wait_for_end(Duration::from_millis(settings.stop_after.0)).await?;
         stop.send_replace(true);
+        futures::future::join_all(executors.iter().map(StandinExecutor::leave)).await;
+        write_requests(settings, &executors)?;
         while let Some(ended) = running.join_next().await {
             ended.map_err(io::Error::other)??;
         }
@@ -86,6 +101,58 @@
     })
 }
 
+/// Starts all executors, each with the hosts of its own failure domain first.
+async fn executors(settings: &StandinSettings) -> io::Result<Vec<StandinExecutor>> {
+    let mut executors = Vec::new();
+    for group in &settings.executors {
+        for n in 0..group.count {
+            let name = format!("{}-{n:03}", group.prefix);
+            let hosts = homes(&settings.hosts, group, n);
+            let cfg = ExecutorConfig {
+                domain: group.domain.clone(),
+                listen: settings.listen,
+                slots: group.slots,
+                connections: group.connections,
+                service_time: Duration::from_millis(group.service_time.0),
+                seed: settings.seed + u64::from(n),
+                leave_max: LEAVE_MAX,
+                ..ExecutorConfig::new(name, group.pool.clone(), hosts)
+            };
+            executors.push(StandinExecutor::start(cfg).await?);
+        }
+    }
+    Ok(executors)
+}
+
+fn homes(hosts: &[StandinHost], group: &ExecutorGroup, n: u32) -> Vec<SocketAddr> {
+    let (mut near, far): (Vec<_>, Vec<_>) =
+        hosts.iter().partition(|host| host.domain == group.domain);
+    let shift = n as usize % near.len().max(1);
+    near.rotate_left(shift);
+    near.into_iter().chain(far).map(|host| host.http).collect()
+}
+
+/// Writes what each executor ran, one line a request and one an executor.
+fn write_requests(settings: &StandinSettings, executors: &[StandinExecutor]) -> io::Result<()> {
+    let Some(path) = &settings.request_log else {
+        return Ok(());
+    };
+    let mut file = BufWriter::new(File::create(path)?);
+    for executor in executors {
+        let address = executor.address();
+        for record in executor.records() {
+            let line = json!({"event": "request", "executor": address, "record": record});
+            writeln!(file, "{line}")?;
+        }
+        let line = json!({
+            "event": "executor", "executor": address, "ran": executor.ran(),
+            "peak": executor.peak(), "violations": executor.violations(),
+        });
+        writeln!(file, "{line}")?;
+    }
+    file.flush()
+}
+
 fn events(settings: &StandinSettings) -> io::Result<Arc<dyn EventSink>> {
     let level = settings.log.level.to_string();
     let level = level.parse().unwrap_or(Level::Info);
