--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -229,7 +229,7 @@
                 self.parts.metrics.leading.set(1);
                 self.parts.metrics.term.set(term.0 as i64);
                 self.emit(
-                    LogEvent::info("became_leader")
+                    &LogEvent::info("became_leader")
                         .term(term)
                         .index(self.applied),
                 );
@@ -246,7 +246,7 @@
                 leader: Some(leader),
             } => {
                 self.emit(
-                    LogEvent::info("leader_changed")
+                    &LogEvent::info("leader_changed")
                         .term(term)
                         .peer(leader.clone()),
                 );
