--- a/lib/host/src/leader_calls.rs
+++ b/lib/host/src/leader_calls.rs
@@ -101,7 +101,7 @@
                     |client, cx| async move { client.leader(cx).await },
                 );
             if let Ok(Some((term, leader))) = asked.await {
-                self.hint.set(term, leader);
+                self.hint.set(term, &leader);
                 return;
             }
         }
--- a/lib/host/src/leader_hint.rs
+++ b/lib/host/src/leader_hint.rs
@@ -19,7 +19,7 @@
     }
 
     /// Notes a leader; an older term changes nothing.
-    pub fn set(&self, term: Term, leader: HostName) {
+    pub fn set(&self, term: Term, leader: &HostName) {
         self.0.rcu(|known| match known {
             Some(known) if known.0 > term => Some(Arc::clone(known)),
             _ => Some(Arc::new((term, leader.clone()))),
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -250,7 +250,7 @@
                         .term(term)
                         .peer(leader.clone()),
                 );
-                self.parts.hint.set(term, leader);
+                self.parts.hint.set(term, &leader);
             }
             Action::LeaderChanged { leader: None, .. } => {}
         }
