host: answer members that are not in the own member list yet

Cause: on loopback the standby never received the log; it holds no member list at its start, so its replies went to a host without a name. Ruled out: a refused join (the leader listed it) and a log mismatch (it sent no reply at all). Change: the replica's thread remembers from which host each member's messages came.

--- a/lib/host/src/inbound.rs
+++ b/lib/host/src/inbound.rs
@@ -1,6 +1,5 @@
 use std::sync::Arc;
 
-use tarragon_agreement::Event;
 use tarragon_leases::WorkerReport;
 use tarragon_names::{HostName, MemberId, WorkerName};
 use tarragon_proxy::Proxy;
@@ -52,14 +51,14 @@
 }
 
 impl PeerSink for Inbound {
-    fn receive(&self, from: &HostName, event: PeerEvent) {
+    fn receive(&self, host: &HostName, event: PeerEvent) {
         match event {
             PeerEvent::Agreement { from, to, msg } => {
                 if let Some(replica) = self.replica.as_ref().filter(|replica| replica.id == to) {
-                    replica.handle.event(Event::Receive { from, msg });
+                    replica.handle.message(host.clone(), from, msg);
                 }
             }
-            PeerEvent::Up { worker, report } => self.to_scheduler(from, worker, report),
+            PeerEvent::Up { worker, report } => self.to_scheduler(host, worker, report),
             PeerEvent::Down { worker, order } => self.gateway.send(&worker, order),
             PeerEvent::Load(load) => self.proxy.update_load(load),
         }
--- a/lib/host/src/peer_listener.rs
+++ b/lib/host/src/peer_listener.rs
@@ -14,8 +14,8 @@
 
 /// Receiver of what arrives on the links of other hosts.
 pub trait PeerSink: Debug + Send + Sync {
-    /// Takes a message of the host `from`.
-    fn receive(&self, from: &HostName, event: PeerEvent);
+    /// Takes a message of another host.
+    fn receive(&self, host: &HostName, event: PeerEvent);
 }
 
 /// Accepts the links that other hosts open to this one.
--- a/lib/host/src/proxy_ports.rs
+++ b/lib/host/src/proxy_ports.rs
@@ -105,7 +105,7 @@
             name: call.name,
             key: call.key,
             timeout_ms: limit.as_millis() as u64,
-            body: Arc::from(&call.body[..]),
+            body: Arc::from(&*call.body),
         };
         let made = self.clients.call(&host, limit, |client, cx| async move {
             client.forward(cx, forwarded).await
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::HashMap,
     process,
     sync::{
         Arc,
@@ -68,6 +69,7 @@
     waiters: Waiters,
     rx: Receiver<Input>,
     id: MemberId,
+    hosts: HashMap<MemberId, HostName>,
     leading: bool,
     applied: LogIndex,
     snapshot: LogIndex,
@@ -85,6 +87,7 @@
             waiters: Waiters::default(),
             rx,
             id,
+            hosts: HashMap::new(),
             leading: false,
             applied,
             snapshot: applied,
@@ -159,6 +162,10 @@
     fn input(&mut self, input: Input) -> Outcome<()> {
         match input {
             Input::Event(event) => self.step(event),
+            Input::Message { host, from, msg } => {
+                self.hosts.insert(from, host);
+                self.step(Event::Receive { from, msg })
+            }
             Input::Read(waiter) => {
                 let token = self.waiters.add_done(waiter);
                 self.step(Event::Read { token })
@@ -257,7 +264,14 @@
         Ok(())
     }
 
+    /// Sends a message. A new member holds no member list yet and answers the host it heard from.
     fn send(&self, to: MemberId, host: &HostName, msg: PeerMsg) {
+        let host = if host.is_empty() {
+            self.hosts.get(&to)
+        } else {
+            Some(host)
+        };
+        let Some(host) = host else { return };
         let event = PeerEvent::Agreement {
             from: self.id,
             to,
--- a/lib/host/src/replica_handle.rs
+++ b/lib/host/src/replica_handle.rs
@@ -4,7 +4,7 @@
 };
 
 use bytes::Bytes;
-use tarragon_agreement::{Event, MemberStatus, Members, Replica};
+use tarragon_agreement::{Event, MemberStatus, Members, PeerMsg, Replica};
 use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, MemberId, Millis, Term};
@@ -16,10 +16,19 @@
 /// Wait told to callers whose write finds the queue of the replica full, in milliseconds.
 const FULL_RETRY_MS: u64 = 500;
 
+/// A look at the replica from its own thread.
+type Look = Box<dyn FnOnce(&Replica, Millis) + Send>;
+
 /// Input of the replica's thread.
 pub(crate) enum Input {
     /// An event of the agreement.
     Event(Event),
+    /// A message of another replica and the host that it came from.
+    Message {
+        host: HostName,
+        from: MemberId,
+        msg: PeerMsg,
+    },
     /// A record to append.
     Propose {
         record: Bytes,
@@ -39,7 +48,7 @@
         waiter: DoneWaiter,
     },
     /// A look at the replica.
-    Inspect(Box<dyn FnOnce(&Replica, Millis) + Send>),
+    Inspect(Look),
     /// The end of the thread.
     Stop,
 }
@@ -71,8 +80,8 @@
     }
 
     /// Passes on a message of another replica; it is lost when the queue is full.
-    pub(crate) fn event(&self, event: Event) {
-        let _lost = self.tx.try_send(Input::Event(event));
+    pub(crate) fn message(&self, host: HostName, from: MemberId, msg: PeerMsg) {
+        let _lost = self.tx.try_send(Input::Message { host, from, msg });
     }
 
     /// Proposes a command of the scheduler, which learns of its result as it is applied.
@@ -140,7 +149,7 @@
 
     /// Asks the replica to hand leadership over, if it leads.
     pub(crate) fn transfer(&self) {
-        self.event(Event::TransferLeadership);
+        let _lost = self.tx.try_send(Input::Event(Event::TransferLeadership));
     }
 
     /// Ends the thread.
--- a/lib/host/src/scheduler_handle.rs
+++ b/lib/host/src/scheduler_handle.rs
@@ -16,12 +16,19 @@
 /// Inputs that may wait for the scheduler's thread; it bounds the memory under overload.
 const QUEUE: usize = 65_536;
 
+/// A look at the scheduler from its own thread.
+type Look = Box<dyn FnOnce(&Scheduler, Millis) + Send>;
+
 /// Input of the scheduler's thread.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "nearly every input is the large variant"
+)]
 pub(crate) enum SchedInput {
     /// An event of the scheduler.
     Event(SchedEvent),
     /// A look at the scheduler.
-    Inspect(Box<dyn FnOnce(&Scheduler, Millis) + Send>),
+    Inspect(Look),
     /// The end of the thread.
     Stop,
 }
