--- a/lib/agreement/src/recovered.rs
+++ b/lib/agreement/src/recovered.rs
@@ -4,7 +4,7 @@
 use crate::{Entry, SnapshotMeta};
 
 /// What a replica's disk held at its start.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Recovered {
     /// Identity stored in the data folder.
     pub id: MemberId,
