routing: count slots given up in the same millisecond as taken

The model check of slot shares found that a report could free a slot given up in the millisecond of the reading it echoes, though the report was made before (trace of 13 steps; two requests in one slot). Only a slot given up before the reading is freed now.

--- a/lib/routing/src/home_executor.rs
+++ b/lib/routing/src/home_executor.rs
@@ -72,7 +72,7 @@
         };
         let until = echo + cfg.executor_lease;
         self.lease_until = Some(self.lease_until.map_or(until, |old| old.max(until)));
-        self.report(echo, now);
+        self.report(echo);
     }
 
     /// Slots that a new request may take.
@@ -171,16 +171,18 @@
     }
 
     /// Takes the number of busy slots, counted by the executor after this host's reading `echo`.
-    fn report(&mut self, echo: Millis, now: Millis) {
+    fn report(&mut self, echo: Millis) {
         let busy = self.last.busy as usize;
         if !self.settled {
-            self.detached = vec![now; busy];
+            // Nothing is added to these from `settles_at` on, so every report made since bounds them.
+            self.detached = vec![Millis(self.settles_at.0.saturating_sub(1)); busy];
             self.settled = echo >= self.settles_at;
             return;
         }
         // Slots given up before the reading are among the busy ones, or free. The report says nothing
-        // about those given up later: their requests may have arrived after it was made.
-        let known = self.detached.iter().filter(|at| **at <= echo).count();
+        // about those given up later, or in the same millisecond: their requests may have arrived
+        // after it was made.
+        let known = self.detached.iter().filter(|at| **at < echo).count();
         self.detached.sort_unstable();
         self.detached.drain(..known.saturating_sub(busy));
     }
