trial: run an example on loopback and check every outcome

Nothing compared what callers are told with what workers and executors do. tarragon-trial starts the nine daemons and two stand-in processes of an example on free ports, sends its mix, and checks from the logs of the stand-ins that no task ran twice at once, no worker was over-committed, no request that may not be repeated ran twice, and each answer is true. Child processes end by their ids, also when the trial fails or is interrupted.

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod ctl;
 pub mod standin;
 pub mod timeline;
+pub mod trial;
--- /dev/null
+++ b/cli/src/trial/deployment.rs
@@ -0,0 +1,212 @@
+use std::{
+    fs, io,
+    net::{SocketAddr, TcpListener},
+    os::unix::fs::PermissionsExt,
+    path::{Path, PathBuf},
+};
+
+use toml::{Table, Value};
+
+use super::example::Example;
+
+/// Time after which stand-ins end by themselves, should the trial be killed.
+const STANDIN_LIMIT_MS: i64 = 120_000;
+
+const TOKEN: &str = "token-of-the-trial";
+
+/// Settings of a deployment on free ports, written into a folder.
+#[derive(Debug)]
+pub(super) struct Deployment {
+    folder: PathBuf,
+    /// Entry hosts.
+    pub(super) hosts: Vec<TrialHost>,
+    /// Workers that the stand-ins pretend to be.
+    pub(super) workers: usize,
+    /// Executors that the stand-ins pretend to be.
+    pub(super) executors: usize,
+}
+
+/// An entry host of the trial.
+#[derive(Clone, Debug)]
+pub(super) struct TrialHost {
+    pub(super) name: String,
+    pub(super) http: SocketAddr,
+    pub(super) settings: PathBuf,
+    /// Whether it belongs to the first group of replicas.
+    pub(super) votes: bool,
+}
+
+impl Deployment {
+    /// Writes the settings of an example with counts of stand-ins divided by `scale`.
+    pub(super) fn prepare(example: &Example, folder: &Path, scale: i64) -> io::Result<Self> {
+        for part in ["data", "logs", "settings"] {
+            fs::create_dir_all(folder.join(part))?;
+        }
+        let token = folder.join("token");
+        fs::write(&token, TOKEN)?;
+        fs::set_permissions(&token, fs::Permissions::from_mode(0o600))?;
+
+        let mut ports = free_ports(example.hosts.len())?;
+        let mut deployment = Self {
+            folder: folder.to_owned(),
+            hosts: Vec::new(),
+            workers: 0,
+            executors: 0,
+        };
+        // Addresses of a host in the order of its keys.
+        let mut addresses = Table::new();
+        for host in &example.hosts {
+            let mut own = Table::new();
+            for key in ["http", "peer", "control", "worker"] {
+                let port = ports.pop().ok_or(io::ErrorKind::AddrNotAvailable)?;
+                own.insert(key.to_owned(), format!("127.0.0.1:{port}").into());
+            }
+            addresses.insert(text(host, "name"), own.into());
+        }
+        for host in &example.hosts {
+            deployment.write_host(host, &addresses)?;
+        }
+        deployment.write_standins(&example.standin, &addresses, scale)?;
+        Ok(deployment)
+    }
+
+    /// Token of the operators.
+    pub(super) fn token() -> &'static str {
+        TOKEN
+    }
+
+    /// File with what a process prints.
+    pub(super) fn output(&self, name: &str) -> PathBuf {
+        self.folder.join("logs").join(format!("{name}.out"))
+    }
+
+    /// Settings of a stand-in process.
+    pub(super) fn standin(&self, name: &str) -> PathBuf {
+        self.folder.join("settings").join(format!("{name}.toml"))
+    }
+
+    /// Log of starts and ends of tasks.
+    pub(super) fn task_log(&self) -> PathBuf {
+        self.folder.join("tasks.jsonl")
+    }
+
+    /// Log of the requests that executors ran.
+    pub(super) fn request_log(&self) -> PathBuf {
+        self.folder.join("requests.jsonl")
+    }
+
+    fn write_host(&mut self, host: &Table, addresses: &Table) -> io::Result<()> {
+        let name = text(host, "name");
+        let mut settings = host.clone();
+        readdress(
+            &mut settings,
+            addresses,
+            &["http", "peer", "control", "worker"],
+        );
+        if let Some(Value::Array(hosts)) = settings.get_mut("hosts") {
+            for host in hosts.iter_mut().filter_map(Value::as_table_mut) {
+                readdress(host, addresses, &["http", "peer", "control"]);
+            }
+        }
+        if settings.contains_key("data_dir") {
+            let data = self.folder.join("data").join(&name);
+            settings.insert("data_dir".to_owned(), path_value(&data));
+        }
+        let token = path_value(&self.folder.join("token"));
+        settings.insert("token_file".to_owned(), token);
+        settings.insert("log".to_owned(), self.log(&name).into());
+        let votes = host
+            .get("initial_voters")
+            .and_then(Value::as_array)
+            .is_some_and(|voters| voters.iter().any(|v| v.as_str() == Some(&name)));
+        let http = text(&settings, "http").parse().map_err(io::Error::other)?;
+        let path = self.folder.join("settings").join(format!("{name}.toml"));
+        write(&path, &settings)?;
+        self.hosts.push(TrialHost {
+            name,
+            http,
+            settings: path,
+            votes,
+        });
+        Ok(())
+    }
+
+    /// Writes two processes: one with all workers and one with all executors.
+    fn write_standins(&mut self, standin: &Table, addresses: &Table, scale: i64) -> io::Result<()> {
+        for (name, other) in [("workers", "executors"), ("executors", "workers")] {
+            let mut settings = standin.clone();
+            settings.remove(other);
+            settings.insert("stop_after_ms".to_owned(), STANDIN_LIMIT_MS.into());
+            settings.insert("task_log".to_owned(), path_value(&self.task_log()));
+            settings.insert("request_log".to_owned(), path_value(&self.request_log()));
+            if name == "workers" {
+                settings.remove("request_log");
+            }
+            settings.insert("log".to_owned(), self.log(name).into());
+            if let Some(Value::Array(hosts)) = settings.get_mut("hosts") {
+                for host in hosts.iter_mut().filter_map(Value::as_table_mut) {
+                    readdress(host, addresses, &["http", "worker"]);
+                }
+            }
+            let mut total = 0;
+            if let Some(Value::Array(groups)) = settings.get_mut(name) {
+                for group in groups.iter_mut().filter_map(Value::as_table_mut) {
+                    let count = group.get("count").and_then(Value::as_integer).unwrap_or(1);
+                    let count = (count / scale).max(1);
+                    group.insert("count".to_owned(), count.into());
+                    total += count as usize;
+                }
+            }
+            match name {
+                "workers" => self.workers = total,
+                _ => self.executors = total,
+            }
+            write(&self.standin(name), &settings)?;
+        }
+        Ok(())
+    }
+
+    fn log(&self, name: &str) -> Table {
+        let file = self.folder.join("logs").join(format!("{name}.jsonl"));
+        Table::from_iter([
+            ("level".to_owned(), "debug".into()),
+            ("file".to_owned(), path_value(&file)),
+        ])
+    }
+}
+
+/// Ports that nothing listens on: four for each host.
+fn free_ports(hosts: usize) -> io::Result<Vec<u16>> {
+    let listeners: Vec<_> = (0..4 * hosts)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect::<Result<_, _>>()?;
+    let ports = listeners
+        .iter()
+        .map(|listener| Ok(listener.local_addr()?.port()));
+    ports.collect()
+}
+
+fn readdress(table: &mut Table, addresses: &Table, keys: &[&str]) {
+    let Some(Value::Table(own)) = addresses.get(&text(table, "name")) else {
+        return;
+    };
+    for key in keys {
+        if let Some(address) = own.get(*key) {
+            table.insert((*key).to_owned(), address.clone());
+        }
+    }
+}
+
+fn text(table: &Table, key: &str) -> String {
+    let value = table.get(key).and_then(Value::as_str);
+    value.unwrap_or_default().to_owned()
+}
+
+fn path_value(path: &Path) -> Value {
+    path.display().to_string().into()
+}
+
+fn write(path: &Path, settings: &Table) -> io::Result<()> {
+    let text = toml::to_string(settings).map_err(io::Error::other)?;
+    fs::write(path, text)
+}
--- /dev/null
+++ b/cli/src/trial/example.rs
@@ -0,0 +1,81 @@
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, de::DeserializeOwned};
+use tarragon_catalogue::CatalogueEntry;
+use tarragon_cell::Quota;
+use tarragon_names::TeamName;
+use toml::Table;
+
+use super::mix::Mix;
+
+/// Files of an example deployment.
+#[derive(Debug)]
+pub(super) struct Example {
+    /// Settings of each host.
+    pub(super) hosts: Vec<Table>,
+    /// Settings of the stand-ins.
+    pub(super) standin: Table,
+    /// Catalogue.
+    pub(super) entries: Vec<CatalogueEntry>,
+    /// Quotas.
+    pub(super) quotas: Vec<TeamQuota>,
+    /// Work that callers send.
+    pub(super) mix: Mix,
+}
+
+/// Quota of a team.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct TeamQuota {
+    pub(super) team: TeamName,
+    #[serde(flatten)]
+    pub(super) quota: Quota,
+}
+
+#[derive(Deserialize)]
+struct Entries {
+    entries: Vec<CatalogueEntry>,
+}
+
+#[derive(Deserialize)]
+struct Quotas {
+    quotas: Vec<TeamQuota>,
+}
+
+impl Example {
+    /// Reads the folder of an example.
+    pub(super) fn load(folder: &Path) -> Result<Self, String> {
+        let mut paths: Vec<PathBuf> = fs::read_dir(folder.join("hosts"))
+            .map_err(|e| format!("{}: {e}", folder.join("hosts").display()))?
+            .filter_map(|file| Some(file.ok()?.path()))
+            .collect();
+        paths.sort();
+        let hosts = paths.iter().map(|path| read(path));
+        Ok(Self {
+            hosts: hosts.collect::<Result<_, _>>()?,
+            standin: read(&folder.join("standin.toml"))?,
+            entries: read::<Entries>(&folder.join("catalogue.toml"))?.entries,
+            quotas: read::<Quotas>(&folder.join("quotas.toml"))?.quotas,
+            mix: read(&folder.join("mix.toml"))?,
+        })
+    }
+
+    /// Whether the requests of this name may be sent more than once.
+    pub(super) fn is_repeatable(&self, name: &str) -> bool {
+        let exact = |entry: &&CatalogueEntry| entry.pattern.to_string() == name;
+        self.entries
+            .iter()
+            .find(exact)
+            .is_some_and(|entry| entry.repeatable)
+    }
+}
+
+fn read<T>(path: &Path) -> Result<T, String>
+where
+    T: DeserializeOwned,
+{
+    let text = fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    toml::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
--- /dev/null
+++ b/cli/src/trial/mod.rs
@@ -0,0 +1,173 @@
+//! `tarragon-trial`: a small deployment on loopback, its mix of work, and a check of each outcome.
+//!
+//! Exit codes: 0 every outcome is right, 1 some are wrong, 2 wrong usage, 3 the trial did not run.
+
+mod checks;
+mod deployment;
+mod example;
+mod load;
+mod mix;
+mod process;
+mod request_history;
+mod session;
+mod summary;
+mod task_history;
+mod told;
+
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
+
+use getopts::{Matches, Options};
+use tokio::{runtime::Builder, signal::ctrl_c};
+
+use self::{deployment::Deployment, example::Example, load::Load, session::Session};
+
+/// Longest wait for the jobs to end after the last one was sent.
+const SETTLE_LIMIT: Duration = Duration::from_secs(15);
+
+/// Runs one command line.
+pub fn run(args: &[String]) -> ExitCode {
+    let options = options();
+    let usage = |cause: &str| {
+        eprintln!("tarragon-trial: {cause}");
+        ExitCode::from(2)
+    };
+    let matches = match options.parse(args) {
+        Ok(matches) => matches,
+        Err(e) => return usage(&e.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!(
+            "{}",
+            options.usage("Usage: tarragon-trial [OPTIONS] EXAMPLE")
+        );
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("version") {
+        println!("tarragon-trial {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let [example] = matches.free.as_slice() else {
+        return usage("give the folder of one example, as in examples/kovacik");
+    };
+    let numbers = ["seconds", "scale"].map(|name| matches.opt_get::<u16>(name));
+    let [Ok(seconds), Ok(scale)] = numbers else {
+        return usage("--seconds and --scale must be numbers up to 65535");
+    };
+    let plan = Plan {
+        example: PathBuf::from(example),
+        length: Duration::from_secs(u64::from(seconds.unwrap_or(20))),
+        scale: i64::from(scale.unwrap_or(4).max(1)),
+        folder: env::temp_dir().join(format!("tarragon-trial-{}", std::process::id())),
+    };
+    let outcome = execute(&plan, &matches);
+    if matches.opt_present("keep") {
+        println!("files are in {}", plan.folder.display());
+    } else {
+        let _gone = fs::remove_dir_all(&plan.folder);
+    }
+    match outcome {
+        Ok(wrong) if wrong.is_empty() => {
+            println!("every outcome is right");
+            ExitCode::SUCCESS
+        }
+        Ok(wrong) => {
+            println!("{} wrong outcomes:\n{}", wrong.len(), wrong.join("\n"));
+            ExitCode::FAILURE
+        }
+        Err(cause) => {
+            eprintln!("tarragon-trial: {cause}");
+            ExitCode::from(3)
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Plan {
+    example: PathBuf,
+    length: Duration,
+    scale: i64,
+    folder: PathBuf,
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options
+        .optopt("", "seconds", "length of the mix [20]", "N")
+        .optopt(
+            "",
+            "scale",
+            "share of the example's stand-ins, as 1/N [4]",
+            "N",
+        )
+        .optopt(
+            "",
+            "programs",
+            "folder of the other programs [that of this one]",
+            "FOLDER",
+        )
+        .optflag("", "keep", "keep settings, data and logs")
+        .optflag("", "help", "print this help")
+        .optflag("", "version", "print the version");
+    options
+}
+
+fn execute(plan: &Plan, matches: &Matches) -> Result<Vec<String>, String> {
+    let example = Example::load(&plan.example)?;
+    let programs = match matches.opt_str("programs") {
+        Some(folder) => PathBuf::from(folder),
+        None => own_folder()?,
+    };
+    let deployment = Deployment::prepare(&example, &plan.folder, plan.scale)
+        .map_err(|e| format!("{}: {e}", plan.folder.display()))?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
+    runtime.block_on(async {
+        tokio::select! {
+            outcome = trial(plan, &example, deployment, &programs) => outcome,
+            _ = ctrl_c() => Err("interrupted".to_owned()),
+        }
+    })
+}
+
+/// The trial itself. Dropping it ends every process that it started.
+async fn trial(
+    plan: &Plan,
+    example: &Example,
+    deployment: Deployment,
+    programs: &Path,
+) -> Result<Vec<String>, String> {
+    let mut session = Session::start(deployment, programs).await?;
+    session
+        .configure(example)
+        .await
+        .map_err(|f| f.to_string())?;
+    session.start_standins().await?;
+    println!("started; sending work for {} s", plan.length.as_secs());
+
+    let load = Load::new(session.clients(), example.mix.seed);
+    let mut told = load.run(example, plan.length).await;
+    load::settle(&session.clients()[0], &mut told, SETTLE_LIMIT).await;
+    let pages = session.metrics().await;
+    let mut wrong = session.stop().await;
+    let (tasks, requests) = session.histories()?;
+    wrong.extend(checks::wrong_outcomes(&told, &tasks, &requests));
+    let seconds = plan.length.as_secs_f64();
+    for line in summary::lines(&told, &tasks, &pages, seconds) {
+        println!("{line}");
+    }
+    Ok(wrong)
+}
+
+fn own_folder() -> Result<PathBuf, String> {
+    let program = env::current_exe().map_err(|e| e.to_string())?;
+    let folder = program.parent().map(Path::to_path_buf);
+    folder.ok_or_else(|| "the program has no folder".to_owned())
+}
--- /dev/null
+++ b/cli/src/trial/process.rs
@@ -0,0 +1,84 @@
+use std::{
+    fs::File,
+    io,
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use tokio::time::{Instant, sleep};
+
+/// Time between two looks at whether a process has ended.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// A child process, which is ended by its id when this value is dropped.
+#[derive(Debug)]
+pub(super) struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program; what it prints goes to `output`.
+    pub(super) fn start(
+        name: &str,
+        program: &Path,
+        args: &[&str],
+        output: &Path,
+    ) -> io::Result<Self> {
+        let out = File::options().create(true).append(true).open(output)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out.try_clone()?)
+            .stderr(out)
+            .spawn()?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Name for messages.
+    pub(super) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Tells whether the process still runs.
+    pub(super) fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Asks the process to stop.
+    pub(super) fn terminate(&mut self) {
+        if self.runs() {
+            // The child has not been waited for, so its id cannot belong to another process.
+            let _ended = kill(Pid::from_raw(self.child.id() as i32), Signal::SIGTERM);
+        }
+    }
+
+    /// Waits for the end; `None` if it does not come in time.
+    pub(super) async fn ended(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let end = Instant::now() + limit;
+        loop {
+            match self.child.try_wait() {
+                Ok(Some(status)) => return Some(status),
+                Ok(None) if Instant::now() < end => sleep(LOOK_AGAIN).await,
+                _ => return None,
+            }
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.runs() {
+            let _killed = self.child.kill();
+            let _status = self.child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/trial/request_history.rs
@@ -0,0 +1,42 @@
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use tarragon_standin::ExecutorRecord;
+
+/// Requests as the executors saw them.
+#[derive(Debug, Default)]
+pub(super) struct RequestHistory {
+    /// How often each request ran, by the id at the start of its body.
+    pub(super) ran: HashMap<String, u32>,
+    /// Requests beyond the slots and connections beyond the limit of an executor.
+    pub(super) violations: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum Line {
+    Request { record: ExecutorRecord },
+    Executor { violations: u64 },
+}
+
+impl RequestHistory {
+    /// Reads the request log of the stand-ins.
+    pub(super) fn parse(text: &str) -> Result<Self, String> {
+        let mut history = Self::default();
+        for line in text.lines() {
+            match serde_json::from_str(line).map_err(|e| format!("request log: {e}: {line}"))? {
+                Line::Request { record } => {
+                    let id = record.body.split_inclusive(';').next().unwrap_or_default();
+                    *history.ran.entry(id.to_owned()).or_default() += 1;
+                }
+                Line::Executor { violations } => history.violations += violations,
+            }
+        }
+        Ok(history)
+    }
+
+    /// How often a request ran.
+    pub(super) fn count(&self, id: &str) -> u32 {
+        self.ran.get(id).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/cli/src/trial/session.rs
@@ -0,0 +1,206 @@
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use tarragon_client::{Client, ClientConfig};
+use tarragon_codes::Outcome;
+use tarragon_names::Revision;
+use tokio::time::{Instant, sleep};
+
+use super::{
+    deployment::Deployment, example::Example, process::Process, request_history::RequestHistory,
+    task_history::TaskHistory,
+};
+
+/// Longest wait for each step of the start.
+const START_LIMIT: Duration = Duration::from_secs(15);
+
+/// Longest wait for a process to end after it was asked to.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+
+/// Time between two looks at whether a step is done.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
+/// A deployment that runs; its processes end with this value.
+#[derive(Debug)]
+pub(super) struct Session {
+    deployment: Deployment,
+    programs: PathBuf,
+    standins: Vec<Process>,
+    daemons: Vec<Process>,
+}
+
+impl Session {
+    /// Starts all daemons of a deployment.
+    pub(super) async fn start(deployment: Deployment, programs: &Path) -> Result<Self, String> {
+        let mut session = Self {
+            deployment,
+            programs: programs.to_owned(),
+            standins: Vec::new(),
+            daemons: Vec::new(),
+        };
+        for host in session
+            .deployment
+            .hosts
+            .clone()
+            .iter()
+            .filter(|host| host.votes)
+        {
+            let settings = host.settings.display().to_string();
+            let args = ["--config", &settings, "--init"];
+            let mut init = session.spawn(&host.name, "tarragond", &args)?;
+            let status = init.ended(START_LIMIT).await;
+            if !status.is_some_and(|status| status.success()) {
+                return Err(session.failed(&host.name, "could not create its data folder"));
+            }
+        }
+        for host in &session.deployment.hosts.clone() {
+            let settings = host.settings.display().to_string();
+            let daemon = session.spawn(&host.name, "tarragond", &["--config", &settings])?;
+            session.daemons.push(daemon);
+        }
+        for host in &session.deployment.hosts.clone() {
+            let client = session.client(0).at(host.http);
+            let ready = until(|| client.ready()).await;
+            if !ready {
+                return Err(session.failed(&host.name, "did not become ready"));
+            }
+        }
+        Ok(session)
+    }
+
+    /// Writes catalogue and quotas and waits until they are in force.
+    pub(super) async fn configure(&self, example: &Example) -> Outcome<()> {
+        let client = self.client(0);
+        let mut last = Revision::default();
+        for (n, entry) in example.entries.iter().enumerate() {
+            let id = format!("trial-entry-{n}");
+            last = client.put_entry(entry, Revision(0), &id).await?;
+        }
+        for (n, quota) in example.quotas.iter().enumerate() {
+            let id = format!("trial-quota-{n}");
+            client
+                .put_quota(&quota.team, &quota.quota, Revision(0), &id)
+                .await?;
+        }
+        let end = Instant::now() + START_LIMIT;
+        while !client.in_force(last).await? && Instant::now() < end {
+            sleep(LOOK_AGAIN).await;
+        }
+        Ok(())
+    }
+
+    /// Starts workers and executors and waits until the hosts know all of them.
+    pub(super) async fn start_standins(&mut self) -> Result<(), String> {
+        for name in ["workers", "executors"] {
+            let settings = self.deployment.standin(name).display().to_string();
+            let standin = self.spawn(name, "tarragon-standin", &["--config", &settings])?;
+            self.standins.push(standin);
+        }
+        let client = &self.client(0);
+        let (workers, executors) = (self.deployment.workers, self.deployment.executors);
+        let known = until(|| async move {
+            let known = client.workers().await.map_or(0, |all| all.len());
+            known >= workers
+        });
+        if !known.await {
+            return Err(self.failed("workers", "did not register"));
+        }
+        let known = until(|| async move {
+            let known = client.executors().await.map_or(0, |all| all.len());
+            known >= executors
+        });
+        if !known.await {
+            return Err(self.failed("executors", "did not announce themselves"));
+        }
+        Ok(())
+    }
+
+    /// One client for each host, which begins there.
+    pub(super) fn clients(&self) -> Vec<Client> {
+        (0..self.deployment.hosts.len())
+            .map(|n| self.client(n))
+            .collect()
+    }
+
+    /// Metrics pages of all hosts that answer.
+    pub(super) async fn metrics(&self) -> Vec<String> {
+        let mut pages = Vec::new();
+        for host in &self.deployment.hosts {
+            pages.extend(self.client(0).at(host.http).metrics().await);
+        }
+        pages
+    }
+
+    /// Stops everything, stand-ins first, and gives what went wrong.
+    pub(super) async fn stop(&mut self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for processes in [&mut self.standins, &mut self.daemons] {
+            for process in processes.iter_mut() {
+                if !process.runs() {
+                    wrong.push(format!("{} ended before the trial", process.name()));
+                }
+                process.terminate();
+            }
+            for process in processes.iter_mut() {
+                match process.ended(STOP_LIMIT).await {
+                    Some(status) if status.success() => {}
+                    Some(status) => wrong.push(format!("{} ended with {status}", process.name())),
+                    None => wrong.push(format!("{} did not stop", process.name())),
+                }
+            }
+            processes.clear();
+        }
+        wrong
+    }
+
+    /// What the workers and the executors recorded; complete once they have stopped.
+    pub(super) fn histories(&self) -> Result<(TaskHistory, RequestHistory), String> {
+        let read = |path: PathBuf| {
+            fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
+        };
+        let tasks = TaskHistory::parse(&read(self.deployment.task_log())?)?;
+        let requests = RequestHistory::parse(&read(self.deployment.request_log())?)?;
+        Ok((tasks, requests))
+    }
+
+    fn client(&self, first: usize) -> Client {
+        let mut hosts: Vec<_> = self.deployment.hosts.iter().map(|host| host.http).collect();
+        hosts.rotate_left(first);
+        let mut cfg = ClientConfig::new(hosts);
+        cfg.token = Some(Deployment::token().into());
+        Client::new(cfg)
+    }
+
+    fn spawn(&self, name: &str, program: &str, args: &[&str]) -> Result<Process, String> {
+        let path = self.programs.join(program);
+        Process::start(name, &path, args, &self.deployment.output(name))
+            .map_err(|e| format!("cannot start {}: {e}", path.display()))
+    }
+
+    /// A message with the end of what a process printed.
+    fn failed(&self, name: &str, cause: &str) -> String {
+        let output = fs::read_to_string(self.deployment.output(name)).unwrap_or_default();
+        let lines: Vec<_> = output.lines().collect();
+        let tail = &lines[lines.len().saturating_sub(5)..];
+        format!("{name} {cause}\n{}", tail.join("\n"))
+    }
+}
+
+/// Asks again until the answer is yes; false if the time is over.
+async fn until<F, R>(ask: F) -> bool
+where
+    F: Fn() -> R,
+    R: Future<Output = bool>,
+{
+    let end = Instant::now() + START_LIMIT;
+    while !ask().await {
+        if Instant::now() >= end {
+            return false;
+        }
+        sleep(LOOK_AGAIN).await;
+    }
+    true
+}
--- /dev/null
+++ b/cli/src/trial/task_history.rs
@@ -0,0 +1,118 @@
+use std::collections::{BTreeMap, HashMap};
+
+use serde::Deserialize;
+use tarragon_names::Resources;
+
+/// Starts and ends of tasks as the workers saw them.
+#[derive(Debug, Default)]
+pub(super) struct TaskHistory {
+    /// What each worker offers.
+    pub(super) capacity: HashMap<String, Resources>,
+    /// Runs of each task, by the text of its id, in order of time.
+    pub(super) runs: BTreeMap<String, Vec<TaskRun>>,
+}
+
+/// One run of a task.
+#[derive(Clone, Debug)]
+pub(super) struct TaskRun {
+    pub(super) attempt: u32,
+    pub(super) worker: String,
+    pub(super) reserved: Resources,
+    pub(super) began: u64,
+    /// Time and kind of the end; absent while it runs.
+    pub(super) ended: Option<(u64, String)>,
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum Line {
+    Worker {
+        worker: String,
+        capacity: Resources,
+    },
+    Start {
+        task: String,
+        attempt: u32,
+        worker: String,
+        ms: u64,
+        reserved: Resources,
+    },
+    End {
+        task: String,
+        attempt: u32,
+        worker: String,
+        ms: u64,
+        end: String,
+    },
+}
+
+impl TaskHistory {
+    /// Reads the task log of the stand-ins.
+    pub(super) fn parse(text: &str) -> Result<Self, String> {
+        let mut history = Self::default();
+        for line in text.lines() {
+            match serde_json::from_str(line).map_err(|e| format!("task log: {e}: {line}"))? {
+                Line::Worker { worker, capacity } => {
+                    history.capacity.insert(worker, capacity);
+                }
+                Line::Start {
+                    task,
+                    attempt,
+                    worker,
+                    ms,
+                    reserved,
+                } => {
+                    history.runs.entry(task).or_default().push(TaskRun {
+                        attempt,
+                        worker,
+                        reserved,
+                        began: ms,
+                        ended: None,
+                    });
+                }
+                Line::End {
+                    task,
+                    attempt,
+                    worker,
+                    ms,
+                    end,
+                } => {
+                    let runs = history.runs.get_mut(&task).into_iter().flatten();
+                    let run = runs.rev().find(|run| {
+                        run.attempt == attempt && run.worker == worker && run.ended.is_none()
+                    });
+                    let Some(run) = run else {
+                        return Err(format!("task log: end without a start: {line}"));
+                    };
+                    run.ended = Some((ms, end));
+                }
+            }
+        }
+        for runs in history.runs.values_mut() {
+            runs.sort_by_key(|run| run.began);
+        }
+        Ok(history)
+    }
+
+    /// Runs of all tasks of a job.
+    pub(super) fn of_job(&self, job: &str) -> impl Iterator<Item = (&String, &Vec<TaskRun>)> {
+        let prefix = format!("{job}.");
+        self.runs
+            .iter()
+            .filter(move |(task, _)| task.starts_with(&prefix))
+    }
+
+    /// Changes of what runs, ends before starts of the same time: (time, worker, reserved, starts).
+    pub(super) fn changes(&self) -> Vec<(u64, &str, Resources, bool)> {
+        let mut changes = Vec::new();
+        for run in self.runs.values().flatten() {
+            let worker = run.worker.as_str();
+            changes.push((run.began, worker, run.reserved, true));
+            if let Some((at, _)) = &run.ended {
+                changes.push((*at, worker, run.reserved, false));
+            }
+        }
+        changes.sort_by_key(|(at, _, _, starts)| (*at, *starts));
+        changes
+    }
+}
