--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -12,9 +12,9 @@
 use tarragon_agreement::{Action, Entry, Event, Payload, PeerMsg, Replica, SnapshotMeta};
 use tarragon_cell::{Cell, CellState};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, LogIndex, MemberId, Term};
+use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 use tarragon_storage::LogStore;
-use tarragon_telemetry::{Event as LogEvent, EventSink};
+use tarragon_telemetry::{Event as LogEvent, EventSink, Metrics};
 use tarragon_wire::{
     peer::PeerEvent,
     record::{self, Record},
@@ -43,6 +43,8 @@
     pub replica: Replica,
     /// Its disk.
     pub store: Box<dyn LogStore>,
+    /// Latest saved snapshot, for members that need entries from before it.
+    pub saved: Option<(SnapshotMeta, Bytes)>,
     /// The state that the log builds up.
     pub cell: Arc<Cell>,
     /// Source of time.
@@ -55,6 +57,8 @@
     pub hint: Arc<LeaderHint>,
     /// Where events go.
     pub events: Arc<dyn EventSink>,
+    /// Metrics of the host.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Thread that owns the replica and its disk and carries out the replica's actions.
@@ -68,7 +72,7 @@
     applied: LogIndex,
     snapshot: LogIndex,
     unsynced: Option<(LogIndex, Term)>,
-    unsynced_vote: Option<(Term, Option<MemberId>)>,
+    saved_vote: Option<(Term, Option<MemberId>)>,
 }
 
 impl ReplicaDriver {
@@ -85,9 +89,11 @@
             applied,
             snapshot: applied,
             unsynced: None,
-            unsynced_vote: None,
+            saved_vote: None,
         };
-        let spawned = thread::Builder::new().name("replica".to_owned()).spawn(|| driver.run());
+        let spawned = thread::Builder::new()
+            .name("replica".to_owned())
+            .spawn(|| driver.run());
         let thread = spawned.expect("the process may start a thread at its start");
         (ReplicaHandle::new(tx), thread)
     }
@@ -141,9 +147,15 @@
         self.step(Event::Tick)?;
         self.sync()?;
         self.save_snapshot_if_due()?;
+        self.parts.sink.leads_until(self.leads_until());
         Ok(true)
     }
 
+    fn leads_until(&self) -> Millis {
+        let now = self.parts.clock.now();
+        self.parts.replica.lease_until(now).unwrap_or_default()
+    }
+
     fn input(&mut self, input: Input) -> Outcome<()> {
         match input {
             Input::Event(event) => self.step(event),
@@ -175,9 +187,12 @@
 
     /// Syncs what was written in this turn, once, and tells the replica.
     fn sync(&mut self) -> Outcome<()> {
-        while self.unsynced.is_some() || self.unsynced_vote.is_some() {
-            self.parts.store.sync()?;
-            if let Some((term, voted_for)) = self.unsynced_vote.take() {
+        while self.unsynced.is_some() || self.saved_vote.is_some() {
+            if self.unsynced.is_some() {
+                let _timer = self.parts.metrics.sync_time.start_timer();
+                self.parts.store.sync()?;
+            }
+            if let Some((term, voted_for)) = self.saved_vote.take() {
                 self.step(Event::VoteSynced { term, voted_for })?;
             }
             if let Some((index, term)) = self.unsynced.take() {
@@ -192,27 +207,49 @@
             Action::Send { to, host, msg } => self.send(to, &host, msg),
             Action::SaveVote { term, voted_for } => {
                 self.parts.store.save_vote(term, voted_for)?;
-                self.unsynced_vote = Some((term, voted_for));
+                self.saved_vote = Some((term, voted_for));
             }
-            Action::Append { truncate_from, entries } => self.append(truncate_from, &entries)?,
+            Action::Append {
+                truncate_from,
+                entries,
+            } => self.append(truncate_from, &entries)?,
             Action::Apply { entries } => entries.iter().try_for_each(|e| self.apply(e))?,
             Action::InstallSnapshot { meta, state } => self.install(&meta, state)?,
-            Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term)?,
+            Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term),
             Action::Proposed { token, first, term } => self.waiters.appended(token, first, term),
             Action::Done { token, index } => self.waiters.done(token, index, self.applied),
-            Action::Refused { token, .. } => self.waiters.refused(token),
+            Action::Refused { token, .. } => {
+                let commands = self.waiters.refused(token);
+                if !commands.is_empty() {
+                    self.parts.sink.not_proposed(commands);
+                }
+            }
             Action::BecameLeader { term } => {
                 self.leading = true;
-                self.emit(LogEvent::info("became_leader").term(term).index(self.applied));
+                self.parts.metrics.leading.set(1);
+                self.parts.metrics.term.set(term.0 as i64);
+                self.emit(
+                    &LogEvent::info("became_leader")
+                        .term(term)
+                        .index(self.applied),
+                );
                 self.parts.sink.became_leader(term);
             }
             Action::LostLeadership { term } => {
                 self.leading = false;
-                self.emit(LogEvent::info("lost_leadership").term(term));
+                self.parts.metrics.leading.set(0);
+                self.emit(&LogEvent::info("lost_leadership").term(term));
                 self.parts.sink.lost_leadership(term);
             }
-            Action::LeaderChanged { term, leader: Some(leader) } => {
-                self.emit(LogEvent::info("leader_changed").term(term).peer(leader.clone()));
+            Action::LeaderChanged {
+                term,
+                leader: Some(leader),
+            } => {
+                self.emit(
+                    &LogEvent::info("leader_changed")
+                        .term(term)
+                        .peer(leader.clone()),
+                );
                 self.parts.hint.set(term, leader);
             }
             Action::LeaderChanged { leader: None, .. } => {}
@@ -221,7 +258,11 @@
     }
 
     fn send(&self, to: MemberId, host: &HostName, msg: PeerMsg) {
-        let event = PeerEvent::Agreement { from: self.id, to, msg };
+        let event = PeerEvent::Agreement {
+            from: self.id,
+            to,
+            msg,
+        };
         self.parts.links.send(host, event);
     }
 
@@ -241,49 +282,58 @@
         if let Payload::Record(buf) = &entry.payload {
             let record = Record::decode(buf)
                 .map_err(|e| Failure::new(Code::CorruptRecord, format!("{}: {e}", entry.index)))?;
-            let answer = self.parts.cell.apply(entry.index, record.at_ms, &record.command);
+            let answer = self
+                .parts
+                .cell
+                .apply(entry.index, record.at_ms, &record.command);
             if self.leading {
-                self.parts.sink.applied(entry.index, &record.command, &answer);
+                self.parts
+                    .sink
+                    .applied(entry.index, &record.command, &answer);
             }
             result = Some(answer);
         }
         self.applied = entry.index;
+        self.parts.metrics.commits.inc();
         self.waiters.applied(entry.index, entry.term, result);
         Ok(())
     }
 
     fn install(&mut self, meta: &SnapshotMeta, state: Bytes) -> Outcome<()> {
+        self.parts.store.save_snapshot(meta, &state)?;
         self.parts.cell.restore(decode_state(&state)?);
-        self.parts.store.save_snapshot(meta, state)?;
+        self.parts.saved = Some((meta.clone(), state));
         self.applied = meta.index;
         self.snapshot = meta.index;
         self.waiters.forget();
-        self.emit(LogEvent::info("snapshot_installed").index(meta.index));
+        self.emit(&LogEvent::info("snapshot_installed").index(meta.index));
         self.step(Event::SnapshotSaved { meta: meta.clone() })
     }
 
-    fn send_snapshot(&mut self, to: MemberId, host: &HostName, term: Term) -> Outcome<()> {
-        if let Some((meta, state)) = self.parts.store.load_snapshot()? {
+    fn send_snapshot(&self, to: MemberId, host: &HostName, term: Term) {
+        if let Some((meta, state)) = self.parts.saved.clone() {
             self.send(to, host, PeerMsg::Snapshot { term, meta, state });
         }
-        Ok(())
     }
 
     fn save_snapshot_if_due(&mut self) -> Outcome<()> {
         if self.applied.0 < self.snapshot.0 + SNAPSHOT_EVERY {
             return Ok(());
         }
-        let Some(meta) = self.parts.replica.snapshot_meta(self.applied) else { return Ok(()) };
+        let Some(meta) = self.parts.replica.snapshot_meta(self.applied) else {
+            return Ok(());
+        };
         let state = record::encode(&self.parts.cell.snapshot())
             .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
-        self.parts.store.save_snapshot(&meta, state)?;
+        self.parts.store.save_snapshot(&meta, &state)?;
+        self.parts.saved = Some((meta.clone(), state));
         self.snapshot = self.applied;
-        self.emit(LogEvent::info("snapshot_saved").index(meta.index));
+        self.emit(&LogEvent::info("snapshot_saved").index(meta.index));
         self.step(Event::SnapshotSaved { meta })
     }
 
-    fn emit(&self, event: LogEvent) {
-        self.parts.events.emit(&event);
+    fn emit(&self, event: &LogEvent) {
+        self.parts.events.emit(event);
     }
 }
 
