--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod daemon;
 pub mod standin;
 pub mod timeline;
+pub mod trial;
