--- a/lib/leases/tests/lease_guard.rs
+++ b/lib/leases/tests/lease_guard.rs
@@ -159,7 +159,7 @@
     guard.step(Millis(300), GuardEvent::Order(unknown));
     let actions = guard.step(Millis(310), welcome(4, 1, 300));
     assert!(matches!(
-        &actions[..],
+        &*actions,
         [GuardAction::Send(WorkerReport::Heartbeat { running, .. })] if running.len() == 1
     ));
     assert_eq!(starts(&guard.step(Millis(320), start(4, 1, 1))), 0);
