--- a/lib/scheduler/src/scheduler_place.rs
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -1,6 +1,6 @@
 //! Placement of waiting jobs.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use tarragon_cell::Command;
 use tarragon_codes::{Code, Failure};
@@ -303,13 +303,23 @@
             })
             .collect::<Vec<_>>();
         let free = |worker: &WorkerName| self.placer.free(worker).unwrap_or_default();
+        let mut room = BTreeMap::new();
         for action in Preemption::default().choose(&claim, &victims, free) {
             match action.means {
-                PreemptMeans::Throttle => {
-                    self.throttle(lead, now, action.task, u64::MAX);
-                }
                 PreemptMeans::Checkpoint => self.send_checkpoint(lead, now, action.task),
                 PreemptMeans::Stop => self.stop_hold(lead, now, action.task),
+                PreemptMeans::Throttle => {
+                    // A worker does not confirm a limit, so the processor time that it would free
+                    // must not be given away. As many tasks as needed checkpoint instead.
+                    let freed = lead.holds.get(&action.task).map(|hold| hold.reserved);
+                    let room = room
+                        .entry(action.worker.clone())
+                        .or_insert_with(|| free(&action.worker));
+                    if !job.resources.fits(room) {
+                        *room += freed.unwrap_or_default();
+                        self.send_checkpoint(lead, now, action.task);
+                    }
+                }
             }
         }
     }
--- a/lib/scheduler/src/scheduler_relief.rs
+++ b/lib/scheduler/src/scheduler_relief.rs
@@ -73,7 +73,7 @@
     }
 
     /// Limits the processor time of a task, at most by half and once; returns what that frees.
-    pub(crate) fn throttle(&self, lead: &mut Lead, now: Millis, task: TaskId, wanted: u64) -> u64 {
+    fn throttle(&self, lead: &mut Lead, now: Millis, task: TaskId, wanted: u64) -> u64 {
         let Some(hold) = lead.holds.get_mut(&task) else {
             return 0;
         };
--- a/lib/scheduler/src/scheduler_views.rs
+++ b/lib/scheduler/src/scheduler_views.rs
@@ -50,7 +50,7 @@
             .cell
             .with_job(job, |record| record.view(false))
             .ok_or_else(no_job)?;
-        let mut reasons = vec![format!("the job is {}", view.state)];
+        let mut reasons = vec![format!("state: {}", view.state)];
         reasons.extend(view.reason.map(|reason| reason.to_string()));
         let mut position = None;
         match &self.lead {
