front: test calls, limits and the graceful shutdown

Each call is made by an anonymous caller or an operator over a loopback socket; oversized, slow and malformed requests, a caller that does not read, the connection cap and a shutdown with requests in flight are injected.

--- /dev/null
+++ b/lib/front/tests/common/mod.rs
@@ -0,0 +1,91 @@
+//! A backend that answers from a script, and raw sockets towards a served front.
+#![expect(dead_code, reason = "each test file uses a part of this module")]
+
+mod fake_backend;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+pub use fake_backend::FakeBackend;
+use tarragon_front::{FrontConfig, FrontLimits, serve};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::timeout,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Token of operators in these tests.
+pub const TOKEN: &str = "operators-token";
+
+/// Bound of each wait for a socket; it is far above what a healthy run needs.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A served front.
+pub struct Served {
+    pub address: SocketAddr,
+    pub backend: Arc<FakeBackend>,
+    pub shutdown: CancellationToken,
+    pub ended: JoinHandle<()>,
+}
+
+impl Served {
+    pub async fn start(limits: FrontLimits) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let backend = Arc::<FakeBackend>::default();
+        let shutdown = CancellationToken::new();
+        let cfg = FrontConfig {
+            token: Some(TOKEN.into()),
+            limits,
+            metrics: Arc::new(|| "tarragon_up 1\n".to_owned()),
+            log_level: Arc::new(|level| level == "debug"),
+            ..FrontConfig::default()
+        };
+        let served = serve(listener, Arc::clone(&backend) as _, cfg, shutdown.clone());
+        Self {
+            address,
+            backend,
+            shutdown,
+            ended: tokio::spawn(served),
+        }
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.unwrap()
+    }
+
+    /// Sends bytes on a new connection and reads to its end.
+    pub async fn exchange(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect().await;
+        // The server may close before it has read all of a refused request.
+        let _sent = stream.write_all(bytes).await;
+        read_to_end(&mut stream).await
+    }
+
+    /// Makes one call with `Connection: close`.
+    pub async fn call(&self, line: &str, headers: &str, body: &str) -> String {
+        let head = format!(
+            "{line} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n",
+            body.len()
+        );
+        self.exchange((head + body).as_bytes()).await
+    }
+}
+
+/// Reads until the peer closes; a reset ends the text too.
+pub async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut buf = [0; 4_096];
+    loop {
+        match timeout(PATIENCE, stream.read(&mut buf)).await.unwrap() {
+            Ok(0) | Err(_) => return String::from_utf8_lossy(&text).into_owned(),
+            Ok(n) => text.extend_from_slice(&buf[..n]),
+        }
+    }
+}
+
+/// Header line of an operator.
+pub fn operator() -> String {
+    format!("authorization: Bearer {TOKEN}\r\n")
+}
