--- a/lib/host/src/control_clients.rs
+++ b/lib/host/src/control_clients.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::HashMap,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -7,14 +8,17 @@
 use tarpc::{
     client::{self, RpcError},
     context::{self, Context},
-    serde_transport::tcp,
+    serde_transport,
     tokio_serde::formats::Bincode,
 };
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::HostName;
 use tarragon_settings::{HostAddress, HostSettings};
 use tarragon_wire::control::ControlClient;
-use tokio::time::timeout;
+use tokio::{net::TcpStream, time::timeout};
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::{LinkMeter, metered_stream::MeteredStream};
 
 /// Largest message between hosts in bytes: a request body of 64 MiB and its envelope.
 pub(crate) const MAX_FRAME: usize = 65 << 20;
@@ -45,11 +49,12 @@
     hosts: HashMap<HostName, HostAddress>,
     clients: Mutex<HashMap<HostName, ControlClient>>,
     connect: Duration,
+    meter: Arc<LinkMeter>,
 }
 
 impl ControlClients {
     /// Clients for the hosts of the settings, connected on first use.
-    pub fn new(cfg: &HostSettings) -> Self {
+    pub fn new(cfg: &HostSettings, meter: Arc<LinkMeter>) -> Self {
         Self {
             hosts: cfg
                 .hosts
@@ -58,6 +63,7 @@
                 .collect(),
             clients: Mutex::new(HashMap::new()),
             connect: Duration::from_millis(cfg.timing.link_silent.0),
+            meter,
         }
     }
 
@@ -103,12 +109,18 @@
             .hosts
             .get(host)
             .ok_or_else(|| unreachable("not listed in settings"))?;
-        let mut connect = tcp::connect(address.control, Bincode::default);
-        connect.config_mut().max_frame_length(MAX_FRAME);
-        let transport = timeout(limit.min(self.connect), connect)
+        let stream = timeout(limit.min(self.connect), TcpStream::connect(address.control))
             .await
             .map_err(|_elapsed| unreachable("timed out"))?
             .map_err(|e| unreachable(&e.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|e| unreachable(&e.to_string()))?;
+        let stream = MeteredStream::new(stream, host.clone(), Arc::clone(&self.meter));
+        let framed = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME)
+            .new_framed(stream);
+        let transport = serde_transport::new(framed, Bincode::default());
         let client = ControlClient::new(client::Config::default(), transport).spawn();
         self.clients.lock().insert(host.clone(), client.clone());
         Ok(client)
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -63,16 +63,22 @@
         .hosts
         .iter()
         .map(|host| (host.name.clone(), host.domain.clone()));
-    let meter = Arc::new(LinkMeter::new(hosts));
+    let meter = Arc::new(LinkMeter::new(
+        cfg.name.clone(),
+        &cfg.domain,
+        hosts,
+        &metrics,
+    ));
     // The links outlive the planned stop's first steps, since requests in flight need them.
     let links_stop = CancellationToken::new();
     let links = Arc::new(Links::start(&cfg, Arc::clone(&meter), &links_stop));
     let hint = Arc::new(LeaderHint::default());
-    let clients = Arc::new(ControlClients::new(&cfg));
+    let clients = Arc::new(ControlClients::new(&cfg, Arc::clone(&meter)));
     let silent = Duration::from_millis(cfg.timing.worker_beat.0 * WORKER_SILENT_BEATS);
     let gateway = Arc::new(WorkerGateway::new(
         silent,
         cfg.limits.max_connections as usize,
+        Arc::clone(&meter),
     ));
     let routes = Arc::new(OrderRoutes::new(Arc::clone(&gateway), Arc::clone(&links)));
 
--- a/lib/host/src/find_leader.rs
+++ b/lib/host/src/find_leader.rs
@@ -1,17 +1,19 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use futures::future::join_all;
 use tarragon_names::HostName;
 use tarragon_settings::HostSettings;
+use tarragon_telemetry::Metrics;
 
-use crate::ControlClients;
+use crate::{ControlClients, LinkMeter};
 
 /// Time limit for the question to each host.
 const LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Asks all other hosts for the leader of the cell.
 pub async fn find_leader(cfg: &HostSettings) -> Option<HostName> {
-    let clients = ControlClients::new(cfg);
+    let meter = LinkMeter::new(cfg.name.clone(), &cfg.domain, [], &Metrics::new());
+    let clients = ControlClients::new(cfg, Arc::new(meter));
     let others = cfg.hosts.iter().filter(|host| host.name != cfg.name);
     let asked = others.map(|host| {
         clients.call(&host.name, LIMIT, |client, cx| async move {
--- a/lib/host/src/link_meter.rs
+++ b/lib/host/src/link_meter.rs
@@ -4,70 +4,69 @@
 };
 
 use tarragon_names::{DomainName, HostName};
+use tarragon_telemetry::{LinkCounters, Metrics};
 
 /// Bytes that TCP, IP and the length prefix add to a small frame.
-const FRAME_OVERHEAD: u64 = 44;
+const FRAME_OVERHEAD: usize = 44;
 
-/// Messages and bytes on the links between entry hosts, and which of them answer.
+/// Messages and bytes between this host and others, and which of the hosts answer.
+///
+/// Each byte is counted at one end only: by the host that opened the connection, or by the gateway
+/// for its workers.
 #[derive(Debug)]
 pub struct LinkMeter {
-    domains: HashMap<DomainName, DomainCounters>,
+    own: HostName,
     hosts: HashMap<HostName, HostCounters>,
 }
 
-#[derive(Debug, Default)]
-struct DomainCounters {
-    messages: AtomicU64,
-    bytes: AtomicU64,
-}
-
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct HostCounters {
+    traffic: LinkCounters,
     up: AtomicBool,
     dropped: AtomicU64,
 }
 
-/// Traffic with one failure domain since the start of the process.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct DomainTraffic {
-    /// The other failure domain.
-    pub domain: DomainName,
-    /// Messages sent and received on links that this host opened.
-    pub messages: u64,
-    /// Their bytes with an estimate for headers.
-    pub bytes: u64,
-}
-
 impl LinkMeter {
-    /// Counters for the given hosts and their failure domains.
-    pub fn new<I>(hosts: I) -> Self
+    /// Counters of the host `own` for its traffic with the given hosts, itself included.
+    pub fn new<I>(own: HostName, domain: &DomainName, hosts: I, metrics: &Metrics) -> Self
     where
         I: IntoIterator<Item = (HostName, DomainName)>,
     {
-        let mut meter = Self {
-            domains: HashMap::new(),
-            hosts: HashMap::new(),
+        let counters = |to: &DomainName| HostCounters {
+            traffic: metrics.link(domain, to),
+            up: AtomicBool::new(false),
+            dropped: AtomicU64::new(0),
         };
-        for (host, domain) in hosts {
-            meter.domains.entry(domain).or_default();
-            meter.hosts.entry(host).or_default();
-        }
-        meter
+        let hosts = hosts
+            .into_iter()
+            .map(|(host, to)| (host, counters(&to)))
+            .collect();
+        Self { own, hosts }
     }
 
-    /// Counts a message that was sent.
-    pub fn sent(&self, _host: &HostName, domain: &DomainName, len: usize) {
-        self.count(domain, len);
+    /// Counts a frame sent to another host.
+    pub fn sent(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
     }
 
-    /// Counts a message that arrived, which shows that the host answers.
-    pub fn heard(&self, host: &HostName, domain: &DomainName, len: usize) {
-        self.count(domain, len);
+    /// Counts a frame from another host, which shows that the host answers.
+    pub fn heard(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
         if let Some(counters) = self.hosts.get(host) {
             counters.up.store(true, Ordering::Relaxed);
         }
     }
 
+    /// Counts a frame between this host as a gateway and one of its workers.
+    pub fn worker_frame(&self, len: usize) {
+        self.count(&self.own, len + FRAME_OVERHEAD);
+    }
+
+    /// Counts bytes of calls to another host, as read from or written to the socket.
+    pub fn call_bytes(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
+    }
+
     /// Notes that the link to a host is broken.
     pub fn down(&self, host: &HostName) {
         if let Some(counters) = self.hosts.get(host) {
@@ -89,18 +88,6 @@
             .is_some_and(|counters| counters.up.load(Ordering::Relaxed))
     }
 
-    /// Traffic by failure domain.
-    pub fn traffic(&self) -> Vec<DomainTraffic> {
-        self.domains
-            .iter()
-            .map(|(domain, counters)| DomainTraffic {
-                domain: domain.clone(),
-                messages: counters.messages.load(Ordering::Relaxed),
-                bytes: counters.bytes.load(Ordering::Relaxed),
-            })
-            .collect()
-    }
-
     /// Messages that found a full queue.
     pub fn total_dropped(&self) -> u64 {
         self.hosts
@@ -109,12 +96,9 @@
             .sum()
     }
 
-    fn count(&self, domain: &DomainName, len: usize) {
-        if let Some(counters) = self.domains.get(domain) {
-            counters.messages.fetch_add(1, Ordering::Relaxed);
-            counters
-                .bytes
-                .fetch_add(len as u64 + FRAME_OVERHEAD, Ordering::Relaxed);
+    fn count(&self, host: &HostName, len: usize) {
+        if let Some(counters) = self.hosts.get(host) {
+            counters.traffic.count(len);
         }
     }
 }
--- a/lib/host/src/links.rs
+++ b/lib/host/src/links.rs
@@ -1,7 +1,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
-use tarragon_names::{DomainName, HostName};
+use tarragon_names::HostName;
 use tarragon_settings::{HostAddress, HostSettings, Timing};
 use tarragon_wire::{
     MAX_PEER_FRAME,
@@ -41,7 +41,6 @@
             let (tx, rx) = mpsc::channel(QUEUE);
             let link = Link {
                 own: cfg.name.clone(),
-                domain: host.domain.clone(),
                 host: host.clone(),
                 timing: cfg.timing,
                 meter: Arc::clone(&meter),
@@ -84,7 +83,6 @@
 struct Link {
     own: HostName,
     host: HostAddress,
-    domain: DomainName,
     timing: Timing,
     meter: Arc<LinkMeter>,
     rx: mpsc::Receiver<PeerEvent>,
@@ -124,7 +122,7 @@
                 reply = frames.next() => match reply {
                     Some(Ok(buf)) => {
                         heard = Instant::now();
-                        self.meter.heard(&self.host.name, &self.domain, buf.len());
+                        self.meter.heard(&self.host.name, buf.len());
                         continue;
                     }
                     _ => return true,
@@ -134,7 +132,7 @@
                 return true;
             }
             let buf = frame.encoded();
-            self.meter.sent(&self.host.name, &self.domain, buf.len());
+            self.meter.sent(&self.host.name, buf.len());
             match timeout_at(Instant::now() + silent, frames.send(buf)).await {
                 Ok(Ok(())) => {}
                 _ => return true,
--- a/lib/host/src/metrics_page.rs
+++ b/lib/host/src/metrics_page.rs
@@ -16,15 +16,6 @@
         .catalogue_fresh
         .set(i64::from(core.view.fresh(core.clock.now()).is_some()));
     let mut text = metrics.render();
-    for traffic in core.meter.traffic() {
-        let labels = format!("{{from=\"{}\",to=\"{}\"}}", core.cfg.domain, traffic.domain);
-        let _infallible = writeln!(
-            text,
-            "tarragon_link_messages_total{labels} {}",
-            traffic.messages
-        );
-        let _infallible = writeln!(text, "tarragon_link_bytes_total{labels} {}", traffic.bytes);
-    }
     let _infallible = writeln!(
         text,
         "tarragon_link_dropped_total {}",
--- a/lib/host/src/worker_gateway.rs
+++ b/lib/host/src/worker_gateway.rs
@@ -14,6 +14,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::LinkMeter;
+
 /// Shards of the table of connections.
 const SHARDS: usize = 16;
 
@@ -32,6 +34,7 @@
     connections: Sharded<HashMap<WorkerName, Connection>>,
     silent: Duration,
     capacity: Arc<Semaphore>,
+    meter: Arc<LinkMeter>,
 }
 
 #[derive(Debug)]
@@ -42,11 +45,12 @@
 
 impl WorkerGateway {
     /// A gateway that closes connections on which nothing arrives for `silent`.
-    pub fn new(silent: Duration, max_connections: usize) -> Self {
+    pub fn new(silent: Duration, max_connections: usize, meter: Arc<LinkMeter>) -> Self {
         Self {
             connections: Sharded::new(SHARDS, |_| HashMap::new()),
             silent,
             capacity: Arc::new(Semaphore::new(max_connections)),
+            meter,
         }
     }
 
@@ -114,11 +118,13 @@
                 order = rx.recv() => {
                     let Some(order) = order else { break };
                     let frame = DownFrame::new(&order);
+                    self.meter.worker_frame(frame.len());
                     let sent = timeout(self.silent, tarragon_wire::write(&mut frames, &frame));
                     let Ok(Ok(())) = sent.await else { break };
                 }
                 frame = timeout(self.silent, tarragon_wire::read::<_, UpFrame>(&mut frames)) => {
                     let Ok(Ok(Some(frame))) = frame else { break };
+                    self.meter.worker_frame(frame.len());
                     let Ok((worker, report)) = frame.parts() else { break };
                     if known.is_none() {
                         self.connect(&worker, generation, &tx);
--- a/lib/telemetry/src/metrics.rs
+++ b/lib/telemetry/src/metrics.rs
@@ -4,6 +4,8 @@
 };
 use tarragon_names::{Class, DomainName};
 
+use crate::LinkCounters;
+
 /// Buckets in seconds for steps of a request or of a decision.
 const SHORT: [f64; 10] = [0.0001, 0.0005, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0];
 
@@ -114,13 +116,13 @@
         self.refused.with_label_values(&[&code.to_string()]).inc();
     }
 
-    /// Counts a control message between two failure domains.
-    pub fn count_message(&self, from: &DomainName, to: &DomainName, bytes: usize) {
-        let link = [from.as_str(), to.as_str()];
-        self.control_messages.with_label_values(&link).inc();
-        self.control_bytes
-            .with_label_values(&link)
-            .inc_by(bytes as u64);
+    /// Counters of the control messages between two failure domains.
+    pub fn link(&self, from: &DomainName, to: &DomainName) -> LinkCounters {
+        let labels = [from.as_str(), to.as_str()];
+        LinkCounters {
+            messages: self.control_messages.with_label_values(&labels),
+            bytes: self.control_bytes.with_label_values(&labels),
+        }
     }
 
     /// Notes how long a job waited for its first start.
--- a/lib/telemetry/tests/metrics.rs
+++ b/lib/telemetry/tests/metrics.rs
@@ -15,8 +15,8 @@
     let metrics = Metrics::new();
     metrics.observe_wait(Class::Urgent, 0.4);
     metrics.count_refusal(3101);
-    metrics.count_message(&"zilina".into(), &"martin".into(), 100);
-    metrics.count_message(&"zilina".into(), &"martin".into(), 50);
+    metrics.link(&"zilina".into(), &"martin".into()).count(100);
+    metrics.link(&"zilina".into(), &"martin".into()).count(50);
     let text = metrics.render();
     assert!(text.lines().any(|l| l == line), "{text}");
 }
--- a/lib/wire/src/worker.rs
+++ b/lib/wire/src/worker.rs
@@ -1,5 +1,6 @@
 //! Frames between a worker and its gateway.
 
+use prost::Message;
 use tarragon_leases::{WorkerOrder, WorkerReport};
 use tarragon_names::WorkerName;
 
@@ -35,6 +36,15 @@
         }
     }
 
+    /// Encoded length in bytes.
+    #[expect(
+        clippy::len_without_is_empty,
+        reason = "a frame always names its worker"
+    )]
+    pub fn len(&self) -> usize {
+        self.encoded_len()
+    }
+
     /// Worker and report of the frame.
     pub fn parts(self) -> Result<(WorkerName, Option<WorkerReport>), WireError> {
         let report = self.report.map(convert::report_from_msg).transpose()?;
@@ -50,6 +60,15 @@
         }
     }
 
+    /// Encoded length in bytes.
+    #[expect(
+        clippy::len_without_is_empty,
+        reason = "a length of 0 has no meaning of its own"
+    )]
+    pub fn len(&self) -> usize {
+        self.encoded_len()
+    }
+
     /// Order of the frame.
     pub fn order(self) -> Result<Option<WorkerOrder>, WireError> {
         self.order.map(convert::order_from_msg).transpose()
