sizing: correct habitual errors by the ratio of used to declared

Change: each resource keeps the distribution of the used amount and of its ratio to the declared one and takes the one that varies less; quantiles are interpolated within a bucket and the margin is 5%; tests.

--- a/lib/sizing/src/entry_usage.rs
+++ b/lib/sizing/src/entry_usage.rs
@@ -1,18 +1,21 @@
 use tarragon_names::{Millis, Resources};
 
-use crate::{Usage, histogram::Histogram};
+use crate::{
+    Usage,
+    amount::{Amount, QUANTILE},
+    histogram::Histogram,
+};
 
 /// Reports below which a declared size is still believed.
-pub(crate) const ENOUGH: u32 = 20;
-const QUANTILE: f32 = 0.95;
+const ENOUGH: u32 = 20;
 /// Added to the estimate, because a peak above the reservation costs a throttled or stopped task.
-const MARGIN_PERCENT: u64 = 10;
+const MARGIN_PERCENT: u64 = 5;
 
 /// Usage of the tasks of one catalogue entry.
 #[derive(Debug)]
 pub(crate) struct EntryUsage {
-    cpu_milli: Histogram,
-    memory_mb: Histogram,
+    cpu_milli: Amount,
+    memory_mb: Amount,
     run_ms: Histogram,
     reports: u32,
     runs: u32,
@@ -21,17 +24,19 @@
 impl EntryUsage {
     pub(crate) fn new() -> Self {
         Self {
-            cpu_milli: Histogram::new(),
-            memory_mb: Histogram::new(),
+            cpu_milli: Amount::new(),
+            memory_mb: Amount::new(),
             run_ms: Histogram::new(),
             reports: 0,
             runs: 0,
         }
     }
 
-    pub(crate) fn report(&mut self, usage: &Usage) {
-        self.cpu_milli.add(usage.peak.cpu_milli);
-        self.memory_mb.add(usage.peak.memory_mb);
+    pub(crate) fn report(&mut self, declared: &Resources, usage: &Usage) {
+        self.cpu_milli
+            .report(declared.cpu_milli, usage.peak.cpu_milli);
+        self.memory_mb
+            .report(declared.memory_mb, usage.peak.memory_mb);
         self.reports = self.reports.saturating_add(1);
         if let Some(run) = usage.run {
             self.run_ms.add(run.0);
@@ -41,8 +46,8 @@
 
     pub(crate) fn reservation(&self, declared: &Resources) -> Resources {
         let estimate = Resources {
-            cpu_milli: self.cpu_milli.quantile(QUANTILE),
-            memory_mb: self.memory_mb.quantile(QUANTILE),
+            cpu_milli: self.cpu_milli.estimate(declared.cpu_milli),
+            memory_mb: self.memory_mb.estimate(declared.memory_mb),
             accelerators: declared.accelerators,
         };
         if self.reports < ENOUGH {
--- a/lib/sizing/src/estimator.rs
+++ b/lib/sizing/src/estimator.rs
@@ -21,12 +21,12 @@
     }
 
     /// Adds what a task of the entry used, beside what was declared for it.
-    pub fn report(&self, entry: &Name, _declared: &Resources, usage: &Usage) {
+    pub fn report(&self, entry: &Name, declared: &Resources, usage: &Usage) {
         self.entries.with(entry, |shard| {
             shard
                 .entry(entry.clone())
                 .or_insert_with(EntryUsage::new)
-                .report(usage);
+                .report(declared, usage);
         });
     }
 
--- a/lib/sizing/src/lib.rs
+++ b/lib/sizing/src/lib.rs
@@ -3,6 +3,7 @@
 //! Callers declare sizes and run times that are often far off. Each catalogue entry has an
 //! estimator that is fed by what its tasks used.
 
+mod amount;
 mod entry_usage;
 mod estimator;
 mod histogram;
