health: restore a worker by the success of its probe only

Cause: a task that started before the quarantine and ends well would return a worker that fails everything it starts.

--- a/lib/health/src/health_table.rs
+++ b/lib/health/src/health_table.rs
@@ -156,16 +156,20 @@
     }
 
     /// Counts a task that ended well.
+    ///
+    /// A quarantined worker is restored by the success of its probe only: a task that started
+    /// before the quarantine says nothing about what fails now.
     pub fn succeeded(&self, worker: &WorkerName, job: JobId, _now: Millis) -> Vec<Verdict> {
         self.with_known(worker, |health| {
             health.note_success(job);
-            let Some(quarantine) = health.quarantine.take() else {
+            if !health
+                .quarantine
+                .is_some_and(|quarantine| quarantine.probing)
+            {
                 return Vec::new();
-            };
+            }
+            health.quarantine = None;
             self.quarantined.fetch_sub(1, Ordering::Relaxed);
-            self.probes.with_shard(0, |probes| {
-                probes.remove(&(quarantine.probe_at, worker.clone()));
-            });
             vec![Verdict::Restore {
                 worker: worker.clone(),
             }]
