--- /dev/null
+++ b/lib/proxy/tests/common/mod.rs
@@ -0,0 +1,169 @@
+//! Hosts with fake links, a fake key log and executors on loopback sockets.
+#![allow(
+    dead_code,
+    reason = "some items are used by one of the test files only"
+)]
+
+mod fake_entries;
+mod fake_keys;
+mod fake_peers;
+mod scripted_executor;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+pub use fake_entries::FakeEntries;
+pub use fake_keys::FakeKeys;
+pub use fake_peers::{FakePeers, LinkFault};
+pub use scripted_executor::{Script, ScriptedExecutor};
+use tarragon_codes::{Code, Outcome};
+use tarragon_front::{ServiceCall, ServiceReply};
+use tarragon_names::{Millis, PoolName};
+use tarragon_proxy::{Proxy, ProxyConfig};
+use tarragon_routing::{Announcement, AnnouncementReply, RoutingConfig};
+use tarragon_standin::{ExecutorConfig, StandinExecutor};
+use tokio::time::{sleep, timeout};
+
+/// Bound of each wait; it is far above what a healthy run needs.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Pool of the tests.
+pub const POOL: &str = "reels";
+
+/// Hosts that share a key log and a catalogue.
+pub struct Cell {
+    pub keys: Arc<FakeKeys>,
+    pub entries: Arc<FakeEntries>,
+    pub peers: Arc<FakePeers>,
+    pub hosts: Vec<Arc<Proxy>>,
+}
+
+impl Cell {
+    pub fn new(hosts: usize) -> Self {
+        let keys = Arc::<FakeKeys>::default();
+        let entries = Arc::<FakeEntries>::default();
+        let peers = Arc::<FakePeers>::default();
+        let hosts = (0..hosts).map(|number| {
+            let cfg = ProxyConfig {
+                routing: RoutingConfig {
+                    executor_lease: Millis(600_000),
+                    newcomer_wait: Millis(0),
+                    summary_max_age: Millis(600_000),
+                    avoid_first: Millis(0),
+                    ..RoutingConfig::default()
+                },
+                ..ProxyConfig::new(format!("h{number}").into(), 0x1000 + number as u64)
+            };
+            let host = Arc::new(Proxy::new(
+                cfg,
+                Arc::clone(&entries) as _,
+                Arc::clone(&peers) as _,
+                Arc::clone(&keys) as _,
+            ));
+            peers.add(&host);
+            host
+        });
+        Self {
+            hosts: hosts.collect(),
+            keys,
+            entries,
+            peers,
+        }
+    }
+
+    /// Tells every host the load of the others.
+    pub fn share_loads(&self) {
+        for from in &self.hosts {
+            for to in &self.hosts {
+                if !Arc::ptr_eq(from, to) {
+                    to.update_load(from.load());
+                }
+            }
+        }
+    }
+}
+
+/// An announcement of an executor with this address.
+pub fn announcement(name: &str, address: SocketAddr, slots: u32) -> Announcement {
+    Announcement {
+        name: name.into(),
+        pool: PoolName::from(POOL),
+        domain: "zilina".into(),
+        address: address.to_string(),
+        slots,
+        connections: 64,
+        busy: 0,
+        leaving: false,
+        epoch: 1,
+        echo: None,
+    }
+}
+
+/// Makes a host the home of an executor.
+pub fn join(host: &Proxy, announced: Announcement) -> AnnouncementReply {
+    let reply = host.announce(announced.clone()).unwrap();
+    host.announce(Announcement {
+        echo: Some(reply.clock),
+        ..announced
+    })
+    .unwrap()
+}
+
+/// A stand-in executor that announces itself to nobody.
+pub async fn standin(name: &str, slots: u32, service_ms: u64) -> StandinExecutor {
+    StandinExecutor::start(ExecutorConfig {
+        slots,
+        service_time: Duration::from_millis(service_ms),
+        ..ExecutorConfig::new(name, POOL, Vec::new())
+    })
+    .await
+    .unwrap()
+}
+
+/// A request with its own body.
+pub fn call(body: &str) -> ServiceCall {
+    ServiceCall {
+        name: "slots/a".into(),
+        key: None,
+        timeout_ms: None,
+        body: body.to_owned().into(),
+    }
+}
+
+/// A request with an idempotency key.
+pub fn keyed(body: &str, key: &str) -> ServiceCall {
+    ServiceCall {
+        key: Some(key.into()),
+        ..call(body)
+    }
+}
+
+/// A request whose caller waits for this long.
+pub fn hurried(body: &str, timeout_ms: u64) -> ServiceCall {
+    ServiceCall {
+        timeout_ms: Some(timeout_ms),
+        ..call(body)
+    }
+}
+
+/// The code of a failed request, or the body of its answer.
+pub fn told(outcome: &Outcome<ServiceReply>) -> Result<String, Code> {
+    match outcome {
+        Ok(reply) => Ok(String::from_utf8_lossy(&reply.body).into_owned()),
+        Err(failure) => Err(failure.code),
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until<F>(mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let wait = async {
+        while !holds() {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(PATIENCE, wait)
+        .await
+        .expect("condition does not come to hold");
+}
