--- a/lib/host/src/links.rs
+++ b/lib/host/src/links.rs
@@ -1,8 +1,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
-use prost::Message;
-use tarragon_names::{DomainName, HostName};
+use tarragon_names::HostName;
 use tarragon_settings::{HostAddress, HostSettings, Timing};
 use tarragon_wire::{
     MAX_PEER_FRAME,
@@ -42,7 +41,6 @@
             let (tx, rx) = mpsc::channel(QUEUE);
             let link = Link {
                 own: cfg.name.clone(),
-                domain: host.domain.clone(),
                 host: host.clone(),
                 timing: cfg.timing,
                 meter: Arc::clone(&meter),
@@ -52,12 +50,18 @@
             tokio::spawn(async move { stop.run_until_cancelled(link.run()).await });
             queues.insert(host.name.clone(), tx);
         }
-        Self { own: cfg.name.clone(), queues, meter }
+        Self {
+            own: cfg.name.clone(),
+            queues,
+            meter,
+        }
     }
 
     /// Sends a message; it may be lost.
     pub fn send(&self, to: &HostName, event: PeerEvent) {
-        let Some(queue) = self.queues.get(to) else { return };
+        let Some(queue) = self.queues.get(to) else {
+            return;
+        };
         if queue.try_send(event).is_err() {
             self.meter.dropped(to);
         }
@@ -79,7 +83,6 @@
 struct Link {
     own: HostName,
     host: HostAddress,
-    domain: DomainName,
     timing: Timing,
     meter: Arc<LinkMeter>,
     rx: mpsc::Receiver<PeerEvent>,
@@ -119,7 +122,7 @@
                 reply = frames.next() => match reply {
                     Some(Ok(buf)) => {
                         heard = Instant::now();
-                        self.meter.heard(&self.host.name, &self.domain, buf.len());
+                        self.meter.heard(&self.host.name, buf.len());
                         continue;
                     }
                     _ => return true,
@@ -128,8 +131,8 @@
             if heard.elapsed() > silent {
                 return true;
             }
-            let buf = bytes::Bytes::from(frame.encode_to_vec());
-            self.meter.sent(&self.host.name, &self.domain, buf.len());
+            let buf = frame.encoded();
+            self.meter.sent(&self.host.name, buf.len());
             match timeout_at(Instant::now() + silent, frames.send(buf)).await {
                 Ok(Ok(())) => {}
                 _ => return true,
--- a/lib/host/src/replica_handle.rs
+++ b/lib/host/src/replica_handle.rs
@@ -4,7 +4,7 @@
 };
 
 use bytes::Bytes;
-use tarragon_agreement::{Event, MemberStatus, Members, Replica};
+use tarragon_agreement::{Event, MemberStatus, Members, PeerMsg, Replica};
 use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, MemberId, Millis, Term};
@@ -16,20 +16,39 @@
 /// Wait told to callers whose write finds the queue of the replica full, in milliseconds.
 const FULL_RETRY_MS: u64 = 500;
 
+/// A look at the replica from its own thread.
+type Look = Box<dyn FnOnce(&Replica, Millis) + Send>;
+
 /// Input of the replica's thread.
 pub(crate) enum Input {
     /// An event of the agreement.
     Event(Event),
+    /// A message of another replica and the host that it came from.
+    Message {
+        host: HostName,
+        from: MemberId,
+        msg: PeerMsg,
+    },
     /// A record to append.
-    Propose { record: Bytes, waiter: ProposalWaiter },
+    Propose {
+        record: Bytes,
+        waiter: ProposalWaiter,
+    },
     /// A read of the state.
     Read(DoneWaiter),
     /// A change of the member list.
-    Change { members: Members, waiter: DoneWaiter },
+    Change {
+        members: Members,
+        waiter: DoneWaiter,
+    },
     /// A new learner.
-    Join { id: MemberId, host: HostName, waiter: DoneWaiter },
+    Join {
+        id: MemberId,
+        host: HostName,
+        waiter: DoneWaiter,
+    },
     /// A look at the replica.
-    Inspect(Box<dyn FnOnce(&Replica, Millis) + Send>),
+    Inspect(Look),
     /// The end of the thread.
     Stop,
 }
@@ -61,24 +80,24 @@
     }
 
     /// Passes on a message of another replica; it is lost when the queue is full.
-    pub(crate) fn event(&self, event: Event) {
-        let _lost = self.tx.try_send(Input::Event(event));
+    pub(crate) fn message(&self, host: HostName, from: MemberId, msg: PeerMsg) {
+        let _lost = self.tx.try_send(Input::Message { host, from, msg });
     }
 
-    /// Proposes a command without waiting for its result.
-    pub(crate) fn propose_and_forget(&self, at_ms: u64, command: Command) -> Outcome<()> {
-        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: None })
+    /// Proposes a command of the scheduler, which learns of its result as it is applied.
+    pub(crate) fn propose_for_scheduler(&self, at_ms: u64, command: Command) -> Outcome<()> {
+        let record = encode(at_ms, command.clone())?;
+        let waiter = ProposalWaiter::Scheduler(Box::new(command));
+        self.send(Input::Propose { record, waiter })
     }
 
     /// Proposes a command and waits for the result of applying it.
-    pub async fn propose(
-        &self,
-        at_ms: u64,
-        command: Command,
-        limit: Duration,
-    ) -> Outcome<Answer> {
+    pub async fn propose(&self, at_ms: u64, command: Command, limit: Duration) -> Outcome<Answer> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Propose { record: encode(at_ms, command)?, waiter: Some(tx) })?;
+        self.send(Input::Propose {
+            record: encode(at_ms, command)?,
+            waiter: ProposalWaiter::Call(tx),
+        })?;
         match timeout(limit, rx).await {
             Ok(Ok(result)) => result,
             _ => Err(Failure::of(Code::NotConfirmed)),
@@ -95,14 +114,21 @@
     /// Changes the member list.
     pub async fn change_members(&self, members: Members, limit: Duration) -> Outcome<()> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Change { members, waiter: tx })?;
+        self.send(Input::Change {
+            members,
+            waiter: tx,
+        })?;
         wait(rx, limit).await
     }
 
     /// Adds a learner.
     pub async fn join(&self, id: MemberId, host: HostName, limit: Duration) -> Outcome<()> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Join { id, host, waiter: tx })?;
+        self.send(Input::Join {
+            id,
+            host,
+            waiter: tx,
+        })?;
         wait(rx, limit).await
     }
 
@@ -123,7 +149,7 @@
 
     /// Asks the replica to hand leadership over, if it leads.
     pub(crate) fn transfer(&self) {
-        self.event(Event::TransferLeadership);
+        let _lost = self.tx.try_send(Input::Event(Event::TransferLeadership));
     }
 
     /// Ends the thread.
--- a/lib/host/src/worker_gateway.rs
+++ b/lib/host/src/worker_gateway.rs
@@ -14,6 +14,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::LinkMeter;
+
 /// Shards of the table of connections.
 const SHARDS: usize = 16;
 
@@ -32,6 +34,7 @@
     connections: Sharded<HashMap<WorkerName, Connection>>,
     silent: Duration,
     capacity: Arc<Semaphore>,
+    meter: Arc<LinkMeter>,
 }
 
 #[derive(Debug)]
@@ -42,11 +45,12 @@
 
 impl WorkerGateway {
     /// A gateway that closes connections on which nothing arrives for `silent`.
-    pub fn new(silent: Duration, max_connections: usize) -> Self {
+    pub fn new(silent: Duration, max_connections: usize, meter: Arc<LinkMeter>) -> Self {
         Self {
             connections: Sharded::new(SHARDS, |_| HashMap::new()),
             silent,
             capacity: Arc::new(Semaphore::new(max_connections)),
+            meter,
         }
     }
 
@@ -88,7 +92,9 @@
         while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
             let Ok((stream, _)) = accepted else { continue };
             // Beyond the bound the connection is closed at once and the worker tries another host.
-            let Ok(permit) = Arc::clone(&self.capacity).try_acquire_owned() else { continue };
+            let Ok(permit) = Arc::clone(&self.capacity).try_acquire_owned() else {
+                continue;
+            };
             generation += 1;
             let (gateway, sink, stop) = (Arc::clone(&self), Arc::clone(&sink), stop.clone());
             tokio::spawn(async move {
@@ -111,11 +117,14 @@
             tokio::select! {
                 order = rx.recv() => {
                     let Some(order) = order else { break };
-                    let sent = tarragon_wire::write(&mut frames, &DownFrame::new(&order));
-                    let Ok(Ok(())) = timeout(self.silent, sent).await else { break };
+                    let frame = DownFrame::new(&order);
+                    self.meter.worker_frame(frame.len());
+                    let sent = timeout(self.silent, tarragon_wire::write(&mut frames, &frame));
+                    let Ok(Ok(())) = sent.await else { break };
                 }
                 frame = timeout(self.silent, tarragon_wire::read::<_, UpFrame>(&mut frames)) => {
                     let Ok(Ok(Some(frame))) = frame else { break };
+                    self.meter.worker_frame(frame.len());
                     let Ok((worker, report)) = frame.parts() else { break };
                     if known.is_none() {
                         self.connect(&worker, generation, &tx);
@@ -137,13 +146,20 @@
 
     /// Makes this the connection of the worker; an older one gets no more orders.
     fn connect(&self, worker: &WorkerName, generation: u64, tx: &mpsc::Sender<WorkerOrder>) {
-        let connection = Connection { generation, tx: tx.clone() };
-        self.connections.with(worker, |shard| shard.insert(worker.clone(), connection));
+        let connection = Connection {
+            generation,
+            tx: tx.clone(),
+        };
+        self.connections
+            .with(worker, |shard| shard.insert(worker.clone(), connection));
     }
 
     fn disconnect(&self, worker: &WorkerName, generation: u64) {
         self.connections.with(worker, |shard| {
-            if shard.get(worker).is_some_and(|connection| connection.generation == generation) {
+            if shard
+                .get(worker)
+                .is_some_and(|connection| connection.generation == generation)
+            {
                 shard.remove(worker);
             }
         });
