--- a/lib/settings/src/lib.rs
+++ b/lib/settings/src/lib.rs
@@ -6,6 +6,7 @@
 mod document;
 mod executor_group;
 mod fault;
+mod fault_kind;
 mod host_address;
 mod host_settings;
 mod key;
@@ -24,6 +25,7 @@
 
 pub use executor_group::ExecutorGroup;
 pub use fault::Fault;
+pub use fault_kind::FaultKind;
 pub use host_address::HostAddress;
 pub use host_settings::HostSettings;
 pub use key::Key;
@@ -35,5 +37,5 @@
 pub use standin_settings::StandinSettings;
 pub use timing::Timing;
 pub use token::Token;
-pub use worker_fault::{FaultKind, WorkerFault};
+pub use worker_fault::WorkerFault;
 pub use worker_group::WorkerGroup;
--- a/lib/timeline/src/lib.rs
+++ b/lib/timeline/src/lib.rs
@@ -8,6 +8,7 @@
 mod event_id;
 mod filter;
 mod merge;
+mod merged;
 mod offsets;
 mod picture;
 mod record;
@@ -15,7 +16,8 @@
 
 pub use event_id::EventId;
 pub use filter::Filter;
-pub use merge::{Merge, Merged};
+pub use merge::Merge;
+pub use merged::Merged;
 pub use picture::{html, svg};
 pub use record::Record;
 pub use text::{json, text};
--- a/lib/timeline/src/merge.rs
+++ b/lib/timeline/src/merge.rs
@@ -2,7 +2,7 @@
 
 use tarragon_codes::Failure;
 
-use crate::{Record, edges::edges, offsets::times};
+use crate::{Merged, Record, edges::edges, offsets::times};
 
 /// Collects the logs of all processes.
 #[derive(Clone, Debug, Default)]
@@ -11,15 +11,6 @@
     unread: Vec<Failure>,
 }
 
-/// An event in its place.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Merged {
-    /// The event.
-    pub record: Record,
-    /// Corrected time in milliseconds.
-    pub at: i64,
-}
-
 impl Merge {
     /// Takes the text of a log file.
     ///
