host: replace lost voters and find the next leader sooner

Cause: after the loss of a host the group stays one failure away from a stop until somebody acts, and a host whose leader fell silent asked it again as soon as another host still named it. Change: the leader replaces a voter that was silent for replace_after by a learner that holds the state, keeping the spread over failure domains; a leader that just failed is tried last.

--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -25,7 +25,9 @@
 use crate::{
     CatalogueView, Clock, ControlClients, ControlPeers, ControlServer, FreshEntries, HostBackend,
     HostCore, Inbound, LeaderCalls, LeaderHint, LinkMeter, Links, LogKeys, OrderRoutes,
-    PeerListener, PeerSink, ReportSink, SystemClock, WorkerGateway, metrics_page,
+    PeerListener, PeerSink, ReportSink, SystemClock, WorkerGateway,
+    member_repair::repair_members,
+    metrics_page,
     replica_runtime::{ReplicaRuntime, Surroundings, join_group},
 };
 
@@ -184,6 +186,7 @@
         ));
         let (proxy, proxy_stop) = (Arc::clone(&self.proxy), stop.clone());
         tasks.spawn(async move { proxy.run(proxy_stop).await });
+        tasks.spawn(repair_members(Arc::clone(&self.core), stop.clone()));
         if let Some(replica) = replica.as_ref().filter(|replica| replica.is_new) {
             tasks.spawn(join_group(
                 Arc::clone(&self.core),
--- a/lib/host/src/leader_calls.rs
+++ b/lib/host/src/leader_calls.rs
@@ -3,7 +3,7 @@
 use futures::future::BoxFuture;
 use tarpc::{client::RpcError, context::Context};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::HostName;
+use tarragon_names::{HostName, Term};
 use tarragon_wire::control::ControlClient;
 use tokio::time::{Instant, sleep};
 
@@ -51,6 +51,7 @@
         let deadline = Instant::now() + limit;
         let mut ambiguous = false;
         let mut turn = 0;
+        let mut failed = None;
         loop {
             let left = deadline
                 .saturating_duration_since(Instant::now())
@@ -63,7 +64,7 @@
                 }));
             }
             let Some(host) = self.hint.get() else {
-                self.find_leader(turn, left).await;
+                self.find_leader(turn, left, failed.as_ref()).await;
                 turn += 1;
                 continue;
             };
@@ -79,6 +80,8 @@
             match result {
                 Err(failure) if is_about_leader(failure.code) => {
                     ambiguous |= failure.code == Code::NotConfirmed;
+                    failed = self.hint.with_term().filter(|(_, leader)| *leader == host);
+                    turn = 0;
                     self.hint.forget(&host);
                     sleep(RETRY.min(left)).await;
                 }
@@ -88,7 +91,10 @@
     }
 
     /// Asks one replica after the other who leads.
-    async fn find_leader(&self, turn: usize, left: Duration) {
+    ///
+    /// A leader that just failed is taken again only after every replica was asked, because some
+    /// learn of its successor later than others.
+    async fn find_leader(&self, turn: usize, left: Duration, failed: Option<&(Term, HostName)>) {
         let Some(host) = self.replicas.get(turn % self.replicas.len().max(1)) else {
             sleep(left).await;
             return;
@@ -100,8 +106,10 @@
                     left,
                     |client, cx| async move { client.leader(cx).await },
                 );
-            if let Ok(Some((term, leader))) = asked.await {
-                self.hint.set(term, &leader);
+            if let Ok(Some(found)) = asked.await
+                && (failed != Some(&found) || turn >= self.replicas.len())
+            {
+                self.hint.set(found.0, &found.1);
                 return;
             }
         }
--- a/lib/host/src/leader_hint.rs
+++ b/lib/host/src/leader_hint.rs
@@ -26,6 +26,11 @@
         });
     }
 
+    /// Forgets the leader, because this replica stopped hearing from it.
+    pub fn clear(&self) {
+        self.0.store(None);
+    }
+
     /// Forgets the leader if it is still `host`, because a call to it failed.
     pub fn forget(&self, host: &HostName) {
         self.0.rcu(|known| match known {
--- a/lib/host/src/local_leader.rs
+++ b/lib/host/src/local_leader.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use tarragon_agreement::{Member, Role};
+use tarragon_agreement::{Member, MemberStatus, Role};
 use tarragon_cell::{Answer, Cell, Command, Query, QueryAnswer};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, JobId, MemberId, Millis, Revision};
@@ -128,6 +128,12 @@
         })
     }
 
+    /// State of each member as this leader knows it.
+    pub async fn member_status(&self) -> Outcome<Vec<MemberStatus>> {
+        self.replica.read(READ_LIMIT).await?;
+        Ok(self.replica.status(READ_LIMIT).await?.status)
+    }
+
     /// Adds a learner.
     pub async fn join(&self, host: HostName, member: MemberId, limit: Duration) -> Outcome<()> {
         self.replica.join(member, host, limit).await
@@ -152,6 +158,10 @@
             .get(&add)
             .cloned()
             .ok_or_else(|| unknown(add))?;
+        // A repeat after a lost answer finds the change made.
+        if !members.by_id.contains_key(&remove) && members.is_voter(add) {
+            return Ok(());
+        }
         if !members.by_id.contains_key(&remove) {
             return Err(unknown(remove));
         }
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -259,7 +259,7 @@
                 );
                 self.parts.hint.set(term, &leader);
             }
-            Action::LeaderChanged { leader: None, .. } => {}
+            Action::LeaderChanged { leader: None, .. } => self.parts.hint.clear(),
         }
         Ok(())
     }
