routing: free slots of lost requests by the executor's list

Under steady load a lost request kept its slot until the executor reported fewer busy slots than had been lost, so an executor that drops some requests was used by half. Executors now list the ids of running requests; a slot is freed as soon as a later report lacks its request. Executors without the list are counted as before.

--- a/lib/proxy/src/dispatch.rs
+++ b/lib/proxy/src/dispatch.rs
@@ -8,7 +8,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, Millis, PoolName};
 use tarragon_routing::{
-    Admission, Choice, Grant, RequestEnd, RetryBudget, Router, RoutingConfig, Target,
+    Admission, Choice, Grant, RequestEnd, RequestIds, RetryBudget, Router, RoutingConfig, Target,
 };
 use tarragon_shard::Sharded;
 use tokio::{
@@ -51,10 +51,10 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(cfg: RoutingConfig, clock_offset: u64) -> Self {
+    pub(crate) fn new(cfg: RoutingConfig, clock_offset: u64, ids: RequestIds) -> Self {
         Self {
             start: Instant::now(),
-            router: Router::new(cfg, clock_offset),
+            router: Router::new(cfg, clock_offset, ids),
             pools: Sharded::new(SHARDS, |_| HashMap::new()),
         }
     }
--- a/lib/proxy/src/proxy.rs
+++ b/lib/proxy/src/proxy.rs
@@ -10,7 +10,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_front::{ServiceCall, ServiceReply};
 use tarragon_names::{ExecutorName, HostName, Millis, PoolName, Workload};
-use tarragon_routing::{Announcement, AnnouncementReply, ExecutorView, LoadSummary};
+use tarragon_routing::{Announcement, AnnouncementReply, ExecutorView, LoadSummary, RequestIds};
 use tokio::{
     sync::oneshot,
     time::{interval, timeout, timeout_at},
@@ -71,7 +71,11 @@
         // Readings stay far from the limits of the number, so that adding times cannot overflow.
         let clock_offset = cfg.boot >> 8;
         Self {
-            dispatch: Arc::new(Dispatch::new(cfg.routing, clock_offset)),
+            dispatch: Arc::new(Dispatch::new(
+                cfg.routing,
+                clock_offset,
+                RequestIds::new(&cfg.host, cfg.boot),
+            )),
             connections: Arc::new(Connections::new(
                 cfg.idle,
                 cfg.connect_timeout,
@@ -349,12 +353,7 @@
             connections: Arc::clone(&self.connections),
             counters: Arc::clone(&self.counters),
             call: job.call.clone(),
-            id: format!(
-                "{}-{:x}-{}",
-                self.cfg.host,
-                self.cfg.boot,
-                self.next_request()
-            ),
+            id: self.dispatch.router().executors().request_id(slot.grant()),
             deadline: limit,
             late_max: self.cfg.late_max,
         };
--- a/lib/proxy/tests/common/mod.rs
+++ b/lib/proxy/tests/common/mod.rs
@@ -95,6 +95,7 @@
         leaving: false,
         epoch: 1,
         echo: None,
+        running: None,
     }
 }
 
--- a/lib/routing/src/announcement.rs
+++ b/lib/routing/src/announcement.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use tarragon_names::{DomainName, ExecutorName, PoolName};
+use tarragon_names::{DomainName, ExecutorName, Name, PoolName};
 
 /// What an executor says of itself to its home host.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -28,6 +28,12 @@
     /// The lease runs from this reading, so a delayed announcement cannot extend it.
     #[serde(default)]
     pub echo: Option<u64>,
+    /// Ids of the requests that run in it now, from their `X-Tarragon-Request` header.
+    ///
+    /// With them the home frees the slot of a lost request as soon as the request has ended. An
+    /// executor that does not keep them leaves the field out and is counted by `busy` alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<Vec<Name>>,
 }
 
 /// Answer of the home host to an announcement.
--- a/lib/routing/src/executor_table.rs
+++ b/lib/routing/src/executor_table.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
-    sync::atomic::{AtomicBool, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use tarragon_codes::{Code, Failure, Outcome};
@@ -9,7 +9,7 @@
 
 use crate::{
     Announcement, AnnouncementReply, ExecutorView, Grant, HomeExecutor, PoolLoad, RequestEnd,
-    RoutingConfig,
+    RequestIds, RoutingConfig, Running,
 };
 
 /// Shards of the table. A host is home to a dozen executors today and to some hundred at the target.
@@ -37,6 +37,8 @@
 pub struct ExecutorTable {
     cfg: RoutingConfig,
     clock_offset: u64,
+    ids: RequestIds,
+    numbers: AtomicU64,
     moving: AtomicBool,
     shards: Sharded<Shard>,
 }
@@ -46,10 +48,12 @@
     ///
     /// `clock_offset` is drawn at random for each process and added to the readings handed out, so
     /// that a reading of an earlier process or of another host is not taken for one of this process.
-    pub fn new(cfg: RoutingConfig, clock_offset: u64) -> Self {
+    pub fn new(cfg: RoutingConfig, clock_offset: u64, ids: RequestIds) -> Self {
         Self {
             cfg,
             clock_offset,
+            ids,
+            numbers: AtomicU64::new(0),
             moving: AtomicBool::new(false),
             shards: Sharded::new(SHARDS, |_| Shard::default()),
         }
@@ -62,6 +66,7 @@
             .and_then(|echo| echo.checked_sub(self.clock_offset))
             .map(Millis)
             .filter(|echo| *echo <= now);
+        let running = Running::of(&announcement, &self.ids);
         let name = announcement.name.clone();
         self.shards.with(&name, |shard| {
             match shard.executors.get_mut(&name) {
@@ -71,7 +76,9 @@
                         "epoch: a later process of this executor has announced itself",
                     ));
                 }
-                Some(known) => known.announce(announcement, echo, now, &self.cfg),
+                Some(known) => {
+                    known.announce(announcement, echo, running.as_ref(), now, &self.cfg);
+                }
                 None => {
                     let executor = HomeExecutor::new(announcement, now, &self.cfg);
                     shard.executors.insert(name.clone(), executor);
@@ -85,6 +92,11 @@
         })
     }
 
+    /// Id that the request with this slot carries to its executor.
+    pub fn request_id(&self, grant: &Grant) -> String {
+        self.ids.id(grant.number)
+    }
+
     /// Tells executors from now on to find another home, because this host stops.
     pub fn set_moving(&self, moving: bool) {
         self.moving.store(moving, Ordering::Relaxed);
@@ -109,6 +121,7 @@
             let grant = self.shards.with(&name, |shard| {
                 let executor = shard.executors.get_mut(&name)?;
                 executor.take(now).then(|| Grant {
+                    number: self.numbers.fetch_add(1, Ordering::Relaxed) + 1,
                     executor: name.clone(),
                     pool: pool.clone(),
                     epoch: executor.last().epoch,
@@ -142,7 +155,7 @@
             if let Some(executor) = shard.executors.get_mut(&grant.executor)
                 && executor.last().epoch == grant.epoch
             {
-                executor.finish(end, now, &self.cfg);
+                executor.finish(grant.number, end, now, &self.cfg);
             }
         });
     }
--- a/lib/routing/src/grant.rs
+++ b/lib/routing/src/grant.rs
@@ -5,6 +5,8 @@
 /// It is given back with `ExecutorTable::finish`.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Grant {
+    /// Number of the request; no other grant of this process has it.
+    pub number: u64,
     /// The executor.
     pub executor: ExecutorName,
     /// Its pool.
--- a/lib/routing/src/home_executor.rs
+++ b/lib/routing/src/home_executor.rs
@@ -1,6 +1,15 @@
 use tarragon_names::Millis;
 
-use crate::{Announcement, RequestEnd, RoutingConfig, routing_config::AVOID_AFTER};
+use crate::{Announcement, RequestEnd, RoutingConfig, Running, routing_config::AVOID_AFTER};
+
+/// A slot that was given up but may still be in use.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+struct Detached {
+    /// When it was given up; only a report made later can show that it is free.
+    at: Millis,
+    /// Request of this home, or `None` for one of a former home.
+    number: Option<u64>,
+}
 
 /// An executor as its home host counts it.
 ///
@@ -15,9 +24,8 @@
     settles_at: Millis,
     settled: bool,
     in_flight: u32,
-    /// Times at which slots were given up that may still be in use: requests of a former home, and
-    /// requests whose connection ended without a whole answer.
-    detached: Vec<Millis>,
+    /// Slots of a former home, and of requests whose connection ended without a whole answer.
+    detached: Vec<Detached>,
     failures: u32,
     avoided_until: Millis,
     used_at: Millis,
@@ -44,7 +52,8 @@
         executor
     }
 
-    /// Takes a later announcement; `echo` is this host's reading that it echoes, if it is valid.
+    /// Takes a later announcement; `echo` is this host's reading that it echoes, if it is valid, and
+    /// `running` its list of requests, if it has one.
     ///
     /// An announcement of an earlier process changes nothing. One without an echo makes the executor
     /// a newcomer again, since it may have been at another home in between.
@@ -52,6 +61,7 @@
         &mut self,
         announcement: Announcement,
         echo: Option<Millis>,
+        running: Option<&Running>,
         now: Millis,
         cfg: &RoutingConfig,
     ) {
@@ -72,7 +82,7 @@
         };
         let until = echo + cfg.executor_lease;
         self.lease_until = Some(self.lease_until.map_or(until, |old| old.max(until)));
-        self.report(echo);
+        self.report(echo, running);
     }
 
     /// Slots that a new request may take.
@@ -93,8 +103,8 @@
         true
     }
 
-    /// Ends a request that had taken a slot.
-    pub fn finish(&mut self, end: RequestEnd, now: Millis, cfg: &RoutingConfig) {
+    /// Ends the request with this number, which had taken a slot.
+    pub fn finish(&mut self, number: u64, end: RequestEnd, now: Millis, cfg: &RoutingConfig) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match end {
             RequestEnd::Answered => self.failures = 0,
@@ -102,7 +112,10 @@
             RequestEnd::AnsweredFailure => self.failed(1, now, cfg),
             RequestEnd::Unreachable => self.failed(AVOID_AFTER, now, cfg),
             RequestEnd::Lost => {
-                self.detached.push(now);
+                self.detached.push(Detached {
+                    at: now,
+                    number: Some(number),
+                });
                 self.failed(1, now, cfg);
             }
         }
@@ -167,24 +180,40 @@
         self.lease_until = None;
         self.settled = false;
         self.settles_at = now + cfg.newcomer_wait;
-        self.detached = vec![now; self.last.busy as usize];
     }
 
-    /// Takes the number of busy slots, counted by the executor after this host's reading `echo`.
-    fn report(&mut self, echo: Millis) {
-        let busy = self.last.busy as usize;
+    /// Takes the requests that run in the executor, counted after this host's reading `echo`.
+    fn report(&mut self, echo: Millis, running: Option<&Running>) {
         if !self.settled {
-            // Nothing is added to these from `settles_at` on, so every report made since bounds them.
-            self.detached = vec![Millis(self.settles_at.0.saturating_sub(1)); busy];
+            // Own lost requests stay listed by number, so that a list of the others cannot free them.
+            self.detached.retain(|slot| slot.number.is_some());
+            let others = running.map_or(self.last.busy, |running| running.others);
+            self.detached.extend(former(self.settles_at, others));
             self.settled = echo >= self.settles_at;
             return;
         }
-        // Slots given up before the reading are among the busy ones, or free. The report says nothing
-        // about those given up later, or in the same millisecond: their requests may have arrived
-        // after it was made.
-        let known = self.detached.iter().filter(|at| **at < echo).count();
-        self.detached.sort_unstable();
-        self.detached.drain(..known.saturating_sub(busy));
+        // A report says nothing about slots given up after the reading, or in the same millisecond:
+        // their requests may have arrived after it was made.
+        let (mut known, later) = std::mem::take(&mut self.detached)
+            .into_iter()
+            .partition::<Vec<_>, _>(|slot| slot.at < echo);
+        known.sort_unstable();
+        if let Some(running) = running {
+            let mut others = running.others;
+            known.retain(|slot| match slot.number {
+                Some(number) => running.own.contains(&number),
+                None => others.checked_sub(1).is_some_and(|left| {
+                    others = left;
+                    true
+                }),
+            });
+        } else {
+            // Slots given up before the reading are among the busy ones, or free.
+            let ended = known.len().saturating_sub(self.last.busy as usize);
+            known.drain(..ended);
+        }
+        known.extend(later);
+        self.detached = known;
     }
 
     fn failed(&mut self, weight: u32, now: Millis, cfg: &RoutingConfig) {
@@ -197,3 +226,13 @@
         self.avoided_until = now + Millis(pause);
     }
 }
+
+/// Slots that a former home may use. It adds none from `settles_at` on, so that every report made
+/// since then bounds them.
+fn former(settles_at: Millis, busy: u32) -> Vec<Detached> {
+    let slot = Detached {
+        at: Millis(settles_at.0.saturating_sub(1)),
+        number: None,
+    };
+    vec![slot; busy as usize]
+}
--- a/lib/routing/src/router.rs
+++ b/lib/routing/src/router.rs
@@ -1,6 +1,6 @@
 use tarragon_names::{HostName, Millis, PoolName};
 
-use crate::{ExecutorTable, Grant, LoadSummary, RemoteLoads, RoutingConfig};
+use crate::{ExecutorTable, Grant, LoadSummary, RemoteLoads, RequestIds, RoutingConfig};
 
 /// Where a request goes.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -31,9 +31,9 @@
 
 impl Router {
     /// A router that knows no executor; see [`ExecutorTable::new`] for `clock_offset`.
-    pub fn new(cfg: RoutingConfig, clock_offset: u64) -> Self {
+    pub fn new(cfg: RoutingConfig, clock_offset: u64, ids: RequestIds) -> Self {
         Self {
-            executors: ExecutorTable::new(cfg, clock_offset),
+            executors: ExecutorTable::new(cfg, clock_offset, ids),
             loads: RemoteLoads::new(cfg),
         }
     }
--- a/lib/routing/tests/common/mod.rs
+++ b/lib/routing/tests/common/mod.rs
@@ -1,6 +1,10 @@
 //! Announcements for the tests of this crate.
+#![allow(
+    dead_code,
+    reason = "some items are used by one of the test files only"
+)]
 
-use tarragon_routing::Announcement;
+use tarragon_routing::{Announcement, RequestIds};
 
 /// An announcement of process 1 of an executor with two slots.
 pub fn announcement(name: &str, busy: u32, echo: Option<u64>) -> Announcement {
@@ -15,5 +19,11 @@
         leaving: false,
         epoch: 1,
         echo,
+        running: None,
     }
 }
+
+/// Ids of the host under test.
+pub fn ids() -> RequestIds {
+    RequestIds::new(&"h1".into(), 1)
+}
--- a/lib/standin/src/executor_announcer.rs
+++ b/lib/standin/src/executor_announcer.rs
@@ -57,6 +57,7 @@
             leaving,
             epoch,
             echo,
+            running: Some(state.running()),
         };
         let host = client.at(cfg.hosts[home % cfg.hosts.len()]);
         let answer = tokio::select! {
--- a/lib/standin/src/executor_fault.rs
+++ b/lib/standin/src/executor_fault.rs
@@ -6,6 +6,8 @@
     None,
     /// Closes the connection after it has read and run a request.
     DropAfterRead,
+    /// Does the same with each request whose number is a multiple of this one.
+    DropEvery(u64),
     /// Closes the connection in the middle of an answer.
     CutShort,
     /// Connections that are open when the fault begins stay silent; new ones work.
