trial: inject faults, measure rates over the run and test the checks

Rates of control traffic come from two samples around the mix. The trial waits for executors to be in service, because a new home sends nothing for a lease.

--- a/cli/src/trial/checks.rs
+++ b/cli/src/trial/checks.rs
@@ -6,19 +6,10 @@
 use tarragon_codes::Code;
 use tarragon_names::Resources;
 
-use super::{
-    load::has_ended,
-    request_history::RequestHistory,
-    task_history::{TaskHistory, TaskRun},
-    told::{JobTold, RequestTold, Told},
-};
+use super::{JobTold, RequestHistory, RequestTold, TaskHistory, TaskRun, Told, load::has_ended};
 
 /// Every wrong outcome, one line each.
-pub(super) fn wrong_outcomes(
-    told: &Told,
-    tasks: &TaskHistory,
-    requests: &RequestHistory,
-) -> Vec<String> {
+pub fn wrong_outcomes(told: &Told, tasks: &TaskHistory, requests: &RequestHistory) -> Vec<String> {
     let mut wrong = double_runs(tasks);
     wrong.extend(over_commitments(tasks));
     wrong.extend(told.jobs.iter().flat_map(|job| wrong_job(job, tasks)));
--- a/cli/src/trial/deployment.rs
+++ b/cli/src/trial/deployment.rs
@@ -1,13 +1,13 @@
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::TcpListener,
     os::unix::fs::PermissionsExt,
     path::{Path, PathBuf},
 };
 
 use toml::{Table, Value};
 
-use super::example::Example;
+use super::{example::Example, trial_host::TrialHost};
 
 /// Time after which stand-ins end by themselves, should the trial be killed.
 const STANDIN_LIMIT_MS: i64 = 120_000;
@@ -26,16 +26,6 @@
     pub(super) executors: usize,
 }
 
-/// An entry host of the trial.
-#[derive(Clone, Debug)]
-pub(super) struct TrialHost {
-    pub(super) name: String,
-    pub(super) http: SocketAddr,
-    pub(super) settings: PathBuf,
-    /// Whether it belongs to the first group of replicas.
-    pub(super) votes: bool,
-}
-
 impl Deployment {
     /// Writes the settings of an example with counts of stand-ins divided by `scale`.
     pub(super) fn prepare(example: &Example, folder: &Path, scale: i64) -> io::Result<Self> {
@@ -154,6 +144,7 @@
                     let count = group.get("count").and_then(Value::as_integer).unwrap_or(1);
                     let count = (count / scale).max(1);
                     group.insert("count".to_owned(), count.into());
+                    keep_faults_of(group, count);
                     total += count as usize;
                 }
             }
@@ -175,6 +166,18 @@
     }
 }
 
+/// Drops the workers beyond `count` from the faults of a group.
+fn keep_faults_of(group: &mut Table, count: i64) {
+    let Some(Value::Array(faults)) = group.get_mut("faults") else {
+        return;
+    };
+    for fault in faults.iter_mut().filter_map(Value::as_table_mut) {
+        if let Some(Value::Array(workers)) = fault.get_mut("workers") {
+            workers.retain(|worker| worker.as_integer().is_some_and(|worker| worker < count));
+        }
+    }
+}
+
 /// Ports that nothing listens on: four for each host.
 fn free_ports(hosts: usize) -> io::Result<Vec<u16>> {
     let listeners: Vec<_> = (0..4 * hosts)
--- a/cli/src/trial/example.rs
+++ b/cli/src/trial/example.rs
@@ -5,11 +5,9 @@
 
 use serde::{Deserialize, de::DeserializeOwned};
 use tarragon_catalogue::CatalogueEntry;
-use tarragon_cell::Quota;
-use tarragon_names::TeamName;
 use toml::Table;
 
-use super::mix::Mix;
+use super::{mix::Mix, team_quota::TeamQuota};
 
 /// Files of an example deployment.
 #[derive(Debug)]
@@ -26,14 +24,6 @@
     pub(super) mix: Mix,
 }
 
-/// Quota of a team.
-#[derive(Clone, Debug, Deserialize)]
-pub(super) struct TeamQuota {
-    pub(super) team: TeamName,
-    #[serde(flatten)]
-    pub(super) quota: Quota,
-}
-
 #[derive(Deserialize)]
 struct Entries {
     entries: Vec<CatalogueEntry>,
--- a/cli/src/trial/load.rs
+++ b/cli/src/trial/load.rs
@@ -20,9 +20,8 @@
 };
 
 use super::{
-    example::Example,
-    mix::{JobTemplate, RequestTemplate},
-    told::{JobTold, RequestTold, Told},
+    JobTold, RequestTold, Told, example::Example, job_template::JobTemplate,
+    request_template::RequestTemplate,
 };
 
 /// Longest delay from the acceptance of a job to its cancellation.
--- a/cli/src/trial/mod.rs
+++ b/cli/src/trial/mod.rs
@@ -5,14 +5,22 @@
 mod checks;
 mod deployment;
 mod example;
+mod job_template;
+mod job_told;
 mod load;
+mod metrics_sample;
 mod mix;
 mod process;
 mod request_history;
+mod request_template;
+mod request_told;
 mod session;
 mod summary;
 mod task_history;
+mod task_run;
+mod team_quota;
 mod told;
+mod trial_host;
 
 use std::{
     env, fs,
@@ -22,10 +30,18 @@
 };
 
 use getopts::{Matches, Options};
-use tokio::{runtime::Builder, signal::ctrl_c};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+};
 
 use self::{deployment::Deployment, example::Example, load::Load, session::Session};
 
+pub use self::{
+    checks::wrong_outcomes, job_told::JobTold, request_history::RequestHistory,
+    request_told::RequestTold, task_history::TaskHistory, task_run::TaskRun, told::Told,
+};
+
 /// Longest wait for the jobs to end after the last one was sent.
 const SETTLE_LIMIT: Duration = Duration::from_secs(15);
 
@@ -132,11 +148,23 @@
     runtime.block_on(async {
         tokio::select! {
             outcome = trial(plan, &example, deployment, &programs) => outcome,
-            _ = ctrl_c() => Err("interrupted".to_owned()),
+            () = signalled() => Err("interrupted".to_owned()),
         }
     })
 }
 
+/// Waits for the first signal to stop.
+async fn signalled() {
+    let kinds = [SignalKind::interrupt(), SignalKind::terminate()];
+    let [Ok(mut interrupt), Ok(mut terminate)] = kinds.map(signal) else {
+        return;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
 /// The trial itself. Dropping it ends every process that it started.
 async fn trial(
     plan: &Plan,
@@ -152,15 +180,15 @@
     session.start_standins().await?;
     println!("started; sending work for {} s", plan.length.as_secs());
 
+    let before = session.metrics().await;
     let load = Load::new(session.clients(), example.mix.seed);
     let mut told = load.run(example, plan.length).await;
     load::settle(&session.clients()[0], &mut told, SETTLE_LIMIT).await;
-    let pages = session.metrics().await;
+    let after = session.metrics().await;
     let mut wrong = session.stop().await;
     let (tasks, requests) = session.histories()?;
-    wrong.extend(checks::wrong_outcomes(&told, &tasks, &requests));
-    let seconds = plan.length.as_secs_f64();
-    for line in summary::lines(&told, &tasks, &pages, seconds) {
+    wrong.extend(wrong_outcomes(&told, &tasks, &requests));
+    for line in summary::lines(&told, &tasks, [&before, &after]) {
         println!("{line}");
     }
     Ok(wrong)
--- a/cli/src/trial/request_history.rs
+++ b/cli/src/trial/request_history.rs
@@ -5,11 +5,11 @@
 
 /// Requests as the executors saw them.
 #[derive(Debug, Default)]
-pub(super) struct RequestHistory {
+pub struct RequestHistory {
     /// How often each request ran, by the id at the start of its body.
-    pub(super) ran: HashMap<String, u32>,
+    pub ran: HashMap<String, u32>,
     /// Requests beyond the slots and connections beyond the limit of an executor.
-    pub(super) violations: u64,
+    pub violations: u64,
 }
 
 #[derive(Deserialize)]
@@ -21,7 +21,7 @@
 
 impl RequestHistory {
     /// Reads the request log of the stand-ins.
-    pub(super) fn parse(text: &str) -> Result<Self, String> {
+    pub fn parse(text: &str) -> Result<Self, String> {
         let mut history = Self::default();
         for line in text.lines() {
             match serde_json::from_str(line).map_err(|e| format!("request log: {e}: {line}"))? {
--- a/cli/src/trial/session.rs
+++ b/cli/src/trial/session.rs
@@ -10,8 +10,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    deployment::Deployment, example::Example, process::Process, request_history::RequestHistory,
-    task_history::TaskHistory,
+    RequestHistory, TaskHistory, deployment::Deployment, example::Example,
+    metrics_sample::MetricsSample, process::Process,
 };
 
 /// Longest wait for each step of the start.
@@ -109,11 +109,13 @@
             return Err(self.failed("workers", "did not register"));
         }
         let known = until(|| async move {
-            let known = client.executors().await.map_or(0, |all| all.len());
-            known >= executors
+            // A new home sends nothing until the lease at an earlier one would have ended.
+            let all = client.executors().await.unwrap_or_default();
+            let serving = all.iter().filter(|executor| executor.state == "serving");
+            serving.count() >= executors
         });
         if !known.await {
-            return Err(self.failed("executors", "did not announce themselves"));
+            return Err(self.failed("executors", "did not come into service"));
         }
         Ok(())
     }
@@ -126,12 +128,12 @@
     }
 
     /// Metrics pages of all hosts that answer.
-    pub(super) async fn metrics(&self) -> Vec<String> {
+    pub(super) async fn metrics(&self) -> MetricsSample {
         let mut pages = Vec::new();
         for host in &self.deployment.hosts {
             pages.extend(self.client(0).at(host.http).metrics().await);
         }
-        pages
+        MetricsSample::new(pages)
     }
 
     /// Stops everything, stand-ins first, and gives what went wrong.
--- a/cli/src/trial/summary.rs
+++ b/cli/src/trial/summary.rs
@@ -7,17 +7,13 @@
 
 use tarragon_names::Resources;
 
-use super::{task_history::TaskHistory, told::Told};
+use super::{TaskHistory, Told, metrics_sample::MetricsSample};
 
 /// Lines that sum up a trial.
-pub(super) fn lines(
-    told: &Told,
-    tasks: &TaskHistory,
-    pages: &[String],
-    seconds: f64,
-) -> Vec<String> {
+pub(super) fn lines(told: &Told, tasks: &TaskHistory, samples: [&MetricsSample; 2]) -> Vec<String> {
     let mut lines = vec![outcomes("jobs", &job_outcomes(told))];
     lines.push(outcomes("requests", &request_outcomes(told)));
+    lines.extend(causes(told));
     let took = told
         .requests
         .iter()
@@ -38,12 +34,11 @@
     lines.push(format!(
         "packing of workers in use: {cpu:.0}% of processors, {memory:.0}% of memory reserved"
     ));
-    for (what, name) in [("messages", "messages_total"), ("bytes", "bytes_total")] {
-        let (within, across) = control(pages, &format!("tarragon_control_{name}"));
+    let [before, after] = samples;
+    for what in ["messages", "bytes"] {
+        let (within, across) = after.rate_since(before, &format!("tarragon_link_{what}_total"));
         lines.push(format!(
-            "control {what} a second: {:.0} within and {:.0} between failure domains",
-            within / seconds,
-            across / seconds
+            "control {what} a second: {within:.0} within and {across:.0} between failure domains"
         ));
     }
     lines
@@ -87,6 +82,29 @@
     counts
 }
 
+/// The most frequent cause of each code that requests were refused with.
+fn causes(told: &Told) -> Vec<String> {
+    let mut counts: BTreeMap<(u16, &str), u32> = BTreeMap::new();
+    for refusal in told
+        .requests
+        .iter()
+        .filter_map(|request| request.answer.as_ref().err())
+    {
+        *counts
+            .entry((refusal.code.number(), &refusal.cause))
+            .or_default() += 1;
+    }
+    let mut most: BTreeMap<u16, (u32, &str)> = BTreeMap::new();
+    for ((code, cause), count) in counts {
+        let found = most.entry(code).or_default();
+        *found = (*found).max((count, cause));
+    }
+    let lines = most.into_iter();
+    lines
+        .map(|(code, (count, cause))| format!("  {code}, {count} times: {cause}"))
+        .collect()
+}
+
 /// Time from submission to the first start of a task, by class.
 fn waits(told: &Told, tasks: &TaskHistory) -> BTreeMap<String, Vec<Duration>> {
     let mut waits: BTreeMap<String, Vec<Duration>> = BTreeMap::new();
@@ -131,29 +149,6 @@
     (percent(0), percent(1))
 }
 
-/// Sums of a counter over all hosts, within and between failure domains.
-fn control(pages: &[String], name: &str) -> (f64, f64) {
-    let (mut within, mut across) = (0.0, 0.0);
-    for line in pages.iter().flat_map(|page| page.lines()) {
-        let Some(rest) = line
-            .strip_prefix(name)
-            .and_then(|rest| rest.strip_prefix('{'))
-        else {
-            continue;
-        };
-        let Some((labels, value)) = rest.split_once("} ") else {
-            continue;
-        };
-        let value: f64 = value.trim().parse().unwrap_or(0.0);
-        let ends: Vec<_> = labels.split('"').skip(1).step_by(2).collect();
-        match ends.as_slice() {
-            [from, to] if from == to => within += value,
-            _ => across += value,
-        }
-    }
-    (within, across)
-}
-
 fn percentiles(values: &mut [Duration]) -> Option<(Duration, Duration)> {
     values.sort_unstable();
     let at = |percent: usize| values.get((values.len() * percent / 100).min(values.len() - 1));
--- a/cli/src/trial/task_history.rs
+++ b/cli/src/trial/task_history.rs
@@ -3,24 +3,15 @@
 use serde::Deserialize;
 use tarragon_names::Resources;
 
+use super::TaskRun;
+
 /// Starts and ends of tasks as the workers saw them.
 #[derive(Debug, Default)]
-pub(super) struct TaskHistory {
+pub struct TaskHistory {
     /// What each worker offers.
-    pub(super) capacity: HashMap<String, Resources>,
+    pub capacity: HashMap<String, Resources>,
     /// Runs of each task, by the text of its id, in order of time.
-    pub(super) runs: BTreeMap<String, Vec<TaskRun>>,
-}
-
-/// One run of a task.
-#[derive(Clone, Debug)]
-pub(super) struct TaskRun {
-    pub(super) attempt: u32,
-    pub(super) worker: String,
-    pub(super) reserved: Resources,
-    pub(super) began: u64,
-    /// Time and kind of the end; absent while it runs.
-    pub(super) ended: Option<(u64, String)>,
+    pub runs: BTreeMap<String, Vec<TaskRun>>,
 }
 
 #[derive(Deserialize)]
@@ -48,7 +39,7 @@
 
 impl TaskHistory {
     /// Reads the task log of the stand-ins.
-    pub(super) fn parse(text: &str) -> Result<Self, String> {
+    pub fn parse(text: &str) -> Result<Self, String> {
         let mut history = Self::default();
         for line in text.lines() {
             match serde_json::from_str(line).map_err(|e| format!("task log: {e}: {line}"))? {
