--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -25,7 +25,9 @@
 use crate::{
     CatalogueView, Clock, ControlClients, ControlPeers, ControlServer, FreshEntries, HostBackend,
     HostCore, Inbound, LeaderCalls, LeaderHint, LinkMeter, Links, LogKeys, OrderRoutes,
-    PeerListener, PeerSink, ReportSink, SystemClock, WorkerGateway, metrics_page,
+    PeerListener, PeerSink, ReportSink, SystemClock, WorkerGateway,
+    member_repair::repair_members,
+    metrics_page,
     replica_runtime::{ReplicaRuntime, Surroundings, join_group},
 };
 
@@ -63,16 +65,22 @@
         .hosts
         .iter()
         .map(|host| (host.name.clone(), host.domain.clone()));
-    let meter = Arc::new(LinkMeter::new(hosts));
+    let meter = Arc::new(LinkMeter::new(
+        cfg.name.clone(),
+        &cfg.domain,
+        hosts,
+        &metrics,
+    ));
     // The links outlive the planned stop's first steps, since requests in flight need them.
     let links_stop = CancellationToken::new();
     let links = Arc::new(Links::start(&cfg, Arc::clone(&meter), &links_stop));
     let hint = Arc::new(LeaderHint::default());
-    let clients = Arc::new(ControlClients::new(&cfg));
+    let clients = Arc::new(ControlClients::new(&cfg, Arc::clone(&meter)));
     let silent = Duration::from_millis(cfg.timing.worker_beat.0 * WORKER_SILENT_BEATS);
     let gateway = Arc::new(WorkerGateway::new(
         silent,
         cfg.limits.max_connections as usize,
+        Arc::clone(&meter),
     ));
     let routes = Arc::new(OrderRoutes::new(Arc::clone(&gateway), Arc::clone(&links)));
 
@@ -178,6 +186,7 @@
         ));
         let (proxy, proxy_stop) = (Arc::clone(&self.proxy), stop.clone());
         tasks.spawn(async move { proxy.run(proxy_stop).await });
+        tasks.spawn(repair_members(Arc::clone(&self.core), stop.clone()));
         if let Some(replica) = replica.as_ref().filter(|replica| replica.is_new) {
             tasks.spawn(join_group(
                 Arc::clone(&self.core),
--- a/lib/host/src/leader_hint.rs
+++ b/lib/host/src/leader_hint.rs
@@ -19,13 +19,18 @@
     }
 
     /// Notes a leader; an older term changes nothing.
-    pub fn set(&self, term: Term, leader: HostName) {
+    pub fn set(&self, term: Term, leader: &HostName) {
         self.0.rcu(|known| match known {
             Some(known) if known.0 > term => Some(Arc::clone(known)),
             _ => Some(Arc::new((term, leader.clone()))),
         });
     }
 
+    /// Forgets the leader, because this replica stopped hearing from it.
+    pub fn clear(&self) {
+        self.0.store(None);
+    }
+
     /// Forgets the leader if it is still `host`, because a call to it failed.
     pub fn forget(&self, host: &HostName) {
         self.0.rcu(|known| match known {
