--- a/cli/src/ctl/context.rs
+++ b/cli/src/ctl/context.rs
@@ -128,11 +128,14 @@
     })
 }
 
-/// The same failure with the id to repeat the call with, where its outcome is not known.
+/// The failure of a write, with the id to repeat the write with where its outcome is not known.
+///
+/// The client sends a write with an id to another host after the answer of the first one is lost,
+/// so an unreachable last host does not say that nothing was written.
 pub(super) fn with_id(failure: Failure, option: &str, id: &str) -> Failure {
     if failure.code == Code::NotConfirmed || failure.code == Code::HostUnreachable {
         let cause = format!("{}; repeat with --{option} {id}", failure.cause);
-        return Failure { cause, ..failure };
+        return Failure::new(Code::NotConfirmed, cause);
     }
     failure
 }
--- a/cli/tests/ctl_usage.rs
+++ b/cli/tests/ctl_usage.rs
@@ -26,6 +26,7 @@
     bad_kind = { "submit a --kind tiny --host 127.0.0.1:1", 2 },
     no_operand = { "quota get --host 127.0.0.1:1", 2 },
     nobody_listens = { "hosts --host 127.0.0.1:1", 4 },
+    write_to_nobody = { "submit a --host 127.0.0.1:1", 3 },
     not_ready = { "ready --host 127.0.0.1:1", 5 },
 )]
 fn exit_code(line: &str, code: i32) {
