cli: run faults of real processes against a deployment

Cause: the promises have to be judged from outside, with processes that die, pause and lose disks. Change: nine cases over nine hosts, workers and executors on loopback under the example's mix; the trial's session can signal, kill and restart its processes.

--- a/cli/src/trial/deployment.rs
+++ b/cli/src/trial/deployment.rs
@@ -16,19 +16,19 @@
 
 /// Settings of a deployment on free ports, written into a folder.
 #[derive(Debug)]
-pub(super) struct Deployment {
+pub struct Deployment {
     folder: PathBuf,
     /// Entry hosts.
-    pub(super) hosts: Vec<TrialHost>,
+    pub hosts: Vec<TrialHost>,
     /// Workers that the stand-ins pretend to be.
-    pub(super) workers: usize,
+    pub workers: usize,
     /// Executors that the stand-ins pretend to be.
-    pub(super) executors: usize,
+    pub executors: usize,
 }
 
 impl Deployment {
     /// Writes the settings of an example with counts of stand-ins divided by `scale`.
-    pub(super) fn prepare(example: &Example, folder: &Path, scale: i64) -> io::Result<Self> {
+    pub fn prepare(example: &Example, folder: &Path, scale: i64) -> io::Result<Self> {
         for part in ["data", "logs", "settings"] {
             fs::create_dir_all(folder.join(part))?;
         }
@@ -61,27 +61,32 @@
     }
 
     /// Token of the operators.
-    pub(super) fn token() -> &'static str {
+    pub fn token() -> &'static str {
         TOKEN
     }
 
     /// File with what a process prints.
-    pub(super) fn output(&self, name: &str) -> PathBuf {
+    pub fn output(&self, name: &str) -> PathBuf {
         self.folder.join("logs").join(format!("{name}.out"))
     }
 
+    /// Data folder of a host.
+    pub fn data(&self, name: &str) -> PathBuf {
+        self.folder.join("data").join(name)
+    }
+
     /// Settings of a stand-in process.
-    pub(super) fn standin(&self, name: &str) -> PathBuf {
+    pub fn standin(&self, name: &str) -> PathBuf {
         self.folder.join("settings").join(format!("{name}.toml"))
     }
 
     /// Log of starts and ends of tasks.
-    pub(super) fn task_log(&self) -> PathBuf {
+    pub fn task_log(&self) -> PathBuf {
         self.folder.join("tasks.jsonl")
     }
 
     /// Log of the requests that executors ran.
-    pub(super) fn request_log(&self) -> PathBuf {
+    pub fn request_log(&self) -> PathBuf {
         self.folder.join("requests.jsonl")
     }
 
@@ -99,7 +104,7 @@
             }
         }
         if settings.contains_key("data_dir") {
-            let data = self.folder.join("data").join(&name);
+            let data = self.data(&name);
             settings.insert("data_dir".to_owned(), path_value(&data));
         }
         let token = path_value(&self.folder.join("token"));
--- a/cli/src/trial/example.rs
+++ b/cli/src/trial/example.rs
@@ -10,18 +10,18 @@
 use super::{mix::Mix, team_quota::TeamQuota};
 
 /// Files of an example deployment.
-#[derive(Debug)]
-pub(super) struct Example {
+#[derive(Clone, Debug)]
+pub struct Example {
     /// Settings of each host.
-    pub(super) hosts: Vec<Table>,
+    pub hosts: Vec<Table>,
     /// Settings of the stand-ins.
-    pub(super) standin: Table,
+    pub standin: Table,
     /// Catalogue.
-    pub(super) entries: Vec<CatalogueEntry>,
+    pub entries: Vec<CatalogueEntry>,
     /// Quotas.
-    pub(super) quotas: Vec<TeamQuota>,
+    pub quotas: Vec<TeamQuota>,
     /// Work that callers send.
-    pub(super) mix: Mix,
+    pub mix: Mix,
 }
 
 #[derive(Deserialize)]
@@ -36,7 +36,7 @@
 
 impl Example {
     /// Reads the folder of an example.
-    pub(super) fn load(folder: &Path) -> Result<Self, String> {
+    pub fn load(folder: &Path) -> Result<Self, String> {
         let mut paths: Vec<PathBuf> = fs::read_dir(folder.join("hosts"))
             .map_err(|e| format!("{}: {e}", folder.join("hosts").display()))?
             .filter_map(|file| Some(file.ok()?.path()))
@@ -53,7 +53,7 @@
     }
 
     /// Whether the requests of this name may be sent more than once.
-    pub(super) fn is_repeatable(&self, name: &str) -> bool {
+    pub fn is_repeatable(&self, name: &str) -> bool {
         let exact = |entry: &&CatalogueEntry| entry.pattern.to_string() == name;
         self.entries
             .iter()
--- a/cli/src/trial/metrics_sample.rs
+++ b/cli/src/trial/metrics_sample.rs
@@ -2,14 +2,14 @@
 
 /// Metrics pages of all hosts at a time.
 #[derive(Clone, Debug)]
-pub(super) struct MetricsSample {
+pub struct MetricsSample {
     taken: Instant,
     pages: Vec<String>,
 }
 
 impl MetricsSample {
     /// A sample that was taken just now.
-    pub(super) fn new(pages: Vec<String>) -> Self {
+    pub fn new(pages: Vec<String>) -> Self {
         Self {
             taken: Instant::now(),
             pages,
@@ -17,7 +17,7 @@
     }
 
     /// Increase a second of a counter of links, within and between failure domains.
-    pub(super) fn rate_since(&self, before: &Self, name: &str) -> (f64, f64) {
+    pub fn rate_since(&self, before: &Self, name: &str) -> (f64, f64) {
         let seconds = self.taken.duration_since(before.taken).as_secs_f64();
         let (within, across) = self.sums(name);
         let (earlier_within, earlier_across) = before.sums(name);
--- a/cli/src/trial/task_history.rs
+++ b/cli/src/trial/task_history.rs
@@ -41,9 +41,11 @@
     /// Reads the task log of the stand-ins.
     pub fn parse(text: &str) -> Result<Self, String> {
         let mut history = Self::default();
+        let mut latest = 0;
         for line in text.lines() {
             match serde_json::from_str(line).map_err(|e| format!("task log: {e}: {line}"))? {
                 Line::Worker { worker, capacity } => {
+                    history.end_killed_runs(&worker, latest);
                     history.capacity.insert(worker, capacity);
                 }
                 Line::Start {
@@ -53,6 +55,7 @@
                     ms,
                     reserved,
                 } => {
+                    latest = latest.max(ms);
                     history.runs.entry(task).or_default().push(TaskRun {
                         attempt,
                         worker,
@@ -68,6 +71,7 @@
                     ms,
                     end,
                 } => {
+                    latest = latest.max(ms);
                     let runs = history.runs.get_mut(&task).into_iter().flatten();
                     let run = runs.rev().find(|run| {
                         run.attempt == attempt && run.worker == worker && run.ended.is_none()
@@ -85,6 +89,15 @@
         Ok(history)
     }
 
+    /// Ends the runs of a worker that was killed, at the last time that the log shows before the
+    /// worker began anew.
+    fn end_killed_runs(&mut self, worker: &str, at: u64) {
+        let runs = self.runs.values_mut().flatten();
+        for run in runs.filter(|run| run.worker == worker && run.ended.is_none()) {
+            run.ended = Some((at.max(run.began), "killed".to_owned()));
+        }
+    }
+
     /// Runs of all tasks of a job.
     pub(super) fn of_job(&self, job: &str) -> impl Iterator<Item = (&String, &Vec<TaskRun>)> {
         let prefix = format!("{job}.");
--- a/cli/src/trial/team_quota.rs
+++ b/cli/src/trial/team_quota.rs
@@ -4,8 +4,8 @@
 
 /// Quota of a team.
 #[derive(Clone, Debug, Deserialize)]
-pub(super) struct TeamQuota {
-    pub(super) team: TeamName,
+pub struct TeamQuota {
+    pub team: TeamName,
     #[serde(flatten)]
-    pub(super) quota: Quota,
+    pub quota: Quota,
 }
--- /dev/null
+++ b/cli/tests/real_processes.rs
@@ -0,0 +1,189 @@
+//! Faults of real processes on loopback, judged from what callers, workers and executors saw.
+//!
+//! Guards against accepted work that is lost or runs twice, workers that get more than they hold,
+//! and answers that contradict what ran, when a process dies, pauses, loses its disk or stops.
+
+mod support;
+
+use std::{fs, time::Duration};
+
+use nix::sys::signal::Signal;
+use support::Cell;
+use tarragon_cli::trial::{Load, Told, settle};
+use tarragon_codes::Code;
+use tokio::{
+    runtime::Runtime,
+    sync::Mutex,
+    time::{sleep, timeout},
+};
+use yare::parameterized;
+
+/// Deployments run one after the other, since each uses eleven processes.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
+/// Worker lease of these tests, so that pauses beyond it stay short.
+const WORKER_LEASE_MS: i64 = 4_000;
+
+/// A pause longer than the leases of workers, leader and catalogue.
+const PAUSE: Duration = Duration::from_millis(6_500);
+
+/// Length of the load, long enough for the fault and what follows.
+const LOAD: Duration = Duration::from_secs(12);
+
+/// Time from the start of the load to the fault.
+const BEFORE_FAULT: Duration = Duration::from_secs(2);
+
+/// Longest wait for the jobs to end after the load.
+const SETTLE: Duration = Duration::from_secs(60);
+
+/// Longest run of one case; only a hang reaches it.
+const CASE_LIMIT: Duration = Duration::from_secs(240);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    KillLeader,
+    KillLeaderTwice,
+    PauseLeader,
+    PauseWorkers,
+    KillWorkers,
+    LoseDisk,
+    LoseTwoVotersOneAfterTheOther,
+    StopEntryHost,
+    StopLeader,
+}
+
+impl Fault {
+    async fn inject(self, cell: &mut Cell) {
+        sleep(BEFORE_FAULT).await;
+        match self {
+            Self::KillLeader => kill_leader(cell).await,
+            Self::KillLeaderTwice => {
+                kill_leader(cell).await;
+                kill_leader(cell).await;
+            }
+            Self::PauseLeader => {
+                let leader = cell.with_role("leader").await;
+                pause(cell, &leader).await;
+            }
+            Self::PauseWorkers => pause(cell, "workers").await,
+            Self::KillWorkers => {
+                // Killed and started again, so that leases end and the workers come back empty.
+                cell.session.replace_standin("workers").await.unwrap();
+            }
+            Self::LoseDisk => {
+                let voter = cell.with_role("voter").await;
+                lose_disk(cell, &voter).await;
+            }
+            Self::LoseTwoVotersOneAfterTheOther => {
+                let first = cell.with_role("voter").await;
+                lose_disk(cell, &first).await;
+                let name = first.clone();
+                cell.wait_until("the repair", move |hosts| {
+                    hosts
+                        .iter()
+                        .filter(|host| host.role != "entry" && host.reachable)
+                        .count()
+                        >= 6
+                        && hosts
+                            .iter()
+                            .any(|host| host.name.as_str() == name && host.reachable)
+                })
+                .await;
+                let second = cell.with_role("voter").await;
+                cell.kill(&second).await;
+            }
+            Self::StopEntryHost => {
+                let host = cell.with_role("entry").await;
+                assert!(cell.stop(&host).await, "{host} did not stop as planned");
+                cell.session.restart(&host).unwrap();
+            }
+            Self::StopLeader => {
+                let host = cell.with_role("leader").await;
+                assert!(cell.stop(&host).await, "{host} did not stop as planned");
+                cell.session.restart(&host).unwrap();
+            }
+        }
+    }
+
+    /// Whether a caller may be told that an outcome is not known.
+    fn may_lose_answers(self) -> bool {
+        !matches!(
+            self,
+            Self::StopEntryHost | Self::StopLeader | Self::PauseWorkers
+        )
+    }
+}
+
+async fn kill_leader(cell: &mut Cell) {
+    let leader = cell.with_role("leader").await;
+    cell.kill(&leader).await;
+    sleep(Duration::from_secs(1)).await;
+    cell.session.restart(&leader).unwrap();
+}
+
+async fn pause(cell: &mut Cell, name: &str) {
+    cell.signal(name, Signal::SIGSTOP);
+    sleep(PAUSE).await;
+    cell.signal(name, Signal::SIGCONT);
+}
+
+async fn lose_disk(cell: &mut Cell, host: &str) {
+    cell.kill(host).await;
+    fs::remove_dir_all(cell.session.data(host)).unwrap();
+    cell.session.restart(host).unwrap();
+}
+
+#[parameterized(
+    leader_is_killed = { Fault::KillLeader },
+    two_leaders_are_killed = { Fault::KillLeaderTwice },
+    leader_is_paused_beyond_its_leases = { Fault::PauseLeader },
+    workers_are_paused_beyond_their_lease = { Fault::PauseWorkers },
+    workers_are_killed_and_come_back = { Fault::KillWorkers },
+    voter_loses_its_disk = { Fault::LoseDisk },
+    second_voter_is_lost_right_after_the_repair = { Fault::LoseTwoVotersOneAfterTheOther },
+    entry_host_stops_as_planned = { Fault::StopEntryHost },
+    leader_stops_as_planned = { Fault::StopLeader },
+)]
+fn work_is_done_once(fault: Fault) {
+    let case = async {
+        let timing = [
+            ("worker_lease_ms", WORKER_LEASE_MS),
+            ("replace_after_ms", 2_000),
+        ];
+        let mut cell = Cell::start(&timing).await;
+        let load = Load::new(cell.session.clients(), 7);
+        let example = cell.example.clone();
+        let (mut told, ()) = tokio::join!(load.run(&example, LOAD), fault.inject(&mut cell));
+        settle(&cell.session.clients()[0], &mut told, SETTLE).await;
+        let unknown = unknown_answers(&told);
+        assert!(
+            fault.may_lose_answers() || unknown.is_empty(),
+            "{unknown:?}"
+        );
+        let wrong = cell.verdict(&told).await;
+        assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    };
+    Runtime::new().unwrap().block_on(async {
+        let _one = ONE_AT_A_TIME.lock().await;
+        assert!(timeout(CASE_LIMIT, case).await.is_ok(), "the case hangs");
+    });
+}
+
+/// Requests whose callers were told that the outcome is not known or that the host is gone.
+fn unknown_answers(told: &Told) -> Vec<String> {
+    let lost = [
+        Code::NotKnown,
+        Code::CutShort,
+        Code::HostUnreachable,
+        Code::NotConfirmed,
+    ];
+    told.requests
+        .iter()
+        .filter_map(|request| match &request.answer {
+            Err(failure) if lost.contains(&failure.code) => {
+                Some(format!("{}: {failure}", request.id))
+            }
+            _ => None,
+        })
+        .collect()
+}
