--- a/lib/agreement/src/peer_msg.rs
+++ b/lib/agreement/src/peer_msg.rs
@@ -16,7 +16,7 @@
 }
 
 /// Message between replicas. `term` is always the sender's current term.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum PeerMsg {
     /// Asks for a vote; with `pre` set nothing is recorded and terms do not change.
     Vote {
