--- a/lib/agreement/src/action.rs
+++ b/lib/agreement/src/action.rs
@@ -70,7 +70,11 @@
         /// Index that reflects it.
         index: LogIndex,
     },
-    /// The request was refused, because this replica does not lead or a change is under way.
+    /// The request was refused, because this replica does not lead, is busy (`leader` is itself
+    /// then), or a member change is not permitted.
+    ///
+    /// A member change that was under way when leadership was lost ends like this too. It may
+    /// still take effect; the member list tells.
     Refused {
         /// Token of the request.
         token: Token,
--- a/lib/agreement/src/leader.rs
+++ b/lib/agreement/src/leader.rs
@@ -130,6 +130,11 @@
     pub(crate) fn change_members(&mut self, core: &mut Core, token: Token, target: Members) {
         let deadline = core.now + core.cfg.catch_up;
         let current = core.log.members();
+        if self.ready && self.change.is_none() && *current == target {
+            let index = core.commit;
+            core.out.push(Action::Done { token, index });
+            return;
+        }
         let plan = Change::plan(token, core.id, current, target, core.commit, deadline);
         let idle = self.ready && self.change.is_none() && self.transfer.is_none();
         let Some(change) = plan.filter(|_| idle) else {
--- a/lib/agreement/tests/group/random.rs
+++ b/lib/agreement/tests/group/random.rs
@@ -82,7 +82,8 @@
         }
     }
 
-    /// Loses the disk of a learner, or makes a learner a voter in place of this host's voter.
+    /// Makes a learner a voter in place of this host's voter, or loses the disk of a host that is
+    /// no member, or adds the host as a learner.
     fn replace_or_lose(&mut self, name: &str) {
         let Some((leader, mut members)) = self.leading() else {
             return;
@@ -100,7 +101,13 @@
                 self.cluster.step(&leader, event);
             }
             // The list of the leader may be older than the role of the host.
-            (None, _) if self.is_no_voter_anywhere(id) => self.cluster.lose_disk(name),
+            (None, _) if self.is_no_voter_anywhere(id) => {
+                self.cluster.lose_disk(name);
+                let (token, id) = (self.cluster.next_token(), self.cluster.host(name).id);
+                let host = HostName::from(name);
+                let event = Event::AddLearner { token, id, host };
+                self.cluster.step(&leader, event);
+            }
             _ => {}
         }
     }
--- a/lib/storage/examples/commit_cost.rs
+++ b/lib/storage/examples/commit_cost.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use tarragon_agreement::{Entry, Payload};
+use tarragon_agreement::{Entry, Payload, SnapshotMeta};
 use tarragon_codes::{Failure, Outcome};
 use tarragon_names::{LogIndex, MemberId, Term};
 use tarragon_storage::{FileStore, LogStore};
@@ -65,6 +65,7 @@
         compare(&dir, 1 << shift)?;
     }
     recovery(&dir)?;
+    snapshot(&dir)?;
     discard(&dir);
     Ok(())
 }
@@ -131,6 +132,28 @@
     Ok(())
 }
 
+/// A snapshot in the middle of a log; the replica's thread is busy meanwhile.
+fn snapshot(dir: &Path) -> Outcome<()> {
+    for mb in [1, 8, 32] {
+        discard(dir);
+        let mut store = FileStore::create(dir, MemberId(1))?;
+        store.recover()?;
+        store.append(&entries(1, 20_000))?;
+        store.sync()?;
+        let state = Bytes::from(vec![7; mb << 20]);
+        let meta = SnapshotMeta {
+            index: LogIndex(19_000),
+            term: Term(1),
+            ..SnapshotMeta::default()
+        };
+        let start = Instant::now();
+        store.save_snapshot(&meta, &state)?;
+        let took = start.elapsed();
+        println!("snapshot of {mb} MB with 20,000 entries in the log: {took:.1?}");
+    }
+    Ok(())
+}
+
 fn entries(first: u64, count: u64) -> Vec<Entry> {
     let record = Bytes::from(vec![7; RECORD_BYTES]);
     let entry = |index| Entry {
--- a/lib/storage/tests/files/damage.rs
+++ b/lib/storage/tests/files/damage.rs
@@ -1,11 +1,12 @@
 use std::{fs, path::Path};
 
+use bytes::Bytes;
 use tarragon_codes::Code;
 use tarragon_names::Term;
 use tarragon_storage::{FileStore, LogStore};
 use yare::parameterized;
 
-use crate::{ID, entries};
+use crate::{ID, entries, meta};
 
 /// A folder with three synced batches of ten records and one of five that is not synced.
 fn written(dir: &Path) -> usize {
@@ -86,6 +87,21 @@
     assert_eq!(failure.code, Code::CorruptRecord);
 }
 
+/// Guards against a crash after the snapshot was saved and before the log was written anew.
+#[test]
+fn old_log_beside_a_new_snapshot_is_cut() {
+    let dir = tempfile::tempdir().unwrap();
+    written(dir.path());
+    let log = fs::read(dir.path().join("log")).unwrap();
+    let mut store = FileStore::open(dir.path()).unwrap();
+    store.recover().unwrap();
+    store.save_snapshot(&meta(1, 20), &Bytes::new()).unwrap();
+    drop(store);
+    fs::write(dir.path().join("log"), log).unwrap();
+    let recovered = FileStore::open(dir.path()).unwrap().recover().unwrap();
+    assert_eq!(recovered.entries, entries(1, 21..=35));
+}
+
 /// Guards against a vote file that is damaged and read as another vote.
 #[test]
 fn corrupt_vote_is_reported() {
