--- a/lib/agreement/tests/group/fakes/host.rs
+++ b/lib/agreement/tests/group/fakes/host.rs
@@ -4,9 +4,6 @@
 
 use super::{Checker, Disk, disk::Write, network::Packet};
 
-/// Entries between two snapshots.
-const SNAPSHOT_EVERY: u64 = 200;
-
 /// A host with a disk; its process runs while `replica` is set.
 #[derive(Debug)]
 pub struct Host {
@@ -26,6 +23,10 @@
     /// Rounds of the clock loop until the disk syncs what is written.
     pub sync_after: u64,
     pub snapshots_installed: u64,
+    /// Settings from the next start on.
+    pub cfg: Config,
+    /// Entries between two snapshots.
+    pub snapshot_every: u64,
     snapshot_index: LogIndex,
     sync_due: u64,
 }
@@ -46,6 +47,8 @@
             rate: 100,
             sync_after: 2,
             snapshots_installed: 0,
+            cfg: Config::default(),
+            snapshot_every: 200,
             snapshot_index: LogIndex(0),
             sync_due: 0,
         }
@@ -65,7 +68,7 @@
         self.leads = None;
         self.paused = false;
         self.inbox.clear();
-        self.replica = Some(Replica::new(Config::default(), recovered, seed));
+        self.replica = Some(Replica::new(self.cfg.clone(), recovered, seed));
     }
 
     /// Ends the process; of the unsynced appends the first `torn` entries survive.
@@ -170,7 +173,7 @@
     }
 
     fn snapshot(&mut self, now: u64) {
-        if self.applied_index.0 - self.snapshot_index.0 < SNAPSHOT_EVERY {
+        if self.applied_index.0 - self.snapshot_index.0 < self.snapshot_every {
             return;
         }
         let state = self.applied.join(&b'\n');
--- a/lib/agreement/tests/group/random.rs
+++ b/lib/agreement/tests/group/random.rs
@@ -34,6 +34,10 @@
         cluster.network.delay = (1, 30);
         for (host, rate) in cluster.hosts.iter_mut().zip([100, 101, 100, 101, 100, 101]) {
             host.rate = rate;
+            // Hosts that were away for a moment need a snapshot.
+            host.snapshot_every = 15;
+            host.cfg.keep_entries = 5;
+            host.start(seed ^ rate);
         }
         let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
         Self { cluster, rng }
