--- a/cli/tests/real_processes.rs
+++ b/cli/tests/real_processes.rs
@@ -91,6 +91,8 @@
                 .await;
                 let second = cell.with_role("voter").await;
                 cell.kill(&second).await;
+                sleep(PAUSE).await;
+                cell.session.restart(&second).unwrap();
             }
             Self::StopEntryHost => {
                 let host = cell.with_role("entry").await;
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A deployment of real processes on loopback that faults are injected into.
 
 use std::{
+    env,
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -23,7 +24,7 @@
 pub struct Cell {
     pub session: Session,
     pub example: Example,
-    /// Removed with its contents at the end.
+    /// Removed with its contents at the end, unless the variable `TARRAGON_KEEP` is set.
     _folder: TempDir,
 }
 
@@ -40,7 +41,11 @@
         for host in &mut example.hosts {
             host.insert("timing".to_owned(), timing.clone().into());
         }
-        let folder = TempDir::new().unwrap();
+        let mut folder = TempDir::new().unwrap();
+        if env::var_os("TARRAGON_KEEP").is_some() {
+            folder.disable_cleanup(true);
+            println!("files are in {}", folder.path().display());
+        }
         let deployment = Deployment::prepare(&example, folder.path(), 8).unwrap();
         let mut session = Session::start(deployment, &programs()).await.unwrap();
         session.configure(&example).await.unwrap();
