--- a/lib/scheduler/tests/world/random_run.rs
+++ b/lib/scheduler/tests/world/random_run.rs
@@ -26,6 +26,7 @@
         max_delay: 60,
         drop_percent: 5,
         repeat_percent: 5,
+        follow: 15_000,
     };
     for number in 0..4 {
         // Rates differ by at most 1%: the leaders' clock is the true one.
--- a/lib/scheduler/tests/world/simulation.rs
+++ b/lib/scheduler/tests/world/simulation.rs
@@ -34,6 +34,8 @@
     pub max_delay: u64,
     pub drop_percent: u64,
     pub repeat_percent: u64,
+    /// Time after an election by which each worker's gateway knows the leader.
+    pub follow: u64,
 }
 
 impl Net {
@@ -42,6 +44,7 @@
         max_delay: 5,
         drop_percent: 0,
         repeat_percent: 0,
+        follow: 2_000,
     };
 }
 
@@ -51,7 +54,7 @@
     ToWorker(WorkerName, WorkerOrder),
     Commit(usize, Vec<Command>),
     Elect(usize),
-    Follow(WorkerName, usize),
+    Follow(WorkerName, u64, usize),
     StandDown(usize),
 }
 
@@ -82,7 +85,8 @@
     log: u64,
     leaders: Vec<Leader>,
     leading: Option<usize>,
-    follows: BTreeMap<WorkerName, usize>,
+    /// Election that each worker's gateway knows of, and the host elected by it.
+    follows: BTreeMap<WorkerName, (u64, usize)>,
     queue: BTreeMap<(u64, u64), Msg>,
     sent: u64,
 }
@@ -142,7 +146,7 @@
         let origin = 5_000_000 + self.random(1_000_000);
         let worker = FakeWorker::new(cfg, rate, origin);
         let leader = self.leading.unwrap_or(0);
-        self.follows.insert(name.into(), leader);
+        self.follows.insert(name.into(), (self.elections, leader));
         self.workers.insert(name.into(), worker);
     }
 
@@ -293,17 +297,20 @@
                 };
                 self.scheduler_step(next, event);
                 for worker in self.follows.keys().cloned().collect::<Vec<_>>() {
-                    let after = self.random(2_000);
-                    self.send_at(after, Msg::Follow(worker, next));
+                    let after = self.random(self.net.follow);
+                    let follow = Msg::Follow(worker, self.elections, next);
+                    self.send_at(after, follow);
                 }
                 for old in (0..self.leaders.len()).filter(|old| *old != next) {
                     let after = self.random(20_000);
                     self.send_at(after, Msg::StandDown(old));
                 }
             }
-            Msg::Follow(worker, leader) => {
-                self.follows.insert(worker.clone(), leader);
-                self.worker_step(&worker, GuardEvent::Connected);
+            Msg::Follow(worker, election, leader) => {
+                if self.follows[&worker].0 < election {
+                    self.follows.insert(worker.clone(), (election, leader));
+                    self.worker_step(&worker, GuardEvent::Connected);
+                }
             }
             Msg::StandDown(leader) => {
                 if self.leading != Some(leader) {
@@ -354,7 +361,7 @@
         for done in done {
             self.note(name, &done);
         }
-        let leader = self.follows[name];
+        let (_, leader) = self.follows[name];
         for report in reports {
             let kind = report_kind(&report);
             self.send(kind, name, Msg::ToLeader(leader, name.clone(), report));
