--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,7 @@
+//! Command lines over the libraries of the workspace; the binaries only call into this crate.
+
+pub mod ctl;
+pub mod daemon;
+pub mod standin;
+pub mod timeline;
+pub mod trial;
--- /dev/null
+++ b/lib/host/src/control_server.rs
@@ -0,0 +1,151 @@
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use tarpc::{
+    context::Context,
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tarragon_cell::{Answer, Command, Query, QueryAnswer};
+use tarragon_codes::{Code, Failure};
+use tarragon_front::ServiceCall;
+use tarragon_names::{ExecutorName, HostName, JobId, MemberId, Revision, Term};
+use tarragon_proxy::{ForwardReply, Proxy};
+use tarragon_routing::ExecutorView;
+use tarragon_scheduler::{Explanation, WorkerView};
+use tarragon_wire::control::{
+    CatalogueGrant, CataloguePoll, Control, ForwardedCall, ForwardedReply, GroupView,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{HostCore, LocalLeader, control_clients::MAX_FRAME};
+
+/// Calls that one connection may have in progress.
+const CALLS_PER_CONNECTION: usize = 4_096;
+
+/// Answers the calls of other entry hosts.
+#[derive(Clone, Debug)]
+pub struct ControlServer {
+    core: Arc<HostCore>,
+    proxy: Arc<Proxy>,
+}
+
+impl ControlServer {
+    /// A server on the state of this host.
+    pub fn new(core: Arc<HostCore>, proxy: Arc<Proxy>) -> Self {
+        Self { core, proxy }
+    }
+
+    /// Accepts connections until the stop.
+    pub async fn run(self, stop: CancellationToken) -> std::io::Result<()> {
+        let address = self.core.cfg.control;
+        let mut listener = tcp::listen(address, Bincode::default).await?;
+        listener.config_mut().max_frame_length(MAX_FRAME);
+        while let Some(Some(accepted)) = stop.run_until_cancelled(listener.next()).await {
+            let Ok(transport) = accepted else { continue };
+            let calls = BaseChannel::with_defaults(transport)
+                .execute(self.clone().serve())
+                .for_each_concurrent(CALLS_PER_CONNECTION, |call| call);
+            let stop = stop.clone();
+            tokio::spawn(async move { stop.run_until_cancelled(calls).await });
+        }
+        Ok(())
+    }
+
+    fn at_leader(&self) -> Result<&LocalLeader, Failure> {
+        self.core
+            .leader
+            .as_ref()
+            .ok_or_else(|| Failure::of(Code::NotLeader))
+    }
+}
+
+/// Time that the caller still waits.
+fn left(cx: &Context) -> Duration {
+    cx.deadline
+        .saturating_duration_since(std::time::Instant::now())
+}
+
+impl Control for ControlServer {
+    async fn propose(self, context: Context, command: Command) -> Result<Answer, Failure> {
+        self.at_leader()?.propose(command, left(&context)).await
+    }
+
+    async fn query(self, _: Context, query: Query) -> Result<QueryAnswer, Failure> {
+        self.at_leader()?.query(&query).await
+    }
+
+    async fn poll_catalogue(
+        self,
+        _: Context,
+        poll: CataloguePoll,
+    ) -> Result<CatalogueGrant, Failure> {
+        self.at_leader()?.poll(poll).await
+    }
+
+    async fn in_force(self, _: Context, revision: Revision) -> Result<bool, Failure> {
+        self.at_leader()?.in_force(revision).await
+    }
+
+    async fn workers(self, _: Context) -> Result<Vec<WorkerView>, Failure> {
+        self.at_leader()?.workers().await
+    }
+
+    async fn explain(self, _: Context, job: JobId) -> Result<Explanation, Failure> {
+        self.at_leader()?.explain(job).await
+    }
+
+    async fn group(self, _: Context) -> Result<GroupView, Failure> {
+        self.at_leader()?.group().await
+    }
+
+    async fn join(self, context: Context, host: HostName, member: MemberId) -> Result<(), Failure> {
+        self.at_leader()?.join(host, member, left(&context)).await
+    }
+
+    async fn replace_member(
+        self,
+        context: Context,
+        remove: MemberId,
+        add: MemberId,
+    ) -> Result<(), Failure> {
+        self.at_leader()?
+            .replace_member(remove, add, left(&context))
+            .await
+    }
+
+    async fn forward(self, _: Context, call: ForwardedCall) -> ForwardedReply {
+        let request = call.request;
+        let limit = Duration::from_millis(call.timeout_ms);
+        let call = ServiceCall {
+            name: call.name,
+            key: call.key,
+            timeout_ms: Some(call.timeout_ms),
+            body: Bytes::copy_from_slice(&call.body),
+        };
+        match self.proxy.serve_forwarded(call, limit).await {
+            ForwardReply::Answered(reply) => ForwardedReply::Answered {
+                request,
+                status: reply.status,
+                content_type: reply.content_type,
+                body: Arc::from(&*reply.body),
+            },
+            ForwardReply::NotSent(failure) => ForwardedReply::NotSent(failure),
+            ForwardReply::Lost(failure) => ForwardedReply::Unknown(failure),
+        }
+    }
+
+    async fn executors(self, _: Context) -> Vec<ExecutorView> {
+        self.proxy.executors()
+    }
+
+    async fn drain_executor(self, _: Context, name: ExecutorName, draining: bool) -> bool {
+        self.proxy.drain_executor(&name, draining)
+    }
+
+    async fn leader(self, _: Context) -> Option<(Term, HostName)> {
+        self.core.hint.with_term()
+    }
+}
--- /dev/null
+++ b/lib/host/src/link_meter.rs
@@ -0,0 +1,104 @@
+use std::{
+    collections::HashMap,
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use tarragon_names::{DomainName, HostName};
+use tarragon_telemetry::{LinkCounters, Metrics};
+
+/// Bytes that TCP, IP and the length prefix add to a small frame.
+const FRAME_OVERHEAD: usize = 44;
+
+/// Messages and bytes between this host and others, and which of the hosts answer.
+///
+/// Each byte is counted at one end only: by the host that opened the connection, or by the gateway
+/// for its workers.
+#[derive(Debug)]
+pub struct LinkMeter {
+    own: HostName,
+    hosts: HashMap<HostName, HostCounters>,
+}
+
+#[derive(Debug)]
+struct HostCounters {
+    traffic: LinkCounters,
+    up: AtomicBool,
+    dropped: AtomicU64,
+}
+
+impl LinkMeter {
+    /// Counters of the host `own` for its traffic with the given hosts, itself included.
+    pub fn new<I>(own: HostName, domain: &DomainName, hosts: I, metrics: &Metrics) -> Self
+    where
+        I: IntoIterator<Item = (HostName, DomainName)>,
+    {
+        let counters = |to: &DomainName| HostCounters {
+            traffic: metrics.link(domain, to),
+            up: AtomicBool::new(false),
+            dropped: AtomicU64::new(0),
+        };
+        let hosts = hosts
+            .into_iter()
+            .map(|(host, to)| (host, counters(&to)))
+            .collect();
+        Self { own, hosts }
+    }
+
+    /// Counts a frame sent to another host.
+    pub fn sent(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
+    }
+
+    /// Counts a frame from another host, which shows that the host answers.
+    pub fn heard(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
+        if let Some(counters) = self.hosts.get(host) {
+            counters.up.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Counts a frame between this host as a gateway and one of its workers.
+    pub fn worker_frame(&self, len: usize) {
+        self.count(&self.own, len + FRAME_OVERHEAD);
+    }
+
+    /// Counts bytes of calls to another host, as read from or written to the socket.
+    pub fn call_bytes(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
+    }
+
+    /// Notes that the link to a host is broken.
+    pub fn down(&self, host: &HostName) {
+        if let Some(counters) = self.hosts.get(host) {
+            counters.up.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Counts a message that found the queue full.
+    pub fn dropped(&self, host: &HostName) {
+        if let Some(counters) = self.hosts.get(host) {
+            counters.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Tells whether the host answered on the present connection.
+    pub fn is_up(&self, host: &HostName) -> bool {
+        self.hosts
+            .get(host)
+            .is_some_and(|counters| counters.up.load(Ordering::Relaxed))
+    }
+
+    /// Messages that found a full queue.
+    pub fn total_dropped(&self) -> u64 {
+        self.hosts
+            .values()
+            .map(|counters| counters.dropped.load(Ordering::Relaxed))
+            .sum()
+    }
+
+    fn count(&self, host: &HostName, len: usize) {
+        if let Some(counters) = self.hosts.get(host) {
+            counters.traffic.count(len);
+        }
+    }
+}
--- a/lib/standin/src/lib.rs
+++ b/lib/standin/src/lib.rs
@@ -1,1 +1,25 @@
 //! Stand-in workers and executors for trials and tests.
+
+mod executor;
+mod executor_announcer;
+mod executor_config;
+mod executor_fault;
+mod executor_record;
+mod executor_server;
+mod executor_state;
+mod task_log;
+mod worker;
+mod worker_clock;
+mod worker_config;
+mod worker_link;
+mod worker_task;
+mod worker_tasks;
+
+pub use executor::StandinExecutor;
+pub use executor_config::ExecutorConfig;
+pub use executor_fault::ExecutorFault;
+pub use executor_record::ExecutorRecord;
+pub use task_log::TaskLog;
+pub use worker::StandinWorker;
+pub use worker_config::WorkerConfig;
+pub use worker_task::WorkerTask;
