placement, queue: make room for urgent work where it stays free

Late tasks counted as ending now, so a head waited without preemption; free room counted towards the claim; a task that had just started was free to stop. Change: a late task is expected to take as long again; a claim counts only tasks that do not fit (Placer::room_for); a stopped task costs its restart.

--- a/lib/placement/src/horizon.rs
+++ b/lib/placement/src/horizon.rs
@@ -7,6 +7,9 @@
 
 const SHARDS: usize = 16;
 
+/// Least time that an overdue task is expected to run on.
+const LEAST_OVERDUE: Millis = Millis(10_000);
+
 /// Expected ends of running tasks, from which reservations in time are worked out.
 pub struct Horizon {
     workers: Sharded<HashMap<WorkerName, HashMap<TaskId, Running>>>,
@@ -101,7 +104,7 @@
                 .map(|tasks| tasks.values().copied().collect::<Vec<_>>())
                 .unwrap_or_default()
         });
-        running.sort_unstable_by_key(|task| task.ends);
+        running.sort_unstable_by_key(|task| expected_end(now, task.ends));
         let mut left = req.tasks.max(1);
         let mut time = now;
         let mut ends = running.into_iter();
@@ -115,11 +118,23 @@
             }
             let Some(task) = ends.next() else { return };
             free += task.resources;
-            time = time.max(task.ends);
+            time = time.max(expected_end(now, task.ends));
         }
     }
 }
 
+/// End of a task that may be overdue: one that is late by some time takes as long again.
+///
+/// Without this rule a late task counts as ending now, and the job at the head of the queue waits
+/// for it without a reservation that means anything.
+fn expected_end(now: Millis, ends: Millis) -> Millis {
+    if ends > now {
+        ends
+    } else {
+        now + now.since(ends).max(LEAST_OVERDUE)
+    }
+}
+
 impl Default for Horizon {
     fn default() -> Self {
         Self::new()
--- a/lib/placement/src/placer.rs
+++ b/lib/placement/src/placer.rs
@@ -44,6 +44,24 @@
     /// Tells whether some worker could hold a task of this size if it were empty.
     fn fits_capacity(&self, resources: &Resources) -> bool;
 
+    /// Number of tasks of this size that fit on schedulable workers now, at most `most`.
+    ///
+    /// Visits every worker; meant for the choice of work that gives way, not for each decision.
+    fn room_for(&self, resources: &Resources, most: u32) -> u32 {
+        let mut count = 0;
+        self.visit(&mut |info| {
+            let mut free = info.free();
+            while info.schedulable
+                && count < most
+                && let Some(rest) = free.checked_sub(resources)
+            {
+                free = rest;
+                count += 1;
+            }
+        });
+        count
+    }
+
     /// Sums over all workers.
     fn totals(&self) -> Totals;
 
--- a/lib/placement/tests/policy.rs
+++ b/lib/placement/tests/policy.rs
@@ -135,6 +135,38 @@
     assert_eq!(placer.place(&head).workers, ["a".into()]);
 }
 
+/// Guards against a task that runs beyond its expected end counting as room now, which left the
+/// head of the queue waiting without preemption.
+#[parameterized(
+    just_late = { 1_000, 11_000 },
+    as_late_again = { 61_000, 121_000 },
+)]
+fn overdue_task_is_not_room_now(now: u64, at: u64) {
+    let placer = placer(PolicyWeights::default(), &[("a", "d", PLAIN)]);
+    let horizon = Horizon::new();
+    let task = TaskId::default();
+    placer.reserve(&"a".into(), &PLAIN);
+    horizon.started(&"a".into(), task, PLAIN, Millis(1_000));
+    let req = PlaceRequest::new(1, PLAIN, Workload::Batch);
+    let held = horizon.plan(Millis(now), JobId(1), &req, &placer).unwrap();
+    assert_eq!(held.at, Millis(at));
+}
+
+/// Guards against a count of room that adds up amounts of different workers, or counts a worker
+/// that takes nothing new.
+#[test]
+fn room_is_counted_worker_by_worker() {
+    let placer = placer(
+        PolicyWeights::default(),
+        &[("a", "d", PLAIN), ("b", "d", PLAIN), ("c", "d", PLAIN)],
+    );
+    placer.set_schedulable(&"c".into(), false);
+    let size = Resources::new(3_000, 1_024, 0);
+    assert_eq!(placer.room_for(&size, 9), 4);
+    assert_eq!(placer.room_for(&size, 3), 3);
+    assert_eq!(placer.room_for(&PLAIN.times(2), 9), 0);
+}
+
 /// Guards against a promise that no end of running work can keep.
 #[test]
 fn head_that_never_fits_has_no_reservation() {
--- a/lib/queue/src/claim.rs
+++ b/lib/queue/src/claim.rs
@@ -9,7 +9,7 @@
     pub borrows: bool,
     /// What each task needs.
     pub resources: Resources,
-    /// Number of tasks.
+    /// Number of tasks that do not fit now.
     pub tasks: u32,
     /// Whether the tasks are of use only together.
     pub whole: bool,
--- a/lib/queue/src/preemption.rs
+++ b/lib/queue/src/preemption.rs
@@ -13,6 +13,11 @@
 pub struct Preemption {
     /// Time that a checkpoint and the later restart cost.
     pub checkpoint_cost: Millis,
+    /// Time that the restart of a stopped task costs beside the work it loses.
+    ///
+    /// Without it a task that just started is free to stop, and work that is stopped again and
+    /// again never ends.
+    pub restart_cost: Millis,
     /// Value of a millisecond of waiting for each class, against one of lost overnight work.
     pub class_weight: [u64; Class::ALL.len()],
 }
@@ -52,9 +57,6 @@
 
     /// Cheapest way to make room on one worker that this greedy choice finds.
     fn plan(&self, claim: &Claim, mut victims: Vec<&Victim>, free: Resources) -> Option<Plan> {
-        if let Some(plan) = self.throttle(claim, &victims, free) {
-            return Some(plan);
-        }
         victims.sort_by_key(|victim| {
             (
                 !victim.borrowed,
@@ -62,7 +64,16 @@
                 self.loss(victim),
             )
         });
+        // What fits already is not missing, so it cannot count towards the claim.
         let mut room = free;
+        while let Some(rest) = room.checked_sub(&claim.resources)
+            && claim.resources != Resources::ZERO
+        {
+            room = rest;
+        }
+        if let Some(plan) = self.throttle(claim, &victims, room) {
+            return Some(plan);
+        }
         let mut taken = Vec::new();
         for victim in victims {
             if claim.resources.fits(&room) {
@@ -132,7 +143,7 @@
     fn loss(&self, victim: &Victim) -> u128 {
         let lost = match self.means(victim) {
             PreemptMeans::Checkpoint => self.checkpoint_cost,
-            PreemptMeans::Stop | PreemptMeans::Throttle => victim.ran,
+            PreemptMeans::Stop | PreemptMeans::Throttle => victim.ran + self.restart_cost,
         };
         u128::from(lost.0) * u128::from(victim.resources.cpu_milli.max(1)) * self.weight(victim)
     }
@@ -146,6 +157,7 @@
     fn default() -> Self {
         Self {
             checkpoint_cost: Millis(10_000),
+            restart_cost: Millis(5_000),
             class_weight: [64, 4, 1],
         }
     }
--- a/lib/queue/tests/preemption.rs
+++ b/lib/queue/tests/preemption.rs
@@ -77,6 +77,27 @@
     assert_eq!(choose(&claim(), &victims, free), [(2, PreemptMeans::Stop)]);
 }
 
+/// Guards against a task being stopped again and again: one that just started is not free to stop.
+#[parameterized(long_wait = { 30_000, 1 }, short_wait = { 70, 0 })]
+fn young_task_has_a_restart_cost(wait: u64, taken: usize) {
+    let claim = Claim {
+        wait: Millis(wait),
+        ..claim()
+    };
+    let young = with(|v| v.ran = Millis(0));
+    assert_eq!(choose(&claim, &[young], Resources::ZERO).len(), taken);
+}
+
+/// Guards against room that is free already counting towards what is missing.
+#[test]
+fn free_room_does_not_replace_a_victim() {
+    let free = Resources::new(8_000, 8_192, 0);
+    assert_eq!(
+        choose(&claim(), &[victim(1)], free),
+        [(1, PreemptMeans::Stop)]
+    );
+}
+
 /// Guards against borrowed quota being kept while a team's own work is stopped.
 #[test]
 fn borrowed_quota_is_returned_first() {
