health: void old successes of a worker on which several jobs fail

Change: a worker speaks against a job only if at most one other job failed there since its last success.

--- a/lib/health/src/health_table.rs
+++ b/lib/health/src/health_table.rs
@@ -88,6 +88,7 @@
             }
             let alone = failures.workers.len() == 1;
             self.with_known(worker, |health| {
+                health.note_failure(job);
                 self.count_failure(health, worker, job, now, quick && alone, &mut verdicts);
             });
             if failures.held {
@@ -145,6 +146,7 @@
                 probing: false,
             });
             health.failed_jobs.clear();
+            health.failed_since.clear();
             health.succeeded = [None; 2];
             self.probes
                 .with_shard(0, |probes| probes.insert((probe_at, worker.clone())));
--- a/lib/health/tests/health_table.rs
+++ b/lib/health/tests/health_table.rs
@@ -90,6 +90,29 @@
     assert_eq!(table.failed_on(JobId(2)).len(), 3);
 }
 
+/// Guards against good jobs being held when many workers go bad that had run work before: their
+/// old successes are void once several jobs failed there.
+#[parameterized(
+    none_failed = { 0, true },
+    one_failed = { 1, true },
+    several_failed = { 2, false },
+)]
+fn old_success_is_void_after_failures(others: u64, expected: bool) {
+    let table = table(20);
+    let mut held = false;
+    for n in 0..3 {
+        table.succeeded(&worker(n), JobId(1), Millis(0));
+        for other in 0..others {
+            table.failed(&worker(n), JobId(100 + other), Millis(1), false);
+        }
+        held |= table
+            .failed(&worker(n), JobId(2), Millis(2), true)
+            .iter()
+            .any(|verdict| matches!(verdict, Verdict::HoldJob { job: JobId(2), .. }));
+    }
+    assert_eq!(held, expected);
+}
+
 /// Guards against a job's own success on a worker counting as the success of others.
 #[test]
 fn own_success_does_not_speak_against_a_job() {
