bench: measure decisions, packing, waiting, health, queue and memory

Cause: the bounds of the design need measured figures beside a baseline from the same run. Change: tarragon-bench with one subcommand a file; seeded, bounded in count and time, a table and a JSON file for each run.

--- /dev/null
+++ b/cli/src/bench.rs
@@ -0,0 +1,79 @@
+//! Experiments over the decision code, one subcommand a file.
+//!
+//! Every experiment is seeded and bounded in count and time, prints a table and writes one JSON
+//! file.
+
+mod decisions;
+mod deployment;
+mod draw;
+mod health;
+mod health_run;
+mod job_mix;
+mod memory;
+mod options;
+mod packing;
+mod queue;
+mod report;
+mod timing;
+mod waiting;
+mod waiting_run;
+
+use std::process::ExitCode;
+
+use options::Options;
+use report::Report;
+
+type Run = fn(&Options) -> Report;
+
+const COMMANDS: [(&str, &str, Run); 6] = [
+    ("decisions", "time of a placement decision", decisions::run),
+    (
+        "health",
+        "detection of bad workers and bad jobs",
+        health::run,
+    ),
+    (
+        "memory",
+        "bytes a worker, waiting job and running task",
+        memory::run,
+    ),
+    (
+        "packing",
+        "used share of the capacity against the bound",
+        packing::run,
+    ),
+    ("queue", "cost of queue operations", queue::run),
+    ("waiting", "waiting time by class", waiting::run),
+];
+
+/// Runs the subcommand that the arguments name.
+pub fn main(args: Vec<String>) -> ExitCode {
+    let mut args = args.into_iter();
+    let name = args.next().unwrap_or_default();
+    let Some((_, about, run)) = COMMANDS.iter().find(|(command, ..)| *command == name) else {
+        eprintln!("usage: tarragon-bench COMMAND [OPTIONS]\n");
+        for (command, about, _) in COMMANDS {
+            eprintln!("  {command:<10} {about}");
+        }
+        return ExitCode::from(2);
+    };
+    let options = match Options::parse(&name, about, args) {
+        Ok(options) => options,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(2);
+        }
+    };
+    let report = run(&options);
+    report.print();
+    match report.write(&options.out) {
+        Ok(()) => {
+            println!("written to {}", options.out.display());
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("cannot write {}: {err}", options.out.display());
+            ExitCode::FAILURE
+        }
+    }
+}
