routing: keep newest first through an overload

Newest first now holds for 1 s after the queue was standing, and a retry is only planned for if three average runs fit into half of the time.

--- a/lib/proxy/src/dispatch.rs
+++ b/lib/proxy/src/dispatch.rs
@@ -191,6 +191,11 @@
         self.with_pool(pool, |queue| queue.budget.take(now))
     }
 
+    /// Time that a request of a pool runs on average.
+    pub(crate) fn run_time(&self, pool: &PoolName) -> Millis {
+        self.with_pool(pool, |queue| queue.admission.run_time())
+    }
+
     /// Requests that wait in all pools.
     pub(crate) fn waiting_total(&self) -> usize {
         let mut total = 0;
--- a/lib/proxy/src/proxy.rs
+++ b/lib/proxy/src/proxy.rs
@@ -30,6 +30,9 @@
 /// Choices made for one request whose sends all failed before a byte had left.
 const CHOICES_MAX: u32 = 4;
 
+/// Average runs that must fit into half of the time for the other half to be kept for another send.
+const RUNS_IN_HALF: u64 = 3;
+
 /// Time between two sweeps over idle connections, silent executors and waiting requests.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -329,11 +332,14 @@
     }
 
     /// Time limit of one send. While another send is possible, half of the time is kept for it, so
-    /// that a connection gone silent does not use up all of it.
+    /// that a connection gone silent does not use up all of it. If the half is short for a run, the
+    /// send gets all of the time: two sends that are both cut off would only waste their slots.
     fn limit(&self, job: &Job<'_>, again: bool) -> Millis {
         let now = self.dispatch.now();
-        if again {
-            now + Millis(job.deadline.since(now).0 / 2)
+        let half = Millis(job.deadline.since(now).0 / 2);
+        let enough = self.dispatch.run_time(job.pool).0 * RUNS_IN_HALF;
+        if again && half.0 > enough {
+            now + half
         } else {
             job.deadline
         }
--- a/lib/routing/src/admission.rs
+++ b/lib/routing/src/admission.rs
@@ -10,6 +10,12 @@
 /// first would spend every slot on answers that come too late.
 const STANDING_TARGET: Millis = Millis(100);
 
+/// Time for which the newest requests stay first once the queue has been standing.
+///
+/// The requests that were passed over expire together and empty the queue. Without the hold each
+/// such moment would begin another spell of oldest first in the middle of the overload.
+const STANDING_HOLD: Millis = Millis(1_000);
+
 /// Weight of the newest run time in the average, as one part in this many.
 const RUN_TIME_PARTS: u64 = 8;
 
@@ -28,6 +34,7 @@
     queue: VecDeque<Waiting<W>>,
     by_entry: HashMap<Pattern, u32>,
     standing_since: Option<Millis>,
+    newest_first_until: Millis,
     next_ticket: u64,
     run_time: Option<Millis>,
 }
@@ -38,6 +45,7 @@
             queue: VecDeque::new(),
             by_entry: HashMap::new(),
             standing_since: None,
+            newest_first_until: Millis(0),
             next_ticket: 0,
             run_time: None,
         }
@@ -91,8 +99,11 @@
     /// Takes the request that gets the next slot: the oldest one, or the newest one once the queue
     /// has been standing for too long.
     pub fn next(&mut self, now: Millis, dropped: &mut Vec<W>) -> Option<W> {
+        if self.standing(now) {
+            self.newest_first_until = now + STANDING_HOLD;
+        }
         self.drop_hopeless(now, dropped);
-        let waiting = if self.standing(now) {
+        let waiting = if now < self.newest_first_until {
             self.queue.pop_back()
         } else {
             self.queue.pop_front()
@@ -117,6 +128,11 @@
         self.run_time = Some(Millis(sum / RUN_TIME_PARTS));
     }
 
+    /// Time that a request runs on average; zero if none has ended yet.
+    pub fn run_time(&self) -> Millis {
+        self.run_time.unwrap_or_default()
+    }
+
     /// Waiting requests.
     pub fn len(&self) -> usize {
         self.queue.len()
@@ -135,11 +151,11 @@
 
     /// Tells whether a request with this deadline cannot be answered in time even if it is sent now.
     fn hopeless(&self, deadline: Millis, now: Millis) -> bool {
-        now + self.run_time.unwrap_or_default() >= deadline
+        now + self.run_time() >= deadline
     }
 
     fn drop_hopeless(&mut self, now: Millis, dropped: &mut Vec<W>) {
-        let least = now + self.run_time.unwrap_or_default();
+        let least = now + self.run_time();
         if self.queue.iter().all(|w| w.deadline > least) {
             return;
         }
@@ -166,6 +182,6 @@
     }
 
     fn wait_hint(&self) -> Millis {
-        self.run_time.unwrap_or_default().max(STANDING_TARGET)
+        self.run_time().max(STANDING_TARGET)
     }
 }
--- a/lib/routing/tests/overload.rs
+++ b/lib/routing/tests/overload.rs
@@ -68,6 +68,24 @@
     assert_eq!(queue.dropped, dropped);
 }
 
+/// Guards against a return to oldest first in the middle of an overload, when the requests that were
+/// passed over expire together.
+#[test]
+fn newest_first_outlasts_an_emptied_queue() {
+    let mut queue = Queue::new();
+    queue.enter("reel-*", 0, 300, "a").unwrap();
+    queue.enter("reel-*", 0, 300, "b").unwrap();
+    assert_eq!(queue.next(150), Some("b"));
+    assert_eq!(queue.next(301), None);
+    queue.enter("reel-*", 310, 900, "c").unwrap();
+    queue.enter("reel-*", 310, 900, "d").unwrap();
+    assert_eq!(queue.next(311), Some("d"));
+    assert_eq!(queue.next(312), Some("c"));
+    queue.enter("reel-*", 1_400, 2_000, "e").unwrap();
+    queue.enter("reel-*", 1_400, 2_000, "f").unwrap();
+    assert_eq!(queue.next(1_401), Some("e"));
+}
+
 /// Guards against a refusal while hopeless requests hold the places, and against the admission of a
 /// request that cannot be answered in time.
 #[test]
