--- a/lib/settings/src/timing.rs
+++ b/lib/settings/src/timing.rs
@@ -61,22 +61,18 @@
     worker_beat, "worker_beat_ms", 1_000;
     /// Time for which a worker may run tasks after a heartbeat that was answered.
     worker_lease, "worker_lease_ms", 10_000;
-    /// Time between two announcements of an executor.
+    /// Time between two announcements that executors keep; other times are checked against it.
     executor_beat, "executor_beat_ms", 500;
     /// Time for which a home host may send to an executor after an announcement.
     executor_lease, "executor_lease_ms", 1_500;
     /// Time between two load summaries.
     load_beat, "load_beat_ms", 200;
-    /// Time limit of a service request whose catalogue entry sets none.
-    request_timeout, "request_timeout_ms", 2_000;
     /// Time limit of a write to the replicated log.
     propose_timeout, "propose_timeout_ms", 4_000;
     /// Time from the signal to stop until no new request is taken.
     drain_grace, "drain_grace_ms", 1_500;
     /// Time from the signal to stop until the process ends.
     drain_max, "drain_max_ms", 30_000;
-    /// Most random delay before workers and executors move to another host.
-    rejoin_spread, "rejoin_spread_ms", 2_000;
     /// Time after which the leader replaces a lost voter by a learner.
     replace_after, "replace_after_ms", 60_000;
 }
