trial: accept an unknown outcome that a lost worker leaves

It is right only if a task of the job ended with the lease of its worker, and none runs. Control traffic is read under the name that the daemon uses now.

--- a/cli/src/trial/checks.rs
+++ b/cli/src/trial/checks.rs
@@ -72,7 +72,7 @@
         (_, Ok(view)) => {
             let id = view.job.to_string();
             let runs: Vec<_> = tasks.of_job(&id).map(|(_, runs)| runs).collect();
-            let causes = contradictions(view, &runs);
+            let causes = contradictions(view, has_ended(job), &runs);
             let mut wrong: Vec<_> = causes
                 .into_iter()
                 .map(|cause| format!("{id} ({}) is told as {}, but {cause}", job.name, view.state))
@@ -94,7 +94,7 @@
 }
 
 /// Ways in which the runs of a job's tasks contradict its state.
-fn contradictions(view: &JobView, runs: &[&Vec<TaskRun>]) -> Vec<&'static str> {
+fn contradictions(view: &JobView, ended: bool, runs: &[&Vec<TaskRun>]) -> Vec<&'static str> {
     let began = runs.iter().any(|runs| !runs.is_empty());
     let runs_now = runs
         .iter()
@@ -123,7 +123,8 @@
             add(runs_now, "a task runs");
         }
         JobState::Queued => add(runs_now, "a task runs"),
-        JobState::Running | JobState::Cancelling | JobState::Unknown => {}
+        JobState::Unknown => add(ended && runs_now, "a task runs"),
+        JobState::Running | JobState::Cancelling => {}
     }
     causes
 }
--- a/cli/src/trial/load.rs
+++ b/cli/src/trial/load.rs
@@ -9,7 +9,7 @@
     ChaCha8Rng,
     rand_core::{Rng, SeedableRng},
 };
-use tarragon_cell::{JobSpec, JobState};
+use tarragon_cell::{Ended, JobSpec, JobState, TaskState, TaskView};
 use tarragon_client::Client;
 use tarragon_codes::{Code, Failure};
 use tarragon_names::{JobId, KeyName, Resources, Workload};
@@ -184,12 +184,19 @@
 }
 
 /// Tells whether nothing more will happen to a job.
+///
+/// A cancelled job stays unknown for good if a lost worker may or may not have begun it.
 pub(super) fn has_ended(job: &JobTold) -> bool {
     match &job.last {
-        Ok(view) => matches!(
-            view.state,
-            JobState::Ran | JobState::Stopped | JobState::NotRun
-        ),
+        Ok(view) => match view.state {
+            JobState::Ran | JobState::Stopped | JobState::NotRun => true,
+            JobState::Unknown => {
+                let lost = |task: &TaskView| task.state == TaskState::Ended(Ended::LeaseEnded);
+                let ended = |task: &TaskView| matches!(task.state, TaskState::Ended(_));
+                view.tasks.iter().any(lost) && view.tasks.iter().all(ended)
+            }
+            JobState::Queued | JobState::Running | JobState::Cancelling => false,
+        },
         Err(failure) => failure.code == Code::NoSuchJob,
     }
 }
--- a/cli/src/trial/summary.rs
+++ b/cli/src/trial/summary.rs
@@ -36,7 +36,7 @@
     ));
     let [before, after] = samples;
     for what in ["messages", "bytes"] {
-        let (within, across) = after.rate_since(before, &format!("tarragon_link_{what}_total"));
+        let (within, across) = after.rate_since(before, &format!("tarragon_control_{what}_total"));
         lines.push(format!(
             "control {what} a second: {within:.0} within and {across:.0} between failure domains"
         ));
--- a/cli/tests/trial_checks.rs
+++ b/cli/tests/trial_checks.rs
@@ -126,6 +126,7 @@
     told_failed = { told(1, JobState::Ran, Some(false)), "every task succeeded" },
     told_ran = { told(3, JobState::Ran, Some(true)), "no task began" },
     told_stopped = { told(3, JobState::Stopped, Some(false)), "no task began" },
+    never_known = { told(3, JobState::Unknown, None), "has not ended" },
     never_ended = { told(3, JobState::Queued, None), "has not ended" },
     lost = {
         JobTold { last: Err(Code::NoSuchJob.into()), ..told(3, JobState::Queued, None) },
@@ -141,6 +142,26 @@
     assert!(found.iter().any(|text| text.contains(cause)), "{found:?}");
 }
 
+/// Only a lost worker may leave the outcome open, and its tasks must have stopped.
+#[parameterized(
+    lost_worker = { 3, None },
+    lost_worker_runs_on = { 9, Some("a task runs") },
+)]
+fn unknown_after_a_lost_worker(job: u64, cause: Option<&str>) {
+    let mut told = told(job, JobState::Unknown, None);
+    if let Ok(view) = &mut told.last {
+        view.tasks[0].state = TaskState::Ended(Ended::LeaseEnded);
+    }
+    let mut tasks = sound_tasks();
+    tasks.push(start("j9.0", 1, "a", 300, 1));
+    let found = wrong(&tasks, vec![told], Vec::new(), 0);
+    assert_eq!(found.len(), usize::from(cause.is_some()), "{found:?}");
+    assert!(
+        cause.is_none_or(|cause| found[0].contains(cause)),
+        "{found:?}"
+    );
+}
+
 #[parameterized(
     ran_twice = { Ok((200, true)), 2, true },
     ran_twice_and_unknown = { Err(Code::NotKnown), 2, true },
