--- a/lib/agreement/tests/model/main.rs
+++ b/lib/agreement/tests/model/main.rs
@@ -57,6 +57,10 @@
         Group::settled,
         Budget { stands: 1, beats: 1, waits: 1, crashes: 1, ..Budget::default() },
     },
+    late_transfer = {
+        Group::settled,
+        Budget { transfers: 1, beats: 2, ..Budget::default() },
+    },
     heartbeat = { Group::new, Budget { stands: 2, beats: 1, ..Budget::default() } },
     three_elections = { Group::new, Budget { stands: 3, ..Budget::default() } },
 )]
