trial: count the end of a killed worker's run after its start

Replaying the task log gave at most 57,422m of 64,000m: a run that was killed in the millisecond of its start was freed before it was counted, which left its share counted for ever. Ruled out: a double release in the scheduler (no start in the log goes beyond what is free). Change: the end of a run never comes before its own start; a case guards it. Also: bytes on inbound connections are counted, and tarragon-bench control measures the cost of real processes by role.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -3,6 +3,7 @@
 //! Every experiment is seeded and bounded in count and time, prints a table and writes one JSON
 //! file.
 
+mod control;
 mod decisions;
 mod deployment;
 mod draw;
@@ -25,7 +26,12 @@
 
 type Run = fn(&Options) -> Report;
 
-const COMMANDS: [(&str, &str, Run); 6] = [
+const COMMANDS: [(&str, &str, Run); 7] = [
+    (
+        "control",
+        "control cost of real processes by role",
+        control::run,
+    ),
     ("decisions", "time of a placement decision", decisions::run),
     (
         "health",
--- a/cli/src/trial/task_history.rs
+++ b/cli/src/trial/task_history.rs
@@ -107,13 +107,17 @@
     }
 
     /// Changes of what runs, ends before starts of the same time: (time, worker, reserved, starts).
+    ///
+    /// A run that ends in the millisecond of its start counts as ending in the next one, since its
+    /// end must not come before its own start.
     pub(super) fn changes(&self) -> Vec<(u64, &str, Resources, bool)> {
         let mut changes = Vec::new();
         for run in self.runs.values().flatten() {
             let worker = run.worker.as_str();
             changes.push((run.began, worker, run.reserved, true));
             if let Some((at, _)) = &run.ended {
-                changes.push((*at, worker, run.reserved, false));
+                let end = (*at).max(run.began + 1);
+                changes.push((end, worker, run.reserved, false));
             }
         }
         changes.sort_by_key(|(at, _, _, starts)| (*at, *starts));
--- a/cli/tests/trial_checks.rs
+++ b/cli/tests/trial_checks.rs
@@ -99,6 +99,28 @@
     assert_eq!(found, Vec::<String>::new());
 }
 
+/// A worker that is killed in the millisecond in which its task began frees that task's share.
+#[test]
+fn killed_worker_begins_with_nothing_reserved() {
+    let worker = sound_tasks()[0].clone();
+    let tasks = [
+        worker.clone(),
+        start("j1.0", 1, "a", 100, 600),
+        worker,
+        start("j1.0", 2, "a", 300, 600),
+        end("j1.0", 2, "a", 400, "exited 0"),
+        start("j1.1", 1, "a", 400, 600),
+        end("j1.1", 1, "a", 500, "exited 0"),
+    ];
+    let found = wrong(
+        &tasks,
+        vec![told(1, JobState::Ran, Some(true))],
+        Vec::new(),
+        0,
+    );
+    assert_eq!(found, Vec::<String>::new());
+}
+
 #[parameterized(
     second_place = { 6, start("j1.0", 2, "b", 199, 300), "at once" },
     same_attempt = { 6, start("j1.0", 1, "b", 200, 600), "began again" },
--- a/lib/host/src/control_clients.rs
+++ b/lib/host/src/control_clients.rs
@@ -116,7 +116,7 @@
         stream
             .set_nodelay(true)
             .map_err(|e| unreachable(&e.to_string()))?;
-        let stream = MeteredStream::new(stream, host.clone(), Arc::clone(&self.meter));
+        let stream = MeteredStream::new(stream, Some(host.clone()), Arc::clone(&self.meter));
         let framed = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME)
             .new_framed(stream);
--- a/lib/host/src/control_server.rs
+++ b/lib/host/src/control_server.rs
@@ -4,7 +4,7 @@
 use futures::StreamExt;
 use tarpc::{
     context::Context,
-    serde_transport::tcp,
+    serde_transport,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
@@ -18,9 +18,10 @@
 use tarragon_wire::control::{
     CatalogueGrant, CataloguePoll, Control, ForwardedCall, ForwardedReply, GroupView,
 };
-use tokio_util::sync::CancellationToken;
+use tokio::net::TcpListener;
+use tokio_util::{codec::LengthDelimitedCodec, sync::CancellationToken};
 
-use crate::{HostCore, LocalLeader, control_clients::MAX_FRAME};
+use crate::{HostCore, LocalLeader, control_clients::MAX_FRAME, metered_stream::MeteredStream};
 
 /// Calls that one connection may have in progress.
 const CALLS_PER_CONNECTION: usize = 4_096;
@@ -40,11 +41,17 @@
 
     /// Accepts connections until the stop.
     pub async fn run(self, stop: CancellationToken) -> std::io::Result<()> {
-        let address = self.core.cfg.control;
-        let mut listener = tcp::listen(address, Bincode::default).await?;
-        listener.config_mut().max_frame_length(MAX_FRAME);
-        while let Some(Some(accepted)) = stop.run_until_cancelled(listener.next()).await {
-            let Ok(transport) = accepted else { continue };
+        let listener = TcpListener::bind(self.core.cfg.control).await?;
+        while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
+            let Ok((stream, _)) = accepted else { continue };
+            let Ok(()) = stream.set_nodelay(true) else {
+                continue;
+            };
+            let stream = MeteredStream::new(stream, None, Arc::clone(&self.core.meter));
+            let framed = LengthDelimitedCodec::builder()
+                .max_frame_length(MAX_FRAME)
+                .new_framed(stream);
+            let transport = serde_transport::new(framed, Bincode::default());
             let calls = BaseChannel::with_defaults(transport)
                 .execute(self.clone().serve())
                 .for_each_concurrent(CALLS_PER_CONNECTION, |call| call);
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -161,7 +161,13 @@
         let mut tasks = JoinSet::new();
 
         let sink: Arc<dyn PeerSink> = Arc::clone(&inbound) as _;
-        let listener = PeerListener::bind(cfg.peer, cfg.name.clone(), cfg.timing).await;
+        let listener = PeerListener::bind(
+            cfg.peer,
+            cfg.name.clone(),
+            cfg.timing,
+            Arc::clone(&self.core.meter),
+        )
+        .await;
         let listener = listener.map_err(|e| bind_failure("peer", &e))?;
         tasks.spawn(listener.run(sink, stop.clone()));
 
--- a/lib/host/src/link_meter.rs
+++ b/lib/host/src/link_meter.rs
@@ -3,6 +3,7 @@
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
+use prometheus::IntCounter;
 use tarragon_names::{DomainName, HostName};
 use tarragon_telemetry::{LinkCounters, Metrics};
 
@@ -11,11 +12,12 @@
 
 /// Messages and bytes between this host and others, and which of the hosts answer.
 ///
-/// Each byte is counted at one end only: by the host that opened the connection, or by the gateway
-/// for its workers.
+/// By failure domain each byte is counted at one end only: by the host that opened the connection,
+/// or by the gateway for its workers. What the other end sees goes into a counter of its own.
 #[derive(Debug)]
 pub struct LinkMeter {
     own: HostName,
+    inbound: IntCounter,
     hosts: HashMap<HostName, HostCounters>,
 }
 
@@ -41,7 +43,11 @@
             .into_iter()
             .map(|(host, to)| (host, counters(&to)))
             .collect();
-        Self { own, hosts }
+        Self {
+            own,
+            inbound: metrics.control_inbound_bytes.clone(),
+            hosts,
+        }
     }
 
     /// Counts a frame sent to another host.
@@ -62,9 +68,18 @@
         self.count(&self.own, len + FRAME_OVERHEAD);
     }
 
-    /// Counts bytes of calls to another host, as read from or written to the socket.
-    pub fn call_bytes(&self, host: &HostName, len: usize) {
-        self.count(host, len + FRAME_OVERHEAD);
+    /// Counts bytes of calls as read from or written to a socket; `host` is absent if another host
+    /// opened the connection.
+    pub fn call_bytes(&self, host: Option<&HostName>, len: usize) {
+        match host {
+            Some(host) => self.count(host, len + FRAME_OVERHEAD),
+            None => self.inbound_frame(len),
+        }
+    }
+
+    /// Counts a frame on a link that another host opened.
+    pub fn inbound_frame(&self, len: usize) {
+        self.inbound.inc_by((len + FRAME_OVERHEAD) as u64);
     }
 
     /// Notes that the link to a host is broken.
--- a/lib/host/src/metered_stream.rs
+++ b/lib/host/src/metered_stream.rs
@@ -13,16 +13,16 @@
 
 use crate::LinkMeter;
 
-/// Connection for calls to another host that counts its bytes.
+/// Connection for calls between hosts that counts its bytes.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
     stream: TcpStream,
-    host: HostName,
+    host: Option<HostName>,
     meter: Arc<LinkMeter>,
 }
 
 impl MeteredStream {
-    pub(crate) fn new(stream: TcpStream, host: HostName, meter: Arc<LinkMeter>) -> Self {
+    pub(crate) fn new(stream: TcpStream, host: Option<HostName>, meter: Arc<LinkMeter>) -> Self {
         Self {
             stream,
             host,
@@ -41,7 +41,7 @@
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let read = buf.filled().len() - before;
         if read > 0 {
-            self.meter.call_bytes(&self.host, read);
+            self.meter.call_bytes(self.host.as_ref(), read);
         }
         polled
     }
@@ -55,7 +55,7 @@
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(written)) = polled {
-            self.meter.call_bytes(&self.host, written);
+            self.meter.call_bytes(self.host.as_ref(), written);
         }
         polled
     }
--- a/lib/host/src/peer_listener.rs
+++ b/lib/host/src/peer_listener.rs
@@ -1,5 +1,6 @@
 use std::{fmt::Debug, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use futures::{SinkExt, StreamExt};
 use tarragon_names::HostName;
 use tarragon_settings::Timing;
 use tarragon_wire::{
@@ -12,6 +13,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::LinkMeter;
+
 /// Receiver of what arrives on the links of other hosts.
 pub trait PeerSink: Debug + Send + Sync {
     /// Takes a message of another host.
@@ -24,15 +27,22 @@
     listener: TcpListener,
     own: HostName,
     timing: Timing,
+    meter: Arc<LinkMeter>,
 }
 
 impl PeerListener {
     /// Binds the address.
-    pub async fn bind(address: SocketAddr, own: HostName, timing: Timing) -> io::Result<Self> {
+    pub async fn bind(
+        address: SocketAddr,
+        own: HostName,
+        timing: Timing,
+        meter: Arc<LinkMeter>,
+    ) -> io::Result<Self> {
         Ok(Self {
             listener: TcpListener::bind(address).await?,
             own,
             timing,
+            meter,
         })
     }
 
@@ -40,34 +50,46 @@
     pub async fn run(self, sink: Arc<dyn PeerSink>, stop: CancellationToken) {
         while let Some(accepted) = stop.run_until_cancelled(self.listener.accept()).await {
             let Ok((stream, _)) = accepted else { continue };
-            let (own, sink) = (self.own.clone(), Arc::clone(&sink));
-            let silent = Duration::from_millis(self.timing.link_silent.0);
+            let inbound = InboundLink {
+                own: self.own.clone(),
+                sink: Arc::clone(&sink),
+                meter: Arc::clone(&self.meter),
+                silent: Duration::from_millis(self.timing.link_silent.0),
+            };
             let stop = stop.clone();
-            tokio::spawn(async move {
-                stop.run_until_cancelled(receive(stream, own, sink, silent))
-                    .await
-            });
+            tokio::spawn(async move { stop.run_until_cancelled(inbound.receive(stream)).await });
         }
     }
 }
 
-/// Receives until the link fails or falls silent.
-async fn receive(stream: TcpStream, own: HostName, sink: Arc<dyn PeerSink>, silent: Duration) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME);
-    let beat = PeerFrame::new(&own, None);
-    while let Ok(Ok(Some(frame))) = timeout(silent, tarragon_wire::read(&mut frames)).await {
-        let Ok((from, event)) = PeerFrame::parts(frame) else {
+struct InboundLink {
+    own: HostName,
+    sink: Arc<dyn PeerSink>,
+    meter: Arc<LinkMeter>,
+    silent: Duration,
+}
+
+impl InboundLink {
+    /// Receives until the link fails or falls silent.
+    async fn receive(self, stream: TcpStream) {
+        if stream.set_nodelay(true).is_err() {
             return;
-        };
-        match event {
-            Some(event) => sink.receive(&from, event),
-            None => match timeout(silent, tarragon_wire::write(&mut frames, &beat)).await {
-                Ok(Ok(())) => {}
-                _ => return,
-            },
+        }
+        let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME);
+        let beat = PeerFrame::new(&self.own, None).encoded();
+        while let Ok(Some(Ok(buf))) = timeout(self.silent, frames.next()).await {
+            self.meter.inbound_frame(buf.len());
+            let Ok((from, event)) = PeerFrame::decode_parts(&buf) else {
+                return;
+            };
+            if let Some(event) = event {
+                self.sink.receive(&from, event);
+                continue;
+            }
+            self.meter.inbound_frame(beat.len());
+            let Ok(Ok(())) = timeout(self.silent, frames.send(beat.clone())).await else {
+                return;
+            };
         }
     }
 }
--- a/lib/telemetry/src/metrics.rs
+++ b/lib/telemetry/src/metrics.rs
@@ -84,6 +84,8 @@
     control_messages: IntCounterVec = counter_vec("tarragon_control_messages_total", ["from", "to"]);
     /// Bytes of control messages sent, by failure domain of both ends.
     control_bytes: IntCounterVec = counter_vec("tarragon_control_bytes_total", ["from", "to"]);
+    /// Bytes of control messages on connections that other hosts opened.
+    control_inbound_bytes: IntCounter = counter("tarragon_control_inbound_bytes_total");
     /// Connections between processes that were closed after silence.
     silent_links: IntCounter = counter("tarragon_silent_links_total");
     /// Revision of the catalogue that this host decides by.
--- a/lib/wire/src/peer.rs
+++ b/lib/wire/src/peer.rs
@@ -161,6 +161,11 @@
         Bytes::from(self.encode_to_vec())
     }
 
+    /// Sender and contents of an encoded frame.
+    pub fn decode_parts(buf: &[u8]) -> Result<(HostName, Option<PeerEvent>), WireError> {
+        Self::decode(buf)?.parts()
+    }
+
     /// Sender and contents of the frame; no contents for a heartbeat.
     pub fn parts(self) -> Result<(HostName, Option<PeerEvent>), WireError> {
         let from = HostName::from(self.from);
