agreement: state the driver's part of the contract

The daemon is written against the replica at the same time; the module page now names what it must do for the guarantees to hold. No change of behaviour.

--- a/lib/agreement/src/lib.rs
+++ b/lib/agreement/src/lib.rs
@@ -1,6 +1,18 @@
 //! Agreement on a replicated log as a pure state machine, in the manner of Raft.
 //!
 //! [`Event`]s go in and [`Action`]s come out; the caller owns the clock, the disk and the network.
+//! Its part of the contract:
+//!
+//! - Actions are carried out in order. Writes may be synced later and together, but each is
+//!   reported only once it is synced, and a failed sync ends the process.
+//! - A message is handed in only if it was addressed to the identity of this replica, not only to
+//!   its host: a host that lost its disk has another identity.
+//! - [`Event::Tick`] is the first event, so that the time of the start is known. While it has not
+//!   passed `election_min` from there, the replica votes for no one.
+//! - `lease_valid` is asked with a clock reading taken after the state to be served was read.
+//! - The founders of a group start from a snapshot at index 0, term 0, that holds the first member
+//!   list and an empty state. A host that joins starts empty and asks the leader for
+//!   [`Event::AddLearner`].
 
 mod action;
 mod ballot;
