scheduler: bound the searches of a full cell and refuse by declared size

With the cell full, each tick searched all workers and tasks anew for the head of the queue, and estimates were compared with every worker. The searches are made at most every 250 ms. Impossible jobs are judged by what they declare, not by an estimate from when larger workers were there, and cancelled jobs at the head do not end the pass over the queue. An assignment that commits after it was given up is released.

--- a/lib/scheduler/src/hold.rs
+++ b/lib/scheduler/src/hold.rs
@@ -35,7 +35,7 @@
         Self {
             team: record.team.clone(),
             class: record.class,
-            entry: Name::from(record.pattern.text()),
+            entry: Name::from(record.pattern.to_string()),
             spec: Arc::clone(&record.spec),
         }
     }
--- a/lib/scheduler/src/lead.rs
+++ b/lib/scheduler/src/lead.rs
@@ -1,11 +1,11 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
 };
 
 use tarragon_cell::Command;
 use tarragon_leases::{WorkerLeases, WorkerOrder};
-use tarragon_names::{JobId, Millis, TaskId, WorkerName};
+use tarragon_names::{JobId, Millis, Resources, TaskId, WorkerName};
 use tarragon_placement::{HeadReservation, Horizon};
 use tarragon_queue::{JobQueue, QueueConfig};
 
@@ -45,6 +45,8 @@
     pub head: Option<Arc<HeadReservation>>,
     /// Last search for such a reservation.
     pub planned: Option<(JobId, Millis)>,
+    /// Distinct capacities of the workers, of which there are few.
+    pub kinds: HashSet<Resources>,
     pub proposals: Vec<Command>,
     /// Commands that were refused and are proposed again.
     pub retries: Vec<Command>,
@@ -75,6 +77,7 @@
             preempted: None,
             head: None,
             planned: None,
+            kinds: HashSet::new(),
             proposals: Vec::new(),
             retries: Vec::new(),
             out: Vec::new(),
--- a/lib/scheduler/src/scheduler_jobs.rs
+++ b/lib/scheduler/src/scheduler_jobs.rs
@@ -4,7 +4,9 @@
 use tarragon_codes::{Code, Failure};
 use tarragon_health::Verdict;
 use tarragon_leases::WorkerOrder;
-use tarragon_names::{Attempt, JobId, Millis, Resources, TaskId, TeamName, WorkerName, Workload};
+use tarragon_names::{
+    Attempt, JobId, Millis, Name, Resources, TaskId, TeamName, WorkerName, Workload,
+};
 use tarragon_queue::{QueuedJob, Quota};
 use tarragon_sizing::Usage;
 
@@ -51,10 +53,10 @@
                 }
             }
             Command::PutQuota { team, .. } => self.quota_changed(lead, team),
-            Command::PutEntry { .. }
-            | Command::DeleteEntry { .. }
-            | Command::ClaimKey { .. }
-            | Command::CompleteKey { .. } => {}
+            Command::DeleteEntry { pattern, .. } => {
+                self.sizes.forget(&Name::from(pattern.to_string()));
+            }
+            Command::PutEntry { .. } | Command::ClaimKey { .. } | Command::CompleteKey { .. } => {}
         }
     }
 
@@ -75,6 +77,14 @@
             .get_mut(&task)
             .filter(|hold| hold.attempt == attempt && hold.stage == Stage::Proposed)
         else {
+            if taken.is_some() && !lead.holds.contains_key(&task) {
+                // It was given up as not proposed and committed all the same. No start was sent.
+                lead.proposals.push(Command::End {
+                    task,
+                    attempt,
+                    ended: Ended::NeverBegan,
+                });
+            }
             return;
         };
         let Some(Some(may_start)) = taken else {
@@ -237,6 +247,10 @@
 
     /// Brings the queue into line with the log for each job that changed.
     pub(crate) fn sync_jobs(&mut self, lead: &mut Lead, now: Millis) {
+        lead.kinds.clear();
+        for state in lead.workers.values().filter(|state| state.placed) {
+            lead.kinds.extend(state.capacity);
+        }
         while let Some((_, job)) = lead.parked.first().copied().filter(|(at, _)| *at <= now) {
             lead.parked.pop_first();
             lead.dirty.insert(job);
@@ -305,7 +319,7 @@
             class: brief.class,
             deadline: spec.deadline_ms.map(|ms| since + Millis(ms)),
             kind: spec.kind,
-            resources: self.reservation(brief),
+            resources: self.reservation(lead, brief),
             tasks,
             run: self.sizes.run_time(&brief.entry, run, Millis(0)),
             since,
@@ -313,17 +327,17 @@
     }
 
     /// What to reserve for each task of a job.
-    fn reservation(&self, brief: &JobBrief) -> Resources {
+    fn reservation(&self, lead: &Lead, brief: &JobBrief) -> Resources {
         let declared = brief.spec.resources;
         let catalogue = self.cell.catalogue();
         let entry = catalogue.resolve(&brief.spec.name);
         let limit = entry.map_or(Resources::ZERO, |entry| entry.limits.max_task);
         let wanted = self.sizes.reservation(&brief.entry, &declared, &limit);
         // An estimate beyond every worker must not keep a job waiting that declares less.
-        if wanted != declared && !self.placer.fits_capacity(&wanted) {
-            declared
-        } else {
+        if wanted.fits(&declared) || lead.kinds.iter().any(|kind| wanted.fits(kind)) {
             wanted
+        } else {
+            declared
         }
     }
 }
--- a/lib/scheduler/src/scheduler_place.rs
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -4,7 +4,7 @@
 
 use tarragon_cell::Command;
 use tarragon_codes::{Code, Failure};
-use tarragon_names::{Attempt, Class, Millis, Resources, TaskId, WorkerName, Workload};
+use tarragon_names::{Attempt, Class, JobId, Millis, Resources, TaskId, WorkerName, Workload};
 use tarragon_placement::PlaceRequest;
 use tarragon_queue::{Claim, PreemptMeans, Preemption, QueuedJob, Victim};
 
@@ -14,6 +14,9 @@
     lead::{Lead, QUEUE_EPOCH},
 };
 
+/// Passes over the head of the queue in one tick.
+const PASSES: usize = 16;
+
 /// Jobs in one tick that are compared with all workers.
 const CHECKS: usize = 8;
 
@@ -26,6 +29,9 @@
 /// Time between two searches for a reservation in time for the same job.
 const PLAN_EVERY: Millis = Millis(1_000);
 
+/// Time between two searches over all workers or tasks for different jobs.
+const SEARCH_EVERY: Millis = Millis(250);
+
 /// Assumed wait of an urgent job for which no end of running work is known.
 const UNKNOWN_WAIT: Millis = Millis(60_000);
 
@@ -38,9 +44,9 @@
         let mut assigned = Vec::new();
         self.probe(lead, now, &mut assigned);
         let mut unfit = Vec::new();
-        while assigned.len() < self.cfg.batch {
-            let before = assigned.len();
+        for _ in 0..PASSES {
             unfit.clear();
+            let mut handled = 0;
             let largest = self.placer.largest_free();
             for job in lead.queue.candidates(now + QUEUE_EPOCH, self.cfg.lookahead) {
                 let left = self.cfg.batch.saturating_sub(assigned.len());
@@ -49,11 +55,14 @@
                 }
                 let placed = job.resources.fits(&largest)
                     && self.place_job(lead, now, &job, left, &mut assigned);
-                if !placed {
+                if placed {
+                    handled += 1;
+                } else {
                     unfit.push(job);
                 }
             }
-            if assigned.len() == before {
+            // Another pass pays only if this one dealt with a good part of what it looked at.
+            if handled <= unfit.len() {
                 break;
             }
         }
@@ -72,7 +81,8 @@
         }
     }
 
-    /// Places what fits of one job, at most `limit` tasks; false if nothing fits.
+    /// Places what fits of one job, at most `limit` tasks; false if nothing fits. A job that does
+    /// not wait any more is taken out of the queue.
     fn place_job(
         &self,
         lead: &mut Lead,
@@ -223,9 +233,15 @@
             } else {
                 1
             };
+            // The reservation may be an estimate from a time when larger workers were there.
+            let declared = self.cell.with_job(job.job, |record| record.spec.resources);
+            let Some(declared) = declared else { continue };
+            if job.resources != declared {
+                lead.dirty.insert(job.job);
+            }
             let mut room = 0;
             for capacity in &capacities {
-                room += holds(capacity, &job.resources);
+                room += holds(capacity, &declared);
                 if room >= needed {
                     break;
                 }
@@ -234,7 +250,7 @@
                 continue;
             }
             let cause = if room == 0 {
-                format!("a task needs {}, more than any worker has", job.resources)
+                format!("a task needs {declared}, more than any worker has")
             } else {
                 format!("all workers together hold {room} of {needed} tasks at once")
             };
@@ -251,8 +267,10 @@
         if held.is_some_and(|head| head.job == job.job && now < head.at) {
             return;
         }
-        let recent = lead.planned.filter(|(planned, _)| *planned == job.job);
-        if recent.is_some_and(|(_, at)| now.since(at) < PLAN_EVERY) {
+        if held.is_some_and(|head| !lead.queue.contains(head.job)) {
+            lead.head = None;
+        }
+        if too_soon(lead.planned, job.job, now, PLAN_EVERY) {
             return;
         }
         lead.planned = Some((job.job, now));
@@ -270,8 +288,7 @@
 
     /// Makes running work of lower classes give way to an urgent job.
     fn preempt(&self, lead: &mut Lead, now: Millis, job: &QueuedJob) {
-        let recent = lead.preempted.filter(|(last, _)| *last == job.job);
-        if recent.is_some_and(|(_, at)| now.since(at) < self.cfg.preempt_every) {
+        if too_soon(lead.preempted, job.job, now, self.cfg.preempt_every) {
             return;
         }
         lead.preempted = Some((job.job, now));
@@ -325,6 +342,15 @@
     }
 }
 
+/// Tells whether a search over all workers or tasks was made too recently, for the same job or for
+/// any. When the cell is full the head changes with each tick, and each search takes milliseconds.
+fn too_soon(last: Option<(JobId, Millis)>, job: JobId, now: Millis, same: Millis) -> bool {
+    last.is_some_and(|(searched, at)| {
+        let wait = if searched == job { same } else { SEARCH_EVERY };
+        now.since(at) < wait
+    })
+}
+
 /// Number of tasks that an empty worker holds.
 fn holds(capacity: &Resources, task: &Resources) -> u64 {
     let times = |capacity: u64, task: u64| capacity.checked_div(task).unwrap_or(u64::MAX);
--- a/lib/scheduler/src/scheduler_views.rs
+++ b/lib/scheduler/src/scheduler_views.rs
@@ -121,7 +121,7 @@
         .zip(counts)
     {
         if count > 0 {
-            reasons.push(format!("{count} tasks are {text}"));
+            reasons.push(format!("tasks {text}: {count}"));
         }
     }
 }
--- a/lib/scheduler/tests/world/scenarios.rs
+++ b/lib/scheduler/tests/world/scenarios.rs
@@ -5,7 +5,7 @@
 //! - `workers count=2 cpu=4000`: adds workers `w1`, `w2`, ... with this processor time.
 //! - `submit name=a kind=batch tasks=2 cpu=1000 run=5000 count=1 key=k`: submits jobs.
 //! - `run ms=1000`: lets time pass; `run until=<state> job=<n>` up to a state, at most 60 s.
-//! - `kill`, `restart`, `pause`, `wake` with `worker=w1`.
+//! - `kill`, `restart`, `pause`, `wake`, `leave` with `worker=w1`.
 //! - `fail worker=w1 status=1`: tasks that begin from now on exit with this status; jobs
 //!   whose name begins with `bad` always fail.
 //! - `use worker=w1 percent=150`: all its tasks use this part of what was declared.
@@ -20,6 +20,7 @@
 use datadriven::{DataDrivenError, TestCase, walk};
 use tarragon_catalogue::{CatalogueEntry, Limits};
 use tarragon_cell::{Answer, Command};
+use tarragon_leases::GuardEvent;
 use tarragon_names::{Class, JobId, Resources, Revision, WorkerName, Workload};
 use tarragon_placement::FirstFit;
 
@@ -101,6 +102,10 @@
         world.wake(&name);
         return Ok(String::new());
     }
+    if case.directive == "leave" {
+        world.worker_step(&name.into(), GuardEvent::Leave);
+        return Ok(String::new());
+    }
     let name = WorkerName::from(name);
     let worker = world
         .workers
@@ -155,7 +160,7 @@
         "put" => return put(world, case),
         "lose" => return lose(world, case),
         "run" => return run(world, case),
-        "kill" | "restart" | "pause" | "wake" | "fail" | "use" | "drain" => {
+        "kill" | "restart" | "pause" | "wake" | "leave" | "fail" | "use" | "drain" => {
             return on_worker(world, case);
         }
         "elect" => world.elect(case.take_arg("host")?),
--- a/lib/scheduler/tests/world/simulation.rs
+++ b/lib/scheduler/tests/world/simulation.rs
@@ -343,7 +343,7 @@
         }
     }
 
-    fn worker_step(&mut self, name: &WorkerName, event: GuardEvent) {
+    pub fn worker_step(&mut self, name: &WorkerName, event: GuardEvent) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(name).filter(|worker| worker.alive) else {
             return;
