scheduler: make room for several urgent jobs in one search

A search made room for the first urgent job only and was repeated at most every 250 ms. One search now serves up to 32 urgent jobs, each on workers of its own, and counts only tasks that do not fit.

--- a/lib/scheduler/src/lead.rs
+++ b/lib/scheduler/src/lead.rs
@@ -39,8 +39,10 @@
     pub closing: VecDeque<JobId>,
     pub backoffs: HashMap<JobId, Backoff>,
     pub parked: BTreeSet<(Millis, JobId)>,
-    /// Time of the last search for work that gives way to the job at the head.
-    pub preempted: Option<(JobId, Millis)>,
+    /// Urgent jobs for which work was told to give way, and when.
+    pub preempted: HashMap<JobId, Millis>,
+    /// Time of the last search for such work.
+    pub searched: Option<Millis>,
     /// Reservation in time of the first job that does not fit.
     pub head: Option<Arc<HeadReservation>>,
     /// Last search for such a reservation.
@@ -74,7 +76,8 @@
             closing: VecDeque::new(),
             backoffs: HashMap::new(),
             parked: BTreeSet::new(),
-            preempted: None,
+            preempted: HashMap::new(),
+            searched: None,
             head: None,
             planned: None,
             kinds: HashSet::new(),
--- a/lib/scheduler/src/lib.rs
+++ b/lib/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod scheduler_config;
 mod scheduler_jobs;
 mod scheduler_place;
+mod scheduler_preempt;
 mod scheduler_relief;
 mod scheduler_views;
 mod scheduler_workers;
--- a/lib/scheduler/src/scheduler_place.rs
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -1,12 +1,12 @@
 //! Placement of waiting jobs.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use tarragon_cell::Command;
 use tarragon_codes::{Code, Failure};
-use tarragon_names::{Attempt, Class, JobId, Millis, Resources, TaskId, WorkerName, Workload};
+use tarragon_names::{Attempt, Millis, Resources, TaskId, WorkerName, Workload};
 use tarragon_placement::PlaceRequest;
-use tarragon_queue::{Claim, PreemptMeans, Preemption, QueuedJob, Victim};
+use tarragon_queue::QueuedJob;
 
 use crate::{
     Scheduler,
@@ -23,18 +23,12 @@
 /// Quarantined workers that get a probe in one tick.
 const PROBES: usize = 4;
 
-/// Running tasks that one search for work that gives way looks at.
-const VICTIMS: usize = 4_096;
-
 /// Time between two searches for a reservation in time for the same job.
 const PLAN_EVERY: Millis = Millis(1_000);
 
-/// Time between two searches over all workers or tasks for different jobs.
+/// Time between two searches for a reservation in time for different jobs.
 const SEARCH_EVERY: Millis = Millis(250);
 
-/// Assumed wait of an urgent job for which no end of running work is known.
-const UNKNOWN_WAIT: Millis = Millis(60_000);
-
 type Assignments = Vec<(TaskId, Attempt, WorkerName)>;
 
 impl Scheduler {
@@ -70,15 +64,12 @@
             lead.proposals.push(Command::Assign { tasks: assigned });
         }
         self.refuse_impossible(lead, now, &unfit);
-        match unfit.iter().find(|job| lead.queue.contains(job.job)) {
-            Some(head) => {
-                self.plan_head(lead, now, head);
-                if head.class == Class::Urgent {
-                    self.preempt(lead, now, head);
-                }
-            }
+        unfit.retain(|job| lead.queue.contains(job.job));
+        match unfit.first() {
+            Some(head) => self.plan_head(lead, now, head),
             None => lead.head = None,
         }
+        self.preempt(lead, now, &unfit);
     }
 
     /// Places what fits of one job, at most `limit` tasks; false if nothing fits. A job that does
@@ -270,7 +261,12 @@
         if held.is_some_and(|head| !lead.queue.contains(head.job)) {
             lead.head = None;
         }
-        if too_soon(lead.planned, job.job, now, PLAN_EVERY) {
+        // When the cell is full the head changes with each tick, and a search takes milliseconds.
+        let too_soon = lead.planned.is_some_and(|(planned, at)| {
+            let same = planned == job.job;
+            now.since(at) < if same { PLAN_EVERY } else { SEARCH_EVERY }
+        });
+        if too_soon {
             return;
         }
         lead.planned = Some((job.job, now));
@@ -285,70 +281,6 @@
             .plan(now, job.job, &req, &*self.placer)
             .map(Arc::new);
     }
-
-    /// Makes running work of lower classes give way to an urgent job.
-    fn preempt(&self, lead: &mut Lead, now: Millis, job: &QueuedJob) {
-        if too_soon(lead.preempted, job.job, now, self.cfg.preempt_every) {
-            return;
-        }
-        lead.preempted = Some((job.job, now));
-        let head = lead.head.as_ref().filter(|head| head.job == job.job);
-        let claim = Claim {
-            class: job.class,
-            borrows: lead.queue.quotas().team(&job.team).borrows(),
-            resources: job.resources,
-            tasks: job.tasks,
-            whole: job.kind == Workload::AllOrNothing,
-            wait: head.map_or(UNKNOWN_WAIT, |head| head.at.since(now)),
-        };
-        let victims = lead
-            .holds
-            .iter()
-            .filter(|(_, hold)| hold.stage == Stage::Running && !hold.ending)
-            .filter(|(_, hold)| hold.brief.class > job.class)
-            .take(VICTIMS)
-            .map(|(task, hold)| Victim {
-                task: *task,
-                worker: hold.worker.clone(),
-                class: hold.brief.class,
-                borrowed: lead.queue.quotas().team(&hold.brief.team).borrows(),
-                kind: hold.brief.spec.kind,
-                resources: hold.reserved,
-                ran: now.since(hold.since),
-                left: hold.ends().map_or(UNKNOWN_WAIT, |ends| ends.since(now)),
-                checkpoints: true,
-            })
-            .collect::<Vec<_>>();
-        let free = |worker: &WorkerName| self.placer.free(worker).unwrap_or_default();
-        let mut room = BTreeMap::new();
-        for action in Preemption::default().choose(&claim, &victims, free) {
-            match action.means {
-                PreemptMeans::Checkpoint => self.send_checkpoint(lead, now, action.task),
-                PreemptMeans::Stop => self.stop_hold(lead, now, action.task),
-                PreemptMeans::Throttle => {
-                    // A worker does not confirm a limit, so the processor time that it would free
-                    // must not be given away. As many tasks as needed checkpoint instead.
-                    let freed = lead.holds.get(&action.task).map(|hold| hold.reserved);
-                    let room = room
-                        .entry(action.worker.clone())
-                        .or_insert_with(|| free(&action.worker));
-                    if !job.resources.fits(room) {
-                        *room += freed.unwrap_or_default();
-                        self.send_checkpoint(lead, now, action.task);
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Tells whether a search over all workers or tasks was made too recently, for the same job or for
-/// any. When the cell is full the head changes with each tick, and each search takes milliseconds.
-fn too_soon(last: Option<(JobId, Millis)>, job: JobId, now: Millis, same: Millis) -> bool {
-    last.is_some_and(|(searched, at)| {
-        let wait = if searched == job { same } else { SEARCH_EVERY };
-        now.since(at) < wait
-    })
 }
 
 /// Number of tasks that an empty worker holds.
