--- a/lib/scheduler/src/lead.rs
+++ b/lib/scheduler/src/lead.rs
@@ -1,11 +1,11 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
 };
 
 use tarragon_cell::Command;
 use tarragon_leases::{WorkerLeases, WorkerOrder};
-use tarragon_names::{JobId, Millis, TaskId, WorkerName};
+use tarragon_names::{JobId, Millis, Resources, TaskId, WorkerName};
 use tarragon_placement::{HeadReservation, Horizon};
 use tarragon_queue::{JobQueue, QueueConfig};
 
@@ -39,12 +39,16 @@
     pub closing: VecDeque<JobId>,
     pub backoffs: HashMap<JobId, Backoff>,
     pub parked: BTreeSet<(Millis, JobId)>,
-    /// Time of the last search for work that gives way to the job at the head.
-    pub preempted: Option<(JobId, Millis)>,
+    /// Urgent jobs for which work was told to give way, and when.
+    pub preempted: HashMap<JobId, Millis>,
+    /// Time of the last search for such work.
+    pub searched: Option<Millis>,
     /// Reservation in time of the first job that does not fit.
     pub head: Option<Arc<HeadReservation>>,
     /// Last search for such a reservation.
     pub planned: Option<(JobId, Millis)>,
+    /// Distinct capacities of the workers, of which there are few.
+    pub kinds: HashSet<Resources>,
     pub proposals: Vec<Command>,
     /// Commands that were refused and are proposed again.
     pub retries: Vec<Command>,
@@ -72,9 +76,11 @@
             closing: VecDeque::new(),
             backoffs: HashMap::new(),
             parked: BTreeSet::new(),
-            preempted: None,
+            preempted: HashMap::new(),
+            searched: None,
             head: None,
             planned: None,
+            kinds: HashSet::new(),
             proposals: Vec::new(),
             retries: Vec::new(),
             out: Vec::new(),
