bench: measure catalogue changes over real processes; host: follow the replica's contract

The replica expects a tick before any message and the host of a member that it does not list. Change: tarragon-bench commits with a delaying fake between failure domains; the driver sends the first tick and contacts, and tells callers of a busy leader to come back.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -3,8 +3,10 @@
 //! Every experiment is seeded and bounded in count and time, prints a table and writes one JSON
 //! file.
 
+mod commits;
 mod control;
 mod decisions;
+mod delay_line;
 mod deployment;
 mod draw;
 mod health;
@@ -26,7 +28,12 @@
 
 type Run = fn(&Options) -> Report;
 
-const COMMANDS: [(&str, &str, Run); 7] = [
+const COMMANDS: [(&str, &str, Run); 8] = [
+    (
+        "commits",
+        "catalogue changes through the replicated log",
+        commits::run,
+    ),
     (
         "control",
         "control cost of real processes by role",
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -102,6 +102,10 @@
     }
 
     fn run(mut self) {
+        // The replica takes its first reading of the clock before any message.
+        if let Err(failure) = self.step(Event::Tick) {
+            self.fail(&failure);
+        }
         loop {
             match self.turn() {
                 Ok(true) => {}
@@ -163,7 +167,7 @@
         match input {
             Input::Event(event) => self.step(event),
             Input::Message { host, from, msg } => {
-                self.hosts.insert(from, host);
+                self.note_contact(from, host)?;
                 self.step(Event::Receive { from, msg })
             }
             Input::Read(waiter) => {
@@ -225,8 +229,9 @@
             Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term),
             Action::Proposed { token, first, term } => self.waiters.appended(token, first, term),
             Action::Done { token, index } => self.waiters.done(token, index, self.applied),
-            Action::Refused { token, .. } => {
-                let commands = self.waiters.refused(token);
+            Action::Refused { token, leader } => {
+                let is_busy = leader.as_ref() == Some(self.parts.links.own());
+                let commands = self.waiters.refused(token, is_busy);
                 if !commands.is_empty() {
                     self.parts.sink.not_proposed(commands);
                 }
@@ -264,14 +269,16 @@
         Ok(())
     }
 
-    /// Sends a message. A new member holds no member list yet and answers the host it heard from.
+    /// Tells the replica where a member is; a new one holds no member list yet.
+    fn note_contact(&mut self, id: MemberId, host: HostName) -> Outcome<()> {
+        if self.hosts.get(&id) == Some(&host) {
+            return Ok(());
+        }
+        self.hosts.insert(id, host.clone());
+        self.step(Event::Contact { id, host })
+    }
+
     fn send(&self, to: MemberId, host: &HostName, msg: PeerMsg) {
-        let host = if host.is_empty() {
-            self.hosts.get(&to)
-        } else {
-            Some(host)
-        };
-        let Some(host) = host else { return };
         let event = PeerEvent::Agreement {
             from: self.id,
             to,
--- a/lib/host/src/waiters.rs
+++ b/lib/host/src/waiters.rs
@@ -6,6 +6,9 @@
 use tarragon_names::{LogIndex, Term};
 use tokio::sync::oneshot;
 
+/// Wait told to callers while the leader is busy, in milliseconds.
+const BUSY_RETRY_MS: u64 = 500;
+
 /// Who waits for the result of a proposal.
 #[derive(Debug)]
 pub(crate) enum ProposalWaiter {
@@ -87,8 +90,14 @@
     }
 
     /// Passes on a refusal; the request has no effect. Gives back the commands of the scheduler.
-    pub(crate) fn refused(&mut self, token: Token) -> Vec<Command> {
-        let cause = Failure::of(Code::NotLeader);
+    ///
+    /// A leader refuses while it `is_busy` with as many uncommitted entries as it may hold.
+    pub(crate) fn refused(&mut self, token: Token, is_busy: bool) -> Vec<Command> {
+        let cause = if is_busy {
+            Failure::of(Code::QueueFull).retry_after(BUSY_RETRY_MS)
+        } else {
+            Failure::of(Code::NotLeader)
+        };
         let mut commands = Vec::new();
         for waiter in self.batches.remove(&token).unwrap_or_default() {
             match waiter {
