--- a/lib/agreement/tests/group/random.rs
+++ b/lib/agreement/tests/group/random.rs
@@ -34,6 +34,10 @@
         cluster.network.delay = (1, 30);
         for (host, rate) in cluster.hosts.iter_mut().zip([100, 101, 100, 101, 100, 101]) {
             host.rate = rate;
+            // Hosts that were away for a moment need a snapshot.
+            host.snapshot_every = 15;
+            host.cfg.keep_entries = 5;
+            host.start(seed ^ rate);
         }
         let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
         Self { cluster, rng }
@@ -82,7 +86,8 @@
         }
     }
 
-    /// Loses the disk of a learner, or makes a learner a voter in place of this host's voter.
+    /// Makes a learner a voter in place of this host's voter, or loses the disk of a host that is
+    /// no member, or adds the host as a learner.
     fn replace_or_lose(&mut self, name: &str) {
         let Some((leader, mut members)) = self.leading() else {
             return;
@@ -100,7 +105,13 @@
                 self.cluster.step(&leader, event);
             }
             // The list of the leader may be older than the role of the host.
-            (None, _) if self.is_no_voter_anywhere(id) => self.cluster.lose_disk(name),
+            (None, _) if self.is_no_voter_anywhere(id) => {
+                self.cluster.lose_disk(name);
+                let (token, id) = (self.cluster.next_token(), self.cluster.host(name).id);
+                let host = HostName::from(name);
+                let event = Event::AddLearner { token, id, host };
+                self.cluster.step(&leader, event);
+            }
             _ => {}
         }
     }
