--- a/cli/src/bench/decisions.rs
+++ b/cli/src/bench/decisions.rs
@@ -1,6 +1,10 @@
 //! Time of a placement decision against the number of workers.
 
-use std::time::Instant;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    thread,
+    time::Instant,
+};
 
 use serde_json::json;
 use tarragon_names::{JobId, Millis, Resources, TaskId, WorkerName, Workload};
@@ -70,9 +74,61 @@
             "plan_p99_us" => plans.micros(0.99),
         });
     }
+    for (name, placer) in placers(options.seed) {
+        let deployment = Deployment::target(2_800);
+        deployment.fill(&*placer);
+        let mut draw = Draw::new(options.seed);
+        let mut held = preload(&*placer, 2_800 * TASKS_A_WORKER / 1_000, &mut draw);
+        for threads in [1, 2, 4, 8] {
+            let rate = measure_threads(&*placer, &mut held, threads, count, options);
+            report.push(row! {
+                "workers" => 2_800,
+                "placer" => name,
+                "threads" => threads,
+                "replaced_per_s" => rate,
+            });
+        }
+    }
     report
 }
 
+/// Replaces tasks from several threads at once and returns releases with placements a second.
+fn measure_threads(
+    placer: &dyn Placer,
+    held: &mut Held,
+    threads: usize,
+    count: u64,
+    options: &Options,
+) -> u64 {
+    let begun = Instant::now();
+    let done = AtomicU64::new(0);
+    let part = held.len().div_ceil(threads);
+    thread::scope(|scope| {
+        for (n, part) in held.chunks_mut(part).enumerate() {
+            let done = &done;
+            scope.spawn(move || {
+                let mut draw = Draw::new(options.seed + n as u64);
+                for _ in 0..count {
+                    if begun.elapsed() > options.limit {
+                        return;
+                    }
+                    let (worker, size) = &mut part[draw.index(part.len())];
+                    placer.release(worker, size);
+                    let req = PlaceRequest::new(1, *size, Workload::Batch);
+                    if let Some(new) = placer.place(&req).workers.pop() {
+                        *worker = new;
+                    } else {
+                        // Another thread took the room; nothing is held until the next turn.
+                        *size = Resources::ZERO;
+                    }
+                    done.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    (done.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64()) as u64
+}
+
 fn placers(seed: u64) -> [(&'static str, Box<dyn Placer>); 5] {
     let indexed = |weights| Box::new(IndexedPlacer::new(weights));
     [
--- a/lib/queue/tests/job_queue.rs
+++ b/lib/queue/tests/job_queue.rs
@@ -1,5 +1,7 @@
 //! Order of waiting jobs, quotas and ageing.
 
+use std::thread;
+
 use proptest::prelude::*;
 use tarragon_names::{Class, JobId, Millis, Resources, TeamName, Workload};
 use tarragon_queue::{JobQueue, PushError, QueueConfig, QueuedJob, Quota};
@@ -188,6 +190,40 @@
     assert_eq!(queue.warnings(Millis(58_000), &CAPACITY, 10).len(), 2);
 }
 
+/// Guards against lost jobs and against a deadlock between threads that push, take and count use.
+#[test]
+fn threads_share_the_queue() {
+    let queue = queue();
+    let taken = thread::scope(|scope| {
+        let threads = [0, 1, 2, 3].map(|thread| {
+            let queue = &queue;
+            scope.spawn(move || {
+                let mut taken = 0;
+                for id in 0..500 {
+                    let team = format!("t{}", id % 7);
+                    queue
+                        .push(job(id * 4 + thread, &team, Class::Standard))
+                        .unwrap();
+                    queue.started(&team.as_str().into(), &CORE);
+                    for first in queue.candidates(Millis(id), 2) {
+                        taken += usize::from(queue.remove(first.job).is_some());
+                    }
+                    queue.ended(&team.as_str().into(), &CORE);
+                    queue.position(JobId(id));
+                }
+                taken
+            })
+        });
+        threads
+            .map(|thread| thread.join().unwrap())
+            .iter()
+            .sum::<usize>()
+    });
+    assert_eq!(queue.len(), 2_000 - taken);
+    assert_eq!(queue.candidates(Millis(500), 2_000).len(), queue.len());
+    assert_eq!(queue.quotas().team(&"t0".into()).used, Resources::ZERO);
+}
+
 /// Guards against an index that loses or keeps a job: the candidates are the waiting jobs, sorted
 /// like a plain sort by the same rule.
 #[test]
