placement: keep the expected ends of a worker in a vector

Cause: planning a reservation at 2,800 workers with 64,593 tasks took 4.2 ms at the median. Change: a vector for the tasks of a worker, names cloned once a worker, selection instead of a sort.

--- a/lib/placement/src/horizon.rs
+++ b/lib/placement/src/horizon.rs
@@ -1,4 +1,7 @@
-use std::{collections::HashMap, fmt};
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+};
 
 use tarragon_names::{JobId, Millis, Resources, TaskId, WorkerName};
 use tarragon_shard::Sharded;
@@ -12,11 +15,12 @@
 
 /// Expected ends of running tasks, from which reservations in time are worked out.
 pub struct Horizon {
-    workers: Sharded<HashMap<WorkerName, HashMap<TaskId, Running>>>,
+    workers: Sharded<HashMap<WorkerName, Vec<Running>>>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Running {
+    task: TaskId,
     resources: Resources,
     ends: Millis,
 }
@@ -29,13 +33,21 @@
         }
     }
 
-    /// Records a task that is expected to end; a task without an end is not recorded.
+    /// Records a task that is expected to end, or its new end if it is recorded already.
+    ///
+    /// Costs a pass over the tasks of the worker. A task without an end is not recorded.
     pub fn started(&self, worker: &WorkerName, task: TaskId, resources: Resources, ends: Millis) {
+        let new = Running {
+            task,
+            resources,
+            ends,
+        };
         self.workers.with(worker, |shard| {
-            shard
-                .entry(worker.clone())
-                .or_default()
-                .insert(task, Running { resources, ends });
+            let tasks = shard.entry(worker.clone()).or_default();
+            match tasks.iter_mut().find(|known| known.task == task) {
+                Some(known) => *known = new,
+                None => tasks.push(new),
+            }
         });
     }
 
@@ -43,7 +55,7 @@
     pub fn ended(&self, worker: &WorkerName, task: &TaskId) {
         self.workers.with(worker, |shard| {
             if let Some(tasks) = shard.get_mut(worker) {
-                tasks.remove(task);
+                tasks.retain(|known| known.task != *task);
                 if tasks.is_empty() {
                     shard.remove(worker);
                 }
@@ -62,64 +74,82 @@
         req: &PlaceRequest,
         placer: &dyn Placer,
     ) -> Option<HeadReservation> {
-        let mut slots = Vec::new();
+        let mut workers = Vec::new();
         placer.visit(&mut |info| {
             if info.schedulable
                 && req.resources.fits(&info.capacity)
                 && !req.exclude.contains(&info.name)
             {
-                self.fit_times(now, &info.name, info.free(), req, &mut slots);
+                workers.push((info.name.clone(), info.free()));
             }
         });
+        let mut slots = Vec::new();
+        let mut ends = Vec::new();
+        for (index, (worker, free)) in workers.iter().enumerate() {
+            self.ends(now, worker, &mut ends);
+            fit_times(now, *free, &ends, req, |time| slots.push((time, index)));
+        }
         let wanted = req.tasks.max(1) as usize;
         if slots.len() < wanted {
             return None;
         }
-        slots.sort_unstable();
-        slots.truncate(wanted);
-        let at = slots.last().map_or(now, |(time, _)| *time);
+        slots.select_nth_unstable(wanted - 1);
+        let at = slots[wanted - 1].0;
         let mut reservation = HeadReservation {
             job,
             at,
-            workers: std::collections::BTreeMap::new(),
+            workers: BTreeMap::new(),
         };
-        for (_, worker) in slots {
-            *reservation.workers.entry(worker).or_default() += 1;
+        for (_, index) in &slots[..wanted] {
+            *reservation
+                .workers
+                .entry(workers[*index].0.clone())
+                .or_default() += 1;
         }
         Some(reservation)
     }
 
-    /// Adds one time to `slots` for each task of `req` that fits on the worker as tasks end.
-    fn fit_times(
-        &self,
-        now: Millis,
-        worker: &WorkerName,
-        mut free: Resources,
-        req: &PlaceRequest,
-        slots: &mut Vec<(Millis, WorkerName)>,
-    ) {
-        let mut running = self.workers.with(worker, |shard| {
-            shard
-                .get(worker)
-                .map(|tasks| tasks.values().copied().collect::<Vec<_>>())
-                .unwrap_or_default()
+    /// Fills `ends` with the expected ends on a worker in order.
+    fn ends(&self, now: Millis, worker: &WorkerName, ends: &mut Vec<(Millis, Resources)>) {
+        ends.clear();
+        self.workers.with(worker, |shard| {
+            let tasks = shard.get(worker).map_or(&[][..], Vec::as_slice);
+            ends.extend(
+                tasks
+                    .iter()
+                    .map(|task| (expected_end(now, task.ends), task.resources)),
+            );
         });
-        running.sort_unstable_by_key(|task| expected_end(now, task.ends));
-        let mut left = req.tasks.max(1);
-        let mut time = now;
-        let mut ends = running.into_iter();
-        while left > 0 {
-            while left > 0
-                && let Some(rest) = free.checked_sub(&req.resources)
-            {
-                free = rest;
-                left -= 1;
-                slots.push((time, worker.clone()));
-            }
-            let Some(task) = ends.next() else { return };
-            free += task.resources;
-            time = time.max(expected_end(now, task.ends));
+        ends.sort_unstable_by_key(|(end, _)| *end);
+    }
+}
+
+/// Calls `f` with one time for each task of `req` that fits on a worker as its tasks end.
+fn fit_times<F>(
+    now: Millis,
+    mut free: Resources,
+    ends: &[(Millis, Resources)],
+    req: &PlaceRequest,
+    mut f: F,
+) where
+    F: FnMut(Millis),
+{
+    let mut left = req.tasks.max(1);
+    let mut time = now;
+    let mut ends = ends.iter();
+    while left > 0 {
+        while left > 0
+            && let Some(rest) = free.checked_sub(&req.resources)
+        {
+            free = rest;
+            left -= 1;
+            f(time);
         }
+        let Some((end, resources)) = ends.next() else {
+            return;
+        };
+        free += *resources;
+        time = *end;
     }
 }
 
