--- a/cli/src/ctl/workers/drain.rs
+++ b/cli/src/ctl/workers/drain.rs
@@ -24,8 +24,20 @@
         Box::pin(async move {
             let name = WorkerName::from(operand(matches, "worker")?);
             cx.client().drain_worker(&name, true).await?;
-            let value = json!({"worker": name, "draining": true});
-            Ok(Output::new(format!("{name} drains"), &value))
+            // The flag may be set before a worker registers, so a slip of the name is no error.
+            let known = cx
+                .client()
+                .workers()
+                .await?
+                .iter()
+                .any(|worker| worker.name == name);
+            let text = if known {
+                format!("{name} drains")
+            } else {
+                format!("{name} is not known now; it drains once it registers")
+            };
+            let value = json!({"worker": name, "draining": true, "known": known});
+            Ok(Output::new(text, &value))
         })
     }
 }
