--- a/lib/scheduler/src/scheduler_place.rs
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -1,12 +1,12 @@
 //! Placement of waiting jobs.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use tarragon_cell::Command;
 use tarragon_codes::{Code, Failure};
-use tarragon_names::{Attempt, Class, Millis, Resources, TaskId, WorkerName, Workload};
+use tarragon_names::{Attempt, Millis, Resources, TaskId, WorkerName, Workload};
 use tarragon_placement::PlaceRequest;
-use tarragon_queue::{Claim, PreemptMeans, Preemption, QueuedJob, Victim};
+use tarragon_queue::QueuedJob;
 
 use crate::{
     Scheduler,
@@ -14,20 +14,20 @@
     lead::{Lead, QUEUE_EPOCH},
 };
 
+/// Passes over the head of the queue in one tick.
+const PASSES: usize = 16;
+
 /// Jobs in one tick that are compared with all workers.
 const CHECKS: usize = 8;
 
 /// Quarantined workers that get a probe in one tick.
 const PROBES: usize = 4;
 
-/// Running tasks that one search for work that gives way looks at.
-const VICTIMS: usize = 4_096;
-
 /// Time between two searches for a reservation in time for the same job.
 const PLAN_EVERY: Millis = Millis(1_000);
 
-/// Assumed wait of an urgent job for which no end of running work is known.
-const UNKNOWN_WAIT: Millis = Millis(60_000);
+/// Time between two searches for a reservation in time for different jobs.
+const SEARCH_EVERY: Millis = Millis(250);
 
 type Assignments = Vec<(TaskId, Attempt, WorkerName)>;
 
@@ -38,9 +38,9 @@
         let mut assigned = Vec::new();
         self.probe(lead, now, &mut assigned);
         let mut unfit = Vec::new();
-        while assigned.len() < self.cfg.batch {
-            let before = assigned.len();
+        for _ in 0..PASSES {
             unfit.clear();
+            let mut handled = 0;
             let largest = self.placer.largest_free();
             for job in lead.queue.candidates(now + QUEUE_EPOCH, self.cfg.lookahead) {
                 let left = self.cfg.batch.saturating_sub(assigned.len());
@@ -49,11 +49,14 @@
                 }
                 let placed = job.resources.fits(&largest)
                     && self.place_job(lead, now, &job, left, &mut assigned);
-                if !placed {
+                if placed {
+                    handled += 1;
+                } else {
                     unfit.push(job);
                 }
             }
-            if assigned.len() == before {
+            // Another pass pays only if this one dealt with a good part of what it looked at.
+            if handled <= unfit.len() {
                 break;
             }
         }
@@ -61,18 +64,16 @@
             lead.proposals.push(Command::Assign { tasks: assigned });
         }
         self.refuse_impossible(lead, now, &unfit);
-        match unfit.iter().find(|job| lead.queue.contains(job.job)) {
-            Some(head) => {
-                self.plan_head(lead, now, head);
-                if head.class == Class::Urgent {
-                    self.preempt(lead, now, head);
-                }
-            }
+        unfit.retain(|job| lead.queue.contains(job.job));
+        match unfit.first() {
+            Some(head) => self.plan_head(lead, now, head),
             None => lead.head = None,
         }
+        self.preempt(lead, now, &unfit);
     }
 
-    /// Places what fits of one job, at most `limit` tasks; false if nothing fits.
+    /// Places what fits of one job, at most `limit` tasks; false if nothing fits. A job that does
+    /// not wait any more is taken out of the queue.
     fn place_job(
         &self,
         lead: &mut Lead,
@@ -223,9 +224,15 @@
             } else {
                 1
             };
+            // The reservation may be an estimate from a time when larger workers were there.
+            let declared = self.cell.with_job(job.job, |record| record.spec.resources);
+            let Some(declared) = declared else { continue };
+            if job.resources != declared {
+                lead.dirty.insert(job.job);
+            }
             let mut room = 0;
             for capacity in &capacities {
-                room += holds(capacity, &job.resources);
+                room += holds(capacity, &declared);
                 if room >= needed {
                     break;
                 }
@@ -234,7 +241,7 @@
                 continue;
             }
             let cause = if room == 0 {
-                format!("a task needs {}, more than any worker has", job.resources)
+                format!("a task needs {declared}, more than any worker has")
             } else {
                 format!("all workers together hold {room} of {needed} tasks at once")
             };
@@ -251,8 +258,15 @@
         if held.is_some_and(|head| head.job == job.job && now < head.at) {
             return;
         }
-        let recent = lead.planned.filter(|(planned, _)| *planned == job.job);
-        if recent.is_some_and(|(_, at)| now.since(at) < PLAN_EVERY) {
+        if held.is_some_and(|head| !lead.queue.contains(head.job)) {
+            lead.head = None;
+        }
+        // When the cell is full the head changes with each tick, and a search takes milliseconds.
+        let too_soon = lead.planned.is_some_and(|(planned, at)| {
+            let same = planned == job.job;
+            now.since(at) < if same { PLAN_EVERY } else { SEARCH_EVERY }
+        });
+        if too_soon {
             return;
         }
         lead.planned = Some((job.job, now));
@@ -267,62 +281,6 @@
             .plan(now, job.job, &req, &*self.placer)
             .map(Arc::new);
     }
-
-    /// Makes running work of lower classes give way to an urgent job.
-    fn preempt(&self, lead: &mut Lead, now: Millis, job: &QueuedJob) {
-        let recent = lead.preempted.filter(|(last, _)| *last == job.job);
-        if recent.is_some_and(|(_, at)| now.since(at) < self.cfg.preempt_every) {
-            return;
-        }
-        lead.preempted = Some((job.job, now));
-        let head = lead.head.as_ref().filter(|head| head.job == job.job);
-        let claim = Claim {
-            class: job.class,
-            borrows: lead.queue.quotas().team(&job.team).borrows(),
-            resources: job.resources,
-            tasks: job.tasks,
-            whole: job.kind == Workload::AllOrNothing,
-            wait: head.map_or(UNKNOWN_WAIT, |head| head.at.since(now)),
-        };
-        let victims = lead
-            .holds
-            .iter()
-            .filter(|(_, hold)| hold.stage == Stage::Running && !hold.ending)
-            .filter(|(_, hold)| hold.brief.class > job.class)
-            .take(VICTIMS)
-            .map(|(task, hold)| Victim {
-                task: *task,
-                worker: hold.worker.clone(),
-                class: hold.brief.class,
-                borrowed: lead.queue.quotas().team(&hold.brief.team).borrows(),
-                kind: hold.brief.spec.kind,
-                resources: hold.reserved,
-                ran: now.since(hold.since),
-                left: hold.ends().map_or(UNKNOWN_WAIT, |ends| ends.since(now)),
-                checkpoints: true,
-            })
-            .collect::<Vec<_>>();
-        let free = |worker: &WorkerName| self.placer.free(worker).unwrap_or_default();
-        let mut room = BTreeMap::new();
-        for action in Preemption::default().choose(&claim, &victims, free) {
-            match action.means {
-                PreemptMeans::Checkpoint => self.send_checkpoint(lead, now, action.task),
-                PreemptMeans::Stop => self.stop_hold(lead, now, action.task),
-                PreemptMeans::Throttle => {
-                    // A worker does not confirm a limit, so the processor time that it would free
-                    // must not be given away. As many tasks as needed checkpoint instead.
-                    let freed = lead.holds.get(&action.task).map(|hold| hold.reserved);
-                    let room = room
-                        .entry(action.worker.clone())
-                        .or_insert_with(|| free(&action.worker));
-                    if !job.resources.fits(room) {
-                        *room += freed.unwrap_or_default();
-                        self.send_checkpoint(lead, now, action.task);
-                    }
-                }
-            }
-        }
-    }
 }
 
 /// Number of tasks that an empty worker holds.
