host: send fewer heartbeats and load summaries on the links

Change: whatever is sent counts as a heartbeat, answers come once a period, the period is 1 s, and a load summary is sent when it changes, else every second.

--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -13,9 +13,9 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_front::{FrontConfig, FrontLimits, LogLevelSetter};
 use tarragon_leases::WorkerOrder;
-use tarragon_names::HostName;
+use tarragon_names::{HostName, Millis};
 use tarragon_proxy::{Proxy, ProxyConfig};
-use tarragon_routing::RoutingConfig;
+use tarragon_routing::{PoolLoad, RoutingConfig};
 use tarragon_settings::HostSettings;
 use tarragon_telemetry::{Event, EventSink, Metrics};
 use tarragon_wire::peer::PeerEvent;
@@ -34,6 +34,9 @@
 /// Silence of a worker after which its connection is closed, in heartbeats.
 const WORKER_SILENT_BEATS: u64 = 5;
 
+/// Time after which an unchanged load summary is sent again.
+const LOAD_REPEAT: Millis = Millis(1_000);
+
 /// Time between the transfer of the leadership and the end of the links.
 const TRANSFER_TIME: Duration = Duration::from_millis(500);
 
@@ -269,11 +272,21 @@
     }
 }
 
-/// Sends load summaries to the other hosts until the stop.
+/// Sends load summaries to the other hosts until the stop: at once after a change, at most every
+/// `load_beat`, and else seldom, because links between failure domains cost.
 async fn send_loads(core: Arc<HostCore>, proxy: Arc<Proxy>, stop: CancellationToken) {
     let mut due = interval(Duration::from_millis(core.cfg.timing.load_beat.0));
+    let mut last = None::<(Vec<PoolLoad>, Millis)>;
     while stop.run_until_cancelled(due.tick()).await.is_some() {
-        core.links.broadcast(&PeerEvent::Load(proxy.load()));
+        let load = proxy.load();
+        let now = core.clock.now();
+        let is_known = last
+            .as_ref()
+            .is_some_and(|(pools, sent)| *pools == load.pools && now.since(*sent) < LOAD_REPEAT);
+        if !is_known {
+            last = Some((load.pools.clone(), now));
+            core.links.broadcast(&PeerEvent::Load(load));
+        }
     }
 }
 
@@ -283,6 +296,7 @@
         routing: RoutingConfig {
             executor_lease,
             newcomer_wait: executor_lease.lease_end(),
+            summary_max_age: Millis(2 * LOAD_REPEAT.0 + core.cfg.timing.load_beat.0),
             ..RoutingConfig::default()
         },
         ..ProxyConfig::new(core.name().clone(), core.boot)
--- a/lib/host/src/links.rs
+++ b/lib/host/src/links.rs
@@ -24,8 +24,9 @@
 
 /// Outgoing links to all other entry hosts.
 ///
-/// Each link has its own connection and task. The other side answers each heartbeat of the link, so
-/// a connection that has gone silent is closed and made anew.
+/// Each link has its own connection and task. Whatever is sent counts as a heartbeat, and the other
+/// side answers once in each heartbeat period, so a connection that has gone silent is closed and
+/// made anew.
 #[derive(Debug)]
 pub struct Links {
     own: HostName,
@@ -109,7 +110,9 @@
     /// Sends until the connection fails; false once the queue is closed.
     async fn drive(&mut self, stream: TcpStream) -> bool {
         let silent = Duration::from_millis(self.timing.link_silent.0);
-        let mut beat = interval(Duration::from_millis(self.timing.link_beat.0));
+        let beat = Duration::from_millis(self.timing.link_beat.0);
+        let mut due = interval(beat / 4);
+        let mut sent = None::<Instant>;
         let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME);
         let mut heard = Instant::now();
         loop {
@@ -118,7 +121,15 @@
                     Some(event) => PeerFrame::new(&self.own, Some(&event)),
                     None => return false,
                 },
-                _ = beat.tick() => PeerFrame::new(&self.own, None),
+                _ = due.tick() => {
+                    if heard.elapsed() > silent {
+                        return true;
+                    }
+                    if sent.is_some_and(|sent| sent.elapsed() < beat) {
+                        continue;
+                    }
+                    PeerFrame::new(&self.own, None)
+                }
                 reply = frames.next() => match reply {
                     Some(Ok(buf)) => {
                         heard = Instant::now();
@@ -128,9 +139,7 @@
                     _ => return true,
                 },
             };
-            if heard.elapsed() > silent {
-                return true;
-            }
+            sent = Some(Instant::now());
             let buf = frame.encoded();
             self.meter.sent(&self.host.name, buf.len());
             match timeout_at(Instant::now() + silent, frames.send(buf)).await {
--- a/lib/host/src/peer_listener.rs
+++ b/lib/host/src/peer_listener.rs
@@ -9,7 +9,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{Instant, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -54,6 +54,7 @@
                 own: self.own.clone(),
                 sink: Arc::clone(&sink),
                 meter: Arc::clone(&self.meter),
+                beat: Duration::from_millis(self.timing.link_beat.0) / 2,
                 silent: Duration::from_millis(self.timing.link_silent.0),
             };
             let stop = stop.clone();
@@ -66,6 +67,8 @@
     own: HostName,
     sink: Arc<dyn PeerSink>,
     meter: Arc<LinkMeter>,
+    /// Time between two answers.
+    beat: Duration,
     silent: Duration,
 }
 
@@ -77,6 +80,7 @@
         }
         let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME);
         let beat = PeerFrame::new(&self.own, None).encoded();
+        let mut answered = None::<Instant>;
         while let Ok(Some(Ok(buf))) = timeout(self.silent, frames.next()).await {
             self.meter.inbound_frame(buf.len());
             let Ok((from, event)) = PeerFrame::decode_parts(&buf) else {
@@ -84,8 +88,11 @@
             };
             if let Some(event) = event {
                 self.sink.receive(&from, event);
+            }
+            if answered.is_some_and(|answered| answered.elapsed() < self.beat) {
                 continue;
             }
+            answered = Some(Instant::now());
             self.meter.inbound_frame(beat.len());
             let Ok(Ok(())) = timeout(self.silent, frames.send(beat.clone())).await else {
                 return;
--- a/lib/settings/src/timing.rs
+++ b/lib/settings/src/timing.rs
@@ -40,9 +40,9 @@
 
 timing! {
     /// Time between two heartbeats of a connection.
-    link_beat, "link_beat_ms", 250;
+    link_beat, "link_beat_ms", 1_000;
     /// Time without a byte after which a connection is closed.
-    link_silent, "link_silent_ms", 1_000;
+    link_silent, "link_silent_ms", 2_500;
     /// Time of failed new connections after which a host is declared dead.
     host_dead, "host_dead_ms", 3_000;
     /// Time between two heartbeats of a leader to the replicas.
