--- a/lib/routing/src/admission.rs
+++ b/lib/routing/src/admission.rs
@@ -109,6 +109,7 @@
             self.queue.pop_front()
         }?;
         self.left(&waiting.entry);
+        self.emptied();
         Some(waiting.waiter)
     }
 
@@ -118,6 +119,7 @@
             && let Some(waiting) = self.queue.remove(at)
         {
             self.left(&waiting.entry);
+            self.emptied();
         }
     }
 
@@ -176,6 +178,11 @@
                 self.by_entry.remove(entry);
             }
         }
+    }
+
+    /// Ends the standing of a queue that was served to its end. One that was emptied by dropping
+    /// requests stands on.
+    fn emptied(&mut self) {
         if self.queue.is_empty() {
             self.standing_since = None;
         }
--- a/lib/routing/tests/overload.rs
+++ b/lib/routing/tests/overload.rs
@@ -68,6 +68,17 @@
     assert_eq!(queue.dropped, dropped);
 }
 
+/// Guards against a queue that counts as served because requests were dropped from it.
+#[test]
+fn dropping_requests_does_not_end_the_standing() {
+    let mut queue = Queue::new();
+    queue.enter("reel-*", 0, 120, "a").unwrap();
+    queue.enter("reel-*", 0, 2_000, "b").unwrap();
+    queue.enter("slots", 0, 2_000, "c").unwrap();
+    assert_eq!(queue.next(150), Some("c"));
+    assert_eq!(queue.dropped, ["a"]);
+}
+
 /// Guards against a return to oldest first in the middle of an overload, when the requests that were
 /// passed over expire together.
 #[test]
