leases: list only changed tasks in heartbeats

Change: the first list of a session is whole and repeated until it is answered, later ones hold what changed since an answered heartbeat, and every tenth is whole again. The bench measures a round trip and a sync beside the commits.

--- a/cli/src/bench/commits.rs
+++ b/cli/src/bench/commits.rs
@@ -3,6 +3,7 @@
 
 use std::{
     env, fs,
+    io::{self, Write},
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::Arc,
@@ -17,6 +18,8 @@
 use tarragon_client::Client;
 use tarragon_names::Revision;
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
     runtime::Builder,
     time::{Instant, sleep},
 };
@@ -41,6 +44,9 @@
 /// Times that the leader is killed for each delay.
 const KILLS: u32 = 4;
 
+/// Repetitions of each baseline.
+const BASELINE_ROUNDS: u32 = 200;
+
 /// Longest wait for a change after a kill.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(20);
 
@@ -58,6 +64,9 @@
     else {
         return report;
     };
+    if let Err(e) = runtime.block_on(baselines(&mut report)) {
+        eprintln!("baselines: {e}");
+    }
     for delay in DELAYS_MS {
         let folder = env::temp_dir().join(format!("tarragon-bench-{}", std::process::id()));
         if let Err(cause) = runtime.block_on(measure(&folder, delay, &mut report)) {
@@ -68,6 +77,62 @@
     report
 }
 
+/// What the figures below rest on: a round trip over each delay and a sync of the disk.
+async fn baselines(report: &mut Report) -> io::Result<()> {
+    for delay in DELAYS_MS {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target = listener.local_addr()?;
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (mut rx, mut tx) = stream.split();
+                let _ended = tokio::io::copy(&mut rx, &mut tx).await;
+            }
+        });
+        let address = match delay {
+            0 => target,
+            _ => {
+                DelayLine {
+                    target,
+                    delay: Duration::from_millis(delay),
+                }
+                .start()
+                .await?
+            }
+        };
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let mut times = histogram();
+        let mut buf = [7; 200];
+        for _ in 0..BASELINE_ROUNDS {
+            let start = Instant::now();
+            stream.write_all(&buf).await?;
+            stream.read_exact(&mut buf).await?;
+            times.saturating_record(start.elapsed().as_micros() as u64);
+        }
+        report.push(row! {
+            "baseline" => format!("round trip, {delay} ms one way"),
+            "p50_ms" => milliseconds(&times, 0.5),
+            "p99_ms" => milliseconds(&times, 0.99),
+        });
+    }
+    let path = env::temp_dir().join(format!("tarragon-bench-sync-{}", std::process::id()));
+    let mut file = fs::File::create(&path)?;
+    let mut times = histogram();
+    for _ in 0..BASELINE_ROUNDS {
+        let start = Instant::now();
+        file.write_all(&[7; 200])?;
+        file.sync_data()?;
+        times.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    fs::remove_file(&path)?;
+    report.push(row! {
+        "baseline" => "write and sync of 200 bytes",
+        "p50_ms" => milliseconds(&times, 0.5),
+        "p99_ms" => milliseconds(&times, 0.99),
+    });
+    Ok(())
+}
+
 async fn measure(folder: &Path, delay: u64, report: &mut Report) -> Result<(), String> {
     let example = Example::load(&PathBuf::from("examples/kovacik"))?;
     let deployment = Deployment::prepare(&example, folder, 50).map_err(|e| e.to_string())?;
--- a/lib/leases/src/lease_guard.rs
+++ b/lib/leases/src/lease_guard.rs
@@ -3,7 +3,8 @@
 use tarragon_names::{Attempt, Fence, Millis, Resources, Session, TaskId, Term};
 
 use crate::{
-    GuardAction, GuardConfig, GuardEvent, RunningTask, TaskEnd, TaskSpec, WorkerOrder, WorkerReport,
+    GuardAction, GuardConfig, GuardEvent, RunningTask, TaskEnd, TaskSpec, WorkerOrder,
+    WorkerReport, task_listing::TaskListing,
 };
 
 /// Attempts remembered in a session. Beyond it the worker takes a new session, whose orders are
@@ -26,6 +27,7 @@
     lease_until: Millis,
     last_sent: Option<Millis>,
     running: BTreeMap<TaskId, (Attempt, Resources)>,
+    listing: TaskListing,
     /// Ends that the leader has not confirmed.
     ended: BTreeMap<(TaskId, Attempt), TaskEnd>,
     /// Highest attempt of each task that began or was withdrawn in this session.
@@ -44,6 +46,7 @@
             lease_until: Millis(0),
             last_sent: None,
             running: BTreeMap::new(),
+            listing: TaskListing::default(),
             ended: BTreeMap::new(),
             seen: BTreeMap::new(),
             leaving: false,
@@ -133,6 +136,7 @@
                     self.session = Some(session);
                     self.registering = None;
                     self.last_sent = None;
+                    self.listing.reset();
                     self.forget_seen();
                 }
             }
@@ -144,6 +148,7 @@
             } => {
                 if self.session == Some(session) {
                     self.renew(now, term, clock, lease);
+                    self.listing.answered(clock);
                 }
             }
             WorkerOrder::UnknownSession { term } => {
@@ -300,13 +305,11 @@
         }
         self.last_sent = Some(now);
         let running = self.running.iter();
-        let running = running
-            .map(|(task, (attempt, usage))| RunningTask {
-                task: *task,
-                attempt: *attempt,
-                usage: *usage,
-            })
-            .collect();
+        let running = running.map(|(task, (attempt, usage))| RunningTask {
+            task: *task,
+            attempt: *attempt,
+            usage: *usage,
+        });
         let Some(session) = self.session else {
             self.registering.get_or_insert(now);
             let ended = self.ended.iter();
@@ -316,13 +319,14 @@
                 rack: self.cfg.rack.clone(),
                 capacity: self.cfg.capacity,
                 clock: now,
-                running,
+                running: running.collect(),
                 ended: ended
                     .map(|((task, attempt), end)| (*task, *attempt, *end))
                     .collect(),
             }));
             return;
         };
+        let running = self.listing.list(now, running);
         for (task, attempt) in self.ended.keys() {
             self.report_end(*task, *attempt, out);
         }
--- a/lib/leases/src/lib.rs
+++ b/lib/leases/src/lib.rs
@@ -10,6 +10,7 @@
 mod lease_guard;
 mod running_task;
 mod task_end;
+mod task_listing;
 mod task_spec;
 mod worker_leases;
 mod worker_order;
--- a/lib/leases/src/running_task.rs
+++ b/lib/leases/src/running_task.rs
@@ -1,7 +1,7 @@
 use tarragon_names::{Attempt, Resources, TaskId};
 
 /// A task that runs on a worker, as the worker reports it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct RunningTask {
     /// The task.
     pub task: TaskId,
--- a/lib/leases/src/worker_report.rs
+++ b/lib/leases/src/worker_report.rs
@@ -30,7 +30,8 @@
         session: Session,
         /// The worker's own clock reading.
         clock: Millis,
-        /// All tasks that run, with their usage.
+        /// Tasks that run, with their usage: all of them in the first heartbeats of a session, until
+        /// one is answered, and then those that changed.
         running: Vec<RunningTask>,
     },
     /// Reports the end of an attempt; repeated until `EndRecorded` arrives.
