--- a/lib/scheduler/src/lead.rs
+++ b/lib/scheduler/src/lead.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
 };
 
@@ -47,8 +47,8 @@
     pub head: Option<Arc<HeadReservation>>,
     /// Last search for such a reservation.
     pub planned: Option<(JobId, Millis)>,
-    /// Distinct capacities of the workers, of which there are few.
-    pub kinds: HashSet<Resources>,
+    /// Distinct capacities of the workers, of which there are few, and how many have each.
+    pub kinds: HashMap<Resources, u64>,
     pub proposals: Vec<Command>,
     /// Commands that were refused and are proposed again.
     pub retries: Vec<Command>,
@@ -80,7 +80,7 @@
             searched: None,
             head: None,
             planned: None,
-            kinds: HashSet::new(),
+            kinds: HashMap::new(),
             proposals: Vec::new(),
             retries: Vec::new(),
             out: Vec::new(),
@@ -137,6 +137,18 @@
         }
     }
 
+    /// Tasks of a size that the workers could hold together if they were empty, at most `needed`.
+    pub fn holds_at_most(&self, task: &Resources, needed: u64) -> u64 {
+        let mut room = 0;
+        for (capacity, workers) in &self.kinds {
+            room += holds(capacity, task) * workers;
+            if room >= needed {
+                return needed;
+            }
+        }
+        room
+    }
+
     /// Time of the log as the queue counts it.
     ///
     /// The queue's readings start far from zero, so that jobs from before the start of this
@@ -157,3 +169,12 @@
 
 /// Reading of the queue's clock when the scheduler's is zero.
 pub(crate) const QUEUE_EPOCH: Millis = Millis(90 * 24 * 3_600 * 1_000);
+
+/// Number of tasks that an empty worker holds.
+fn holds(capacity: &Resources, task: &Resources) -> u64 {
+    let times = |capacity: u64, task: u64| capacity.checked_div(task).unwrap_or(u64::MAX);
+    times(capacity.cpu_milli, task.cpu_milli)
+        .min(times(capacity.memory_mb, task.memory_mb))
+        .min(times(capacity.accelerators, task.accelerators))
+        .min(u64::from(u32::MAX))
+}
--- a/lib/scheduler/src/scheduler_jobs.rs
+++ b/lib/scheduler/src/scheduler_jobs.rs
@@ -248,8 +248,8 @@
     /// Brings the queue into line with the log for each job that changed.
     pub(crate) fn sync_jobs(&mut self, lead: &mut Lead, now: Millis) {
         lead.kinds.clear();
-        for state in lead.workers.values().filter(|state| state.placed) {
-            lead.kinds.extend(state.capacity);
+        for capacity in lead.workers.values().filter_map(|state| state.capacity) {
+            *lead.kinds.entry(capacity).or_default() += 1;
         }
         while let Some((_, job)) = lead.parked.first().copied().filter(|(at, _)| *at <= now) {
             lead.parked.pop_first();
@@ -319,7 +319,7 @@
             class: brief.class,
             deadline: spec.deadline_ms.map(|ms| since + Millis(ms)),
             kind: spec.kind,
-            resources: self.reservation(lead, brief),
+            resources: self.reservation(lead, brief, tasks),
             tasks,
             run: self.sizes.run_time(&brief.entry, run, Millis(0)),
             since,
@@ -327,17 +327,27 @@
     }
 
     /// What to reserve for each task of a job.
-    fn reservation(&self, lead: &Lead, brief: &JobBrief) -> Resources {
+    fn reservation(&self, lead: &Lead, brief: &JobBrief, tasks: u32) -> Resources {
         let declared = brief.spec.resources;
         let catalogue = self.cell.catalogue();
         let entry = catalogue.resolve(&brief.spec.name);
         let limit = entry.map_or(Resources::ZERO, |entry| entry.limits.max_task);
         let wanted = self.sizes.reservation(&brief.entry, &declared, &limit);
-        // An estimate beyond every worker must not keep a job waiting that declares less.
-        if wanted.fits(&declared) || lead.kinds.iter().any(|kind| wanted.fits(kind)) {
+        // An estimate beyond the workers must not keep a job waiting that declares less.
+        let needed = needed(brief.spec.kind, tasks);
+        if lead.holds_at_most(&wanted, needed) >= needed {
             wanted
         } else {
             declared
         }
     }
 }
+
+/// Tasks of a job that must fit at once for it to start.
+pub(crate) fn needed(kind: Workload, tasks: u32) -> u64 {
+    if kind == Workload::AllOrNothing {
+        u64::from(tasks)
+    } else {
+        1
+    }
+}
--- a/lib/scheduler/src/scheduler_place.rs
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -12,6 +12,7 @@
     Scheduler,
     hold::{Hold, JobBrief, Stage},
     lead::{Lead, QUEUE_EPOCH},
+    scheduler_jobs::needed,
 };
 
 /// Passes over the head of the queue in one tick.
@@ -213,30 +214,18 @@
         if now.since(lead.elected) < self.cfg.lease {
             return;
         }
-        let capacities = lead.workers.values().filter_map(|state| state.capacity);
-        let capacities = capacities.collect::<Vec<_>>();
-        if capacities.is_empty() {
+        if lead.kinds.is_empty() {
             return;
         }
         for job in unfit.iter().take(CHECKS) {
-            let needed = if job.kind == Workload::AllOrNothing {
-                u64::from(job.tasks)
-            } else {
-                1
-            };
+            let needed = needed(job.kind, job.tasks);
             // The reservation may be an estimate from a time when larger workers were there.
             let declared = self.cell.with_job(job.job, |record| record.spec.resources);
             let Some(declared) = declared else { continue };
             if job.resources != declared {
                 lead.dirty.insert(job.job);
             }
-            let mut room = 0;
-            for capacity in &capacities {
-                room += holds(capacity, &declared);
-                if room >= needed {
-                    break;
-                }
-            }
+            let room = lead.holds_at_most(&declared, needed);
             if room >= needed {
                 continue;
             }
@@ -282,12 +271,3 @@
             .map(Arc::new);
     }
 }
-
-/// Number of tasks that an empty worker holds.
-fn holds(capacity: &Resources, task: &Resources) -> u64 {
-    let times = |capacity: u64, task: u64| capacity.checked_div(task).unwrap_or(u64::MAX);
-    times(capacity.cpu_milli, task.cpu_milli)
-        .min(times(capacity.memory_mb, task.memory_mb))
-        .min(times(capacity.accelerators, task.accelerators))
-        .min(u64::from(u32::MAX))
-}
