--- a/lib/routing/tests/overload.rs
+++ b/lib/routing/tests/overload.rs
@@ -72,11 +72,13 @@
 #[test]
 fn dropping_requests_does_not_end_the_standing() {
     let mut queue = Queue::new();
-    queue.enter("reel-*", 0, 120, "a").unwrap();
+    queue.enter("reel-*", 0, 60, "a").unwrap();
     queue.enter("reel-*", 0, 2_000, "b").unwrap();
     queue.enter("slots", 0, 2_000, "c").unwrap();
-    assert_eq!(queue.next(150), Some("c"));
+    assert_eq!(queue.next(70), Some("b"));
     assert_eq!(queue.dropped, ["a"]);
+    queue.enter("reel-*", 80, 2_000, "d").unwrap();
+    assert_eq!(queue.next(150), Some("d"));
 }
 
 /// Guards against a return to oldest first in the middle of an overload, when the requests that were
