--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -6,6 +6,8 @@
 mod decisions;
 mod deployment;
 mod draw;
+mod entry_overhead;
+mod goodput;
 mod health;
 mod health_run;
 mod job_mix;
@@ -14,6 +16,8 @@
 mod packing;
 mod queue;
 mod report;
+mod request_load;
+mod service_site;
 mod timing;
 mod waiting;
 mod waiting_run;
@@ -25,8 +29,18 @@
 
 type Run = fn(&Options) -> Report;
 
-const COMMANDS: [(&str, &str, Run); 6] = [
+const COMMANDS: [(&str, &str, Run); 8] = [
     ("decisions", "time of a placement decision", decisions::run),
+    (
+        "entry_overhead",
+        "time that an entry host adds to a service request",
+        entry_overhead::run,
+    ),
+    (
+        "goodput",
+        "whole answers in time past saturation",
+        goodput::run,
+    ),
     (
         "health",
         "detection of bad workers and bad jobs",
@@ -53,7 +67,7 @@
     let Some((_, about, run)) = COMMANDS.iter().find(|(command, ..)| *command == name) else {
         eprintln!("usage: tarragon-bench COMMAND [OPTIONS]\n");
         for (command, about, _) in COMMANDS {
-            eprintln!("  {command:<10} {about}");
+            eprintln!("  {command:<14} {about}");
         }
         return ExitCode::from(2);
     };
