--- a/cli/src/trial/example.rs
+++ b/cli/src/trial/example.rs
@@ -52,6 +52,13 @@
         })
     }
 
+    /// Replaces the seeds of the mix and of the stand-ins.
+    pub fn reseed(&mut self, seed: u32) {
+        self.mix.seed = u64::from(seed);
+        self.standin
+            .insert("seed".to_owned(), i64::from(seed).into());
+    }
+
     /// Whether the requests of this name may be sent more than once.
     pub fn is_repeatable(&self, name: &str) -> bool {
         let exact = |entry: &&CatalogueEntry| entry.pattern.to_string() == name;
--- a/cli/src/trial/mod.rs
+++ b/cli/src/trial/mod.rs
@@ -84,10 +84,14 @@
     let [Ok(seconds), Ok(scale)] = numbers else {
         return usage("--seconds and --scale must be numbers up to 65535");
     };
+    let Ok(seed) = matches.opt_get::<u32>("seed") else {
+        return usage("--seed must be a number of 32 bits");
+    };
     let plan = Plan {
         example: PathBuf::from(example),
         length: Duration::from_secs(u64::from(seconds.unwrap_or(20))),
         scale: i64::from(scale.unwrap_or(4).max(1)),
+        seed,
         folder: env::temp_dir().join(format!("tarragon-trial-{}", std::process::id())),
     };
     let outcome = execute(&plan, &matches);
@@ -117,6 +121,7 @@
     example: PathBuf,
     length: Duration,
     scale: i64,
+    seed: Option<u32>,
     folder: PathBuf,
 }
 
@@ -130,6 +135,12 @@
             "share of the example's stand-ins, as 1/N [4]",
             "N",
         )
+        .optopt(
+            "",
+            "seed",
+            "seed of the mix and the stand-ins [that of the example]",
+            "N",
+        )
         .optopt(
             "",
             "programs",
@@ -143,7 +154,10 @@
 }
 
 fn execute(plan: &Plan, matches: &Matches) -> Result<Vec<String>, String> {
-    let example = Example::load(&plan.example)?;
+    let mut example = Example::load(&plan.example)?;
+    if let Some(seed) = plan.seed {
+        example.reseed(seed);
+    }
     let programs = match matches.opt_str("programs") {
         Some(folder) => PathBuf::from(folder),
         None => own_folder()?,
