--- a/cli/tests/real_processes.rs
+++ b/cli/tests/real_processes.rs
@@ -7,10 +7,13 @@
 
 use std::{fs, time::Duration};
 
+use futures::future::join_all;
 use nix::sys::signal::Signal;
 use support::Cell;
+use tarragon_catalogue::Pattern;
 use tarragon_cli::trial::{Load, Told, settle};
 use tarragon_codes::Code;
+use tarragon_names::{JobName, Revision};
 use tokio::{
     runtime::Runtime,
     sync::Mutex,
@@ -147,7 +150,7 @@
     leader_stops_as_planned = { Fault::StopLeader },
 )]
 fn work_is_done_once(fault: Fault) {
-    let case = async {
+    run(async {
         let timing = [
             ("worker_lease_ms", WORKER_LEASE_MS),
             ("replace_after_ms", 2_000),
@@ -164,7 +167,102 @@
         );
         let wrong = cell.verdict(&told).await;
         assert!(wrong.is_empty(), "{}", wrong.join("\n"));
-    };
+    });
+}
+
+/// Guards against two operators who both believe that their change was made, and against a resent
+/// write that is made twice.
+#[test]
+fn operators_race_at_equal_revisions_and_resend() {
+    run(async {
+        let cell = Cell::start(&[]).await;
+        let clients = cell.session.clients();
+        let mut entry = cell.example.entries[0].clone();
+        entry.pattern = "race/*".to_owned().into();
+        let puts = clients.iter().enumerate().map(|(n, client)| {
+            let (entry, id) = (entry.clone(), format!("race-{n}"));
+            async move { client.put_entry(&entry, Revision(0), &id).await }
+        });
+        let answers = join_all(puts).await;
+        let won = answers.iter().filter(|answer| answer.is_ok()).count();
+        assert_eq!(won, 1, "{answers:?}");
+        for (n, answer) in answers.iter().enumerate() {
+            let other = &clients[(n + 1) % clients.len()];
+            let again = other
+                .put_entry(&entry, Revision(0), &format!("race-{n}"))
+                .await;
+            match answer {
+                Ok(revision) => assert_eq!(again.as_ref().ok(), Some(revision)),
+                Err(failure) => {
+                    assert_eq!(failure.code, Code::RevisionConflict);
+                    assert!(again.is_err());
+                }
+            }
+        }
+        let entries = clients[0].history(&entry.pattern).await.unwrap();
+        assert_eq!(entries.len(), 1, "{entries:?}");
+    });
+}
+
+/// Guards against a host that was cut off and goes on by a catalogue that was changed meanwhile.
+/// A paused process stands for the cut: its connections stay open and nothing passes.
+#[test]
+fn host_that_was_cut_off_does_not_decide_by_an_old_entry() {
+    run(async {
+        let mut cell = Cell::start(&[]).await;
+        let name = JobName::from("kino-odd/slot-check");
+        let host = cell.with_role("entry").await;
+        let address = cell
+            .session
+            .hosts()
+            .iter()
+            .find(|h| h.name == host)
+            .unwrap()
+            .http;
+        let other = cell
+            .session
+            .hosts()
+            .iter()
+            .find(|h| h.name != host)
+            .unwrap()
+            .http;
+        let (own, other) = (
+            cell.session.client(0).at(address),
+            cell.session.client(0).at(other),
+        );
+        let served = own.request(&name, "before".into(), None, None).await;
+        assert!(served.is_ok(), "{served:?}");
+
+        cell.signal(&host, Signal::SIGSTOP);
+        let pattern = Pattern::Exact(name.clone());
+        let revision = other.entry(&pattern).await.unwrap().revision;
+        other
+            .delete_entry(&pattern, revision, "cut-delete")
+            .await
+            .unwrap();
+        sleep(PAUSE).await;
+        cell.signal(&host, Signal::SIGCONT);
+        for n in 0..200 {
+            let answer = own
+                .request(&name, format!("after-{n}").into(), None, None)
+                .await;
+            let code = answer
+                .map(|reply| reply.status)
+                .map_err(|failure| failure.code);
+            let refused = [Code::CatalogueNotFresh, Code::NoEntry, Code::KindNotAllowed];
+            assert!(
+                code.is_err_and(|code| refused.contains(&code)),
+                "request {n}: {code:?}"
+            );
+        }
+    });
+}
+
+/// Runs a case on its own.
+fn run<F>(case: F)
+where
+    F: Future<Output = ()>,
+{
     Runtime::new().unwrap().block_on(async {
         let _one = ONE_AT_A_TIME.lock().await;
         assert!(timeout(CASE_LIMIT, case).await.is_ok(), "the case hangs");
