--- a/cli/src/daemon/mod.rs
+++ b/cli/src/daemon/mod.rs
@@ -16,39 +16,30 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::command_line::CommandLine;
+
 /// Exit code after a second signal: requests in flight may have been cut off.
 const EXIT_CUT_OFF: i32 = 4;
 
 /// Runs one command line until the daemon has stopped.
 pub fn run(args: &[String]) -> ExitCode {
-    let options = options();
-    let usage = |cause: &str| {
-        eprintln!("tarragond: {cause}");
-        ExitCode::from(2)
-    };
-    let matches = match options.parse(args) {
+    let line = CommandLine::new(
+        "tarragond",
+        "--config FILE [--init | --check-config]",
+        options(),
+    );
+    let matches = match line.parse(args) {
         Ok(matches) => matches,
-        Err(e) => return usage(&e.to_string()),
+        Err(code) => return code,
     };
-    if matches.opt_present("help") {
-        println!(
-            "{}",
-            options.usage("Usage: tarragond --config FILE [--init | --check-config]")
-        );
-        return ExitCode::SUCCESS;
-    }
-    if matches.opt_present("version") {
-        println!("tarragond {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
     let Some(path) = matches.opt_str("config") else {
-        return usage("give --config FILE");
+        return line.refuse("give --config FILE");
     };
     let cfg = match HostSettings::load(Path::new(&path)) {
         Ok(cfg) => cfg,
         Err(faults) => {
             let faults = faults.iter().map(ToString::to_string).collect::<Vec<_>>();
-            return usage(&format!(
+            return line.refuse(&format!(
                 "{}: {path}:\n{}",
                 Code::BadSettings.number(),
                 faults.join("\n")
@@ -76,9 +67,7 @@
             "init",
             "create the data folder of an initial voter and exit",
         )
-        .optflag("", "check-config", "check the settings file and exit")
-        .optflag("", "help", "print this help")
-        .optflag("", "version", "print the version");
+        .optflag("", "check-config", "check the settings file and exit");
     options
 }
 
--- a/cli/src/standin/mod.rs
+++ b/cli/src/standin/mod.rs
@@ -25,6 +25,8 @@
     time::sleep,
 };
 
+use crate::command_line::CommandLine;
+
 /// Longest time that executors take to let their requests end.
 const LEAVE_MAX: Duration = Duration::from_secs(3);
 
@@ -33,33 +35,20 @@
     let mut options = Options::new();
     options
         .optopt("", "config", "settings file", "FILE")
-        .optflag("", "check-config", "check the settings file only")
-        .optflag("", "help", "print this help")
-        .optflag("", "version", "print the version");
-    let usage = |cause: &str| {
-        eprintln!("tarragon-standin: {cause}");
-        ExitCode::from(2)
-    };
-    let matches = match options.parse(args) {
+        .optflag("", "check-config", "check the settings file only");
+    let line = CommandLine::new("tarragon-standin", "--config FILE", options);
+    let matches = match line.parse(args) {
         Ok(matches) => matches,
-        Err(e) => return usage(&e.to_string()),
+        Err(code) => return code,
     };
-    if matches.opt_present("help") {
-        println!("{}", options.usage("Usage: tarragon-standin --config FILE"));
-        return ExitCode::SUCCESS;
-    }
-    if matches.opt_present("version") {
-        println!("tarragon-standin {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
     let Some(path) = matches.opt_str("config") else {
-        return usage("give --config FILE");
+        return line.refuse("give --config FILE");
     };
     let settings = match StandinSettings::load(&path) {
         Ok(settings) => settings,
         Err(faults) => {
             let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
-            return usage(&format!("{path}:\n{}", faults.join("\n")));
+            return line.refuse(&format!("{path}:\n{}", faults.join("\n")));
         }
     };
     if matches.opt_present("check-config") {
--- a/cli/src/timeline/mod.rs
+++ b/cli/src/timeline/mod.rs
@@ -11,30 +11,17 @@
 use getopts::{Matches, Options};
 use tarragon_timeline::{Filter, Merge, Merged, html, json, svg, text};
 
+use crate::command_line::CommandLine;
+
 /// Runs one command line.
 pub fn run(args: &[String]) -> ExitCode {
-    let options = options();
-    let usage = |cause: &str| {
-        eprintln!("tarragon-timeline: {cause}");
-        ExitCode::from(2)
-    };
-    let matches = match options.parse(args) {
+    let line = CommandLine::new("tarragon-timeline", "[OPTIONS] FILE...", options());
+    let matches = match line.parse(args) {
         Ok(matches) => matches,
-        Err(e) => return usage(&e.to_string()),
+        Err(code) => return code,
     };
-    if matches.opt_present("help") {
-        println!(
-            "{}",
-            options.usage("Usage: tarragon-timeline [OPTIONS] FILE...")
-        );
-        return ExitCode::SUCCESS;
-    }
-    if matches.opt_present("version") {
-        println!("tarragon-timeline {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
     let Ok(epoch) = matches.opt_get::<u64>("epoch") else {
-        return usage("--epoch must be a number");
+        return line.refuse("--epoch must be a number");
     };
     let filter = Filter {
         job: matches.opt_str("job"),
@@ -43,7 +30,7 @@
         epoch,
     };
     if matches.free.is_empty() {
-        return usage("give the log files of all processes");
+        return line.refuse("give the log files of all processes");
     }
     let format = matches
         .opt_str("format")
@@ -53,7 +40,7 @@
         "json" => json,
         "svg" => svg,
         "html" => |events| html("Timeline", events),
-        _ => return usage("--format must be text, json, svg or html"),
+        _ => return line.refuse("--format must be text, json, svg or html"),
     };
     match merge(&matches) {
         Ok(mut events) => {
@@ -81,9 +68,7 @@
         )
         .optopt("", "worker", "only events of this worker", "WORKER")
         .optopt("", "epoch", "only events of this epoch", "EPOCH")
-        .optopt("", "format", "text, json, svg or html [text]", "FORMAT")
-        .optflag("", "help", "print this help")
-        .optflag("", "version", "print the version");
+        .optopt("", "format", "text, json, svg or html [text]", "FORMAT");
     options
 }
 
--- a/cli/src/trial/mod.rs
+++ b/cli/src/trial/mod.rs
@@ -35,6 +35,8 @@
     signal::unix::{SignalKind, signal},
 };
 
+use crate::command_line::CommandLine;
+
 pub use self::{
     checks::wrong_outcomes,
     deployment::Deployment,
@@ -57,35 +59,20 @@
 
 /// Runs one command line.
 pub fn run(args: &[String]) -> ExitCode {
-    let options = options();
-    let usage = |cause: &str| {
-        eprintln!("tarragon-trial: {cause}");
-        ExitCode::from(2)
-    };
-    let matches = match options.parse(args) {
+    let line = CommandLine::new("tarragon-trial", "[OPTIONS] EXAMPLE", options());
+    let matches = match line.parse(args) {
         Ok(matches) => matches,
-        Err(e) => return usage(&e.to_string()),
+        Err(code) => return code,
     };
-    if matches.opt_present("help") {
-        println!(
-            "{}",
-            options.usage("Usage: tarragon-trial [OPTIONS] EXAMPLE")
-        );
-        return ExitCode::SUCCESS;
-    }
-    if matches.opt_present("version") {
-        println!("tarragon-trial {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
     let [example] = matches.free.as_slice() else {
-        return usage("give the folder of one example, as in examples/kovacik");
+        return line.refuse("give the folder of one example, as in examples/kovacik");
     };
     let numbers = ["seconds", "scale"].map(|name| matches.opt_get::<u16>(name));
     let [Ok(seconds), Ok(scale)] = numbers else {
-        return usage("--seconds and --scale must be numbers up to 65535");
+        return line.refuse("--seconds and --scale must be numbers up to 65535");
     };
     let Ok(seed) = matches.opt_get::<u32>("seed") else {
-        return usage("--seed must be a number of 32 bits");
+        return line.refuse("--seed must be a number of 32 bits");
     };
     let plan = Plan {
         example: PathBuf::from(example),
@@ -147,9 +134,7 @@
             "folder of the other programs [that of this one]",
             "FOLDER",
         )
-        .optflag("", "keep", "keep settings, data and logs")
-        .optflag("", "help", "print this help")
-        .optflag("", "version", "print the version");
+        .optflag("", "keep", "keep settings, data and logs");
     options
 }
 
