--- a/lib/scheduler/src/lead.rs
+++ b/lib/scheduler/src/lead.rs
@@ -49,6 +49,8 @@
     pub planned: Option<(JobId, Millis)>,
     /// Distinct capacities of the workers, of which there are few, and how many have each.
     pub kinds: HashMap<Resources, u64>,
+    /// Quarantined workers of which an attempt ended, maybe a probe without an outcome.
+    pub unproven: BTreeSet<WorkerName>,
     pub proposals: Vec<Command>,
     /// Commands that were refused and are proposed again.
     pub retries: Vec<Command>,
@@ -81,6 +83,7 @@
             head: None,
             planned: None,
             kinds: HashMap::new(),
+            unproven: BTreeSet::new(),
             proposals: Vec::new(),
             retries: Vec::new(),
             out: Vec::new(),
--- a/lib/scheduler/src/scheduler_jobs.rs
+++ b/lib/scheduler/src/scheduler_jobs.rs
@@ -146,6 +146,9 @@
         if known.is_some_and(|state| state.placed) {
             self.placer.release(&hold.worker, &hold.reserved);
         }
+        if self.health.is_quarantined(&hold.worker) {
+            lead.unproven.insert(hold.worker.clone());
+        }
         Some(hold)
     }
 
@@ -327,7 +330,7 @@
     }
 
     /// What to reserve for each task of a job.
-    fn reservation(&self, lead: &Lead, brief: &JobBrief, tasks: u32) -> Resources {
+    pub(crate) fn reservation(&self, lead: &Lead, brief: &JobBrief, tasks: u32) -> Resources {
         let declared = brief.spec.resources;
         let catalogue = self.cell.catalogue();
         let entry = catalogue.resolve(&brief.spec.name);
--- a/lib/scheduler/src/scheduler_place.rs
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -37,7 +37,7 @@
     pub(crate) fn place_jobs(&mut self, lead: &mut Lead, now: Millis) {
         self.sync_jobs(lead, now);
         let mut assigned = Vec::new();
-        self.probe(lead, now, &mut assigned);
+        let opened = self.probe(lead, now, &mut assigned);
         let mut unfit = Vec::new();
         for _ in 0..PASSES {
             unfit.clear();
@@ -61,6 +61,12 @@
                 break;
             }
         }
+        for worker in opened {
+            self.reopen(lead, &worker);
+            if !assigned.iter().any(|(_, _, used)| *used == worker) {
+                self.health.probe_not_started(&worker, now);
+            }
+        }
         if !assigned.is_empty() {
             lead.proposals.push(Command::Assign { tasks: assigned });
         }
@@ -161,12 +167,30 @@
     }
 
     /// Gives each quarantined worker that is due one batch task to prove itself.
-    fn probe(&self, lead: &mut Lead, now: Millis, assigned: &mut Assignments) {
+    ///
+    /// Returns the workers for which there is none. They are open for this tick, because services
+    /// and all-or-nothing jobs may wait for just these workers and nothing else would probe them.
+    fn probe(&self, lead: &mut Lead, now: Millis, assigned: &mut Assignments) -> Vec<WorkerName> {
+        for worker in std::mem::take(&mut lead.unproven) {
+            let known = lead.workers.get(&worker);
+            if known.is_none_or(|state| state.tasks.is_empty()) {
+                // A probe that was stopped or lost proves nothing, so that another one is due.
+                self.health.probe_not_started(&worker, now);
+            }
+        }
+        let mut opened = Vec::new();
         for worker in self.health.probes(now, PROBES) {
-            if !self.probe_worker(lead, now, &worker, assigned) {
+            let known = lead.workers.get(&worker);
+            let usable = known.is_some_and(|state| state.placed && !state.leaving)
+                && !self.cell.is_draining(&worker);
+            if !usable {
                 self.health.probe_not_started(&worker, now);
+            } else if !self.probe_worker(lead, now, &worker, assigned) {
+                self.placer.set_schedulable(&worker, true);
+                opened.push(worker);
             }
         }
+        opened
     }
 
     fn probe_worker(
@@ -176,14 +200,9 @@
         worker: &WorkerName,
         assigned: &mut Assignments,
     ) -> bool {
-        let known = lead.workers.get(worker);
-        let usable = known.is_some_and(|state| state.placed && !state.leaving);
-        let Some(free) = self.placer.free(worker).filter(|_| usable) else {
+        let Some(free) = self.placer.free(worker) else {
             return false;
         };
-        if self.cell.is_draining(worker) {
-            return false;
-        }
         let candidates = lead.queue.candidates(now + QUEUE_EPOCH, self.cfg.lookahead);
         let fitting = candidates.into_iter().find(|job| {
             job.kind == Workload::Batch
--- a/lib/scheduler/src/scheduler_views.rs
+++ b/lib/scheduler/src/scheduler_views.rs
@@ -5,7 +5,10 @@
 use tarragon_names::{JobId, Millis, Resources, WorkerName};
 
 use crate::{
-    Explanation, Scheduler, WorkerView, hold::Stage, lead::Lead, worker_state::WorkerState,
+    Explanation, Scheduler, WorkerView,
+    hold::{JobBrief, Stage},
+    lead::Lead,
+    worker_state::WorkerState,
 };
 
 impl Scheduler {
@@ -92,6 +95,16 @@
         if place.at_ceiling {
             reasons.push("its team is at the ceiling of its quota".to_owned());
         }
+        if let Some((waiting, brief)) = self.cell.with_job(job, |record| {
+            let waiting = record.waiting().count() as u32;
+            (waiting, JobBrief::of(record))
+        }) {
+            let needs = self.reservation(lead, &brief, waiting);
+            let kind = brief.spec.kind;
+            reasons.push(format!(
+                "waiting {kind} tasks: {waiting}, each needs {needs}"
+            ));
+        }
         let largest = self.placer.largest_free();
         reasons.push(format!(
             "the largest free amounts on one worker are {largest}"
