standin: serve on for a beat after a leave

A request that was sent before the home heard of the leave may arrive after its answer; the executor stopped then and cut it off. It now serves for one more beat.

--- a/lib/standin/src/executor.rs
+++ b/lib/standin/src/executor.rs
@@ -104,12 +104,19 @@
     }
 
     /// Tells the home that it leaves, lets running requests end and stops.
+    ///
+    /// It serves on for a beat after the home's answer, since requests that were sent before may still
+    /// be on the way.
     pub async fn leave(&self) {
         self.announce_leave();
         let end = Instant::now() + self.state.cfg.leave_max;
         while Instant::now() < end && (self.busy() > 0 || !self.state.has_left()) {
             sleep(LEAVE_POLL).await;
         }
+        sleep(self.state.cfg.beat).await;
+        while Instant::now() < end && self.busy() > 0 {
+            sleep(LEAVE_POLL).await;
+        }
         self.stop();
     }
 
