--- a/lib/proxy/src/proxy.rs
+++ b/lib/proxy/src/proxy.rs
@@ -132,6 +132,9 @@
     pub async fn serve_forwarded(&self, call: ServiceCall, limit: Duration) -> ForwardReply {
         count(&self.counters.served_for_others);
         let _in_flight = self.tracker.token();
+        if self.stopping.load(Ordering::Relaxed) {
+            return ForwardReply::NotSent(Failure::of(Code::Stopping));
+        }
         let deadline = self.dispatch.now() + Millis(limit.as_millis() as u64);
         let (entry, pool) = match self.admit(&call) {
             Ok(admitted) => admitted,
@@ -188,11 +191,16 @@
         }
     }
 
-    /// The load summary for the other hosts.
+    /// The load summary for the other hosts; a host that stops shows none.
     pub fn load(&self) -> LoadSummary {
-        self.dispatch
+        let mut load = self
+            .dispatch
             .router()
-            .summary(&self.cfg.host, self.dispatch.now())
+            .summary(&self.cfg.host, self.dispatch.now());
+        if self.stopping.load(Ordering::Relaxed) {
+            load.pools.clear();
+        }
+        load
     }
 
     /// Marks an executor as draining, or takes it back; false if this host is not its home.
--- a/lib/proxy/tests/common/mod.rs
+++ b/lib/proxy/tests/common/mod.rs
@@ -1,12 +1,14 @@
 //! Hosts with fake links, a fake key log and executors on loopback sockets.
 #![allow(
     dead_code,
+    unused_imports,
     reason = "some items are used by one of the test files only"
 )]
 
 mod fake_entries;
 mod fake_keys;
 mod fake_peers;
+mod host;
 mod scripted_executor;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -14,6 +16,7 @@
 pub use fake_entries::FakeEntries;
 pub use fake_keys::FakeKeys;
 pub use fake_peers::{FakePeers, LinkFault};
+pub use host::Host;
 pub use scripted_executor::{Script, ScriptedExecutor};
 use tarragon_codes::{Code, Outcome};
 use tarragon_front::{ServiceCall, ServiceReply};
@@ -38,19 +41,27 @@
 }
 
 impl Cell {
+    /// Hosts whose leases outlast a test, so that a test decides when an executor is heard.
     pub fn new(hosts: usize) -> Self {
+        Self::with(
+            hosts,
+            RoutingConfig {
+                executor_lease: Millis(600_000),
+                newcomer_wait: Millis(0),
+                summary_max_age: Millis(600_000),
+                avoid_first: Millis(0),
+                ..RoutingConfig::default()
+            },
+        )
+    }
+
+    pub fn with(hosts: usize, routing: RoutingConfig) -> Self {
         let keys = Arc::<FakeKeys>::default();
         let entries = Arc::<FakeEntries>::default();
         let peers = Arc::<FakePeers>::default();
         let hosts = (0..hosts).map(|number| {
             let cfg = ProxyConfig {
-                routing: RoutingConfig {
-                    executor_lease: Millis(600_000),
-                    newcomer_wait: Millis(0),
-                    summary_max_age: Millis(600_000),
-                    avoid_first: Millis(0),
-                    ..RoutingConfig::default()
-                },
+                routing,
                 ..ProxyConfig::new(format!("h{number}").into(), 0x1000 + number as u64)
             };
             let host = Arc::new(Proxy::new(
--- a/lib/proxy/tests/load.rs
+++ b/lib/proxy/tests/load.rs
@@ -9,8 +9,8 @@
     until,
 };
 use futures::future::join_all;
-use tarragon_codes::Code;
-use tarragon_proxy::Proxy;
+use tarragon_codes::{Code, Failure};
+use tarragon_proxy::{ForwardReply, Proxy};
 use tarragon_routing::Announcement;
 use tarragon_standin::StandinExecutor;
 use yare::parameterized;
@@ -164,6 +164,10 @@
     assert!(join(host, announced).moving);
     assert!(!host.drain(Duration::from_millis(20)).await);
     assert_eq!(told(&host.serve(call("b")).await), Err(Code::Stopping));
+    let forwarded = host.serve_forwarded(call("c"), common::PATIENCE).await;
+    let refused = ForwardReply::NotSent(Failure::of(Code::Stopping));
+    assert_eq!(forwarded, refused);
+    assert!(host.load().pools.is_empty());
     executor.gate.add_permits(1);
     assert!(host.drain(common::PATIENCE).await);
     assert_eq!(first.await.unwrap(), Ok("a".to_owned()));
