--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -3,7 +3,10 @@
 //! Every experiment is seeded and bounded in count and time, prints a table and writes one JSON
 //! file.
 
+mod commits;
+mod control;
 mod decisions;
+mod delay_line;
 mod deployment;
 mod draw;
 mod entry_overhead;
@@ -29,7 +32,17 @@
 
 type Run = fn(&Options) -> Report;
 
-const COMMANDS: [(&str, &str, Run); 8] = [
+const COMMANDS: [(&str, &str, Run); 10] = [
+    (
+        "commits",
+        "catalogue changes through the replicated log",
+        commits::run,
+    ),
+    (
+        "control",
+        "control cost of real processes by role",
+        control::run,
+    ),
     ("decisions", "time of a placement decision", decisions::run),
     (
         "entry_overhead",
--- a/lib/scheduler/src/lead.rs
+++ b/lib/scheduler/src/lead.rs
@@ -5,7 +5,7 @@
 
 use tarragon_cell::Command;
 use tarragon_leases::{WorkerLeases, WorkerOrder};
-use tarragon_names::{JobId, Millis, TaskId, WorkerName};
+use tarragon_names::{JobId, Millis, Resources, TaskId, WorkerName};
 use tarragon_placement::{HeadReservation, Horizon};
 use tarragon_queue::{JobQueue, QueueConfig};
 
@@ -39,12 +39,18 @@
     pub closing: VecDeque<JobId>,
     pub backoffs: HashMap<JobId, Backoff>,
     pub parked: BTreeSet<(Millis, JobId)>,
-    /// Time of the last search for work that gives way to the job at the head.
-    pub preempted: Option<(JobId, Millis)>,
+    /// Urgent jobs for which work was told to give way, and when.
+    pub preempted: HashMap<JobId, Millis>,
+    /// Time of the last search for such work.
+    pub searched: Option<Millis>,
     /// Reservation in time of the first job that does not fit.
     pub head: Option<Arc<HeadReservation>>,
     /// Last search for such a reservation.
     pub planned: Option<(JobId, Millis)>,
+    /// Distinct capacities of the workers, of which there are few, and how many have each.
+    pub kinds: HashMap<Resources, u64>,
+    /// Quarantined workers of which an attempt ended, maybe a probe without an outcome.
+    pub unproven: BTreeSet<WorkerName>,
     pub proposals: Vec<Command>,
     /// Commands that were refused and are proposed again.
     pub retries: Vec<Command>,
@@ -72,9 +78,12 @@
             closing: VecDeque::new(),
             backoffs: HashMap::new(),
             parked: BTreeSet::new(),
-            preempted: None,
+            preempted: HashMap::new(),
+            searched: None,
             head: None,
             planned: None,
+            kinds: HashMap::new(),
+            unproven: BTreeSet::new(),
             proposals: Vec::new(),
             retries: Vec::new(),
             out: Vec::new(),
@@ -131,6 +140,18 @@
         }
     }
 
+    /// Tasks of a size that the workers could hold together if they were empty, at most `needed`.
+    pub fn holds_at_most(&self, task: &Resources, needed: u64) -> u64 {
+        let mut room = 0;
+        for (capacity, workers) in &self.kinds {
+            room += holds(capacity, task) * workers;
+            if room >= needed {
+                return needed;
+            }
+        }
+        room
+    }
+
     /// Time of the log as the queue counts it.
     ///
     /// The queue's readings start far from zero, so that jobs from before the start of this
@@ -151,3 +172,12 @@
 
 /// Reading of the queue's clock when the scheduler's is zero.
 pub(crate) const QUEUE_EPOCH: Millis = Millis(90 * 24 * 3_600 * 1_000);
+
+/// Number of tasks that an empty worker holds.
+fn holds(capacity: &Resources, task: &Resources) -> u64 {
+    let times = |capacity: u64, task: u64| capacity.checked_div(task).unwrap_or(u64::MAX);
+    times(capacity.cpu_milli, task.cpu_milli)
+        .min(times(capacity.memory_mb, task.memory_mb))
+        .min(times(capacity.accelerators, task.accelerators))
+        .min(u64::from(u32::MAX))
+}
--- a/lib/scheduler/src/scheduler_place.rs
+++ b/lib/scheduler/src/scheduler_place.rs
@@ -1,33 +1,34 @@
 //! Placement of waiting jobs.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use tarragon_cell::Command;
 use tarragon_codes::{Code, Failure};
-use tarragon_names::{Attempt, Class, Millis, Resources, TaskId, WorkerName, Workload};
+use tarragon_names::{Attempt, Millis, Resources, TaskId, WorkerName, Workload};
 use tarragon_placement::PlaceRequest;
-use tarragon_queue::{Claim, PreemptMeans, Preemption, QueuedJob, Victim};
+use tarragon_queue::QueuedJob;
 
 use crate::{
     Scheduler,
     hold::{Hold, JobBrief, Stage},
     lead::{Lead, QUEUE_EPOCH},
+    scheduler_jobs::needed,
 };
 
+/// Passes over the head of the queue in one tick.
+const PASSES: usize = 16;
+
 /// Jobs in one tick that are compared with all workers.
 const CHECKS: usize = 8;
 
 /// Quarantined workers that get a probe in one tick.
 const PROBES: usize = 4;
 
-/// Running tasks that one search for work that gives way looks at.
-const VICTIMS: usize = 4_096;
-
 /// Time between two searches for a reservation in time for the same job.
 const PLAN_EVERY: Millis = Millis(1_000);
 
-/// Assumed wait of an urgent job for which no end of running work is known.
-const UNKNOWN_WAIT: Millis = Millis(60_000);
+/// Time between two searches for a reservation in time for different jobs.
+const SEARCH_EVERY: Millis = Millis(250);
 
 type Assignments = Vec<(TaskId, Attempt, WorkerName)>;
 
@@ -36,11 +37,11 @@
     pub(crate) fn place_jobs(&mut self, lead: &mut Lead, now: Millis) {
         self.sync_jobs(lead, now);
         let mut assigned = Vec::new();
-        self.probe(lead, now, &mut assigned);
+        let opened = self.probe(lead, now, &mut assigned);
         let mut unfit = Vec::new();
-        while assigned.len() < self.cfg.batch {
-            let before = assigned.len();
+        for _ in 0..PASSES {
             unfit.clear();
+            let mut handled = 0;
             let largest = self.placer.largest_free();
             for job in lead.queue.candidates(now + QUEUE_EPOCH, self.cfg.lookahead) {
                 let left = self.cfg.batch.saturating_sub(assigned.len());
@@ -49,30 +50,37 @@
                 }
                 let placed = job.resources.fits(&largest)
                     && self.place_job(lead, now, &job, left, &mut assigned);
-                if !placed {
+                if placed {
+                    handled += 1;
+                } else {
                     unfit.push(job);
                 }
             }
-            if assigned.len() == before {
+            // Another pass pays only if this one dealt with a good part of what it looked at.
+            if handled <= unfit.len() {
                 break;
             }
         }
+        for worker in opened {
+            self.reopen(lead, &worker);
+            if !assigned.iter().any(|(_, _, used)| *used == worker) {
+                self.health.probe_not_started(&worker, now);
+            }
+        }
         if !assigned.is_empty() {
             lead.proposals.push(Command::Assign { tasks: assigned });
         }
         self.refuse_impossible(lead, now, &unfit);
-        match unfit.iter().find(|job| lead.queue.contains(job.job)) {
-            Some(head) => {
-                self.plan_head(lead, now, head);
-                if head.class == Class::Urgent {
-                    self.preempt(lead, now, head);
-                }
-            }
+        unfit.retain(|job| lead.queue.contains(job.job));
+        match unfit.first() {
+            Some(head) => self.plan_head(lead, now, head),
             None => lead.head = None,
         }
+        self.preempt(lead, now, &unfit);
     }
 
-    /// Places what fits of one job, at most `limit` tasks; false if nothing fits.
+    /// Places what fits of one job, at most `limit` tasks; false if nothing fits. A job that does
+    /// not wait any more is taken out of the queue.
     fn place_job(
         &self,
         lead: &mut Lead,
@@ -159,12 +167,30 @@
     }
 
     /// Gives each quarantined worker that is due one batch task to prove itself.
-    fn probe(&self, lead: &mut Lead, now: Millis, assigned: &mut Assignments) {
+    ///
+    /// Returns the workers for which there is none. They are open for this tick, because services
+    /// and all-or-nothing jobs may wait for just these workers and nothing else would probe them.
+    fn probe(&self, lead: &mut Lead, now: Millis, assigned: &mut Assignments) -> Vec<WorkerName> {
+        for worker in std::mem::take(&mut lead.unproven) {
+            let known = lead.workers.get(&worker);
+            if known.is_none_or(|state| state.tasks.is_empty()) {
+                // A probe that was stopped or lost proves nothing, so that another one is due.
+                self.health.probe_not_started(&worker, now);
+            }
+        }
+        let mut opened = Vec::new();
         for worker in self.health.probes(now, PROBES) {
-            if !self.probe_worker(lead, now, &worker, assigned) {
+            let known = lead.workers.get(&worker);
+            let usable = known.is_some_and(|state| state.placed && !state.leaving)
+                && !self.cell.is_draining(&worker);
+            if !usable {
                 self.health.probe_not_started(&worker, now);
+            } else if !self.probe_worker(lead, now, &worker, assigned) {
+                self.placer.set_schedulable(&worker, true);
+                opened.push(worker);
             }
         }
+        opened
     }
 
     fn probe_worker(
@@ -174,14 +200,9 @@
         worker: &WorkerName,
         assigned: &mut Assignments,
     ) -> bool {
-        let known = lead.workers.get(worker);
-        let usable = known.is_some_and(|state| state.placed && !state.leaving);
-        let Some(free) = self.placer.free(worker).filter(|_| usable) else {
+        let Some(free) = self.placer.free(worker) else {
             return false;
         };
-        if self.cell.is_draining(worker) {
-            return false;
-        }
         let candidates = lead.queue.candidates(now + QUEUE_EPOCH, self.cfg.lookahead);
         let fitting = candidates.into_iter().find(|job| {
             job.kind == Workload::Batch
@@ -212,29 +233,23 @@
         if now.since(lead.elected) < self.cfg.lease {
             return;
         }
-        let capacities = lead.workers.values().filter_map(|state| state.capacity);
-        let capacities = capacities.collect::<Vec<_>>();
-        if capacities.is_empty() {
+        if lead.kinds.is_empty() {
             return;
         }
         for job in unfit.iter().take(CHECKS) {
-            let needed = if job.kind == Workload::AllOrNothing {
-                u64::from(job.tasks)
-            } else {
-                1
-            };
-            let mut room = 0;
-            for capacity in &capacities {
-                room += holds(capacity, &job.resources);
-                if room >= needed {
-                    break;
-                }
+            let needed = needed(job.kind, job.tasks);
+            // The reservation may be an estimate from a time when larger workers were there.
+            let declared = self.cell.with_job(job.job, |record| record.spec.resources);
+            let Some(declared) = declared else { continue };
+            if job.resources != declared {
+                lead.dirty.insert(job.job);
             }
+            let room = lead.holds_at_most(&declared, needed);
             if room >= needed {
                 continue;
             }
             let cause = if room == 0 {
-                format!("a task needs {}, more than any worker has", job.resources)
+                format!("a task needs {declared}, more than any worker has")
             } else {
                 format!("all workers together hold {room} of {needed} tasks at once")
             };
@@ -251,8 +266,15 @@
         if held.is_some_and(|head| head.job == job.job && now < head.at) {
             return;
         }
-        let recent = lead.planned.filter(|(planned, _)| *planned == job.job);
-        if recent.is_some_and(|(_, at)| now.since(at) < PLAN_EVERY) {
+        if held.is_some_and(|head| !lead.queue.contains(head.job)) {
+            lead.head = None;
+        }
+        // When the cell is full the head changes with each tick, and a search takes milliseconds.
+        let too_soon = lead.planned.is_some_and(|(planned, at)| {
+            let same = planned == job.job;
+            now.since(at) < if same { PLAN_EVERY } else { SEARCH_EVERY }
+        });
+        if too_soon {
             return;
         }
         lead.planned = Some((job.job, now));
@@ -267,69 +289,4 @@
             .plan(now, job.job, &req, &*self.placer)
             .map(Arc::new);
     }
-
-    /// Makes running work of lower classes give way to an urgent job.
-    fn preempt(&self, lead: &mut Lead, now: Millis, job: &QueuedJob) {
-        let recent = lead.preempted.filter(|(last, _)| *last == job.job);
-        if recent.is_some_and(|(_, at)| now.since(at) < self.cfg.preempt_every) {
-            return;
-        }
-        lead.preempted = Some((job.job, now));
-        let head = lead.head.as_ref().filter(|head| head.job == job.job);
-        let claim = Claim {
-            class: job.class,
-            borrows: lead.queue.quotas().team(&job.team).borrows(),
-            resources: job.resources,
-            tasks: job.tasks,
-            whole: job.kind == Workload::AllOrNothing,
-            wait: head.map_or(UNKNOWN_WAIT, |head| head.at.since(now)),
-        };
-        let victims = lead
-            .holds
-            .iter()
-            .filter(|(_, hold)| hold.stage == Stage::Running && !hold.ending)
-            .filter(|(_, hold)| hold.brief.class > job.class)
-            .take(VICTIMS)
-            .map(|(task, hold)| Victim {
-                task: *task,
-                worker: hold.worker.clone(),
-                class: hold.brief.class,
-                borrowed: lead.queue.quotas().team(&hold.brief.team).borrows(),
-                kind: hold.brief.spec.kind,
-                resources: hold.reserved,
-                ran: now.since(hold.since),
-                left: hold.ends().map_or(UNKNOWN_WAIT, |ends| ends.since(now)),
-                checkpoints: true,
-            })
-            .collect::<Vec<_>>();
-        let free = |worker: &WorkerName| self.placer.free(worker).unwrap_or_default();
-        let mut room = BTreeMap::new();
-        for action in Preemption::default().choose(&claim, &victims, free) {
-            match action.means {
-                PreemptMeans::Checkpoint => self.send_checkpoint(lead, now, action.task),
-                PreemptMeans::Stop => self.stop_hold(lead, now, action.task),
-                PreemptMeans::Throttle => {
-                    // A worker does not confirm a limit, so the processor time that it would free
-                    // must not be given away. As many tasks as needed checkpoint instead.
-                    let freed = lead.holds.get(&action.task).map(|hold| hold.reserved);
-                    let room = room
-                        .entry(action.worker.clone())
-                        .or_insert_with(|| free(&action.worker));
-                    if !job.resources.fits(room) {
-                        *room += freed.unwrap_or_default();
-                        self.send_checkpoint(lead, now, action.task);
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Number of tasks that an empty worker holds.
-fn holds(capacity: &Resources, task: &Resources) -> u64 {
-    let times = |capacity: u64, task: u64| capacity.checked_div(task).unwrap_or(u64::MAX);
-    times(capacity.cpu_milli, task.cpu_milli)
-        .min(times(capacity.memory_mb, task.memory_mb))
-        .min(times(capacity.accelerators, task.accelerators))
-        .min(u64::from(u32::MAX))
 }
