host: replace a voter by a learner only

members replace with the id of a learner in both places was accepted: the learner became a sixth voter and the lost one stayed in the group; with a voter in both places the group would have shrunk. Refuse both with 1001.

Found by a drill on loopback.

--- a/cli/tests/ctl_calls.rs
+++ b/cli/tests/ctl_calls.rs
@@ -148,5 +148,16 @@
         &host,
     );
     assert_eq!(cancel.status.code(), Some(0), "{cancel:?}");
+    // A voter in its own place would leave the group with one voter more or less.
+    let hosts = ctl("hosts --json", &entry, &token, &host);
+    let hosts: Vec<Json> = serde_json::from_slice(&hosts.stdout).unwrap();
+    let own = &hosts[0]["member"];
+    let line = format!("members replace --remove {own} --add {own}");
+    let refused = ctl(&line, &entry, &token, &host);
+    assert_eq!(refused.status.code(), Some(1), "{refused:?}");
+    assert!(
+        String::from_utf8_lossy(&refused.stderr).contains("1001"),
+        "{refused:?}"
+    );
     assert_eq!(runtime.block_on(session.stop()), Vec::<String>::new());
 }
--- a/lib/host/src/local_leader.rs
+++ b/lib/host/src/local_leader.rs
@@ -165,6 +165,13 @@
         if !members.by_id.contains_key(&remove) {
             return Err(unknown(remove));
         }
+        // Otherwise the group would grow or shrink instead of changing one voter for another.
+        if !members.is_voter(remove) || members.is_voter(add) {
+            return Err(Failure::new(
+                Code::Malformed,
+                format!("{remove} must be a voter and {add} a learner"),
+            ));
+        }
         members.by_id.remove(&remove);
         members.by_id.insert(
             add,
