host: fill the metrics and the time line; drop settings and metrics without effect

Cause: half of the metrics had no writer, max_waiting_jobs and host_dead_ms no reader, the time line began a job with its first start, and a host that lost its disk could be shown by its dead member. Change: waits, workers, capacity, reservations, requests, commits and silent links are counted; what nobody writes or reads is removed; acceptances, cancellations and catalogue changes are events.

--- a/lib/host/src/host_backend.rs
+++ b/lib/host/src/host_backend.rs
@@ -49,6 +49,21 @@
         self.core.calls.call(limit, at_local, remote).await
     }
 
+    /// Counts a service request by its outcome.
+    fn count(&self, outcome: &Outcome<ServiceReply>) {
+        let metrics = &self.core.metrics;
+        let label = match outcome {
+            Ok(reply) if reply.stored => "stored",
+            Ok(_) => "answered",
+            Err(failure) if failure.code == Code::NotKnown => "not_known",
+            Err(failure) => {
+                metrics.count_refusal(failure.code.number());
+                "refused"
+            }
+        };
+        metrics.requests.with_label_values(&[label]).inc();
+    }
+
     async fn group(&self) -> Outcome<GroupView> {
         self.at_leader(
             READ_LIMIT,
@@ -110,8 +125,13 @@
             .flat_map(|group| &group.hosts)
             .map(|(host, revision, fresh)| (host, (*revision, *fresh)))
             .collect();
+        let host_dead = Duration::from_millis(self.core.cfg.timing.host_dead.0);
         let view = |host: &tarragon_settings::HostAddress| {
-            let member = group.and_then(|group| group.members.iter().find(|m| m.host == host.name));
+            // A host that lost its disk has a dead member beside its new one.
+            let members = group.into_iter().flat_map(|group| &group.members);
+            let member = members
+                .filter(|member| member.host == host.name)
+                .max_by_key(|member| (member.reachable, member.voter));
             let role = match (group, member) {
                 (Some(group), _) if group.leader == host.name => "leader",
                 (_, Some(member)) if member.voter => "voter",
@@ -129,8 +149,10 @@
                 synced: member.and_then(|member| member.synced),
                 revision: polled.map_or(Revision::default(), |(revision, _)| *revision),
                 reachable: own
-                    || polled
-                        .map_or_else(|| self.core.meter.is_up(&host.name), |(_, fresh)| *fresh),
+                    || polled.map_or_else(
+                        || !self.core.meter.is_dead(&host.name, host_dead),
+                        |(_, fresh)| *fresh,
+                    ),
             }
         };
         self.core.cfg.hosts.iter().map(view).collect()
@@ -174,7 +196,14 @@
     }
 
     fn serve(&self, call: ServiceCall) -> BoxOutcome<'_, ServiceReply> {
-        self.proxy.serve(call).boxed()
+        async move {
+            let timer = self.core.metrics.request_time.start_timer();
+            let outcome = self.proxy.serve(call).await;
+            timer.observe_duration();
+            self.count(&outcome);
+            outcome
+        }
+        .boxed()
     }
 
     fn announce(&self, announcement: Announcement) -> Outcome<AnnouncementReply> {
--- a/lib/host/src/link_meter.rs
+++ b/lib/host/src/link_meter.rs
@@ -1,8 +1,10 @@
 use std::{
     collections::HashMap,
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
 };
 
+use parking_lot::Mutex;
 use prometheus::IntCounter;
 use tarragon_names::{DomainName, HostName};
 use tarragon_telemetry::{LinkCounters, Metrics};
@@ -18,13 +20,14 @@
 pub struct LinkMeter {
     own: HostName,
     inbound: IntCounter,
+    silent: IntCounter,
     hosts: HashMap<HostName, HostCounters>,
 }
 
 #[derive(Debug)]
 struct HostCounters {
     traffic: LinkCounters,
-    up: AtomicBool,
+    failing_since: Mutex<Option<Instant>>,
     dropped: AtomicU64,
 }
 
@@ -36,7 +39,7 @@
     {
         let counters = |to: &DomainName| HostCounters {
             traffic: metrics.link(domain, to),
-            up: AtomicBool::new(false),
+            failing_since: Mutex::new(None),
             dropped: AtomicU64::new(0),
         };
         let hosts = hosts
@@ -46,6 +49,7 @@
         Self {
             own,
             inbound: metrics.control_inbound_bytes.clone(),
+            silent: metrics.silent_links.clone(),
             hosts,
         }
     }
@@ -59,7 +63,7 @@
     pub fn heard(&self, host: &HostName, len: usize) {
         self.count(host, len + FRAME_OVERHEAD);
         if let Some(counters) = self.hosts.get(host) {
-            counters.up.store(true, Ordering::Relaxed);
+            *counters.failing_since.lock() = None;
         }
     }
 
@@ -85,10 +89,18 @@
     /// Notes that the link to a host is broken.
     pub fn down(&self, host: &HostName) {
         if let Some(counters) = self.hosts.get(host) {
-            counters.up.store(false, Ordering::Relaxed);
+            counters
+                .failing_since
+                .lock()
+                .get_or_insert_with(Instant::now);
         }
     }
 
+    /// Counts a link that was closed after silence.
+    pub fn silent(&self) {
+        self.silent.inc();
+    }
+
     /// Counts a message that found the queue full.
     pub fn dropped(&self, host: &HostName) {
         if let Some(counters) = self.hosts.get(host) {
@@ -96,11 +108,15 @@
         }
     }
 
-    /// Tells whether the host answered on the present connection.
-    pub fn is_up(&self, host: &HostName) -> bool {
-        self.hosts
-            .get(host)
-            .is_some_and(|counters| counters.up.load(Ordering::Relaxed))
+    /// Tells whether new connections to the host have failed for `host_dead`.
+    pub fn is_dead(&self, host: &HostName, host_dead: Duration) -> bool {
+        let failing = |counters: &HostCounters| {
+            counters
+                .failing_since
+                .lock()
+                .is_some_and(|since| since.elapsed() >= host_dead)
+        };
+        self.hosts.get(host).is_some_and(failing)
     }
 
     /// Messages that found a full queue.
--- a/lib/host/src/links.rs
+++ b/lib/host/src/links.rs
@@ -123,6 +123,7 @@
                 },
                 _ = due.tick() => {
                     if heard.elapsed() > silent {
+                        self.meter.silent();
                         return true;
                     }
                     if sent.is_some_and(|sent| sent.elapsed() < beat) {
--- a/lib/host/src/local_leader.rs
+++ b/lib/host/src/local_leader.rs
@@ -5,6 +5,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, JobId, MemberId, Millis, Revision};
 use tarragon_scheduler::{Explanation, WorkerView};
+use tarragon_telemetry::Metrics;
 use tarragon_wire::control::{CatalogueGrant, CataloguePoll, GroupView, MemberView};
 
 use crate::{Clock, PollTable, ReplicaHandle, SchedulerHandle};
@@ -26,6 +27,7 @@
     scheduler: SchedulerHandle,
     clock: Arc<dyn Clock>,
     polls: Arc<PollTable>,
+    metrics: Arc<Metrics>,
 }
 
 impl LocalLeader {
@@ -37,6 +39,7 @@
         scheduler: SchedulerHandle,
         clock: Arc<dyn Clock>,
         polls: Arc<PollTable>,
+        metrics: Arc<Metrics>,
     ) -> Self {
         Self {
             host,
@@ -45,11 +48,13 @@
             scheduler,
             clock,
             polls,
+            metrics,
         }
     }
 
     /// Writes a command.
     pub async fn propose(&self, command: Command, limit: Duration) -> Outcome<Answer> {
+        let _timer = self.metrics.commit_time.start_timer();
         self.replica
             .propose(self.clock.wall_ms(), command, limit)
             .await
--- a/lib/host/src/metrics_page.rs
+++ b/lib/host/src/metrics_page.rs
@@ -15,6 +15,21 @@
     metrics
         .catalogue_fresh
         .set(i64::from(core.view.fresh(core.clock.now()).is_some()));
+    metrics.executors.reset();
+    metrics.executor_slots.reset();
+    for executor in proxy.executors() {
+        metrics
+            .executors
+            .with_label_values(&[&executor.state])
+            .inc();
+        let slots = [("busy", executor.busy), ("all", executor.slots)];
+        for (state, count) in slots {
+            metrics
+                .executor_slots
+                .with_label_values(&[state])
+                .add(i64::from(count));
+        }
+    }
     let mut text = metrics.render();
     let _infallible = writeln!(
         text,
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -238,6 +238,7 @@
             }
             Action::BecameLeader { term } => {
                 self.leading = true;
+                self.parts.metrics.elections.inc();
                 self.parts.metrics.leading.set(1);
                 self.parts.metrics.term.set(term.0 as i64);
                 self.emit(
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -70,6 +70,7 @@
             scheduler.clone(),
             Arc::clone(&polls),
             Arc::clone(host.clock),
+            Arc::clone(host.events),
         );
         let parts = ReplicaParts {
             replica,
@@ -88,6 +89,7 @@
             scheduler: scheduler_of(host.cfg, Arc::clone(&cell)),
             replica: handle.clone(),
             routes: Arc::clone(host.routes),
+            cell: Arc::clone(&cell),
             clock: Arc::clone(host.clock),
             events: Arc::clone(host.events),
             metrics: Arc::clone(host.metrics),
@@ -115,6 +117,7 @@
             self.inbound.scheduler.clone(),
             Arc::clone(host.clock),
             Arc::clone(&self.polls),
+            Arc::clone(host.metrics),
         )
     }
 
--- a/lib/host/src/scheduler_events.rs
+++ b/lib/host/src/scheduler_events.rs
@@ -1,15 +1,34 @@
 //! Events and metrics of the scheduler's decisions.
 
-use tarragon_cell::Ended;
+use tarragon_cell::{Cell, Ended};
+use tarragon_names::Attempt;
 use tarragon_scheduler::SchedLog;
 use tarragon_telemetry::{Event, Metrics};
 
+const FIRST_ATTEMPT: Attempt = Attempt(1);
+
 /// Counts what a decision means for the metrics.
-pub(crate) fn record(metrics: &Metrics, log: &SchedLog) {
+pub(crate) fn record(metrics: &Metrics, cell: &Cell, wall_ms: u64, log: &SchedLog) {
     match log {
         SchedLog::SessionConfirmed { .. } => metrics.sessions.inc(),
         SchedLog::LeaseEnded { .. } => metrics.leases_ended.inc(),
-        SchedLog::StartSent { resent: false, .. } => metrics.placements.inc(),
+        SchedLog::StartSent {
+            resent: false,
+            task,
+            attempt,
+            ..
+        } => {
+            metrics.placements.inc();
+            // The first task of a job is among the first to start, and one a job is enough.
+            if *attempt == FIRST_ATTEMPT && task.index == 0 {
+                let accepted = cell.with_job(task.job, |job| (job.class, job.accepted_ms));
+                if let Some((class, at_ms)) = accepted {
+                    let wait = wall_ms.saturating_sub(at_ms);
+                    metrics.observe_wait(class, wait as f64 / 1_000.0);
+                }
+            }
+        }
+        SchedLog::Overcommitted { .. } => metrics.overcommitted.inc(),
         SchedLog::Ended { ended, .. } => {
             metrics
                 .task_ends
--- a/lib/host/src/scheduler_handle.rs
+++ b/lib/host/src/scheduler_handle.rs
@@ -9,6 +9,7 @@
 use tarragon_leases::WorkerReport;
 use tarragon_names::{JobId, LogIndex, Millis, Term, WorkerName};
 use tarragon_scheduler::{Explanation, SchedEvent, Scheduler, WorkerView};
+use tarragon_telemetry::{Event, EventSink};
 use tokio::sync::oneshot;
 
 use crate::{ApplySink, Clock, PollTable};
@@ -106,21 +107,31 @@
     scheduler: SchedulerHandle,
     polls: Arc<PollTable>,
     clock: Arc<dyn Clock>,
+    events: Arc<dyn EventSink>,
 }
 
 impl LeaderSink {
     /// A sink for one host.
-    pub fn new(scheduler: SchedulerHandle, polls: Arc<PollTable>, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(
+        scheduler: SchedulerHandle,
+        polls: Arc<PollTable>,
+        clock: Arc<dyn Clock>,
+        events: Arc<dyn EventSink>,
+    ) -> Self {
         Self {
             scheduler,
             polls,
             clock,
+            events,
         }
     }
 }
 
 impl ApplySink for LeaderSink {
-    fn applied(&self, _: LogIndex, command: &Command, answer: &Answer) {
+    fn applied(&self, index: LogIndex, command: &Command, answer: &Answer) {
+        if let Some(event) = event_of(command, answer) {
+            self.events.emit(&event.index(index));
+        }
         let event = SchedEvent::Committed {
             command: command.clone(),
             answer: answer.clone(),
@@ -149,3 +160,34 @@
         self.scheduler.leads_until.store(until.0, Ordering::Release);
     }
 }
+
+/// The event that the time line shows for a change of the replicated state, if it shows one.
+///
+/// Starts and ends of tasks are events of the scheduler.
+fn event_of(command: &Command, answer: &Answer) -> Option<Event> {
+    Some(match (command, answer) {
+        (Command::AcceptJob { spec, .. }, Answer::Accepted(job)) => Event::debug("job_accepted")
+            .job(*job)
+            .detail(format!("{}, {} tasks", spec.name, spec.tasks)),
+        (Command::Cancel { job }, Answer::Done) => Event::debug("job_cancelled").job(*job),
+        (Command::Refuse { job, reason }, Answer::Done) => Event::debug("job_ended_by_refusal")
+            .job(*job)
+            .code(reason.code.number()),
+        (Command::PutEntry { entry, .. }, Answer::Written(revision)) => {
+            Event::info("catalogue_changed")
+                .revision(*revision)
+                .detail(entry.pattern.to_string())
+        }
+        (Command::DeleteEntry { pattern, .. }, Answer::Written(revision)) => {
+            Event::info("catalogue_entry_deleted")
+                .revision(*revision)
+                .detail(pattern.to_string())
+        }
+        (Command::DrainWorker { worker, draining }, Answer::Done) => {
+            Event::info("worker_drain_set")
+                .worker(worker.clone())
+                .detail(draining.to_string())
+        }
+        _ => return None,
+    })
+}
--- a/lib/host/src/scheduler_loop.rs
+++ b/lib/host/src/scheduler_loop.rs
@@ -8,9 +8,9 @@
 };
 
 use parking_lot::Mutex;
-use tarragon_cell::Command;
+use tarragon_cell::{Cell, Command};
 use tarragon_leases::WorkerOrder;
-use tarragon_names::WorkerName;
+use tarragon_names::{Resources, WorkerName};
 use tarragon_scheduler::{SchedAction, SchedEvent, Scheduler};
 use tarragon_telemetry::{EventSink, Metrics};
 
@@ -22,6 +22,9 @@
 /// Time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two updates of the gauges, which look at every worker.
+const GAUGES_EVERY: Duration = Duration::from_secs(1);
+
 /// Most inputs handled between two ticks.
 const BATCH: usize = 4_096;
 
@@ -34,6 +37,8 @@
     pub replica: ReplicaHandle,
     /// Ways to the workers.
     pub routes: Arc<OrderRoutes>,
+    /// State that the log builds up.
+    pub cell: Arc<Cell>,
     /// Source of time.
     pub clock: Arc<dyn Clock>,
     /// Where events go.
@@ -49,6 +54,7 @@
     handle: SchedulerHandle,
     rx: Mutex<Receiver<SchedInput>>,
     ticked: Instant,
+    gauged: Instant,
 }
 
 impl SchedulerLoop {
@@ -63,6 +69,7 @@
             handle,
             rx: Mutex::new(rx),
             ticked: Instant::now(),
+            gauged: Instant::now(),
         };
         let spawned = thread::Builder::new()
             .name("scheduler".to_owned())
@@ -96,6 +103,7 @@
         }
         if self.ticked.elapsed() >= TICK {
             self.ticked = Instant::now();
+            self.set_gauges_if_due();
             self.step(SchedEvent::Tick {
                 leader_until: self.handle.leads_until(),
             });
@@ -103,6 +111,33 @@
         true
     }
 
+    fn set_gauges_if_due(&mut self) {
+        if self.gauged.elapsed() < GAUGES_EVERY {
+            return;
+        }
+        self.gauged = Instant::now();
+        let metrics = &self.parts.metrics;
+        metrics
+            .queued_jobs
+            .set(self.parts.scheduler.waiting_jobs() as i64);
+        metrics.workers.reset();
+        let (mut capacity, mut reserved) = (Resources::ZERO, Resources::ZERO);
+        for worker in self.parts.scheduler.workers() {
+            metrics.workers.with_label_values(&[&worker.state]).inc();
+            capacity += worker.capacity;
+            reserved += worker.reserved;
+        }
+        for (gauges, amounts) in [(&metrics.capacity, capacity), (&metrics.reserved, reserved)] {
+            for (resource, amount) in [
+                ("cpu_milli", amounts.cpu_milli),
+                ("memory_mb", amounts.memory_mb),
+                ("accelerators", amounts.accelerators),
+            ] {
+                gauges.with_label_values(&[resource]).set(amount as i64);
+            }
+        }
+    }
+
     fn step(&mut self, event: SchedEvent) {
         let mut event = Some(event);
         // A refusal by a full queue is an event of its own.
@@ -114,7 +149,13 @@
                     SchedAction::Propose(commands) => refused.extend(self.propose(commands)),
                     SchedAction::Order { worker, order } => self.order(&worker, order),
                     SchedAction::Log(log) => {
-                        scheduler_events::record(&self.parts.metrics, &log);
+                        let wall_ms = self.parts.clock.wall_ms();
+                        scheduler_events::record(
+                            &self.parts.metrics,
+                            &self.parts.cell,
+                            wall_ms,
+                            &log,
+                        );
                         self.parts.events.emit(&scheduler_events::event(log));
                     }
                 }
--- a/lib/scheduler/src/scheduler_views.rs
+++ b/lib/scheduler/src/scheduler_views.rs
@@ -12,6 +12,11 @@
 };
 
 impl Scheduler {
+    /// Number of jobs that wait; 0 if this host does not lead.
+    pub fn waiting_jobs(&self) -> usize {
+        self.lead.as_ref().map_or(0, |lead| lead.queue.len())
+    }
+
     /// Workers that this leader knows, by name; empty if this host does not lead.
     pub fn workers(&self) -> Vec<WorkerView> {
         let Some(lead) = &self.lead else {
--- a/lib/settings/src/limit_settings.rs
+++ b/lib/settings/src/limit_settings.rs
@@ -7,8 +7,6 @@
     pub max_body_bytes: u64,
     /// Most open connections of callers.
     pub max_connections: u32,
-    /// Most jobs that may wait in the cell.
-    pub max_waiting_jobs: u32,
     /// Threads that serve connections.
     pub worker_threads: u32,
 }
@@ -18,7 +16,6 @@
         Self {
             max_body_bytes: 1 << 20,
             max_connections: 4_096,
-            max_waiting_jobs: 100_000,
             worker_threads: 4,
         }
     }
@@ -38,11 +35,6 @@
                 default.max_connections,
                 parse::number(16, 65_536),
             ),
-            max_waiting_jobs: section.or(
-                "max_waiting_jobs",
-                default.max_waiting_jobs,
-                parse::number(1, 10_000_000),
-            ),
             worker_threads: section.or(
                 "worker_threads",
                 default.worker_threads,
--- a/lib/telemetry/src/metrics.rs
+++ b/lib/telemetry/src/metrics.rs
@@ -36,12 +36,10 @@
 metrics! {
     /// Time from acceptance to the first start of a job's tasks, by class.
     job_wait: HistogramVec = histogram_vec("tarragon_job_wait_seconds", LONG, ["class"]);
-    /// Jobs that wait, by class.
-    queued_jobs: IntGaugeVec = gauge_vec("tarragon_queued_jobs", ["class"]);
+    /// Jobs that wait.
+    queued_jobs: IntGauge = gauge("tarragon_queued_jobs");
     /// Tasks placed on workers.
     placements: IntCounter = counter("tarragon_placements_total");
-    /// Time of a placement decision.
-    placement_time: Histogram = histogram("tarragon_placement_seconds", SHORT);
     /// Attempts that ended, by end.
     task_ends: IntCounterVec = counter_vec("tarragon_task_ends_total", ["end"]);
     /// Amounts that the workers offer, by resource.
@@ -50,8 +48,8 @@
     reserved: IntGaugeVec = gauge_vec("tarragon_reserved", ["resource"]);
     /// Workers, by state.
     workers: IntGaugeVec = gauge_vec("tarragon_workers", ["state"]);
-    /// Workers whose reservations or usage are above their capacity.
-    overcommitted_workers: IntGauge = gauge("tarragon_overcommitted_workers");
+    /// Times that the use of a worker's tasks went above its capacity.
+    overcommitted: IntCounter = counter("tarragon_overcommitted_total");
     /// Worker leases that ended without a renewal.
     leases_ended: IntCounter = counter("tarragon_worker_leases_ended_total");
     /// Sessions granted to workers.
@@ -60,26 +58,14 @@
     executor_slots: IntGaugeVec = gauge_vec("tarragon_executor_slots", ["state"]);
     /// Executors at home on this host, by state.
     executors: IntGaugeVec = gauge_vec("tarragon_executors", ["state"]);
-    /// Executors whose announcement lease ended without a word.
-    executors_lost: IntCounter = counter("tarragon_executors_lost_total");
     /// Service requests answered, by outcome.
     requests: IntCounterVec = counter_vec("tarragon_requests_total", ["outcome"]);
     /// Time of a service request on this host.
     request_time: Histogram = histogram("tarragon_request_seconds", SHORT);
-    /// Service requests in flight.
-    requests_in_flight: IntGauge = gauge("tarragon_requests_in_flight");
-    /// Service requests forwarded to another host.
-    forwards: IntCounter = counter("tarragon_forwards_total");
-    /// Service requests sent once more.
-    retries: IntCounter = counter("tarragon_retries_total");
     /// Answers "not known", to requests and to writes.
     unknown_outcomes: IntCounter = counter("tarragon_unknown_outcomes_total");
-    /// Answers of executors that arrived after their request was closed.
-    late_answers: IntCounter = counter("tarragon_late_answers_total");
     /// Refusals, by number of the result code.
     refused: IntCounterVec = counter_vec("tarragon_refused_total", ["code"]);
-    /// Requests cut off by a planned stop.
-    cut_off: IntCounter = counter("tarragon_requests_cut_off_total");
     /// Control messages sent, by failure domain of both ends.
     control_messages: IntCounterVec = counter_vec("tarragon_control_messages_total", ["from", "to"]);
     /// Bytes of control messages sent, by failure domain of both ends.
@@ -92,9 +78,7 @@
     catalogue_revision: IntGauge = gauge("tarragon_catalogue_revision");
     /// Whether the freshness lease of the catalogue holds.
     catalogue_fresh: IntGauge = gauge("tarragon_catalogue_fresh");
-    /// Time from the commit of a catalogue change until it is in force everywhere.
-    catalogue_in_force: Histogram = histogram("tarragon_catalogue_in_force_seconds", LONG);
-    /// Elections that this replica began.
+    /// Elections that this replica won.
     elections: IntCounter = counter("tarragon_elections_total");
     /// Whether this replica leads.
     leading: IntGauge = gauge("tarragon_leading");
@@ -106,10 +90,6 @@
     commit_time: Histogram = histogram("tarragon_commit_seconds", SHORT);
     /// Time of a sync to disk.
     sync_time: Histogram = histogram("tarragon_sync_seconds", SHORT);
-    /// Events of the log that were dropped.
-    events_dropped: IntGauge = gauge("tarragon_events_dropped");
-    /// Open connections of callers.
-    connections: IntGauge = gauge("tarragon_connections");
 }
 
 impl Metrics {
