--- a/lib/routing/src/executor_table.rs
+++ b/lib/routing/src/executor_table.rs
@@ -15,6 +15,10 @@
 /// Shards of the table. A host is home to a dozen executors today and to some hundred at the target.
 const SHARDS: usize = 16;
 
+/// Most executors in one shard. Anyone who may announce could fill the host's memory otherwise; a
+/// home has some hundred executors at the target.
+const SHARD_EXECUTORS: usize = 256;
+
 /// Times a choice is made again because another request took the slot in between.
 const CHOICES: usize = 8;
 
@@ -69,6 +73,7 @@
         let running = Running::of(&announcement, &self.ids);
         let name = announcement.name.clone();
         self.shards.with(&name, |shard| {
+            let full = shard.executors.len() >= SHARD_EXECUTORS;
             match shard.executors.get_mut(&name) {
                 Some(known) if announcement.epoch < known.last().epoch => {
                     return Err(Failure::new(
@@ -79,6 +84,12 @@
                 Some(known) => {
                     known.announce(announcement, echo, running.as_ref(), now, &self.cfg);
                 }
+                None if full => {
+                    return Err(Failure::new(
+                        Code::TooManyRequests,
+                        "this host is home to too many executors; announce to another one",
+                    ));
+                }
                 None => {
                     let executor = HomeExecutor::new(announcement, now, &self.cfg);
                     shard.executors.insert(name.clone(), executor);
--- a/lib/routing/tests/executors.rs
+++ b/lib/routing/tests/executors.rs
@@ -202,6 +202,22 @@
     assert!(take(&table, 2_200).is_some());
 }
 
+/// Guards against announcements that fill the host's memory.
+#[test]
+fn executors_of_a_home_are_bounded() {
+    let table = table();
+    let refused = (0..10_000)
+        .filter_map(|n| {
+            let announced = announcement(&format!("e{n}"), 0, None);
+            table.announce(announced, Millis(0)).err()
+        })
+        .collect::<Vec<_>>();
+    assert!(refused.len() > 5_000);
+    assert!(refused.iter().all(|f| f.code == Code::TooManyRequests));
+    table.sweep(Millis(60_001));
+    announce(&table, 60_001, announcement("e1", 0, None));
+}
+
 /// Guards against one executor taking all requests while others idle.
 #[test]
 fn least_loaded_executor_is_chosen() {
