--- a/lib/front/src/calls/jobs.rs
+++ b/lib/front/src/calls/jobs.rs
@@ -6,7 +6,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{JobId, KeyName, TeamName, Workload};
 
-use super::{unconfirmed, unexpected_answer, unexpected_read, write};
+use super::{NAME_BYTES, unconfirmed, unexpected_answer, unexpected_read, write};
 use crate::{Backend, FrontConfig, reply::Reply, request::Request};
 
 pub(super) async fn submit(
@@ -80,6 +80,8 @@
 fn check(spec: &JobSpec) -> Outcome<()> {
     let cause = if spec.name.as_str().is_empty() {
         "name: must not be empty"
+    } else if spec.name.as_str().len() > NAME_BYTES {
+        "name: at most 256 bytes"
     } else if spec.name.as_str().chars().any(char::is_control) {
         "name: must not hold control characters"
     } else if spec.tasks == 0 {
--- a/lib/front/src/calls/mod.rs
+++ b/lib/front/src/calls/mod.rs
@@ -13,6 +13,9 @@
 
 use crate::{Backend, FrontConfig, reply::Reply, request::Request, route::Route};
 
+/// Most bytes of a name that a caller or an executor may introduce.
+const NAME_BYTES: usize = 256;
+
 /// Carries out a call.
 pub(crate) async fn answer(
     route: Route,
--- a/lib/front/src/calls/nodes.rs
+++ b/lib/front/src/calls/nodes.rs
@@ -7,7 +7,7 @@
 use tarragon_names::{ExecutorName, MemberId, WorkerName};
 use tarragon_routing::Announcement;
 
-use super::{unconfirmed, write};
+use super::{NAME_BYTES, unconfirmed, write};
 use crate::{Backend, FrontConfig, reply::Reply, request::Request};
 
 /// Most slots or connections that an executor may announce.
@@ -76,6 +76,15 @@
         "name: must not be empty"
     } else if announcement.pool.as_str().is_empty() {
         "pool: must not be empty"
+    } else if [
+        announcement.name.as_str(),
+        announcement.pool.as_str(),
+        announcement.domain.as_str(),
+    ]
+    .iter()
+    .any(|name| name.len() > NAME_BYTES)
+    {
+        "name, pool and domain: at most 256 bytes each"
     } else if announcement
         .address
         .parse::<std::net::SocketAddr>()
--- a/lib/front/tests/calls.rs
+++ b/lib/front/tests/calls.rs
@@ -77,6 +77,8 @@
     bad_json = { "POST /v1/jobs", "", "{", 1001 },
     unknown_field = { "POST /v1/jobs", "", r#"{"nme":"a"}"#, 1001 },
     no_tasks = { "POST /v1/jobs", "", &JOB.replace("\"tasks\":1", "\"tasks\":0"), 1001 },
+    long_name = { "POST /v1/jobs", "", &JOB.replace("reel/1", &"a".repeat(257)), 1001 },
+    long_pool = { "POST /v1/executors", "", &EXECUTOR.replace("\"p\"", &format!("\"{}\"", "a".repeat(257))), 1001 },
     request_kind = { "POST /v1/jobs", "", &JOB.replace("batch", "request"), 1001 },
     bad_job_id = { "GET /v1/jobs/jx", "", "", 1001 },
     bad_state = { "GET /v1/jobs?state=sleeping", "OP", "", 1001 },
