host: count the time of the cell from the log

Cause: commands carried the wall clock of the leading host; one host far ahead would have moved the cell's time for good, so that keys and ended jobs expire early.

--- a/cli/src/bench/control.rs
+++ b/cli/src/bench/control.rs
@@ -113,11 +113,22 @@
             .host_views()
             .await
             .map_err(|f| f.to_string())?;
+        let standins = session.process("workers").map_or(0, |process| process.id());
+        let standins_before = processor_seconds(standins);
         let before = self.counters(&mut session).await;
         let start = Instant::now();
         sleep(self.sample).await;
         let after = self.counters(&mut session).await;
         let seconds = start.elapsed().as_secs_f64();
+        let standins_used = processor_seconds(standins) - standins_before;
+        report.push(row! {
+            "hosts" => self.hosts,
+            "workers" => self.workers,
+            "tasks" => self.tasks,
+            "role" => "stand-in worker",
+            "core_percent" => (standins_used / seconds / self.workers as f64 * 1e6).round() / 1e4,
+            "resident_kb" => (resident_bytes(standins) / self.workers as f64 / 1e3).round(),
+        });
         for role in ["leader", "voter", "learner", "entry"] {
             self.push(report, role, &views, [&before, &after], seconds, start_rate);
         }
--- a/lib/host/src/lib.rs
+++ b/lib/host/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod apply_sink;
 mod catalogue_view;
+mod cell_time;
 mod clock;
 mod control_clients;
 mod control_server;
@@ -37,6 +38,7 @@
 
 pub use apply_sink::ApplySink;
 pub use catalogue_view::CatalogueView;
+pub use cell_time::CellTime;
 pub use clock::{Clock, SystemClock};
 pub use control_clients::{CallFailure, ControlClients};
 pub use control_server::ControlServer;
--- a/lib/host/src/local_leader.rs
+++ b/lib/host/src/local_leader.rs
@@ -8,7 +8,7 @@
 use tarragon_telemetry::Metrics;
 use tarragon_wire::control::{CatalogueGrant, CataloguePoll, GroupView, MemberView};
 
-use crate::{Clock, PollTable, ReplicaHandle, SchedulerHandle};
+use crate::{CellTime, PollTable, ReplicaHandle, SchedulerHandle};
 
 /// Time since the last answer after which a member is shown as unreachable.
 const UNREACHABLE: Millis = Millis(3_000);
@@ -25,7 +25,7 @@
     replica: ReplicaHandle,
     cell: Arc<Cell>,
     scheduler: SchedulerHandle,
-    clock: Arc<dyn Clock>,
+    time: Arc<CellTime>,
     polls: Arc<PollTable>,
     metrics: Arc<Metrics>,
 }
@@ -37,7 +37,7 @@
         replica: ReplicaHandle,
         cell: Arc<Cell>,
         scheduler: SchedulerHandle,
-        clock: Arc<dyn Clock>,
+        time: Arc<CellTime>,
         polls: Arc<PollTable>,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -46,7 +46,7 @@
             replica,
             cell,
             scheduler,
-            clock,
+            time,
             polls,
             metrics,
         }
@@ -55,9 +55,7 @@
     /// Writes a command.
     pub async fn propose(&self, command: Command, limit: Duration) -> Outcome<Answer> {
         let _timer = self.metrics.commit_time.start_timer();
-        self.replica
-            .propose(self.clock.wall_ms(), command, limit)
-            .await
+        self.replica.propose(self.time.now(), command, limit).await
     }
 
     /// Reads the state, up to date with everything committed before the call.
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -13,9 +13,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Clock, HostCore, InboundReplica, LeaderHint, LeaderSink, Links, LocalLeader, OrderRoutes,
-    PollTable, ReplicaDriver, ReplicaParts, SchedulerHandle, SchedulerLoop, SchedulerParts,
-    replica_disk::open_replica, replica_driver::decode_state,
+    CellTime, Clock, HostCore, InboundReplica, LeaderHint, LeaderSink, Links, LocalLeader,
+    OrderRoutes, PollTable, ReplicaDriver, ReplicaParts, SchedulerHandle, SchedulerLoop,
+    SchedulerParts, replica_disk::open_replica, replica_driver::decode_state,
 };
 
 /// Time between two requests of a new member to join.
@@ -29,6 +29,7 @@
     pub(crate) is_new: bool,
     cell: Arc<Cell>,
     polls: Arc<PollTable>,
+    time: Arc<CellTime>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -65,11 +66,13 @@
         );
 
         let polls = Arc::new(PollTable::new(Arc::clone(host.clock)));
+        let time = Arc::new(CellTime::new(Arc::clone(host.clock)));
         let (scheduler, rx) = SchedulerHandle::channel();
         let sink = LeaderSink::new(
             scheduler.clone(),
             Arc::clone(&polls),
-            Arc::clone(host.clock),
+            Arc::clone(&cell),
+            Arc::clone(&time),
             Arc::clone(host.events),
         );
         let parts = ReplicaParts {
@@ -91,6 +94,7 @@
             routes: Arc::clone(host.routes),
             cell: Arc::clone(&cell),
             clock: Arc::clone(host.clock),
+            time: Arc::clone(&time),
             events: Arc::clone(host.events),
             metrics: Arc::clone(host.metrics),
         };
@@ -104,6 +108,7 @@
             is_new,
             cell,
             polls,
+            time,
             threads: vec![scheduler_thread, replica_thread],
         })
     }
@@ -115,7 +120,7 @@
             self.inbound.handle.clone(),
             Arc::clone(&self.cell),
             self.inbound.scheduler.clone(),
-            Arc::clone(host.clock),
+            Arc::clone(&self.time),
             Arc::clone(&self.polls),
             Arc::clone(host.metrics),
         )
--- a/lib/host/src/scheduler_events.rs
+++ b/lib/host/src/scheduler_events.rs
@@ -8,7 +8,7 @@
 const FIRST_ATTEMPT: Attempt = Attempt(1);
 
 /// Counts what a decision means for the metrics.
-pub(crate) fn record(metrics: &Metrics, cell: &Cell, wall_ms: u64, log: &SchedLog) {
+pub(crate) fn record(metrics: &Metrics, cell: &Cell, cell_ms: u64, log: &SchedLog) {
     match log {
         SchedLog::SessionConfirmed { .. } => metrics.sessions.inc(),
         SchedLog::LeaseEnded { .. } => metrics.leases_ended.inc(),
@@ -23,7 +23,7 @@
             if *attempt == FIRST_ATTEMPT && task.index == 0 {
                 let accepted = cell.with_job(task.job, |job| (job.class, job.accepted_ms));
                 if let Some((class, at_ms)) = accepted {
-                    let wait = wall_ms.saturating_sub(at_ms);
+                    let wait = cell_ms.saturating_sub(at_ms);
                     metrics.observe_wait(class, wait as f64 / 1_000.0);
                 }
             }
--- a/lib/host/src/scheduler_handle.rs
+++ b/lib/host/src/scheduler_handle.rs
@@ -4,7 +4,7 @@
     mpsc::{Receiver, SyncSender, sync_channel},
 };
 
-use tarragon_cell::{Answer, Command};
+use tarragon_cell::{Answer, Cell, Command};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_leases::WorkerReport;
 use tarragon_names::{JobId, LogIndex, Millis, Term, WorkerName};
@@ -12,7 +12,7 @@
 use tarragon_telemetry::{Event, EventSink};
 use tokio::sync::oneshot;
 
-use crate::{ApplySink, Clock, PollTable};
+use crate::{ApplySink, CellTime, PollTable};
 
 /// Inputs that may wait for the scheduler's thread; it bounds the memory under overload.
 const QUEUE: usize = 65_536;
@@ -106,7 +106,8 @@
 pub struct LeaderSink {
     scheduler: SchedulerHandle,
     polls: Arc<PollTable>,
-    clock: Arc<dyn Clock>,
+    cell: Arc<Cell>,
+    time: Arc<CellTime>,
     events: Arc<dyn EventSink>,
 }
 
@@ -115,13 +116,15 @@
     pub fn new(
         scheduler: SchedulerHandle,
         polls: Arc<PollTable>,
-        clock: Arc<dyn Clock>,
+        cell: Arc<Cell>,
+        time: Arc<CellTime>,
         events: Arc<dyn EventSink>,
     ) -> Self {
         Self {
             scheduler,
             polls,
-            clock,
+            cell,
+            time,
             events,
         }
     }
@@ -141,9 +144,10 @@
 
     fn became_leader(&self, term: Term) {
         self.polls.became_leader(term);
+        self.time.elected(self.cell.now_ms());
         self.scheduler.must_send(SchedEvent::BecameLeader {
             term,
-            at_ms: self.clock.wall_ms(),
+            at_ms: self.time.now(),
         });
     }
 
--- a/lib/host/src/scheduler_loop.rs
+++ b/lib/host/src/scheduler_loop.rs
@@ -15,7 +15,7 @@
 use tarragon_telemetry::{EventSink, Metrics};
 
 use crate::{
-    Clock, OrderRoutes, ReplicaHandle, SchedulerHandle, scheduler_events,
+    CellTime, Clock, OrderRoutes, ReplicaHandle, SchedulerHandle, scheduler_events,
     scheduler_handle::SchedInput,
 };
 
@@ -41,6 +41,8 @@
     pub cell: Arc<Cell>,
     /// Source of time.
     pub clock: Arc<dyn Clock>,
+    /// Time that is written into the log.
+    pub time: Arc<CellTime>,
     /// Where events go.
     pub events: Arc<dyn EventSink>,
     /// Metrics of the host.
@@ -149,11 +151,11 @@
                     SchedAction::Propose(commands) => refused.extend(self.propose(commands)),
                     SchedAction::Order { worker, order } => self.order(&worker, order),
                     SchedAction::Log(log) => {
-                        let wall_ms = self.parts.clock.wall_ms();
+                        let cell_ms = self.parts.time.now();
                         scheduler_events::record(
                             &self.parts.metrics,
                             &self.parts.cell,
-                            wall_ms,
+                            cell_ms,
                             &log,
                         );
                         self.parts.events.emit(&scheduler_events::event(log));
@@ -168,7 +170,7 @@
 
     /// Proposes commands and gives back those that found the queue full.
     fn propose(&self, commands: Vec<Command>) -> Vec<Command> {
-        let at_ms = self.parts.clock.wall_ms();
+        let at_ms = self.parts.time.now();
         commands
             .into_iter()
             .filter(|command| {
