host: let a replica that was replaced join again as a learner

Cause: a new member that was restarted before the leader listed it never asked again, and a voter that was cut off for longer than replace_after stayed outside the group for good, since nobody tells it. Change: every replica looks every 2 s whether the leader lists it and joins as a learner if not.

--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -28,7 +28,7 @@
     PeerListener, PeerSink, ReportSink, SystemClock, WorkerGateway,
     member_repair::repair_members,
     metrics_page,
-    replica_runtime::{ReplicaRuntime, Surroundings, join_group},
+    replica_runtime::{ReplicaRuntime, Surroundings, keep_membership},
 };
 
 /// Silence of a worker after which its connection is closed, in heartbeats.
@@ -196,8 +196,8 @@
         let (proxy, proxy_stop) = (Arc::clone(&self.proxy), stop.clone());
         tasks.spawn(async move { proxy.run(proxy_stop).await });
         tasks.spawn(repair_members(Arc::clone(&self.core), stop.clone()));
-        if let Some(replica) = replica.as_ref().filter(|replica| replica.is_new) {
-            tasks.spawn(join_group(
+        if let Some(replica) = &replica {
+            tasks.spawn(keep_membership(
                 Arc::clone(&self.core),
                 replica.inbound.id,
                 stop.clone(),
--- a/lib/host/src/host_backend.rs
+++ b/lib/host/src/host_backend.rs
@@ -64,15 +64,6 @@
         metrics.requests.with_label_values(&[label]).inc();
     }
 
-    async fn group(&self) -> Outcome<GroupView> {
-        self.at_leader(
-            READ_LIMIT,
-            |leader, _| leader.group().boxed(),
-            |client, cx| async move { client.group(cx).await }.boxed(),
-        )
-        .await
-    }
-
     fn other_hosts(&self) -> Vec<HostName> {
         let hosts = self.core.cfg.hosts.iter().map(|host| &host.name);
         hosts
@@ -228,7 +219,7 @@
     }
 
     fn hosts(&self) -> BoxOutcome<'_, Vec<HostView>> {
-        async move { Ok(self.host_views(self.group().await.ok().as_ref())) }.boxed()
+        async move { Ok(self.host_views(self.core.group(READ_LIMIT).await.ok().as_ref())) }.boxed()
     }
 
     fn explain(&self, job: JobId) -> BoxOutcome<'_, Explanation> {
--- a/lib/host/src/host_core.rs
+++ b/lib/host/src/host_core.rs
@@ -6,13 +6,16 @@
     time::Duration,
 };
 
-use futures::FutureExt;
+use futures::{
+    FutureExt,
+    future::{self, BoxFuture},
+};
 use tarragon_cell::{Answer, Command};
-use tarragon_codes::Outcome;
-use tarragon_names::HostName;
+use tarragon_codes::{Code, Outcome};
+use tarragon_names::{HostName, MemberId};
 use tarragon_settings::HostSettings;
 use tarragon_telemetry::{EventSink, Metrics};
-use tarragon_wire::control::CatalogueGrant;
+use tarragon_wire::control::{CatalogueGrant, ControlClient, GroupView};
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
@@ -94,22 +97,43 @@
             let command = command.clone();
             self.at_local(move |leader| async move { leader.propose(command, left).await }.boxed())
         };
-        let remote = |client: tarragon_wire::control::ControlClient, cx| {
+        let remote = |client: ControlClient, cx| {
             let command = command.clone();
             async move { client.propose(cx, command).await }.boxed()
         };
         self.calls.call(limit, local, remote).await
     }
 
+    /// Describes the replica group, as the leader sees it.
+    pub async fn group(&self, limit: Duration) -> Outcome<GroupView> {
+        let local = |_| self.at_local(|leader| leader.group().boxed());
+        let remote = |client: ControlClient, cx| async move { client.group(cx).await }.boxed();
+        self.calls.call(limit, local, remote).await
+    }
+
+    /// Adds this host's replica to the group as a learner.
+    pub async fn join(&self, id: MemberId, limit: Duration) -> Outcome<()> {
+        let host = self.name();
+        let local = |left| {
+            let host = host.clone();
+            self.at_local(move |leader| leader.join(host, id, left).boxed())
+        };
+        let remote = |client: ControlClient, cx| {
+            let host = host.clone();
+            async move { client.join(cx, host, id).await }.boxed()
+        };
+        self.calls.call(limit, local, remote).await
+    }
+
     /// Runs an operation of the leader on this host.
-    pub fn at_local<'a, T, F>(&'a self, run: F) -> futures::future::BoxFuture<'a, Outcome<T>>
+    pub fn at_local<'a, T, F>(&'a self, run: F) -> BoxFuture<'a, Outcome<T>>
     where
         T: Send + 'a,
-        F: FnOnce(&'a LocalLeader) -> futures::future::BoxFuture<'a, Outcome<T>>,
+        F: FnOnce(&'a LocalLeader) -> BoxFuture<'a, Outcome<T>>,
     {
         match &self.leader {
             Some(leader) => run(leader),
-            None => futures::future::err(tarragon_codes::Code::NotLeader.into()).boxed(),
+            None => future::err(Code::NotLeader.into()).boxed(),
         }
     }
 
@@ -131,7 +155,7 @@
             let poll = poll.clone();
             self.at_local(move |leader| async move { leader.poll(poll).await }.boxed())
         };
-        let remote = |client: tarragon_wire::control::ControlClient, cx| {
+        let remote = |client: ControlClient, cx| {
             let poll = poll.clone();
             async move { client.poll_catalogue(cx, poll).await }.boxed()
         };
--- a/lib/host/src/replica_disk.rs
+++ b/lib/host/src/replica_disk.rs
@@ -66,14 +66,13 @@
 }
 
 /// Opens the data folder of this host, or makes it that of a new member with the identity `fresh`.
-///
-/// The second value tells whether the member is new and has to join as a learner.
-pub(crate) fn open_replica(cfg: &HostSettings, fresh: MemberId) -> Outcome<(FileStore, bool)> {
+pub(crate) fn open_replica(cfg: &HostSettings, fresh: MemberId) -> Outcome<FileStore> {
     let dir = data_dir(cfg)?;
     if FileStore::exists(dir) {
-        return Ok((FileStore::open(dir)?, false));
+        FileStore::open(dir)
+    } else {
+        create(dir, fresh)
     }
-    Ok((create(dir, fresh)?, true))
 }
 
 fn create(dir: &Path, id: MemberId) -> Outcome<FileStore> {
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -9,7 +9,7 @@
 use tarragon_settings::HostSettings;
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
-use tokio::time::sleep;
+use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -18,15 +18,13 @@
     SchedulerParts, replica_disk::open_replica, replica_driver::decode_state,
 };
 
-/// Time between two requests of a new member to join.
-const JOIN_RETRY: Duration = Duration::from_millis(1_000);
+/// Time between two looks at whether this replica is a member.
+const MEMBERSHIP_CHECK: Duration = Duration::from_millis(2_000);
 
 /// Threads and handles of the replica of a host.
 #[derive(Debug)]
 pub(crate) struct ReplicaRuntime {
     pub(crate) inbound: InboundReplica,
-    /// Whether the member has to join the group as a learner.
-    pub(crate) is_new: bool,
     cell: Arc<Cell>,
     polls: Arc<PollTable>,
     time: Arc<CellTime>,
@@ -47,7 +45,7 @@
 impl ReplicaRuntime {
     /// Recovers the replica from its disk and starts its threads.
     pub(crate) fn start(host: &Surroundings<'_>, seed: u64) -> Outcome<Self> {
-        let (mut store, is_new) = open_replica(host.cfg, MemberId(seed | 1))?;
+        let mut store = open_replica(host.cfg, MemberId(seed | 1))?;
         let recovered = store.recover()?;
         let cell = Arc::new(Cell::default());
         let mut applied = LogIndex(0);
@@ -105,7 +103,6 @@
                 handle,
                 scheduler,
             },
-            is_new,
             cell,
             polls,
             time,
@@ -137,32 +134,24 @@
     }
 }
 
-/// Asks the leader to add this member as a learner until it is one.
-pub(crate) async fn join_group(core: Arc<HostCore>, id: MemberId, stop: CancellationToken) {
-    use futures::FutureExt;
-
-    let host = core.name().clone();
-    let join = async {
-        loop {
-            let remote = |client: tarragon_wire::control::ControlClient, cx| {
-                let host = host.clone();
-                async move { client.join(cx, host, id).await }.boxed()
-            };
-            let local = |left| {
-                let host = host.clone();
-                core.at_local(move |leader| {
-                    async move { leader.join(host, id, left).await }.boxed()
-                })
-            };
-            if core.calls.call(JOIN_RETRY, local, remote).await.is_ok() {
-                core.events
-                    .emit(&Event::info("joined_as_learner").detail(format!("member {id}")));
-                return;
-            }
-            sleep(JOIN_RETRY).await;
+/// Joins the group as a learner whenever the leader's list lacks this member.
+///
+/// That is so for a new member, and for one that was silent for so long that it was replaced: the
+/// group does not tell it.
+pub(crate) async fn keep_membership(core: Arc<HostCore>, id: MemberId, stop: CancellationToken) {
+    let mut due = interval(MEMBERSHIP_CHECK);
+    while stop.run_until_cancelled(due.tick()).await.is_some() {
+        let Ok(group) = core.group(MEMBERSHIP_CHECK).await else {
+            continue;
+        };
+        if group.members.iter().any(|member| member.member == id) {
+            continue;
         }
-    };
-    stop.run_until_cancelled(join).await;
+        if core.join(id, MEMBERSHIP_CHECK).await.is_ok() {
+            let event = Event::info("joined_as_learner");
+            core.events.emit(&event.detail(format!("member {id}")));
+        }
+    }
 }
 
 fn agreement_config(cfg: &HostSettings) -> Config {
