--- a/cli/tests/real_processes.rs
+++ b/cli/tests/real_processes.rs
@@ -13,6 +13,7 @@
 use tarragon_catalogue::Pattern;
 use tarragon_cli::trial::{Load, Told, settle};
 use tarragon_codes::Code;
+use tarragon_front::HostView;
 use tarragon_names::{JobName, Revision};
 use tokio::{
     runtime::Runtime,
@@ -51,6 +52,7 @@
     KillWorkers,
     LoseDisk,
     LoseTwoVotersOneAfterTheOther,
+    PauseVoterBeyondItsReplacement,
     StopEntryHost,
     StopLeader,
 }
@@ -97,6 +99,18 @@
                 sleep(PAUSE).await;
                 cell.session.restart(&second).unwrap();
             }
+            Self::PauseVoterBeyondItsReplacement => {
+                let voter = cell.with_role("voter").await;
+                pause(cell, &voter).await;
+                cell.wait_until("the return of the voter", move |hosts| {
+                    let returned = |host: &HostView| {
+                        host.name.as_str() == voter && host.role != "entry" && host.reachable
+                    };
+                    hosts.iter().any(returned)
+                        && hosts.iter().filter(|host| host.role != "entry").count() >= 6
+                })
+                .await;
+            }
             Self::StopEntryHost => {
                 let host = cell.with_role("entry").await;
                 assert!(cell.stop(&host).await, "{host} did not stop as planned");
@@ -146,6 +160,7 @@
     workers_are_killed_and_come_back = { Fault::KillWorkers },
     voter_loses_its_disk = { Fault::LoseDisk },
     second_voter_is_lost_right_after_the_repair = { Fault::LoseTwoVotersOneAfterTheOther },
+    voter_is_paused_until_it_was_replaced = { Fault::PauseVoterBeyondItsReplacement },
     entry_host_stops_as_planned = { Fault::StopEntryHost },
     leader_stops_as_planned = { Fault::StopLeader },
 )]
