host: refuse to start without all of its listeners; end the process when a thread panics

Cause: a daemon whose control or worker port was taken started and answered callers, and a panic in the replica's or the scheduler's thread would have left the host running without it. Found by reading. Change: all four addresses are bound before the host serves, each with a cause that names it; a guard in both threads aborts the process.

--- a/lib/host/src/control_server.rs
+++ b/lib/host/src/control_server.rs
@@ -40,8 +40,7 @@
     }
 
     /// Accepts connections until the stop.
-    pub async fn run(self, stop: CancellationToken) -> std::io::Result<()> {
-        let listener = TcpListener::bind(self.core.cfg.control).await?;
+    pub async fn run(self, listener: TcpListener, stop: CancellationToken) {
         while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
             let Ok((stream, _)) = accepted else { continue };
             let Ok(()) = stream.set_nodelay(true) else {
@@ -58,7 +57,6 @@
             let stop = stop.clone();
             tokio::spawn(async move { stop.run_until_cancelled(calls).await });
         }
-        Ok(())
     }
 
     fn at_leader(&self) -> Result<&LocalLeader, Failure> {
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -1,4 +1,5 @@
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -25,7 +26,7 @@
 use crate::{
     CatalogueView, Clock, ControlClients, ControlPeers, ControlServer, FreshEntries, HostBackend,
     HostCore, Inbound, LeaderCalls, LeaderHint, LinkMeter, Links, LogKeys, OrderRoutes,
-    PeerListener, PeerSink, ReportSink, SystemClock, WorkerGateway,
+    PeerListener, PeerSink, SystemClock, WorkerGateway,
     member_repair::repair_members,
     metrics_page,
     replica_runtime::{ReplicaRuntime, Surroundings, keep_membership},
@@ -164,28 +165,18 @@
         let mut tasks = JoinSet::new();
 
         let sink: Arc<dyn PeerSink> = Arc::clone(&inbound) as _;
-        let listener = PeerListener::bind(
-            cfg.peer,
-            cfg.name.clone(),
-            cfg.timing,
-            Arc::clone(&self.core.meter),
-        )
-        .await;
-        let listener = listener.map_err(|e| bind_failure("peer", &e))?;
+        let listener = bind("peer", cfg.peer).await?;
+        let meter = Arc::clone(&self.core.meter);
+        let listener = PeerListener::new(listener, cfg.name.clone(), cfg.timing, meter);
         tasks.spawn(listener.run(sink, stop.clone()));
 
         let control = ControlServer::new(Arc::clone(&self.core), Arc::clone(&self.proxy));
-        let control_stop = stop.clone();
-        tasks.spawn(async move {
-            let _closed = control.run(control_stop).await;
-        });
+        let listener = bind("control", cfg.control).await?;
+        tasks.spawn(control.run(listener, stop.clone()));
 
         let gateway = Arc::clone(&self.core.gateway);
-        let reports: Arc<dyn ReportSink> = inbound;
-        let (address, gateway_stop) = (cfg.worker, stop.clone());
-        tasks.spawn(async move {
-            let _closed = gateway.run(address, reports, gateway_stop).await;
-        });
+        let listener = bind("worker", cfg.worker).await?;
+        tasks.spawn(gateway.run(listener, inbound, stop.clone()));
 
         tasks.spawn(Arc::clone(&self.core).poll_catalogue(stop.clone()));
         tasks.spawn(send_loads(
@@ -204,9 +195,7 @@
             ));
         }
 
-        let listener = TcpListener::bind(cfg.http)
-            .await
-            .map_err(|e| bind_failure("http", &e))?;
+        let listener = bind("http", cfg.http).await?;
         let backend = HostBackend::new(Arc::clone(&self.core), Arc::clone(&self.proxy));
         let front_stop = CancellationToken::new();
         let front = tokio::spawn(tarragon_front::serve(
@@ -310,11 +299,13 @@
     cfg.initial_voters.iter().chain(others).cloned().collect()
 }
 
-fn bind_failure(what: &str, e: &std::io::Error) -> Failure {
-    Failure::new(
-        Code::BadSettings,
-        format!("cannot listen on the {what} address: {e}"),
-    )
+async fn bind(what: &str, address: SocketAddr) -> Outcome<TcpListener> {
+    TcpListener::bind(address).await.map_err(|e| {
+        Failure::new(
+            Code::BadSettings,
+            format!("cannot listen on the {what} address {address}: {e}"),
+        )
+    })
 }
 
 /// Seed that differs between processes, from the hasher keys that the operating system provides.
--- a/lib/host/src/lib.rs
+++ b/lib/host/src/lib.rs
@@ -3,6 +3,7 @@
 //! Two threads own what must not be shared: the replica with its disk, and the scheduler. All else
 //! runs on the tokio runtime over sharded state. [`run`] puts the parts together.
 
+mod abort_on_panic;
 mod apply_sink;
 mod catalogue_view;
 mod cell_time;
--- a/lib/host/src/peer_listener.rs
+++ b/lib/host/src/peer_listener.rs
@@ -1,4 +1,4 @@
-use std::{fmt::Debug, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt::Debug, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
 use tarragon_names::HostName;
@@ -31,19 +31,19 @@
 }
 
 impl PeerListener {
-    /// Binds the address.
-    pub async fn bind(
-        address: SocketAddr,
+    /// Links that arrive on `listener`.
+    pub fn new(
+        listener: TcpListener,
         own: HostName,
         timing: Timing,
         meter: Arc<LinkMeter>,
-    ) -> io::Result<Self> {
-        Ok(Self {
-            listener: TcpListener::bind(address).await?,
+    ) -> Self {
+        Self {
+            listener,
             own,
             timing,
             meter,
-        })
+        }
     }
 
     /// Accepts links until the stop.
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -22,7 +22,8 @@
 };
 
 use crate::{
-    ApplySink, Clock, LeaderHint, Links, ReplicaHandle, replica_handle::Input, waiters::Waiters,
+    ApplySink, Clock, LeaderHint, Links, ReplicaHandle, abort_on_panic::AbortOnPanic,
+    replica_handle::Input, waiters::Waiters,
 };
 
 /// Inputs that may wait for the replica's thread; it bounds the memory under overload.
@@ -102,6 +103,7 @@
     }
 
     fn run(mut self) {
+        let _guard = AbortOnPanic;
         // The replica takes its first reading of the clock before any message.
         if let Err(failure) = self.step(Event::Tick) {
             self.fail(&failure);
--- a/lib/host/src/scheduler_loop.rs
+++ b/lib/host/src/scheduler_loop.rs
@@ -15,8 +15,8 @@
 use tarragon_telemetry::{EventSink, Metrics};
 
 use crate::{
-    CellTime, Clock, OrderRoutes, ReplicaHandle, SchedulerHandle, scheduler_events,
-    scheduler_handle::SchedInput,
+    CellTime, Clock, OrderRoutes, ReplicaHandle, SchedulerHandle, abort_on_panic::AbortOnPanic,
+    scheduler_events, scheduler_handle::SchedInput,
 };
 
 /// Time between two ticks of the scheduler.
@@ -80,6 +80,7 @@
     }
 
     fn run(mut self) {
+        let _guard = AbortOnPanic;
         while self.turn() {}
     }
 
--- a/lib/host/src/worker_gateway.rs
+++ b/lib/host/src/worker_gateway.rs
@@ -1,4 +1,4 @@
-use std::{collections::HashMap, fmt::Debug, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, fmt::Debug, sync::Arc, time::Duration};
 
 use tarragon_leases::{WorkerOrder, WorkerReport};
 use tarragon_names::WorkerName;
@@ -83,11 +83,10 @@
     /// Accepts workers until the stop.
     pub async fn run(
         self: Arc<Self>,
-        address: SocketAddr,
+        listener: TcpListener,
         sink: Arc<dyn ReportSink>,
         stop: CancellationToken,
-    ) -> io::Result<()> {
-        let listener = TcpListener::bind(address).await?;
+    ) {
         let mut generation = 0;
         while let Some(accepted) = stop.run_until_cancelled(listener.accept()).await {
             let Ok((stream, _)) = accepted else { continue };
@@ -103,7 +102,6 @@
                 drop(permit);
             });
         }
-        Ok(())
     }
 
     async fn serve(&self, stream: TcpStream, generation: u64, sink: Arc<dyn ReportSink>) {
