--- a/lib/host/src/host_backend.rs
+++ b/lib/host/src/host_backend.rs
@@ -12,7 +12,7 @@
 use tarragon_proxy::Proxy;
 use tarragon_routing::{Announcement, AnnouncementReply, ExecutorView};
 use tarragon_scheduler::{Explanation, WorkerView};
-use tarragon_wire::control::{ControlClient, GroupView};
+use tarragon_wire::control::{ControlClient, GroupView, MemberView};
 
 use crate::{HostCore, LocalLeader};
 
@@ -110,13 +110,29 @@
         }
     }
 
+    /// Tells whether a host polls the leader, or answers it as a member, or can be connected to.
+    fn is_reachable(
+        &self,
+        host: &HostName,
+        polled: Option<&(Revision, bool)>,
+        member: Option<&MemberView>,
+    ) -> bool {
+        match (polled, member) {
+            (Some((_, fresh)), _) => *fresh,
+            (None, Some(member)) => member.reachable,
+            (None, None) => {
+                let host_dead = Duration::from_millis(self.core.cfg.timing.host_dead.0);
+                !self.core.meter.is_dead(host, host_dead)
+            }
+        }
+    }
+
     fn host_views(&self, group: Option<&GroupView>) -> Vec<HostView> {
         let polled: BTreeMap<&HostName, (Revision, bool)> = group
             .iter()
             .flat_map(|group| &group.hosts)
             .map(|(host, revision, fresh)| (host, (*revision, *fresh)))
             .collect();
-        let host_dead = Duration::from_millis(self.core.cfg.timing.host_dead.0);
         let view = |host: &tarragon_settings::HostAddress| {
             // A host that lost its disk has a dead member beside its new one.
             let members = group.into_iter().flat_map(|group| &group.members);
@@ -139,11 +155,7 @@
                 term: group.map_or(Term::default(), |group| group.term),
                 synced: member.and_then(|member| member.synced),
                 revision: polled.map_or(Revision::default(), |(revision, _)| *revision),
-                reachable: own
-                    || polled.map_or_else(
-                        || !self.core.meter.is_dead(&host.name, host_dead),
-                        |(_, fresh)| *fresh,
-                    ),
+                reachable: own || self.is_reachable(&host.name, polled, member),
             }
         };
         self.core.cfg.hosts.iter().map(view).collect()
