lib: keep one type with its impls a file

Cause: the read-through found messages, views and ports of several types in one file, against the house style. Change: they are moved to files of their own in cell, agreement, front, routing, wire and host; no line of logic changed.

--- a/lib/agreement/src/members.rs
+++ b/lib/agreement/src/members.rs
@@ -1,25 +1,9 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use tarragon_names::{HostName, MemberId};
+use tarragon_names::MemberId;
 
-/// What a member of the replica group does.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub enum Role {
-    /// Counts for elections and commits.
-    Voter,
-    /// Replicates the log but does not count.
-    Learner,
-}
-
-/// One member of the replica group.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct Member {
-    /// Host on which the member runs.
-    pub host: HostName,
-    /// What the member does.
-    pub role: Role,
-}
+use crate::{Member, Role};
 
 /// Member list of the replica group.
 #[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
--- a/lib/cell/src/command.rs
+++ b/lib/cell/src/command.rs
@@ -3,37 +3,9 @@
 use serde::{Deserialize, Serialize};
 use tarragon_catalogue::{CatalogueEntry, Pattern};
 use tarragon_codes::Failure;
-use tarragon_names::{
-    Attempt, HostName, JobId, JobName, KeyName, Revision, TaskId, TeamName, WorkerName,
-};
+use tarragon_names::{Attempt, JobId, JobName, KeyName, Revision, TaskId, TeamName, WorkerName};
 
-use crate::{JobSpec, Quota};
-
-/// Identifies a claim attempt, so that a proposal sent twice is one claim.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct ClaimId {
-    /// Host that claims.
-    pub host: HostName,
-    /// Start of the host's process, drawn at random.
-    pub boot: u64,
-    /// Number of the request within that process.
-    pub request: u64,
-}
-
-/// How an attempt ended, as the log keeps it.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Ended {
-    /// Ran to its end with this exit status; 0 is success.
-    Exited(i32),
-    /// Was running and was stopped.
-    Stopped,
-    /// Was checkpointed, to be resumed.
-    Checkpointed,
-    /// Never began.
-    NeverBegan,
-    /// The worker's lease ended, so the attempt no longer runs; whether it finished is not known.
-    LeaseEnded,
-}
+use crate::{ClaimId, Ended, JobSpec, Quota};
 
 /// A change of the replicated state.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/lib/cell/src/job_view.rs
+++ b/lib/cell/src/job_view.rs
@@ -1,59 +1,8 @@
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use tarragon_codes::Failure;
-use tarragon_names::{Attempt, Class, JobId, JobName, TeamName, WorkerName, Workload};
+use tarragon_names::{Class, JobId, JobName, TeamName, Workload};
 
-use crate::Ended;
-
-/// State of a job as it is told to callers.
-#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum JobState {
-    /// Accepted; no task runs.
-    #[display("queued")]
-    Queued,
-    /// At least one task was given to a worker.
-    #[display("running")]
-    Running,
-    /// Cancelled, but a task may still run.
-    #[display("cancelling")]
-    Cancelling,
-    /// All tasks ran to their end.
-    #[display("ran")]
-    Ran,
-    /// Began and was ended by a cancellation.
-    #[display("stopped")]
-    Stopped,
-    /// Was not run and never will be.
-    #[display("not_run")]
-    NotRun,
-    /// Not known yet.
-    #[display("unknown")]
-    Unknown,
-}
-
-/// State of a task.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum TaskState {
-    /// Waits for a worker.
-    Waiting,
-    /// Given to a worker.
-    Assigned(WorkerName),
-    /// Ended for good.
-    Ended(Ended),
-}
-
-/// A task as it is told to callers.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TaskView {
-    /// Position within the job.
-    pub index: u32,
-    /// Attempts made so far.
-    pub attempt: Attempt,
-    /// State.
-    pub state: TaskState,
-}
+use crate::{JobState, TaskView};
 
 /// A job as it is told to callers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/lib/cell/src/lib.rs
+++ b/lib/cell/src/lib.rs
@@ -8,29 +8,41 @@
 mod cell_keys;
 mod cell_query;
 mod cell_state;
+mod claim_id;
 mod command;
 mod constants;
+mod ended;
 mod job_record;
 mod job_spec;
+mod job_state;
 mod job_view;
 mod key_table;
 mod query;
+mod query_answer;
 mod quota;
 mod registry;
 mod task_record;
+mod task_state;
+mod task_view;
 mod writes;
 
 pub use answer::Answer;
 pub use cell::Cell;
 pub use cell_state::CellState;
-pub use command::{ClaimId, Command, Ended};
+pub use claim_id::ClaimId;
+pub use command::Command;
 pub use constants::{
     ENDED_KEPT_MS, KEY_RETENTION_MS, MAX_ENDED_JOBS, MAX_JOBS, MAX_KEYS, MAX_LISTED, MAX_PAYLOAD,
     MAX_STORED_BODY, MAX_STORED_BYTES, MAX_TASKS, WRITES_KEPT,
 };
+pub use ended::Ended;
 pub use job_record::JobRecord;
 pub use job_spec::JobSpec;
-pub use job_view::{JobState, JobView, TaskState, TaskView};
-pub use query::{Query, QueryAnswer};
+pub use job_state::JobState;
+pub use job_view::JobView;
+pub use query::Query;
+pub use query_answer::QueryAnswer;
 pub use quota::Quota;
 pub use task_record::{Began, TaskRecord};
+pub use task_state::TaskState;
+pub use task_view::TaskView;
--- a/lib/front/src/lib.rs
+++ b/lib/front/src/lib.rs
@@ -16,6 +16,7 @@
 mod route;
 mod server;
 mod service_call;
+mod service_reply;
 mod stall_limit;
 
 pub use backend::{Backend, BoxOutcome};
@@ -23,4 +24,5 @@
 pub use front_limits::FrontLimits;
 pub use host_view::HostView;
 pub use server::serve;
-pub use service_call::{ServiceCall, ServiceReply};
+pub use service_call::ServiceCall;
+pub use service_reply::ServiceReply;
--- a/lib/host/src/proxy_ports.rs
+++ b/lib/host/src/control_peers.rs
@@ -6,73 +6,15 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
-use tarragon_catalogue::CatalogueEntry;
-use tarragon_cell::{Answer, Command};
-use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_front::{BoxOutcome, ServiceCall, ServiceReply};
-use tarragon_names::{HostName, JobName};
-use tarragon_proxy::{EntrySource, ForwardError, ForwardReply, KeyClaim, KeyLog, Peers};
+use tarragon_codes::{Code, Failure};
+use tarragon_front::{ServiceCall, ServiceReply};
+use tarragon_names::HostName;
+use tarragon_proxy::{ForwardError, ForwardReply, Peers};
 use tarragon_wire::control::{ForwardedCall, ForwardedReply};
 
-use crate::{CallFailure, CatalogueView, Clock, ControlClients, HostCore};
-
-/// Wait told to callers while the catalogue is not fresh, in milliseconds.
-const STALE_RETRY_MS: u64 = 1_000;
-
-impl HostCore {
-    async fn complete(&self, command: Command, limit: Duration) -> Outcome<()> {
-        match self.propose(command, limit).await? {
-            Answer::Failed(failure) => Err(failure),
-            _ => Ok(()),
-        }
-    }
-}
-
-/// Keys in the replicated log, for the request path.
-#[derive(Debug)]
-pub struct LogKeys(pub Arc<HostCore>);
-
-impl KeyLog for LogKeys {
-    fn claim(&self, claim: KeyClaim) -> BoxOutcome<'_, Answer> {
-        // The claimant's own time limit runs meanwhile, so a longer wait would be of no use.
-        let limit = Duration::from_millis(claim.timeout_ms);
-        async move { self.0.propose(claim.into(), limit).await }.boxed()
-    }
-
-    fn complete(
-        &self,
-        claim: KeyClaim,
-        status: u16,
-        body: Option<Arc<[u8]>>,
-    ) -> BoxOutcome<'_, ()> {
-        let limit = Duration::from_millis(self.0.cfg.timing.propose_timeout.0);
-        async move { self.0.complete(claim.completion(status, body), limit).await }.boxed()
-    }
-}
-
-/// The host's copy of the catalogue, for the request path.
-#[derive(Debug)]
-pub struct FreshEntries {
-    /// The copy.
-    pub view: Arc<CatalogueView>,
-    /// Source of time.
-    pub clock: Arc<dyn Clock>,
-}
-
-impl EntrySource for FreshEntries {
-    fn resolve(&self, name: &JobName) -> Outcome<Arc<CatalogueEntry>> {
-        let Some(catalogue) = self.view.fresh(self.clock.now()) else {
-            return Err(Failure::of(Code::CatalogueNotFresh).retry_after(STALE_RETRY_MS));
-        };
-        catalogue.resolve(name).cloned().ok_or_else(|| {
-            Failure::new(
-                Code::NoEntry,
-                format!("no catalogue entry covers the name {name}"),
-            )
-        })
-    }
-}
+use crate::{CallFailure, ControlClients};
 
 /// Forwards over the calls between hosts.
 #[derive(Debug)]
@@ -121,7 +63,7 @@
                 content_type,
                 body,
             } if answered == request => {
-                let body = bytes::Bytes::copy_from_slice(&body);
+                let body = Bytes::copy_from_slice(&body);
                 ForwardReply::Answered(ServiceReply {
                     status,
                     content_type,
--- a/lib/host/src/replica_driver.rs
+++ b/lib/host/src/replica_driver.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     ApplySink, Clock, LeaderHint, Links, ReplicaHandle, abort_on_panic::AbortOnPanic,
-    replica_handle::Input, waiters::Waiters,
+    replica_input::Input, waiters::Waiters,
 };
 
 /// Inputs that may wait for the replica's thread; it bounds the memory under overload.
--- a/lib/host/src/replica_handle.rs
+++ b/lib/host/src/replica_handle.rs
@@ -4,70 +4,18 @@
 };
 
 use bytes::Bytes;
-use tarragon_agreement::{Event, MemberStatus, Members, PeerMsg, Replica};
+use tarragon_agreement::{Event, Members, PeerMsg};
 use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, MemberId, Millis, Term};
+use tarragon_names::{HostName, MemberId};
 use tarragon_wire::record::Record;
 use tokio::{sync::oneshot, time::timeout};
 
-use crate::waiters::{DoneWaiter, ProposalWaiter};
+use crate::{ReplicaStatus, replica_input::Input, waiters::ProposalWaiter};
 
 /// Wait told to callers whose write finds the queue of the replica full, in milliseconds.
 const FULL_RETRY_MS: u64 = 500;
 
-/// A look at the replica from its own thread.
-type Look = Box<dyn FnOnce(&Replica, Millis) + Send>;
-
-/// Input of the replica's thread.
-pub(crate) enum Input {
-    /// An event of the agreement.
-    Event(Event),
-    /// A message of another replica and the host that it came from.
-    Message {
-        host: HostName,
-        from: MemberId,
-        msg: PeerMsg,
-    },
-    /// A record to append.
-    Propose {
-        record: Bytes,
-        waiter: ProposalWaiter,
-    },
-    /// A read of the state.
-    Read(DoneWaiter),
-    /// A change of the member list.
-    Change {
-        members: Members,
-        waiter: DoneWaiter,
-    },
-    /// A new learner.
-    Join {
-        id: MemberId,
-        host: HostName,
-        waiter: DoneWaiter,
-    },
-    /// A look at the replica.
-    Inspect(Look),
-    /// The end of the thread.
-    Stop,
-}
-
-/// State of the replica group as this replica sees it.
-#[derive(Clone, Debug)]
-pub struct ReplicaStatus {
-    /// Its identity.
-    pub id: MemberId,
-    /// Current term.
-    pub term: Term,
-    /// Host of the leader, if known.
-    pub leader: Option<HostName>,
-    /// Member list in force.
-    pub members: Members,
-    /// State of each member.
-    pub status: Vec<MemberStatus>,
-}
-
 /// Access to the replica of this host from other threads.
 #[derive(Clone, Debug)]
 pub struct ReplicaHandle {
--- a/lib/routing/src/lib.rs
+++ b/lib/routing/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod announcement;
+mod announcement_reply;
 mod executor_table;
 mod executor_view;
 mod grant;
@@ -20,7 +21,8 @@
 mod running;
 
 pub use admission::Admission;
-pub use announcement::{Announcement, AnnouncementReply};
+pub use announcement::Announcement;
+pub use announcement_reply::AnnouncementReply;
 pub use executor_table::ExecutorTable;
 pub use executor_view::ExecutorView;
 pub use grant::Grant;
