bench: find the programs with the trial's own function

Cause: the last read found the folder of the own program worked out three times, in the trial and in two subcommands of the bench, which also took a missing folder for an empty path. Change: own_folder of the trial serves all three.

--- a/cli/src/bench/commits.rs
+++ b/cli/src/bench/commits.rs
@@ -30,7 +30,7 @@
     options::Options,
     report::{Report, row},
 };
-use crate::trial::{Deployment, Example, Session};
+use crate::trial::{Deployment, Example, Session, own_folder};
 
 /// Delays one way between failure domains, in milliseconds; 0 leaves the delaying fake out.
 const DELAYS_MS: [u64; 2] = [0, 4];
@@ -139,9 +139,7 @@
     if delay > 0 {
         separate(&deployment, Duration::from_millis(delay)).await?;
     }
-    let programs = env::current_exe().map_err(|e| e.to_string())?;
-    let programs = programs.parent().map(PathBuf::from).unwrap_or_default();
-    let mut session = Session::start(deployment, &programs).await?;
+    let mut session = Session::start(deployment, &own_folder()?).await?;
     session
         .configure(&example)
         .await
--- a/cli/src/bench/control.rs
+++ b/cli/src/bench/control.rs
@@ -18,7 +18,7 @@
     options::Options,
     report::{Report, row},
 };
-use crate::trial::{Deployment, Example, Session};
+use crate::trial::{Deployment, Example, Session, own_folder};
 
 /// Cases: entry hosts, workers, tasks that run on them.
 const CASES: [(usize, i64, u32); 6] = [
@@ -97,9 +97,7 @@
     async fn measure_in(&self, folder: &Path, report: &mut Report) -> Result<(), String> {
         let example = self.example()?;
         let deployment = Deployment::prepare(&example, folder, 1).map_err(|e| e.to_string())?;
-        let programs = env::current_exe().map_err(|e| e.to_string())?;
-        let programs = programs.parent().map(PathBuf::from).unwrap_or_default();
-        let mut session = Session::start(deployment, &programs).await?;
+        let mut session = Session::start(deployment, &own_folder()?).await?;
         session
             .configure(&example)
             .await
--- a/cli/src/trial/mod.rs
+++ b/cli/src/trial/mod.rs
@@ -203,7 +203,8 @@
     Ok(wrong)
 }
 
-fn own_folder() -> Result<PathBuf, String> {
+/// Folder of this program, in which the other programs are looked for.
+pub(crate) fn own_folder() -> Result<PathBuf, String> {
     let program = env::current_exe().map_err(|e| e.to_string())?;
     let folder = program.parent().map(Path::to_path_buf);
     folder.ok_or_else(|| "the program has no folder".to_owned())
