replica: move the replica's runtime and the links into a crate of their own

Cause: the replica's thread, its disk handling and the links between hosts were tied to the state of one kind of cell and to a fixed list of hosts.

A second copy of the driver was ruled out.

Adds lib/workflow, the replicated state of jobs with steps.

--- /dev/null
+++ b/lib/host/src/cell_log.rs
@@ -0,0 +1,35 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tarragon_cell::{Answer, Cell, CellState, Command};
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::LogIndex;
+use tarragon_replica::StateMachine;
+use tarragon_wire::record;
+
+/// The state of a cell as the replicated log builds it up.
+#[derive(Clone, Debug)]
+pub struct CellLog(pub Arc<Cell>);
+
+impl StateMachine for CellLog {
+    type Command = Command;
+    type Answer = Answer;
+
+    fn apply(&self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
+        self.0.apply(index, at_ms, command)
+    }
+
+    fn snapshot(&self) -> Outcome<Bytes> {
+        record::encode(&self.0.snapshot()).map_err(|e| Failure::new(Code::Internal, e.to_string()))
+    }
+
+    fn restore(&self, state: &[u8]) -> Outcome<()> {
+        let state = if state.is_empty() {
+            CellState::default()
+        } else {
+            record::decode(state).map_err(|e| Failure::new(Code::CorruptRecord, e.to_string()))?
+        };
+        self.0.restore(state);
+        Ok(())
+    }
+}
--- a/lib/host/src/cell_time.rs
+++ b/lib/host/src/cell_time.rs
@@ -3,7 +3,7 @@
 use parking_lot::Mutex;
 use tarragon_names::Millis;
 
-use crate::Clock;
+use tarragon_replica::Clock;
 
 /// Time that the leader writes into the log, from which retention and deadlines are counted.
 ///
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -24,13 +24,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    CatalogueView, Clock, ControlClients, ControlPeers, ControlServer, FreshEntries, HostBackend,
-    HostCore, Inbound, LeaderCalls, LeaderHint, LinkMeter, Links, LogKeys, OrderRoutes,
-    PeerListener, PeerSink, SystemClock, WorkerGateway,
+    CatalogueView, ControlClients, ControlPeers, ControlServer, FreshEntries, HostBackend,
+    HostCore, Inbound, LeaderCalls, LinkMeter, LogKeys, OrderRoutes, WorkerGateway,
     member_repair::repair_members,
     metrics_page,
     replica_runtime::{ReplicaRuntime, Surroundings, keep_membership},
 };
+use tarragon_replica::{Clock, LeaderHint, LinkTiming, Links, PeerListener, PeerSink, SystemClock};
 
 /// Silence of a worker after which its connection is closed, in heartbeats.
 const WORKER_SILENT_BEATS: u64 = 5;
@@ -77,7 +77,13 @@
     ));
     // The links outlive the planned stop's first steps, since requests in flight need them.
     let links_stop = CancellationToken::new();
-    let links = Arc::new(Links::start(&cfg, Arc::clone(&meter), &links_stop));
+    let timing = link_timing(&cfg);
+    let observer = Arc::clone(&meter) as _;
+    let links = Links::new(cfg.name.clone(), timing, observer, links_stop.clone());
+    for host in &cfg.hosts {
+        links.connect(&host.name, host.peer);
+    }
+    let links = Arc::new(links);
     let hint = Arc::new(LeaderHint::default());
     let clients = Arc::new(ControlClients::new(&cfg, Arc::clone(&meter)));
     let silent = Duration::from_millis(cfg.timing.worker_beat.0 * WORKER_SILENT_BEATS);
@@ -166,8 +172,8 @@
 
         let sink: Arc<dyn PeerSink> = Arc::clone(&inbound) as _;
         let listener = bind("peer", cfg.peer).await?;
-        let meter = Arc::clone(&self.core.meter);
-        let listener = PeerListener::new(listener, cfg.name.clone(), cfg.timing, meter);
+        let meter = Arc::clone(&self.core.meter) as _;
+        let listener = PeerListener::new(listener, cfg.name.clone(), link_timing(cfg), meter);
         tasks.spawn(listener.run(sink, stop.clone()));
 
         let control = ControlServer::new(Arc::clone(&self.core), Arc::clone(&self.proxy));
@@ -292,6 +298,13 @@
     }
 }
 
+fn link_timing(cfg: &HostSettings) -> LinkTiming {
+    LinkTiming {
+        beat: Duration::from_millis(cfg.timing.link_beat.0),
+        silent: Duration::from_millis(cfg.timing.link_silent.0),
+    }
+}
+
 /// Hosts that may be replicas; any host may, so the initial voters come first.
 fn replica_hosts(cfg: &HostSettings) -> Vec<HostName> {
     let others = cfg.hosts.iter().map(|host| &host.name);
--- a/lib/host/src/fresh_entries.rs
+++ b/lib/host/src/fresh_entries.rs
@@ -5,7 +5,8 @@
 use tarragon_names::JobName;
 use tarragon_proxy::EntrySource;
 
-use crate::{CatalogueView, Clock};
+use crate::CatalogueView;
+use tarragon_replica::Clock;
 
 /// Wait told to callers while the catalogue is not fresh, in milliseconds.
 const STALE_RETRY_MS: u64 = 1_000;
--- a/lib/host/src/host_core.rs
+++ b/lib/host/src/host_core.rs
@@ -19,10 +19,8 @@
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    CatalogueView, Clock, ControlClients, LeaderCalls, LeaderHint, LinkMeter, Links, LocalLeader,
-    WorkerGateway,
-};
+use crate::{CatalogueView, ControlClients, LeaderCalls, LinkMeter, LocalLeader, WorkerGateway};
+use tarragon_replica::{Clock, LeaderHint, Links};
 
 /// State that the parts of a host share.
 #[derive(Debug)]
--- a/lib/host/src/inbound.rs
+++ b/lib/host/src/inbound.rs
@@ -5,10 +5,8 @@
 use tarragon_proxy::Proxy;
 use tarragon_wire::peer::PeerEvent;
 
-use crate::{
-    LeaderHint, Links, OrderRoutes, PeerSink, ReplicaHandle, ReportSink, SchedulerHandle,
-    WorkerGateway,
-};
+use crate::{CellLog, OrderRoutes, ReportSink, SchedulerHandle, WorkerGateway};
+use tarragon_replica::{LeaderHint, Links, PeerSink, ReplicaHandle};
 
 /// The replica of a host as messages reach it.
 #[derive(Clone, Debug)]
@@ -16,7 +14,7 @@
     /// Its identity; messages to another one are dropped.
     pub id: MemberId,
     /// The replica.
-    pub handle: ReplicaHandle,
+    pub handle: ReplicaHandle<CellLog>,
     /// The scheduler, which hears the workers while this host leads.
     pub scheduler: SchedulerHandle,
 }
--- a/lib/host/src/leader_calls.rs
+++ b/lib/host/src/leader_calls.rs
@@ -7,7 +7,8 @@
 use tarragon_wire::control::ControlClient;
 use tokio::time::{Instant, sleep};
 
-use crate::{CallFailure, ControlClients, LeaderHint};
+use crate::{CallFailure, ControlClients};
+use tarragon_replica::LeaderHint;
 
 /// Longest time for one try, so that a leader that fell silent leaves time for its successor.
 const TRY_LIMIT: Duration = Duration::from_millis(1_500);
--- a/lib/host/src/leader_sink.rs
+++ b/lib/host/src/leader_sink.rs
@@ -5,7 +5,8 @@
 use tarragon_scheduler::SchedEvent;
 use tarragon_telemetry::{Event, EventSink};
 
-use crate::{ApplySink, CellTime, PollTable, SchedulerHandle};
+use crate::{CellLog, CellTime, PollTable, SchedulerHandle};
+use tarragon_replica::ApplySink;
 
 /// Passes the news of the replicated state on to the scheduler and to the table of polls.
 #[derive(Debug)]
@@ -36,7 +37,7 @@
     }
 }
 
-impl ApplySink for LeaderSink {
+impl ApplySink<CellLog> for LeaderSink {
     fn applied(&self, index: LogIndex, command: &Command, answer: &Answer) {
         if let Some(event) = event_of(command, answer) {
             self.events.emit(&event.index(index));
--- a/lib/host/src/link_meter.rs
+++ b/lib/host/src/link_meter.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 use prometheus::IntCounter;
 use tarragon_names::{DomainName, HostName};
+use tarragon_replica::LinkObserver;
 use tarragon_telemetry::{LinkCounters, Metrics};
 
 /// Bytes that TCP, IP and the length prefix add to a small frame.
@@ -54,19 +55,6 @@
         }
     }
 
-    /// Counts a frame sent to another host.
-    pub fn sent(&self, host: &HostName, len: usize) {
-        self.count(host, len + FRAME_OVERHEAD);
-    }
-
-    /// Counts a frame from another host, which shows that the host answers.
-    pub fn heard(&self, host: &HostName, len: usize) {
-        self.count(host, len + FRAME_OVERHEAD);
-        if let Some(counters) = self.hosts.get(host) {
-            *counters.failing_since.lock() = None;
-        }
-    }
-
     /// Counts a frame between this host as a gateway and one of its workers.
     pub fn worker_frame(&self, len: usize) {
         self.count(&self.own, len + FRAME_OVERHEAD);
@@ -81,33 +69,6 @@
         }
     }
 
-    /// Counts a frame on a link that another host opened.
-    pub fn inbound_frame(&self, len: usize) {
-        self.inbound.inc_by((len + FRAME_OVERHEAD) as u64);
-    }
-
-    /// Notes that the link to a host is broken.
-    pub fn down(&self, host: &HostName) {
-        if let Some(counters) = self.hosts.get(host) {
-            counters
-                .failing_since
-                .lock()
-                .get_or_insert_with(Instant::now);
-        }
-    }
-
-    /// Counts a link that was closed after silence.
-    pub fn silent(&self) {
-        self.silent.inc();
-    }
-
-    /// Counts a message that found the queue full.
-    pub fn dropped(&self, host: &HostName) {
-        if let Some(counters) = self.hosts.get(host) {
-            counters.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
     /// Tells whether new connections to the host have failed for `host_dead`.
     pub fn is_dead(&self, host: &HostName, host_dead: Duration) -> bool {
         let failing = |counters: &HostCounters| {
@@ -133,3 +94,39 @@
         }
     }
 }
+
+impl LinkObserver for LinkMeter {
+    fn sent(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
+    }
+
+    fn heard(&self, host: &HostName, len: usize) {
+        self.count(host, len + FRAME_OVERHEAD);
+        if let Some(counters) = self.hosts.get(host) {
+            *counters.failing_since.lock() = None;
+        }
+    }
+
+    fn inbound_frame(&self, len: usize) {
+        self.inbound.inc_by((len + FRAME_OVERHEAD) as u64);
+    }
+
+    fn down(&self, host: &HostName) {
+        if let Some(counters) = self.hosts.get(host) {
+            counters
+                .failing_since
+                .lock()
+                .get_or_insert_with(Instant::now);
+        }
+    }
+
+    fn silent(&self) {
+        self.silent.inc();
+    }
+
+    fn dropped(&self, host: &HostName) {
+        if let Some(counters) = self.hosts.get(host) {
+            counters.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
--- a/lib/host/src/local_leader.rs
+++ b/lib/host/src/local_leader.rs
@@ -8,7 +8,8 @@
 use tarragon_telemetry::Metrics;
 use tarragon_wire::control::{CatalogueGrant, CataloguePoll, GroupView, MemberView};
 
-use crate::{CellTime, PollTable, ReplicaHandle, SchedulerHandle};
+use crate::{CellLog, CellTime, PollTable, SchedulerHandle};
+use tarragon_replica::ReplicaHandle;
 
 /// Time since the last answer after which a member is shown as unreachable.
 const UNREACHABLE: Millis = Millis(3_000);
@@ -22,7 +23,7 @@
 #[derive(Debug)]
 pub struct LocalLeader {
     host: HostName,
-    replica: ReplicaHandle,
+    replica: ReplicaHandle<CellLog>,
     cell: Arc<Cell>,
     scheduler: SchedulerHandle,
     time: Arc<CellTime>,
@@ -34,7 +35,7 @@
     /// Operations on the replica of this host.
     pub fn new(
         host: HostName,
-        replica: ReplicaHandle,
+        replica: ReplicaHandle<CellLog>,
         cell: Arc<Cell>,
         scheduler: SchedulerHandle,
         time: Arc<CellTime>,
--- a/lib/host/src/order_routes.rs
+++ b/lib/host/src/order_routes.rs
@@ -5,7 +5,8 @@
 use tarragon_shard::Sharded;
 use tarragon_wire::peer::PeerEvent;
 
-use crate::{Links, WorkerGateway};
+use crate::WorkerGateway;
+use tarragon_replica::Links;
 
 /// Shards of the table of gateways.
 const SHARDS: usize = 16;
--- a/lib/host/src/poll_table.rs
+++ b/lib/host/src/poll_table.rs
@@ -5,7 +5,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, Revision, Term};
 
-use crate::Clock;
+use tarragon_replica::Clock;
 
 /// Polls of all hosts for the catalogue, kept by the host that leads.
 #[derive(Debug)]
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -13,10 +13,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    CellTime, Clock, HostCore, InboundReplica, LeaderHint, LeaderSink, Links, LocalLeader,
-    OrderRoutes, PollTable, ReplicaDriver, ReplicaParts, SchedulerHandle, SchedulerLoop,
-    SchedulerParts, replica_disk::open_replica, replica_driver::decode_state,
+    CellLog, CellTime, HostCore, InboundReplica, LeaderSink, LocalLeader, OrderRoutes, PollTable,
+    SchedulerHandle, SchedulerLoop, SchedulerParts, replica_disk::open_replica,
 };
+use tarragon_replica::{Clock, LeaderHint, Links, ReplicaDriver, ReplicaParts, StateMachine};
 
 /// Time between two looks at whether this replica is a member.
 const MEMBERSHIP_CHECK: Duration = Duration::from_millis(2_000);
@@ -50,7 +50,7 @@
         let cell = Arc::new(Cell::default());
         let mut applied = LogIndex(0);
         if let Some((meta, state)) = &recovered.snapshot {
-            cell.restore(decode_state(state)?);
+            CellLog(Arc::clone(&cell)).restore(state)?;
             applied = meta.index;
         }
         let saved = recovered.snapshot.clone();
@@ -77,7 +77,7 @@
             replica,
             store: Box::new(store),
             saved,
-            cell: Arc::clone(&cell),
+            state: Arc::new(CellLog(Arc::clone(&cell))),
             clock: Arc::clone(host.clock),
             links: Arc::clone(host.links),
             sink: Arc::new(sink),
--- a/lib/host/src/scheduler_loop.rs
+++ b/lib/host/src/scheduler_loop.rs
@@ -15,9 +15,9 @@
 use tarragon_telemetry::{EventSink, Metrics};
 
 use crate::{
-    CellTime, Clock, OrderRoutes, ReplicaHandle, SchedulerHandle, abort_on_panic::AbortOnPanic,
-    scheduler_events, scheduler_handle::SchedInput,
+    CellLog, CellTime, OrderRoutes, SchedulerHandle, scheduler_events, scheduler_handle::SchedInput,
 };
+use tarragon_replica::{AbortOnPanic, Clock, ReplicaHandle};
 
 /// Time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(50);
@@ -34,7 +34,7 @@
     /// The scheduler.
     pub scheduler: Scheduler,
     /// Where it proposes commands.
-    pub replica: ReplicaHandle,
+    pub replica: ReplicaHandle<CellLog>,
     /// Ways to the workers.
     pub routes: Arc<OrderRoutes>,
     /// State that the log builds up.
--- a/lib/host/tests/cell_time.rs
+++ b/lib/host/tests/cell_time.rs
@@ -6,8 +6,9 @@
     atomic::{AtomicU64, Ordering},
 };
 
-use tarragon_host::{CellTime, Clock};
+use tarragon_host::CellTime;
 use tarragon_names::Millis;
+use tarragon_replica::Clock;
 use yare::parameterized;
 
 #[derive(Debug)]
--- a/lib/host/src/abort_on_panic.rs
+++ b/lib/replica/src/abort_on_panic.rs
@@ -4,7 +4,7 @@
 ///
 /// A host without its replica or its scheduler would go on answering as if nothing had happened.
 #[derive(Debug)]
-pub(crate) struct AbortOnPanic;
+pub struct AbortOnPanic;
 
 impl Drop for AbortOnPanic {
     fn drop(&mut self) {
--- a/lib/host/src/replica_driver.rs
+++ b/lib/replica/src/driver.rs
@@ -11,19 +11,15 @@
 
 use bytes::Bytes;
 use tarragon_agreement::{Action, Entry, Event, Payload, PeerMsg, Replica, SnapshotMeta};
-use tarragon_cell::{Cell, CellState};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event as LogEvent, EventSink, Metrics};
-use tarragon_wire::{
-    peer::PeerEvent,
-    record::{self, Record},
-};
+use tarragon_wire::{peer::PeerEvent, record::Record};
 
 use crate::{
-    ApplySink, Clock, LeaderHint, Links, ReplicaHandle, abort_on_panic::AbortOnPanic,
-    replica_input::Input, waiters::Waiters,
+    AbortOnPanic, ApplySink, Clock, LeaderHint, Links, ReplicaHandle, StateMachine, input::Input,
+    waiters::Waiters,
 };
 
 /// Inputs that may wait for the replica's thread; it bounds the memory under overload.
@@ -40,7 +36,10 @@
 
 /// What the replica's thread works with.
 #[derive(Debug)]
-pub struct ReplicaParts {
+pub struct ReplicaParts<S>
+where
+    S: StateMachine,
+{
     /// The replica.
     pub replica: Replica,
     /// Its disk.
@@ -48,13 +47,13 @@
     /// Latest saved snapshot, for members that need entries from before it.
     pub saved: Option<(SnapshotMeta, Bytes)>,
     /// The state that the log builds up.
-    pub cell: Arc<Cell>,
+    pub state: Arc<S>,
     /// Source of time.
     pub clock: Arc<dyn Clock>,
     /// Links to the other hosts.
     pub links: Arc<Links>,
     /// Observer of the state.
-    pub sink: Arc<dyn ApplySink>,
+    pub sink: Arc<dyn ApplySink<S>>,
     /// Where to note the leader.
     pub hint: Arc<LeaderHint>,
     /// Where events go.
@@ -65,10 +64,13 @@
 
 /// Thread that owns the replica and its disk and carries out the replica's actions.
 #[derive(Debug)]
-pub struct ReplicaDriver {
-    parts: ReplicaParts,
-    waiters: Waiters,
-    rx: Receiver<Input>,
+pub struct ReplicaDriver<S>
+where
+    S: StateMachine,
+{
+    parts: ReplicaParts<S>,
+    waiters: Waiters<S>,
+    rx: Receiver<Input<S>>,
     id: MemberId,
     hosts: HashMap<MemberId, HostName>,
     leading: bool,
@@ -78,9 +80,12 @@
     saved_vote: Option<(Term, Option<MemberId>)>,
 }
 
-impl ReplicaDriver {
+impl<S> ReplicaDriver<S>
+where
+    S: StateMachine,
+{
     /// Starts the thread. `applied` is the index that the state of the cell holds already.
-    pub fn start(parts: ReplicaParts, applied: LogIndex) -> (ReplicaHandle, JoinHandle<()>) {
+    pub fn start(parts: ReplicaParts<S>, applied: LogIndex) -> (ReplicaHandle<S>, JoinHandle<()>) {
         let (tx, rx) = sync_channel(QUEUE);
         let id = parts.replica.id();
         let driver = Self {
@@ -165,7 +170,7 @@
         self.parts.replica.lease_until(now).unwrap_or_default()
     }
 
-    fn input(&mut self, input: Input) -> Outcome<()> {
+    fn input(&mut self, input: Input<S>) -> Outcome<()> {
         match input {
             Input::Event(event) => self.step(event),
             Input::Message { host, from, msg } => {
@@ -304,11 +309,11 @@
     fn apply(&mut self, entry: &Entry) -> Outcome<()> {
         let mut result = None;
         if let Payload::Record(buf) = &entry.payload {
-            let record = Record::decode(buf)
+            let record = Record::<S::Command>::decode(buf)
                 .map_err(|e| Failure::new(Code::CorruptRecord, format!("{}: {e}", entry.index)))?;
             let answer = self
                 .parts
-                .cell
+                .state
                 .apply(entry.index, record.at_ms, &record.command);
             if self.leading {
                 self.parts
@@ -325,7 +330,7 @@
 
     fn install(&mut self, meta: &SnapshotMeta, state: Bytes) -> Outcome<()> {
         self.parts.store.save_snapshot(meta, &state)?;
-        self.parts.cell.restore(decode_state(&state)?);
+        self.parts.state.restore(&state)?;
         self.parts.saved = Some((meta.clone(), state));
         self.applied = meta.index;
         self.snapshot = meta.index;
@@ -347,8 +352,7 @@
         let Some(meta) = self.parts.replica.snapshot_meta(self.applied) else {
             return Ok(());
         };
-        let state = record::encode(&self.parts.cell.snapshot())
-            .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
+        let state = self.parts.state.snapshot()?;
         self.parts.store.save_snapshot(&meta, &state)?;
         self.parts.saved = Some((meta.clone(), state));
         self.snapshot = self.applied;
@@ -360,11 +364,3 @@
         self.parts.events.emit(event);
     }
 }
-
-/// State in a snapshot; the first snapshot of a group is empty.
-pub(crate) fn decode_state(state: &[u8]) -> Outcome<CellState> {
-    if state.is_empty() {
-        return Ok(CellState::default());
-    }
-    record::decode(state).map_err(|e| Failure::new(Code::CorruptRecord, e.to_string()))
-}
--- a/lib/host/src/replica_handle.rs
+++ b/lib/replica/src/handle.rs
@@ -4,46 +4,68 @@
 };
 
 use bytes::Bytes;
+use serde::Serialize;
 use tarragon_agreement::{Event, Members, PeerMsg};
-use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, MemberId};
 use tarragon_wire::record::Record;
 use tokio::{sync::oneshot, time::timeout};
 
-use crate::{ReplicaStatus, replica_input::Input, waiters::ProposalWaiter};
+use crate::{ReplicaStatus, StateMachine, input::Input, waiters::ProposalWaiter};
 
 /// Wait told to callers whose write finds the queue of the replica full, in milliseconds.
 const FULL_RETRY_MS: u64 = 500;
 
 /// Access to the replica of this host from other threads.
-#[derive(Clone, Debug)]
-pub struct ReplicaHandle {
-    tx: SyncSender<Input>,
+#[derive(Debug)]
+pub struct ReplicaHandle<S>
+where
+    S: StateMachine,
+{
+    tx: SyncSender<Input<S>>,
 }
 
-impl ReplicaHandle {
-    pub(crate) fn new(tx: SyncSender<Input>) -> Self {
+impl<S> Clone for ReplicaHandle<S>
+where
+    S: StateMachine,
+{
+    fn clone(&self) -> Self {
+        Self {
+            tx: self.tx.clone(),
+        }
+    }
+}
+
+impl<S> ReplicaHandle<S>
+where
+    S: StateMachine,
+{
+    pub(crate) fn new(tx: SyncSender<Input<S>>) -> Self {
         Self { tx }
     }
 
     /// Passes on a message of another replica; it is lost when the queue is full.
-    pub(crate) fn message(&self, host: HostName, from: MemberId, msg: PeerMsg) {
+    pub fn message(&self, host: HostName, from: MemberId, msg: PeerMsg) {
         let _lost = self.tx.try_send(Input::Message { host, from, msg });
     }
 
     /// Proposes a command of the scheduler, which learns of its result as it is applied.
-    pub(crate) fn propose_for_scheduler(&self, at_ms: u64, command: Command) -> Outcome<()> {
-        let record = encode(at_ms, command.clone())?;
+    pub fn propose_for_scheduler(&self, at_ms: u64, command: S::Command) -> Outcome<()> {
+        let record = encode::<S::Command>(at_ms, command.clone())?;
         let waiter = ProposalWaiter::Scheduler(Box::new(command));
         self.send(Input::Propose { record, waiter })
     }
 
     /// Proposes a command and waits for the result of applying it.
-    pub async fn propose(&self, at_ms: u64, command: Command, limit: Duration) -> Outcome<Answer> {
+    pub async fn propose(
+        &self,
+        at_ms: u64,
+        command: S::Command,
+        limit: Duration,
+    ) -> Outcome<S::Answer> {
         let (tx, rx) = oneshot::channel();
         self.send(Input::Propose {
-            record: encode(at_ms, command)?,
+            record: encode::<S::Command>(at_ms, command)?,
             waiter: ProposalWaiter::Call(tx),
         })?;
         match timeout(limit, rx).await {
@@ -96,16 +118,16 @@
     }
 
     /// Asks the replica to hand leadership over, if it leads.
-    pub(crate) fn transfer(&self) {
+    pub fn transfer(&self) {
         let _lost = self.tx.try_send(Input::Event(Event::TransferLeadership));
     }
 
     /// Ends the thread.
-    pub(crate) fn stop(&self) {
+    pub fn stop(&self) {
         let _ended = self.tx.send(Input::Stop);
     }
 
-    fn send(&self, input: Input) -> Outcome<()> {
+    fn send(&self, input: Input<S>) -> Outcome<()> {
         self.tx.try_send(input).map_err(|e| match e {
             TrySendError::Full(_) => Failure::of(Code::QueueFull).retry_after(FULL_RETRY_MS),
             TrySendError::Disconnected(_) => Failure::of(Code::Stopping),
@@ -113,7 +135,10 @@
     }
 }
 
-fn encode(at_ms: u64, command: Command) -> Outcome<Bytes> {
+fn encode<C>(at_ms: u64, command: C) -> Outcome<Bytes>
+where
+    C: Serialize,
+{
     Record::new(at_ms, command)
         .encode()
         .map_err(|e| Failure::new(Code::Internal, e.to_string()))
--- a/lib/host/src/replica_input.rs
+++ b/lib/replica/src/input.rs
@@ -2,13 +2,19 @@
 use tarragon_agreement::{Event, Members, PeerMsg, Replica};
 use tarragon_names::{HostName, MemberId, Millis};
 
-use crate::waiters::{DoneWaiter, ProposalWaiter};
+use crate::{
+    StateMachine,
+    waiters::{DoneWaiter, ProposalWaiter},
+};
 
 /// A look at the replica from its own thread.
 type Look = Box<dyn FnOnce(&Replica, Millis) + Send>;
 
 /// Input of the replica's thread.
-pub(crate) enum Input {
+pub(crate) enum Input<S>
+where
+    S: StateMachine,
+{
     /// An event of the agreement.
     Event(Event),
     /// A message of another replica and the host that it came from.
@@ -20,7 +26,7 @@
     /// A record to append.
     Propose {
         record: Bytes,
-        waiter: ProposalWaiter,
+        waiter: ProposalWaiter<S>,
     },
     /// A read of the state.
     Read(DoneWaiter),
--- /dev/null
+++ b/lib/replica/src/lib.rs
@@ -0,0 +1,33 @@
+//! Runtime of a replica: the thread that owns the agreement and its disk, and the links between
+//! hosts.
+//!
+//! The state that the log builds up is behind the trait [`StateMachine`], so that one driver serves
+//! every kind of replicated state.
+
+mod abort_on_panic;
+mod apply_sink;
+mod clock;
+mod driver;
+mod handle;
+mod input;
+mod leader_hint;
+mod link_observer;
+mod link_timing;
+mod links;
+mod peer_listener;
+mod state_machine;
+mod status;
+mod waiters;
+
+pub use abort_on_panic::AbortOnPanic;
+pub use apply_sink::ApplySink;
+pub use clock::{Clock, SystemClock};
+pub use driver::{ReplicaDriver, ReplicaParts};
+pub use handle::ReplicaHandle;
+pub use leader_hint::LeaderHint;
+pub use link_observer::LinkObserver;
+pub use link_timing::LinkTiming;
+pub use links::Links;
+pub use peer_listener::{PeerListener, PeerSink};
+pub use state_machine::StateMachine;
+pub use status::ReplicaStatus;
--- a/lib/host/src/links.rs
+++ b/lib/replica/src/links.rs
@@ -1,8 +1,8 @@
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
+use parking_lot::RwLock;
 use tarragon_names::HostName;
-use tarragon_settings::{HostAddress, HostSettings, Timing};
 use tarragon_wire::{
     MAX_PEER_FRAME,
     peer::{PeerEvent, PeerFrame},
@@ -14,7 +14,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::LinkMeter;
+use crate::{LinkObserver, LinkTiming};
 
 /// Messages that may wait for a link; more are dropped, since every protocol on it resends.
 const QUEUE: usize = 4_096;
@@ -30,37 +30,59 @@
 #[derive(Debug)]
 pub struct Links {
     own: HostName,
-    queues: HashMap<HostName, mpsc::Sender<PeerEvent>>,
-    meter: Arc<LinkMeter>,
+    timing: LinkTiming,
+    queues: RwLock<HashMap<HostName, mpsc::Sender<PeerEvent>>>,
+    meter: Arc<dyn LinkObserver>,
+    stop: CancellationToken,
 }
 
 impl Links {
-    /// Starts a link to each other host.
-    pub fn start(cfg: &HostSettings, meter: Arc<LinkMeter>, stop: &CancellationToken) -> Self {
-        let mut queues = HashMap::new();
-        for host in cfg.hosts.iter().filter(|host| host.name != cfg.name) {
-            let (tx, rx) = mpsc::channel(QUEUE);
-            let link = Link {
-                own: cfg.name.clone(),
-                host: host.clone(),
-                timing: cfg.timing,
-                meter: Arc::clone(&meter),
-                rx,
-            };
-            let stop = stop.clone();
-            tokio::spawn(async move { stop.run_until_cancelled(link.run()).await });
-            queues.insert(host.name.clone(), tx);
-        }
+    /// No links yet; `stop` ends all that are made.
+    pub fn new(
+        own: HostName,
+        timing: LinkTiming,
+        meter: Arc<dyn LinkObserver>,
+        stop: CancellationToken,
+    ) -> Self {
         Self {
-            own: cfg.name.clone(),
-            queues,
+            own,
+            timing,
+            queues: RwLock::default(),
             meter,
+            stop,
+        }
+    }
+
+    /// Starts a link to another host unless there is one. Call it on the runtime's threads.
+    pub fn connect(&self, host: &HostName, address: SocketAddr) {
+        if *host == self.own || self.queues.read().contains_key(host) {
+            return;
         }
+        let (tx, rx) = mpsc::channel(QUEUE);
+        if self.queues.write().insert(host.clone(), tx).is_some() {
+            return;
+        }
+        let link = Link {
+            own: self.own.clone(),
+            host: host.clone(),
+            address,
+            timing: self.timing,
+            meter: Arc::clone(&self.meter),
+            rx,
+        };
+        let stop = self.stop.clone();
+        tokio::spawn(async move { stop.run_until_cancelled(link.run()).await });
+    }
+
+    /// Ends the link to a host that has left for good.
+    pub fn disconnect(&self, host: &HostName) {
+        self.queues.write().remove(host);
     }
 
     /// Sends a message; it may be lost.
     pub fn send(&self, to: &HostName, event: PeerEvent) {
-        let Some(queue) = self.queues.get(to) else {
+        let queues = self.queues.read();
+        let Some(queue) = queues.get(to) else {
             return;
         };
         if queue.try_send(event).is_err() {
@@ -70,8 +92,9 @@
 
     /// Sends a message to all other hosts; it may be lost.
     pub fn broadcast(&self, event: &PeerEvent) {
-        for host in self.queues.keys() {
-            self.send(host, event.clone());
+        let hosts = self.queues.read().keys().cloned().collect::<Vec<_>>();
+        for host in hosts {
+            self.send(&host, event.clone());
         }
     }
 
@@ -83,24 +106,25 @@
 
 struct Link {
     own: HostName,
-    host: HostAddress,
-    timing: Timing,
-    meter: Arc<LinkMeter>,
+    host: HostName,
+    address: SocketAddr,
+    timing: LinkTiming,
+    meter: Arc<dyn LinkObserver>,
     rx: mpsc::Receiver<PeerEvent>,
 }
 
 impl Link {
     async fn run(mut self) {
-        let limit = Duration::from_millis(self.timing.link_silent.0);
+        let limit = self.timing.silent;
         loop {
-            if let Ok(Ok(stream)) = timeout(limit, TcpStream::connect(self.host.peer)).await {
+            if let Ok(Ok(stream)) = timeout(limit, TcpStream::connect(self.address)).await {
                 // Small heartbeats must not wait for a full segment.
                 let nodelay = stream.set_nodelay(true);
                 if nodelay.is_ok() && !self.drive(stream).await {
                     return;
                 }
             }
-            self.meter.down(&self.host.name);
+            self.meter.down(&self.host);
             // What waited for the broken connection is out of date, and its senders resend.
             while self.rx.try_recv().is_ok() {}
             sleep(RECONNECT).await;
@@ -109,8 +133,7 @@
 
     /// Sends until the connection fails; false once the queue is closed.
     async fn drive(&mut self, stream: TcpStream) -> bool {
-        let silent = Duration::from_millis(self.timing.link_silent.0);
-        let beat = Duration::from_millis(self.timing.link_beat.0);
+        let LinkTiming { beat, silent } = self.timing;
         let mut due = interval(beat / 4);
         let mut sent = None::<Instant>;
         let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME);
@@ -134,7 +157,7 @@
                 reply = frames.next() => match reply {
                     Some(Ok(buf)) => {
                         heard = Instant::now();
-                        self.meter.heard(&self.host.name, buf.len());
+                        self.meter.heard(&self.host, buf.len());
                         continue;
                     }
                     _ => return true,
@@ -142,7 +165,7 @@
             };
             sent = Some(Instant::now());
             let buf = frame.encoded();
-            self.meter.sent(&self.host.name, buf.len());
+            self.meter.sent(&self.host, buf.len());
             match timeout_at(Instant::now() + silent, frames.send(buf)).await {
                 Ok(Ok(())) => {}
                 _ => return true,
--- a/lib/host/src/peer_listener.rs
+++ b/lib/replica/src/peer_listener.rs
@@ -2,7 +2,6 @@
 
 use futures::{SinkExt, StreamExt};
 use tarragon_names::HostName;
-use tarragon_settings::Timing;
 use tarragon_wire::{
     MAX_PEER_FRAME,
     peer::{PeerEvent, PeerFrame},
@@ -13,7 +12,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::LinkMeter;
+use crate::{LinkObserver, LinkTiming};
 
 /// Receiver of what arrives on the links of other hosts.
 pub trait PeerSink: Debug + Send + Sync {
@@ -26,8 +25,8 @@
 pub struct PeerListener {
     listener: TcpListener,
     own: HostName,
-    timing: Timing,
-    meter: Arc<LinkMeter>,
+    timing: LinkTiming,
+    meter: Arc<dyn LinkObserver>,
 }
 
 impl PeerListener {
@@ -35,8 +34,8 @@
     pub fn new(
         listener: TcpListener,
         own: HostName,
-        timing: Timing,
-        meter: Arc<LinkMeter>,
+        timing: LinkTiming,
+        meter: Arc<dyn LinkObserver>,
     ) -> Self {
         Self {
             listener,
@@ -54,8 +53,8 @@
                 own: self.own.clone(),
                 sink: Arc::clone(&sink),
                 meter: Arc::clone(&self.meter),
-                beat: Duration::from_millis(self.timing.link_beat.0) / 2,
-                silent: Duration::from_millis(self.timing.link_silent.0),
+                beat: self.timing.beat / 2,
+                silent: self.timing.silent,
             };
             let stop = stop.clone();
             tokio::spawn(async move { stop.run_until_cancelled(inbound.receive(stream)).await });
@@ -66,7 +65,7 @@
 struct InboundLink {
     own: HostName,
     sink: Arc<dyn PeerSink>,
-    meter: Arc<LinkMeter>,
+    meter: Arc<dyn LinkObserver>,
     /// Time between two answers.
     beat: Duration,
     silent: Duration,
--- a/lib/host/src/waiters.rs
+++ b/lib/replica/src/waiters.rs
@@ -1,39 +1,64 @@
 use std::collections::{BTreeMap, HashMap};
 
 use tarragon_agreement::Token;
-use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{LogIndex, Term};
 use tokio::sync::oneshot;
 
+use crate::StateMachine;
+
 /// Wait told to callers while the leader is busy, in milliseconds.
 const BUSY_RETRY_MS: u64 = 500;
 
 /// Who waits for the result of a proposal.
 #[derive(Debug)]
-pub(crate) enum ProposalWaiter {
+pub(crate) enum ProposalWaiter<S>
+where
+    S: StateMachine,
+{
     /// A call.
-    Call(oneshot::Sender<Outcome<Answer>>),
+    Call(oneshot::Sender<Outcome<S::Answer>>),
     /// The own scheduler, which sees every applied command and is told only of refusals.
-    Scheduler(Box<Command>),
+    Scheduler(Box<S::Command>),
 }
 
 /// Receiver of a permission to read or of the result of a member change.
 pub(crate) type DoneWaiter = oneshot::Sender<Outcome<()>>;
 
 /// Requests whose results are still to come.
-#[derive(Debug, Default)]
-pub(crate) struct Waiters {
+#[derive(Debug)]
+pub(crate) struct Waiters<S>
+where
+    S: StateMachine,
+{
     next: Token,
-    batches: HashMap<Token, Vec<ProposalWaiter>>,
-    appended: BTreeMap<LogIndex, (Term, ProposalWaiter)>,
+    batches: HashMap<Token, Vec<ProposalWaiter<S>>>,
+    appended: BTreeMap<LogIndex, (Term, ProposalWaiter<S>)>,
     done: HashMap<Token, DoneWaiter>,
     reads: BTreeMap<LogIndex, Vec<DoneWaiter>>,
 }
 
-impl Waiters {
+impl<S> Default for Waiters<S>
+where
+    S: StateMachine,
+{
+    fn default() -> Self {
+        Self {
+            next: 0,
+            batches: HashMap::new(),
+            appended: BTreeMap::new(),
+            done: HashMap::new(),
+            reads: BTreeMap::new(),
+        }
+    }
+}
+
+impl<S> Waiters<S>
+where
+    S: StateMachine,
+{
     /// Keeps the waiters of a batch of proposals.
-    pub(crate) fn add_batch(&mut self, waiters: Vec<ProposalWaiter>) -> Token {
+    pub(crate) fn add_batch(&mut self, waiters: Vec<ProposalWaiter<S>>) -> Token {
         self.next += 1;
         self.batches.insert(self.next, waiters);
         self.next
@@ -60,7 +85,7 @@
     /// Passes on the result of an applied entry.
     ///
     /// An entry of another term at the same index proves that the proposal never takes effect.
-    pub(crate) fn applied(&mut self, index: LogIndex, term: Term, result: Option<Answer>) {
+    pub(crate) fn applied(&mut self, index: LogIndex, term: Term, result: Option<S::Answer>) {
         if let Some((expected, waiter)) = self.appended.remove(&index) {
             let result = result
                 .filter(|_| expected == term)
@@ -92,7 +117,7 @@
     /// Passes on a refusal; the request has no effect. Gives back the commands of the scheduler.
     ///
     /// A leader refuses while it `is_busy` with as many uncommitted entries as it may hold.
-    pub(crate) fn refused(&mut self, token: Token, is_busy: bool) -> Vec<Command> {
+    pub(crate) fn refused(&mut self, token: Token, is_busy: bool) -> Vec<S::Command> {
         let cause = if is_busy {
             Failure::of(Code::QueueFull).retry_after(BUSY_RETRY_MS)
         } else {
@@ -130,7 +155,10 @@
     )
 }
 
-fn answer(waiter: ProposalWaiter, result: Outcome<Answer>) {
+fn answer<S>(waiter: ProposalWaiter<S>, result: Outcome<S::Answer>)
+where
+    S: StateMachine,
+{
     if let ProposalWaiter::Call(waiter) = waiter {
         // The caller may have given up.
         let _gone = waiter.send(result);
--- a/lib/wire/src/record.rs
+++ b/lib/wire/src/record.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tarragon_cell::Command;
 
 use crate::WireError;
 
@@ -11,18 +10,18 @@
 
 /// A command with the leader's wall clock at the time of its proposal.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Record {
+pub struct Record<C> {
     /// Format of the record.
     version: u8,
     /// Wall clock of the leader in unix milliseconds, for retention only.
     pub at_ms: u64,
     /// The command.
-    pub command: Command,
+    pub command: C,
 }
 
-impl Record {
+impl<C> Record<C> {
     /// A record in the current format.
-    pub fn new(at_ms: u64, command: Command) -> Self {
+    pub fn new(at_ms: u64, command: C) -> Self {
         Self {
             version: VERSION,
             at_ms,
@@ -31,12 +30,18 @@
     }
 
     /// Encodes the record.
-    pub fn encode(&self) -> Result<Bytes, WireError> {
+    pub fn encode(&self) -> Result<Bytes, WireError>
+    where
+        C: Serialize,
+    {
         encode(self)
     }
 
     /// Decodes a record and checks its format.
-    pub fn decode(buf: &[u8]) -> Result<Self, WireError> {
+    pub fn decode(buf: &[u8]) -> Result<Self, WireError>
+    where
+        C: DeserializeOwned,
+    {
         if buf.first() != Some(&VERSION) {
             return Err(WireError::Field("version"));
         }
--- a/lib/wire/tests/round_trip.rs
+++ b/lib/wire/tests/round_trip.rs
@@ -148,7 +148,7 @@
     };
     let record = Record::new(17, Command::AcceptJob { key: None, spec });
     let mut buf = record.encode().unwrap().to_vec();
-    assert_eq!(Record::decode(&buf).unwrap(), record);
+    assert_eq!(Record::<Command>::decode(&buf).unwrap(), record);
     buf[0] += 1;
-    assert!(Record::decode(&buf).is_err());
+    assert!(Record::<Command>::decode(&buf).is_err());
 }
--- /dev/null
+++ b/lib/workflow/src/flow.rs
@@ -0,0 +1,267 @@
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use parking_lot::{Mutex, RwLock};
+use tarragon_names::{Name, WorkerName};
+use tarragon_shard::Sharded;
+
+use crate::{
+    Answer, Command, Document, FlowImage, Job, JobKey, JobPhase, JobSpec, MachinePhase,
+    OrderRecord, Queue, Wave, WaveKey, WorkerLife, WorkerRecord,
+};
+
+/// Shards of the job table.
+const SHARDS: usize = 16;
+
+/// Attempts of a job whose queue is not known; such a job cannot exist unless the log is damaged.
+const DEFAULT_ATTEMPTS: u32 = 1;
+
+/// Replicated state of jobs, configuration and workers.
+///
+/// Locks are taken in the order document, queues, jobs, workers, waves, and held for one decision.
+#[derive(Debug)]
+pub struct Flow {
+    /// Time for which an ended job is remembered, in milliseconds.
+    kept_ms: u64,
+    document: RwLock<Arc<Document>>,
+    queues: RwLock<BTreeMap<Name, Arc<Queue>>>,
+    jobs: Sharded<BTreeMap<JobKey, Job>>,
+    workers: Mutex<BTreeMap<WorkerName, WorkerRecord>>,
+    waves: Mutex<BTreeMap<WaveKey, Wave>>,
+    now_ms: AtomicU64,
+}
+
+impl Flow {
+    /// An empty state that remembers ended jobs for `kept_ms`.
+    pub fn new(kept_ms: u64) -> Self {
+        Self {
+            kept_ms,
+            document: RwLock::default(),
+            queues: RwLock::default(),
+            jobs: Sharded::new(SHARDS, |_| BTreeMap::new()),
+            workers: Mutex::default(),
+            waves: Mutex::default(),
+            now_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Applies a command of the log; `at_ms` is the leader's unix time in milliseconds.
+    pub fn apply(&self, at_ms: u64, command: &Command) -> Answer {
+        let now_ms = at_ms.max(self.now_ms.fetch_max(at_ms, Ordering::Relaxed));
+        match command {
+            Command::PutDocument(document) => self.put_document(document),
+            Command::Submit { job, queue, spec } => self.submit(*job, queue, spec, now_ms),
+            Command::Cancel { job } => self.cancel(*job, now_ms),
+            Command::Orders(records) => {
+                for record in records {
+                    self.record(record, now_ms);
+                }
+                Answer::Done
+            }
+            Command::PutWorker(record) => self.put_worker(record),
+            Command::RemoveWorker(life) => self.remove_worker(life),
+            Command::StartWave { key, wave } => {
+                self.waves
+                    .lock()
+                    .entry(*key)
+                    .or_insert_with(|| wave.clone());
+                Answer::Done
+            }
+            Command::MachineDone { key, machine } => {
+                if let Some(wave) = self.waves.lock().get_mut(key)
+                    && let Some(phase) = wave.machines.get_mut(machine)
+                {
+                    *phase = MachinePhase::Done;
+                }
+                Answer::Done
+            }
+        }
+    }
+
+    /// Configuration in force.
+    pub fn document(&self) -> Arc<Document> {
+        Arc::clone(&self.document.read())
+    }
+
+    /// A queue by the name of its route, also if the configuration has dropped it.
+    pub fn queue(&self, name: &Name) -> Option<Arc<Queue>> {
+        self.queues.read().get(name).cloned()
+    }
+
+    /// Runs `f` on a job.
+    pub fn with_job<F, R>(&self, key: JobKey, f: F) -> Option<R>
+    where
+        F: FnOnce(&Job) -> R,
+    {
+        self.jobs.with(&key, |jobs| jobs.get(&key).map(f))
+    }
+
+    /// Runs `f` on every job, one shard at a time.
+    pub fn for_each_job<F>(&self, mut f: F)
+    where
+        F: FnMut(&Job),
+    {
+        self.jobs.for_each(|jobs| jobs.values().for_each(&mut f));
+    }
+
+    /// Accepted jobs of a queue of which no task was started.
+    pub fn pending(&self, queue: &Name) -> u64 {
+        let mut count = 0;
+        self.for_each_job(|job| {
+            count += u64::from(job.phase == JobPhase::Pending && job.queue == *queue);
+        });
+        count
+    }
+
+    /// The workers.
+    pub fn workers(&self) -> Vec<WorkerRecord> {
+        self.workers.lock().values().cloned().collect()
+    }
+
+    /// One worker.
+    pub fn worker(&self, name: &WorkerName) -> Option<WorkerRecord> {
+        self.workers.lock().get(name).cloned()
+    }
+
+    /// Waves of upkeep.
+    pub fn waves(&self) -> BTreeMap<WaveKey, Wave> {
+        self.waves.lock().clone()
+    }
+
+    /// One wave of upkeep.
+    pub fn wave(&self, key: WaveKey) -> Option<Wave> {
+        self.waves.lock().get(&key).cloned()
+    }
+
+    /// The whole state; called by the thread that applies.
+    pub fn image(&self) -> FlowImage {
+        let mut jobs = Vec::new();
+        self.for_each_job(|job| jobs.push(job.clone()));
+        let queues = self.queues.read();
+        FlowImage {
+            document: (**self.document.read()).clone(),
+            queues: queues
+                .iter()
+                .map(|(name, queue)| (name.clone(), (**queue).clone()))
+                .collect(),
+            jobs,
+            workers: self.workers.lock().clone(),
+            waves: self.waves.lock().clone(),
+            now_ms: self.now_ms.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Replaces the whole state; called by the thread that applies.
+    pub fn restore(&self, image: FlowImage) {
+        *self.document.write() = Arc::new(image.document);
+        *self.queues.write() = image
+            .queues
+            .into_iter()
+            .map(|(name, queue)| (name, Arc::new(queue)))
+            .collect();
+        self.jobs.for_each(BTreeMap::clear);
+        for job in image.jobs {
+            self.jobs
+                .with(&job.key, |jobs| jobs.insert(job.key, job.clone()));
+        }
+        *self.workers.lock() = image.workers;
+        *self.waves.lock() = image.waves;
+        self.now_ms.store(image.now_ms, Ordering::Relaxed);
+    }
+
+    fn put_document(&self, document: &Document) -> Answer {
+        let mut current = self.document.write();
+        if document.version == current.version && current.text != document.text {
+            return Answer::Conflict;
+        }
+        if document.version <= current.version {
+            return Answer::Held;
+        }
+        let mut queues = self.queues.write();
+        for queue in &document.queues {
+            queues.insert(queue.name.clone(), Arc::new(queue.clone()));
+        }
+        *current = Arc::new(document.clone());
+        Answer::Done
+    }
+
+    fn submit(&self, key: JobKey, queue: &Name, spec: &JobSpec, now_ms: u64) -> Answer {
+        let new = Job::new(key, queue.clone(), spec.clone(), now_ms);
+        let oldest = now_ms.saturating_sub(self.kept_ms);
+        self.jobs.with(&key, |jobs| {
+            // A resend of a known job changes nothing.
+            if jobs.contains_key(&key) {
+                return;
+            }
+            jobs.retain(|_, job| {
+                let is_over = job.phase.is_final() && job.occurrences.is_empty();
+                !is_over || job.ended_ms >= oldest
+            });
+            jobs.insert(key, new);
+        });
+        Answer::Done
+    }
+
+    fn cancel(&self, key: JobKey, now_ms: u64) -> Answer {
+        self.jobs.with(&key, |jobs| match jobs.get_mut(&key) {
+            None => Answer::NoSuchJob,
+            Some(job) if job.phase == JobPhase::Cancelled => Answer::Done,
+            Some(job) if job.phase.is_final() => Answer::EndedBefore(job.phase),
+            Some(job) => {
+                job.cancel(now_ms);
+                Answer::Done
+            }
+        })
+    }
+
+    fn record(&self, record: &OrderRecord, now_ms: u64) {
+        let (OrderRecord::Placed { task, .. }
+        | OrderRecord::Ended { task, .. }
+        | OrderRecord::Lost { task, .. }) = record;
+        let key = task.step.job;
+        let queue = self.with_job(key, |job| job.queue.clone());
+        let queue = queue.and_then(|name| self.queue(&name));
+        let max_attempts = queue.map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts);
+        self.jobs.with(&key, |jobs| {
+            if let Some(job) = jobs.get_mut(&key) {
+                job.record(record, max_attempts, now_ms);
+            }
+        });
+        if let OrderRecord::Ended { life, number, .. } = record
+            && let Some(worker) = self.workers.lock().get_mut(&life.worker)
+            && worker.life == *life
+        {
+            worker.acknowledged = worker.acknowledged.max(*number);
+        }
+    }
+
+    fn put_worker(&self, record: &WorkerRecord) -> Answer {
+        let mut workers = self.workers.lock();
+        let known = workers.get(&record.life.worker);
+        if known.is_some_and(|known| known.life.born_ms > record.life.born_ms) {
+            return Answer::Held;
+        }
+        let mut record = record.clone();
+        if let Some(known) = known.filter(|known| known.life == record.life) {
+            record.acknowledged = known.acknowledged;
+        }
+        workers.insert(record.life.worker.clone(), record);
+        Answer::Done
+    }
+
+    fn remove_worker(&self, life: &WorkerLife) -> Answer {
+        let mut workers = self.workers.lock();
+        if workers
+            .get(&life.worker)
+            .is_some_and(|known| known.life == *life)
+        {
+            workers.remove(&life.worker);
+        }
+        Answer::Done
+    }
+}
--- /dev/null
+++ b/lib/workflow/src/step_spec.rs
@@ -0,0 +1,57 @@
+use serde::{Deserialize, Serialize};
+use tarragon_names::{Millis, Name, RackName, Resources};
+
+/// One step of a job as its caller described it.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a property of its own that a caller sets"
+)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub count: u32,
+    /// What each task needs.
+    pub need: Resources,
+    /// Rough time of a task.
+    pub estimate: Millis,
+    /// Earlier steps that must be done first.
+    pub after: Vec<u32>,
+    /// Tasks save their progress.
+    pub checkpointing: bool,
+    /// All tasks must run at the same time.
+    pub gang: bool,
+    /// Tasks are slower when they run on more than one rack.
+    pub same_rack: bool,
+    /// Label that a worker must have.
+    pub label: Option<Name>,
+    /// Rack on which the data is.
+    pub data_rack: Option<RackName>,
+    /// Most tasks of the step on one worker.
+    pub per_worker: Option<u32>,
+    /// Copies of a task may run in parallel.
+    pub allow_duplicates: bool,
+    /// The tasks run until the job is cancelled.
+    pub long_running: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<Name>,
+    /// Bound of the tail latency of a long-running task.
+    pub target: Option<Millis>,
+    /// The tasks take only what others leave unused.
+    pub fills: bool,
+    /// Long-running tasks that may be unavailable at the same time.
+    pub max_unavailable: Option<u32>,
+}
+
+impl StepSpec {
+    /// What one task takes from the capacity of a worker.
+    pub fn reserved(&self) -> Resources {
+        if self.fills {
+            Resources {
+                cpu_milli: 0,
+                ..self.need
+            }
+        } else {
+            self.need
+        }
+    }
+}
