--- a/cli/src/daemon/mod.rs
+++ b/cli/src/daemon/mod.rs
@@ -133,7 +133,7 @@
     })
 }
 
-fn slog_level(level: LogLevel) -> Level {
+pub(crate) fn slog_level(level: LogLevel) -> Level {
     match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warning => Level::Warning,
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bench;
 pub mod ctl;
 pub mod daemon;
+pub mod entryd;
 pub mod standin;
 pub mod timeline;
 pub mod trial;
--- /dev/null
+++ b/lib/dispatch/src/dispatcher.rs
@@ -0,0 +1,347 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use tarragon_health::{HealthConfig, HealthTable};
+use tarragon_names::{Millis, Name, WorkerName};
+use tarragon_workflow::{
+    Command, Flow, JobKey, OrderRecord, StepKey, TaskKey, WorkerLife, WorkerRecord,
+};
+
+use crate::{
+    DispatchConfig, Input, Lanes, Note, Output,
+    run_view::{RunView, StartState},
+    seat::Seat,
+    step_plan::StepPlan,
+};
+
+/// Time from the quarantine of a worker to its next task.
+const PROBE_AFTER: Millis = Millis(3_000);
+
+/// Most workers in quarantine, in percent; a job that fails everywhere must not empty the pool.
+const QUARANTINE_PERCENT: usize = 30;
+
+/// Distinct jobs that must fail on a worker, without a success between, before it is set aside.
+const FAILED_JOBS: usize = 3;
+
+/// A call for advice that has not ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Asking {
+    pub(crate) step: StepKey,
+    pub(crate) workers: Vec<WorkerName>,
+    pub(crate) ends_by: Millis,
+}
+
+/// The dispatcher: decides for all workers while its host leads.
+pub struct Dispatcher {
+    pub(crate) cfg: DispatchConfig,
+    pub(crate) flow: Arc<Flow>,
+    pub(crate) health: HealthTable,
+    pub(crate) term: Option<u64>,
+    pub(crate) led_since: Millis,
+    pub(crate) seats: BTreeMap<WorkerName, Seat>,
+    /// Workers by the tasks that run there.
+    pub(crate) placed: BTreeSet<(TaskKey, WorkerName)>,
+    pub(crate) plans: BTreeMap<StepKey, StepPlan>,
+    /// Jobs with occurrences that are still to come.
+    pub(crate) timed: BTreeSet<JobKey>,
+    pub(crate) lanes: Lanes,
+    pub(crate) asks: BTreeMap<u64, Asking>,
+    pub(crate) next_ask: u64,
+    /// Share of the workers named that were approved, by queue, in thousandths.
+    pub(crate) approved_permille: BTreeMap<Name, u64>,
+    pub(crate) records: Vec<OrderRecord>,
+    pub(crate) out: Vec<Output>,
+    pub(crate) is_dirty: bool,
+    pub(crate) now: Millis,
+    pub(crate) now_ms: u64,
+}
+
+impl std::fmt::Debug for Dispatcher {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Dispatcher")
+            .field("term", &self.term)
+            .field("workers", &self.seats.len())
+            .field("steps", &self.plans.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Dispatcher {
+    /// A dispatcher over the replicated state of its host.
+    pub fn new(cfg: DispatchConfig, flow: Arc<Flow>) -> Self {
+        let health = HealthConfig {
+            bad_min: FAILED_JOBS,
+            probe_min: PROBE_AFTER,
+            quarantine_percent: QUARANTINE_PERCENT,
+            ..HealthConfig::default()
+        };
+        Self {
+            cfg,
+            flow,
+            health: HealthTable::new(health),
+            term: None,
+            led_since: Millis(0),
+            seats: BTreeMap::new(),
+            placed: BTreeSet::new(),
+            plans: BTreeMap::new(),
+            timed: BTreeSet::new(),
+            lanes: Lanes::default(),
+            asks: BTreeMap::new(),
+            next_ask: 0,
+            approved_permille: BTreeMap::new(),
+            records: Vec::new(),
+            out: Vec::new(),
+            is_dirty: false,
+            now: Millis(0),
+            now_ms: 0,
+        }
+    }
+
+    /// Takes in events at the time `now`, which is `now_ms` in unix milliseconds, and returns what
+    /// is to be done, in order.
+    pub fn step(&mut self, now: Millis, now_ms: u64, inputs: Vec<Input>) -> Vec<Output> {
+        self.now = self.now.max(now);
+        self.now_ms = now_ms;
+        for input in inputs {
+            self.take(input);
+        }
+        if self.term.is_some() {
+            self.expire();
+            if self.is_dirty {
+                self.is_dirty = false;
+                self.place();
+            }
+            self.drive_orders();
+            self.drive_holds();
+            self.flush_records();
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::BecameLeader { term } => self.lead(term),
+            Input::LostLeadership => self.stop_leading(),
+            Input::HostSeen(host) => {
+                self.lanes.seen(&host, self.now);
+            }
+            _ if self.term.is_none() => {}
+            Input::Applied(command) => self.applied(&command),
+            Input::NotProposed(commands) => self.not_proposed(&commands),
+            Input::Heard { life, leaves_in } => self.heard(&life, leaves_in),
+            Input::Held { life, outcome } => self.held(&life, outcome),
+            Input::StartEnded {
+                life,
+                task,
+                run,
+                outcome,
+            } => self.start_ended(&life, task, run, outcome),
+            Input::StopEnded {
+                life,
+                task,
+                run,
+                outcome,
+            } => self.stop_ended(&life, task, run, outcome),
+            Input::Advised { ask, answer } => self.advised(ask, answer),
+            Input::Tick => self.tick(),
+        }
+    }
+
+    /// Begins to lead: what an earlier leader placed is looked for on the workers before anything
+    /// is placed there.
+    fn lead(&mut self, term: u64) {
+        self.forget_all();
+        self.term = Some(term);
+        self.led_since = self.now;
+        for record in self.flow.workers() {
+            self.seat_worker(record);
+        }
+        let mut jobs = Vec::new();
+        let mut placements = Vec::new();
+        self.flow.for_each_job(|job| {
+            placements.extend(job.placements());
+            if !job.phase.is_final() {
+                jobs.push(job.key);
+            }
+        });
+        for (task, placement) in placements {
+            let (need, estimate) = self.need_of(&task);
+            let seat = self.seats.get_mut(&placement.life.worker);
+            if let Some(seat) = seat.filter(|seat| *seat.life() == placement.life) {
+                let mut view = RunView::new(placement.run, need, estimate, self.now);
+                view.start = StartState::Inherited;
+                seat.runs.insert(task, view);
+                self.placed.insert((task, placement.life.worker));
+            } else {
+                self.record_lost(task, placement.run, None);
+            }
+        }
+        for job in jobs {
+            self.refresh_job(job);
+        }
+        self.is_dirty = true;
+        self.note(Note::new(
+            "dispatch_started",
+            format!("term {term}, {} workers", self.seats.len()),
+        ));
+    }
+
+    fn stop_leading(&mut self) {
+        if self.term.is_some() {
+            self.note(Note::new("dispatch_stopped", String::new()));
+        }
+        self.term = None;
+        self.forget_all();
+    }
+
+    fn forget_all(&mut self) {
+        self.seats.clear();
+        self.placed.clear();
+        self.plans.clear();
+        self.timed.clear();
+        self.asks.clear();
+        self.lanes = Lanes::default();
+        self.records.clear();
+    }
+
+    fn applied(&mut self, command: &Command) {
+        match command {
+            Command::PutDocument(_) => {
+                for plan in self.plans.values_mut() {
+                    if let Some(queue) = self.flow.queue(&plan.queue.name) {
+                        plan.queue = queue;
+                    }
+                }
+                self.is_dirty = true;
+            }
+            Command::Submit { job, .. } | Command::Cancel { job } => self.refresh_job(*job),
+            Command::Orders(records) => self.orders_applied(records),
+            Command::PutWorker(record) => self.worker_put(record),
+            Command::RemoveWorker(life) => self.worker_removed(life),
+            Command::StartWave { .. } | Command::MachineDone { .. } => {}
+        }
+    }
+
+    fn worker_put(&mut self, record: &WorkerRecord) {
+        let Some(record) = self.flow.worker(&record.life.worker) else {
+            return;
+        };
+        match self.seats.get_mut(&record.life.worker) {
+            Some(seat) if *seat.life() == record.life => {
+                let acknowledged = seat.record.acknowledged;
+                seat.record = record;
+                seat.record.acknowledged = acknowledged;
+                seat.heard = self.now;
+            }
+            Some(_) => {
+                self.unseat(&record.life.worker);
+                self.seat_worker(record);
+            }
+            None => self.seat_worker(record),
+        }
+        self.is_dirty = true;
+    }
+
+    fn worker_removed(&mut self, life: &WorkerLife) {
+        let is_seated = self.seats.get(&life.worker).map(Seat::life) == Some(life);
+        if is_seated {
+            self.unseat(&life.worker);
+            self.is_dirty = true;
+        }
+    }
+
+    fn seat_worker(&mut self, record: WorkerRecord) {
+        self.note(
+            Note::new(
+                "worker_seated",
+                format!("{} at {}, {}", record.life, record.address, record.capacity),
+            )
+            .worker(&record.life.worker),
+        );
+        self.health.worker_added(&record.life.worker);
+        let seat = Seat::new(record, self.now, self.led_since);
+        self.seats.insert(seat.life().worker.clone(), seat);
+    }
+
+    /// Takes away a worker whose life has ended; all its runs have ended with it.
+    fn unseat(&mut self, worker: &WorkerName) {
+        let Some(seat) = self.seats.remove(worker) else {
+            return;
+        };
+        let lost = seat.runs.iter().filter(|(_, view)| !view.is_ended);
+        let lost = lost.map(|(task, view)| (*task, view.run, view.saved.clone()));
+        let lost = lost.collect::<Vec<_>>();
+        self.note(
+            Note::new(
+                "worker_unseated",
+                format!("{}, {} runs lost", seat.life(), lost.len()),
+            )
+            .worker(worker),
+        );
+        for task in seat.runs.keys() {
+            self.placed.remove(&(*task, worker.clone()));
+        }
+        for (task, run, saved) in lost {
+            self.record_lost(task, run, saved);
+            self.break_gang(task.step, run);
+        }
+    }
+
+    /// Declares that a run certainly does not go on.
+    pub(crate) fn record_lost(&mut self, task: TaskKey, run: u32, saved: Option<Name>) {
+        self.records.push(OrderRecord::Lost { task, run, saved });
+    }
+
+    fn not_proposed(&mut self, commands: &[Command]) {
+        for command in commands {
+            let Command::Orders(records) = command else {
+                continue;
+            };
+            for record in records {
+                self.record_refused(record);
+            }
+        }
+        self.is_dirty = true;
+    }
+
+    /// Takes back what was assumed of a record that the log refused.
+    fn record_refused(&mut self, record: &OrderRecord) {
+        match record {
+            OrderRecord::Placed { task, life, .. } => {
+                self.drop_view(task, &life.worker);
+                self.refresh_job(task.step.job);
+            }
+            OrderRecord::Ended { life, task, .. } => {
+                if let Some(seat) = self.seats.get_mut(&life.worker) {
+                    // The worker lists the end again.
+                    seat.proposed_end = seat.record.acknowledged;
+                    if let Some(view) = seat.runs.get_mut(task) {
+                        view.is_ended = false;
+                    }
+                }
+            }
+            OrderRecord::Lost { .. } => self.records.push(record.clone()),
+        }
+    }
+
+    pub(crate) fn drop_view(&mut self, task: &TaskKey, worker: &WorkerName) {
+        if let Some(seat) = self.seats.get_mut(worker) {
+            seat.runs.remove(task);
+        }
+        self.placed.remove(&(*task, worker.clone()));
+        self.is_dirty = true;
+    }
+
+    fn flush_records(&mut self) {
+        if !self.records.is_empty() {
+            let records = std::mem::take(&mut self.records);
+            self.out.push(Output::Propose(Command::Orders(records)));
+        }
+    }
+
+    pub(crate) fn note(&mut self, note: Note) {
+        self.out.push(Output::Note(note));
+    }
+}
--- /dev/null
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -0,0 +1,215 @@
+//! Placement of waiting steps on workers.
+
+use std::collections::BTreeSet;
+
+use tarragon_names::WorkerName;
+use tarragon_workflow::{OrderRecord, StepKey, TaskKey};
+
+use crate::{
+    Dispatcher, Note,
+    packing::{Candidate, pack, pack_all},
+    run_view::RunView,
+};
+
+/// Which of the workers that may run a step are considered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Among {
+    /// All, for a queue without advice.
+    All,
+    /// Those with a ticket that is still valid.
+    Fresh,
+    /// All that were approved.
+    Approved,
+}
+
+/// Workers kept for a gang that could not be placed yet.
+pub(crate) type Claims = BTreeSet<WorkerName>;
+
+impl Dispatcher {
+    /// Places what can be placed, in the order of urgency.
+    pub(crate) fn place(&mut self) {
+        let (now, now_ms) = (self.now, self.now_ms);
+        let mut order = self
+            .plans
+            .values()
+            .filter(|plan| !plan.waiting.is_empty() && plan.not_before <= now)
+            .map(|plan| plan.rank(now_ms))
+            .collect::<Vec<_>>();
+        order.sort_unstable();
+        let mut claims = Claims::new();
+        for (.., key) in order {
+            self.place_step(key, &mut claims);
+        }
+    }
+
+    pub(crate) fn place_step(&mut self, key: StepKey, claims: &mut Claims) {
+        let Some(plan) = self.plans.get(&key) else {
+            return;
+        };
+        if plan.waiting.is_empty() {
+            return;
+        }
+        if plan.queue.advice.is_some() {
+            self.place_advised(key, claims);
+        } else if let Some(chosen) = self.choose(&key, Among::All, claims) {
+            self.start_on(key, &chosen);
+        } else {
+            self.claim(&key, Among::All, claims);
+        }
+    }
+
+    /// Workers for the waiting tasks of a step; for a gang, room for all of them.
+    pub(crate) fn choose(
+        &self,
+        key: &StepKey,
+        among: Among,
+        claims: &Claims,
+    ) -> Option<Vec<(WorkerName, u32)>> {
+        let plan = self.plans.get(key)?;
+        let step = plan.step();
+        let need = step.reserved();
+        let count = plan.waiting.len() as u32;
+        let mut candidates = self.candidates(key, among, claims);
+        let is_untried = |c: &Candidate| !plan.failed_on.contains(&c.worker);
+        if candidates.iter().any(is_untried) {
+            candidates.retain(is_untried);
+        }
+        if step.gang {
+            return pack_all(candidates, &need, count, step.same_rack);
+        }
+        Some(pack(candidates, &need, count)).filter(|chosen| !chosen.is_empty())
+    }
+
+    pub(crate) fn candidates(
+        &self,
+        key: &StepKey,
+        among: Among,
+        claims: &Claims,
+    ) -> Vec<Candidate> {
+        let Some(plan) = self.plans.get(key) else {
+            return Vec::new();
+        };
+        let step = plan.step();
+        let mut candidates = Vec::new();
+        for (worker, seat) in &self.seats {
+            let is_approved = match among {
+                Among::All => true,
+                Among::Fresh => plan.advice.approved.get(worker).is_some_and(|approval| {
+                    approval.life == *seat.life() && approval.fresh_until > self.now
+                }),
+                Among::Approved => plan.advice.approved.contains_key(worker),
+            };
+            if !is_approved || claims.contains(worker) || !self.may_run(key, worker) {
+                continue;
+            }
+            let on_data_rack = step.data_rack.is_some() && step.data_rack == seat.record.rack;
+            let limit = step
+                .per_worker
+                .map_or(u32::MAX, |most| most.saturating_sub(seat.count_of(key)));
+            candidates.push(Candidate {
+                worker: worker.clone(),
+                free: seat.free_for(key),
+                rack: seat.record.rack.clone(),
+                limit,
+                is_preferred: on_data_rack || plan.reserved.contains_key(worker),
+            });
+        }
+        candidates
+    }
+
+    /// Tells whether a worker is fit for a step, apart from room and advice.
+    pub(crate) fn may_run(&self, key: &StepKey, worker: &WorkerName) -> bool {
+        let (Some(plan), Some(seat)) = (self.plans.get(key), self.seats.get(worker)) else {
+            return false;
+        };
+        let has_label = plan
+            .step()
+            .label
+            .as_ref()
+            .is_none_or(|label| seat.record.labels.contains(label));
+        seat.is_usable(self.now) && seat.record.pool == plan.queue.pool && has_label
+    }
+
+    /// Keeps the workers of a gang that has no room yet from steps that come after it.
+    pub(crate) fn claim(&self, key: &StepKey, among: Among, claims: &mut Claims) {
+        let Some(plan) = self.plans.get(key) else {
+            return;
+        };
+        let step = plan.step();
+        if !step.gang {
+            return;
+        }
+        let mut candidates = self.candidates(key, among, claims);
+        candidates.sort_by_key(|c| std::cmp::Reverse(c.free.cpu_milli));
+        let need = step.reserved();
+        let mut left = plan.waiting.len() as u32;
+        let mut claimed = Vec::new();
+        for candidate in candidates {
+            let Some(seat) = self.seats.get(&candidate.worker) else {
+                continue;
+            };
+            let whole = Candidate {
+                free: seat.record.capacity,
+                ..candidate
+            };
+            let fits = whole.fits(&need);
+            if fits == 0 {
+                continue;
+            }
+            claimed.push(whole.worker);
+            left = left.saturating_sub(fits);
+            if left == 0 {
+                claims.extend(claimed);
+                return;
+            }
+        }
+    }
+
+    /// Decides the start of waiting tasks on the chosen workers.
+    pub(crate) fn start_on(&mut self, key: StepKey, chosen: &[(WorkerName, u32)]) {
+        let Some(plan) = self.plans.get_mut(&key) else {
+            return;
+        };
+        let step = plan.step().clone();
+        let need = step.reserved();
+        let estimate = if step.long_running {
+            tarragon_names::Millis(0)
+        } else {
+            step.estimate
+        };
+        let waited = self.now_ms.saturating_sub(plan.asked_ms);
+        let mut tasks = std::mem::take(&mut plan.waiting).into_iter();
+        let mut decided = Vec::new();
+        for (worker, count) in chosen {
+            let ticket = plan.advice.approved.get(worker).map(|a| a.ticket.clone());
+            for index in tasks.by_ref().take(*count as usize) {
+                decided.push((index, worker.clone(), ticket.clone()));
+            }
+        }
+        plan.waiting = tasks.collect();
+        for (index, worker, ticket) in decided {
+            let task = TaskKey { step: key, index };
+            let run = self.flow.with_job(key.job, |job| {
+                let occurrence = job.occurrences.get(&key.occurrence);
+                let run = occurrence.and_then(|o| o.steps.get(key.step as usize));
+                run.map_or(1, |run| run.next_run(index, step.gang))
+            });
+            let (Some(run), Some(seat)) = (run, self.seats.get_mut(&worker)) else {
+                continue;
+            };
+            let mut view = RunView::new(run, need, estimate, self.now);
+            view.ticket = ticket;
+            seat.runs.insert(task, view);
+            let life = seat.record.life.clone();
+            let free = seat.free_for(&key);
+            self.placed.insert((task, worker.clone()));
+            self.records.push(OrderRecord::Placed { task, run, life });
+            let detail = format!("waited {waited} ms, needs {need}, leaves {free}");
+            self.note(
+                Note::new("run_placed", detail)
+                    .task(task, run)
+                    .worker(&worker),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/lib/dispatch/src/input.rs
@@ -0,0 +1,77 @@
+use serde::{Deserialize, Serialize};
+use tarragon_names::{HostName, Millis, Name, WorkerName};
+use tarragon_workflow::{Command, TaskKey, WorkerLife};
+
+use crate::{HoldOutcome, OrderOutcome};
+
+/// Workers that may run a step, as the advice service told.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdviceAnswer {
+    /// Worker and ticket.
+    pub approved: Vec<(WorkerName, Name)>,
+    /// Time for which the tickets are valid, if the answer tells.
+    pub valid: Option<Millis>,
+}
+
+/// What the dispatcher is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// This host leads from now on.
+    BecameLeader {
+        /// Its term.
+        term: u64,
+    },
+    /// This host no longer leads.
+    LostLeadership,
+    /// A command was committed and applied.
+    Applied(Command),
+    /// Commands of the dispatcher were refused and have no effect.
+    NotProposed(Vec<Command>),
+    /// A worker sent a heartbeat.
+    Heard {
+        /// The worker.
+        life: WorkerLife,
+        /// Least time until it leaves, if it is leaving.
+        leaves_in: Option<Millis>,
+    },
+    /// A host can ask for advice.
+    HostSeen(HostName),
+    /// A look at a worker ended.
+    Held {
+        /// The worker.
+        life: WorkerLife,
+        /// What became of the look.
+        outcome: HoldOutcome,
+    },
+    /// The order to start a run was answered, or was not.
+    StartEnded {
+        /// The worker.
+        life: WorkerLife,
+        /// The task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// What became of the order.
+        outcome: OrderOutcome,
+    },
+    /// The order to stop a run was answered, or was not.
+    StopEnded {
+        /// The worker.
+        life: WorkerLife,
+        /// The task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// What became of the order.
+        outcome: OrderOutcome,
+    },
+    /// A call for advice ended.
+    Advised {
+        /// Number of the call.
+        ask: u64,
+        /// The answer; absent if none came.
+        answer: Option<AdviceAnswer>,
+    },
+    /// Time has passed.
+    Tick,
+}
--- /dev/null
+++ b/lib/dispatch/src/lanes.rs
@@ -0,0 +1,68 @@
+use std::collections::BTreeMap;
+
+use tarragon_names::{HostName, Millis};
+
+/// Length of a call above which it may use half of the hosts only.
+const HEAVY_CALL: Millis = Millis(300);
+
+/// Length of a call above which it may not use the hosts kept for short calls.
+const MEDIUM_CALL: Millis = Millis(60);
+
+#[derive(Clone, Copy, Debug)]
+struct Lane {
+    seen: Millis,
+    busy: Option<u64>,
+}
+
+/// Hosts through which advice is asked, one call at a time each.
+///
+/// The service serves the calls of one host in turn, so a long call holds up the short ones behind
+/// it. Long calls use the last half of the hosts, and a quarter is kept for short calls.
+#[derive(Clone, Debug, Default)]
+pub struct Lanes {
+    lanes: BTreeMap<HostName, Lane>,
+}
+
+impl Lanes {
+    /// Notes that a host can make calls.
+    pub fn seen(&mut self, host: &HostName, now: Millis) {
+        let lane = Lane {
+            seen: now,
+            busy: None,
+        };
+        self.lanes.entry(host.clone()).or_insert(lane).seen = now;
+    }
+
+    /// Forgets hosts that were not seen for `silent`.
+    pub fn forget(&mut self, now: Millis, silent: Millis) {
+        self.lanes.retain(|_, lane| now.since(lane.seen) < silent);
+    }
+
+    /// Takes an idle host for a call of the expected length.
+    pub fn take(&mut self, length: Millis, ask: u64) -> Option<HostName> {
+        let count = self.lanes.len();
+        let first = if length >= HEAVY_CALL {
+            count / 2
+        } else if length >= MEDIUM_CALL {
+            count / 4
+        } else {
+            0
+        };
+        let (host, lane) = self
+            .lanes
+            .iter_mut()
+            .skip(first)
+            .find(|(_, lane)| lane.busy.is_none())?;
+        lane.busy = Some(ask);
+        Some(host.clone())
+    }
+
+    /// Gives back the host of a call that has ended.
+    pub fn release(&mut self, ask: u64) {
+        for lane in self.lanes.values_mut() {
+            if lane.busy == Some(ask) {
+                lane.busy = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/dispatch/src/lib.rs
@@ -0,0 +1,33 @@
+//! Decisions of the leading host about workers that are called.
+//!
+//! [`Input`]s go in and [`Output`]s come out of the [`Dispatcher`]; the caller owns the clock, the
+//! log and the connections. What is decided about a run is in the log before the worker is told,
+//! and the end of a run is acknowledged to its worker only after it was committed.
+
+mod advice;
+mod config;
+mod dispatcher;
+mod dispatcher_advice;
+mod dispatcher_holds;
+mod dispatcher_jobs;
+mod dispatcher_orders;
+mod dispatcher_place;
+mod hold;
+mod input;
+mod lanes;
+mod note;
+mod order;
+mod output;
+mod packing;
+mod run_view;
+mod seat;
+mod step_plan;
+
+pub use config::DispatchConfig;
+pub use dispatcher::Dispatcher;
+pub use hold::{FinishedRow, HoldAnswer, HoldCall, HoldOutcome, RunningRow};
+pub use input::{AdviceAnswer, Input};
+pub use lanes::Lanes;
+pub use note::Note;
+pub use order::{OrderOutcome, Refusal, StartOrder, StopOrder};
+pub use output::{AskCall, Output};
--- /dev/null
+++ b/lib/dispatch/src/output.rs
@@ -0,0 +1,37 @@
+use serde::{Deserialize, Serialize};
+use tarragon_names::{HostName, Millis, WorkerName};
+use tarragon_workflow::{Command, StepKey};
+
+use crate::{HoldCall, Note, StartOrder, StopOrder};
+
+/// A call for advice.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AskCall {
+    /// Number of the call.
+    pub ask: u64,
+    /// Host that makes the call.
+    pub host: HostName,
+    /// The step.
+    pub step: StepKey,
+    /// Workers to be judged.
+    pub workers: Vec<WorkerName>,
+    /// Time after which no answer is expected.
+    pub limit: Millis,
+}
+
+/// What the caller of the dispatcher has to do.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Append a command to the log.
+    Propose(Command),
+    /// Look at a worker and renew its lease.
+    Hold(HoldCall),
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+    /// Ask which workers may run a step.
+    Ask(AskCall),
+    /// Write an event.
+    Note(Note),
+}
--- /dev/null
+++ b/lib/dispatch/src/seat.rs
@@ -0,0 +1,138 @@
+use std::collections::BTreeMap;
+
+use tarragon_names::{Millis, Resources};
+use tarragon_workflow::{StepKey, TaskKey, WorkerLife, WorkerRecord};
+
+use crate::{DispatchConfig, run_view::RunView};
+
+/// Slowest rate of a worker's clock against the own one, in percent.
+const SLOWEST_CLOCK_PERCENT: u64 = 98;
+
+/// Margin added to the computed end of a lease.
+const LEASE_MARGIN: Millis = Millis(200);
+
+/// Time for which a worker is left alone that has seen a higher term or whose life has ended.
+const ALONE: Millis = Millis(5_000);
+
+/// A worker as the leader knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct Seat {
+    pub(crate) record: WorkerRecord,
+    /// Last sign of life, by heartbeat or answer.
+    pub(crate) heard: Millis,
+    /// It said that it leaves.
+    pub(crate) leaves_at: Option<Millis>,
+    /// It has answered a look of this term, so it refuses earlier leaders.
+    pub(crate) is_synced: bool,
+    /// Its clock, and when it was received.
+    clock: Option<(u64, Millis)>,
+    /// Latest end of a lease that was sent, on its clock.
+    lease_until_ms: u64,
+    /// Time at which the leader began to lead.
+    led_since: Millis,
+    /// When the open look was sent.
+    pub(crate) hold_sent: Option<Millis>,
+    /// No look before this time.
+    pub(crate) hold_at: Millis,
+    pub(crate) hold_failures: u32,
+    /// Highest number of an end that was proposed; the next look waits for its commit.
+    pub(crate) proposed_end: u64,
+    pub(crate) runs: BTreeMap<TaskKey, RunView>,
+    /// Rooms kept for steps that wait for a fresh ticket.
+    pub(crate) reserved: BTreeMap<StepKey, Resources>,
+    /// Its lease has ended and everything on it was declared lost.
+    pub(crate) is_lapsed: bool,
+    /// Tasks fail or stand still there more than elsewhere.
+    pub(crate) avoid_until: Millis,
+}
+
+impl Seat {
+    pub(crate) fn new(record: WorkerRecord, now: Millis, led_since: Millis) -> Self {
+        let proposed_end = record.acknowledged;
+        Self {
+            record,
+            heard: now,
+            leaves_at: None,
+            is_synced: false,
+            clock: None,
+            lease_until_ms: 0,
+            led_since,
+            hold_sent: None,
+            hold_at: now,
+            hold_failures: 0,
+            proposed_end,
+            runs: BTreeMap::new(),
+            reserved: BTreeMap::new(),
+            is_lapsed: false,
+            avoid_until: Millis(0),
+        }
+    }
+
+    pub(crate) fn life(&self) -> &WorkerLife {
+        &self.record.life
+    }
+
+    /// Takes a reading of the worker's clock.
+    pub(crate) fn read_clock(&mut self, clock_ms: u64, now: Millis, cfg: &DispatchConfig) {
+        if self.clock.is_none() {
+            // An earlier leader may have given a lease up to this time.
+            self.lease_until_ms = self.lease_until_ms.max(clock_ms + cfg.longest_lease.0);
+        }
+        self.clock = Some((clock_ms, now));
+    }
+
+    /// End of a lease that begins now, on the worker's clock.
+    pub(crate) fn grant(&mut self, now: Millis, lease: Millis) -> Option<u64> {
+        let (clock_ms, at) = self.clock?;
+        let until = clock_ms + now.since(at).0 + lease.0;
+        self.lease_until_ms = self.lease_until_ms.max(until);
+        Some(until)
+    }
+
+    /// Tells whether every lease that the worker may have had has certainly ended.
+    pub(crate) fn is_lease_over(&self, now: Millis, cfg: &DispatchConfig) -> bool {
+        let Some((clock_ms, at)) = self.clock else {
+            let longest = cfg.longest_lease.0 * 100 / SLOWEST_CLOCK_PERCENT + LEASE_MARGIN.0;
+            return now.since(self.led_since).0 > longest;
+        };
+        let least = clock_ms + now.since(at).0 * SLOWEST_CLOCK_PERCENT / 100;
+        least > self.lease_until_ms + LEASE_MARGIN.0
+    }
+
+    /// Room for a step, apart from what is kept for others.
+    pub(crate) fn free_for(&self, step: &StepKey) -> Resources {
+        let used = self.runs.values().filter(|run| !run.is_ended);
+        let used = used.map(|run| run.need).sum::<Resources>();
+        let reserved = self.reserved.iter().filter(|(key, _)| *key != step);
+        let reserved = reserved.map(|(_, room)| *room).sum::<Resources>();
+        self.record
+            .capacity
+            .saturating_sub(&used)
+            .saturating_sub(&reserved)
+    }
+
+    /// Tells whether new work may be placed there.
+    pub(crate) fn is_usable(&self, now: Millis) -> bool {
+        self.is_synced
+            && !self.is_lapsed
+            && !self.record.is_draining
+            && self.leaves_at.is_none()
+            && self.hold_failures == 0
+            && now >= self.avoid_until
+    }
+
+    /// Sends nothing for a while: another host leads, or the life has ended, and the log will
+    /// tell soon.
+    pub(crate) fn leave_alone(&mut self, now: Millis) {
+        self.is_synced = false;
+        self.hold_at = now + ALONE;
+    }
+
+    /// Tasks of a step that run there.
+    pub(crate) fn count_of(&self, step: &StepKey) -> u32 {
+        let tasks = self.runs.iter();
+        tasks
+            .filter(|(task, run)| task.step == *step && !run.is_ended)
+            .count() as u32
+    }
+}
--- /dev/null
+++ b/lib/entry/src/dispatch_loop.rs
@@ -0,0 +1,220 @@
+use std::{
+    sync::{
+        Arc,
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use tarragon_dispatch::{
+    AskCall, Dispatcher, HoldCall, HoldOutcome, Input, OrderOutcome, Output, StartOrder, StopOrder,
+};
+use tarragon_replica::{AbortOnPanic, Clock, ReplicaHandle};
+use tarragon_telemetry::{Event, EventSink};
+use tokio::runtime::Handle;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    EntryMetrics, FlowLog, Outside, Reply, Request, dispatch_handle::DispatchHandle, entry_log,
+    mesh::Mesh,
+};
+
+/// Time between two ticks of the dispatcher.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Most events handled in one step.
+const BATCH: usize = 1_024;
+
+/// Time in which an order is answered, or counts as unanswered.
+const ORDER_LIMIT: Duration = Duration::from_millis(450);
+
+/// Time beyond its wait in which a look is answered.
+const HOLD_SLACK: Duration = Duration::from_millis(600);
+
+/// Time for the way to the host that asks for advice and back.
+const RELAY_SLACK: Duration = Duration::from_millis(150);
+
+/// What the thread of the dispatcher works with.
+#[derive(Debug)]
+pub(crate) struct DispatchParts {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) handle: DispatchHandle,
+    pub(crate) replica: ReplicaHandle<FlowLog>,
+    pub(crate) mesh: Arc<Mesh>,
+    pub(crate) outside: Outside,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) events: Arc<dyn EventSink>,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) runtime: Handle,
+    pub(crate) stop: CancellationToken,
+}
+
+/// Thread that owns the dispatcher and carries out its outputs.
+#[derive(Debug)]
+pub(crate) struct DispatchLoop {
+    parts: DispatchParts,
+    rx: Receiver<Input>,
+}
+
+impl DispatchLoop {
+    pub(crate) fn start(parts: DispatchParts, rx: Receiver<Input>) -> JoinHandle<()> {
+        let spawned = thread::Builder::new()
+            .name("dispatch".to_owned())
+            .spawn(|| Self { parts, rx }.run());
+        spawned.expect("the process may start a thread at its start")
+    }
+
+    fn run(mut self) {
+        let _guard = AbortOnPanic;
+        let mut ticked = self.parts.clock.now();
+        while !self.parts.stop.is_cancelled() {
+            let mut inputs = Vec::new();
+            match self.rx.recv_timeout(TICK) {
+                Ok(input) => inputs.push(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            inputs.extend(self.rx.try_iter().take(BATCH));
+            let now = self.parts.clock.now();
+            if now.since(ticked).0 >= TICK.as_millis() as u64 {
+                ticked = now;
+                inputs.push(Input::Tick);
+            }
+            let timer = self.parts.metrics.dispatch_step.start_timer();
+            let now_ms = self.parts.clock.wall_ms();
+            let outputs = self.parts.dispatcher.step(now, now_ms, inputs);
+            drop(timer);
+            for output in outputs {
+                self.carry_out(output);
+            }
+        }
+    }
+
+    fn carry_out(&self, output: Output) {
+        match output {
+            Output::Propose(command) => {
+                let at_ms = self.parts.clock.wall_ms();
+                let proposed = self
+                    .parts
+                    .replica
+                    .propose_for_scheduler(at_ms, command.clone());
+                if let Err(failure) = proposed {
+                    let event = Event::warning("not_proposed").code(failure.code.number());
+                    self.parts.events.emit(&event.detail(failure.cause));
+                    self.parts.handle.send(Input::NotProposed(vec![command]));
+                }
+            }
+            Output::Hold(call) => self.hold(call),
+            Output::Start(order) => self.start_run(order),
+            Output::Stop(order) => self.stop_run(order),
+            Output::Ask(call) => self.ask(call),
+            Output::Note(note) => {
+                self.parts.events.emit(&entry_log::event_of(&note));
+            }
+        }
+    }
+
+    fn hold(&self, call: HoldCall) {
+        let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
+        let life = call.life.clone();
+        let limit = Duration::from_millis(call.wait.0) + HOLD_SLACK;
+        let answer = self.parts.outside.workers.hold(call, limit);
+        self.parts.runtime.spawn(async move {
+            let outcome = answer.await;
+            let label = match &outcome {
+                HoldOutcome::Answered(answer) => {
+                    for row in &answer.finished {
+                        let end = row.end.to_string();
+                        metrics.ends.with_label_values(&[&end]).inc();
+                    }
+                    "answered"
+                }
+                HoldOutcome::OtherLife => "other_life",
+                HoldOutcome::Fenced => "fenced",
+                HoldOutcome::Unanswered => "unanswered",
+            };
+            metrics.outside.with_label_values(&["hold", label]).inc();
+            handle.send(Input::Held { life, outcome });
+        });
+    }
+
+    fn start_run(&self, order: StartOrder) {
+        let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
+        let (life, task, run) = (order.life.clone(), order.task, order.run);
+        let answer = self.parts.outside.workers.start(order, ORDER_LIMIT);
+        self.parts.runtime.spawn(async move {
+            let timer = metrics
+                .outside_time
+                .with_label_values(&["start"])
+                .start_timer();
+            let outcome = answer.await;
+            drop(timer);
+            count_order(&metrics, "start", outcome);
+            handle.send(Input::StartEnded {
+                life,
+                task,
+                run,
+                outcome,
+            });
+        });
+    }
+
+    fn stop_run(&self, order: StopOrder) {
+        let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
+        let (life, task, run) = (order.life.clone(), order.task, order.run);
+        let answer = self.parts.outside.workers.stop(order, ORDER_LIMIT);
+        self.parts.runtime.spawn(async move {
+            let outcome = answer.await;
+            count_order(&metrics, "stop", outcome);
+            handle.send(Input::StopEnded {
+                life,
+                task,
+                run,
+                outcome,
+            });
+        });
+    }
+
+    fn ask(&self, call: AskCall) {
+        let handle = self.parts.handle.clone();
+        let metrics = self.parts.metrics.clone();
+        let ask = call.ask;
+        let limit = Duration::from_millis(call.limit.0);
+        let mesh = Arc::clone(&self.parts.mesh);
+        let outside = self.parts.outside.clone();
+        self.parts.runtime.spawn(async move {
+            let timer = metrics
+                .outside_time
+                .with_label_values(&["advice"])
+                .start_timer();
+            let answer = if call.host == *mesh.links.own() {
+                outside.advice.ask(call.step, call.workers, limit).await
+            } else {
+                let host = call.host.clone();
+                let request = Request::Advise(call);
+                match mesh.call(&host, &request, limit + RELAY_SLACK).await {
+                    Ok(Reply::Advice(answer)) => answer,
+                    _ => None,
+                }
+            };
+            drop(timer);
+            let label = if answer.is_some() {
+                "answered"
+            } else {
+                "unanswered"
+            };
+            metrics.outside.with_label_values(&["advice", label]).inc();
+            handle.send(Input::Advised { ask, answer });
+        });
+    }
+}
+
+fn count_order(metrics: &EntryMetrics, kind: &str, outcome: OrderOutcome) {
+    let label = match outcome {
+        OrderOutcome::Accepted => "accepted".to_owned(),
+        OrderOutcome::Refused(refusal) => refusal.to_string(),
+        OrderOutcome::Unanswered => "unanswered".to_owned(),
+    };
+    metrics.outside.with_label_values(&[kind, &label]).inc();
+}
--- /dev/null
+++ b/lib/entry/src/dispatch_sink.rs
@@ -0,0 +1,33 @@
+use tarragon_dispatch::Input;
+use tarragon_names::{LogIndex, Millis, Term};
+use tarragon_replica::ApplySink;
+use tarragon_workflow::{Answer, Command};
+
+use crate::{FlowLog, dispatch_handle::DispatchHandle};
+
+/// Passes the news of the replicated state on to the dispatcher.
+#[derive(Debug)]
+pub(crate) struct DispatchSink(pub(crate) DispatchHandle);
+
+impl ApplySink<FlowLog> for DispatchSink {
+    fn applied(&self, _: LogIndex, command: &Command, _: &Answer) {
+        self.0.send(Input::Applied(command.clone()));
+    }
+
+    fn became_leader(&self, term: Term) {
+        self.0.send(Input::BecameLeader { term: term.0 });
+    }
+
+    fn lost_leadership(&self, _: Term) {
+        self.0.set_leads_until(Millis(0));
+        self.0.send(Input::LostLeadership);
+    }
+
+    fn not_proposed(&self, commands: Vec<Command>) {
+        self.0.send(Input::NotProposed(commands));
+    }
+
+    fn leads_until(&self, until: Millis) {
+        self.0.set_leads_until(until);
+    }
+}
--- /dev/null
+++ b/lib/entry/src/entry_host.rs
@@ -0,0 +1,452 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::channel,
+    },
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use rand_chacha::{
+    ChaCha12Rng,
+    rand_core::{Rng, SeedableRng},
+};
+use tarragon_agreement::Replica;
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_dispatch::Dispatcher;
+use tarragon_names::{HostName, LogIndex, MemberId};
+use tarragon_replica::{
+    Clock, LeaderHint, Links, PeerListener, PeerSink, ReplicaDriver, ReplicaHandle, ReplicaParts,
+    StateMachine, SystemClock,
+};
+use tarragon_telemetry::{Event, EventSink, Metrics};
+use tarragon_wire::peer::PeerEvent;
+use tarragon_workflow::Flow;
+use tokio::{net::TcpListener, runtime::Handle, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    EntryConfig, EntryMetrics, FlowLog, Hello, Outside, Reply, Request,
+    dispatch_handle::DispatchHandle,
+    dispatch_loop::{DispatchLoop, DispatchParts},
+    dispatch_sink::DispatchSink,
+    formation::open_store,
+    heartbeats::Heartbeats,
+    leader_desk::LeaderDesk,
+    mesh::{self, Mesh},
+    mesh_meter::MeshMeter,
+    presence::{self, Presence},
+    voters::Voters,
+};
+
+/// Pause between two tries to reach the leader.
+const TRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time to come back that a refused caller is told, in milliseconds.
+const RETRY_MS: u64 = 400;
+
+/// What a host is started with besides its settings.
+#[derive(Clone, Debug)]
+pub struct EntryParts {
+    /// Where events go.
+    pub events: Arc<dyn EventSink>,
+    /// Metrics of the host.
+    pub metrics: EntryMetrics,
+    /// Metrics of its replica.
+    pub replica_metrics: Arc<Metrics>,
+    /// Workers and advice.
+    pub outside: Outside,
+}
+
+/// The replica of a host and what depends on it.
+#[derive(Debug)]
+struct Seated {
+    id: MemberId,
+    handle: ReplicaHandle<FlowLog>,
+    desk: LeaderDesk,
+    threads: Mutex<Vec<JoinHandle<()>>>,
+}
+
+/// An entry host: answers requests itself while it leads and passes them on otherwise.
+#[derive(Debug)]
+pub struct EntryHost {
+    pub(crate) cfg: EntryConfig,
+    pub(crate) mesh: Arc<Mesh>,
+    pub(crate) hint: Arc<LeaderHint>,
+    pub(crate) presence: Presence,
+    pub(crate) events: Arc<dyn EventSink>,
+    seeds: Mutex<Vec<SocketAddr>>,
+    outside: Outside,
+    metrics: EntryMetrics,
+    replica: Option<Seated>,
+    stopping: AtomicBool,
+    stop: CancellationToken,
+}
+
+impl EntryHost {
+    /// Starts the host on the current runtime.
+    pub async fn start(cfg: EntryConfig, parts: EntryParts) -> Outcome<Arc<Self>> {
+        let mut rng = ChaCha12Rng::from_seed(process_seed());
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
+        let stop = CancellationToken::new();
+        let meter = Arc::new(MeshMeter::new(&parts.metrics));
+        let timing = cfg.timing.links();
+        let observer = Arc::clone(&meter) as _;
+        let links = Links::new(cfg.own.clone(), timing, observer, stop.clone());
+        let links = Arc::new(links);
+        let mesh = Arc::new(Mesh::new(
+            Arc::clone(&links),
+            Arc::clone(&meter),
+            rng.next_u64(),
+        ));
+        let hint = Arc::new(LeaderHint::default());
+        let replica = match &cfg.data_dir {
+            None => None,
+            Some(dir) => {
+                let fresh = MemberId(rng.next_u64() | 1);
+                let (store, recovered) = open_store(&cfg, dir, fresh, parts.events.as_ref())?;
+                let surroundings = Surroundings {
+                    cfg: &cfg,
+                    parts: &parts,
+                    clock: &clock,
+                    mesh: &mesh,
+                    hint: &hint,
+                    stop: &stop,
+                };
+                Some(surroundings.seat(store, recovered, rng.next_u64())?)
+            }
+        };
+        let listener = TcpListener::bind(cfg.peer).await.map_err(|e| {
+            let cause = format!("cannot listen on the peer address {}: {e}", cfg.peer);
+            Failure::new(Code::BadSettings, cause)
+        })?;
+        let host = Arc::new(Self {
+            seeds: Mutex::new(cfg.seeds.clone()),
+            mesh,
+            hint,
+            presence: Presence::default(),
+            events: parts.events,
+            outside: parts.outside,
+            metrics: parts.metrics,
+            replica,
+            stopping: AtomicBool::new(false),
+            stop: stop.clone(),
+            cfg,
+        });
+        let sink: Arc<dyn PeerSink> = Arc::new(Inbound(Arc::clone(&host)));
+        let listener = PeerListener::new(listener, host.cfg.own.clone(), timing, meter);
+        tokio::spawn(listener.run(sink, stop.clone()));
+        tokio::spawn(presence::announce(Arc::clone(&host), stop.clone()));
+        if let Some(seated) = &host.replica {
+            let voters = Arc::clone(&seated.desk.voters);
+            let leads = Arc::clone(&host);
+            tokio::spawn(voters.keep(move || leads.leads(), stop));
+        }
+        Ok(host)
+    }
+
+    /// Answers a request of a caller, an operator or a worker within `limit`.
+    ///
+    /// Every request may be repeated without a second effect, so it is sent to the next leader
+    /// where the answer of one is missing. A refusal says that it was not sent to any.
+    pub async fn call(&self, request: Request, limit: Duration) -> Outcome<Reply> {
+        let kind = kind_of(&request);
+        let timer = self
+            .metrics
+            .request_time
+            .with_label_values(&[kind])
+            .start_timer();
+        let outcome = self.call_leader(request, limit).await;
+        drop(timer);
+        let code = outcome.as_ref().err().map_or(0, |f| f.code.number());
+        self.metrics
+            .requests
+            .with_label_values(&[kind, &code.to_string()])
+            .inc();
+        outcome
+    }
+
+    async fn call_leader(&self, request: Request, limit: Duration) -> Outcome<Reply> {
+        let begun = Instant::now();
+        let timing = &self.cfg.timing;
+        let mut is_unknown = false;
+        loop {
+            let left = limit.saturating_sub(begun.elapsed());
+            let reply = match self.hint.get() {
+                None => Err(Failure::of(Code::NoLeader)),
+                Some(leader) if leader == self.cfg.own => self.answer_here(request.clone()).await,
+                Some(leader) => {
+                    let limit = left.min(timing.call_try());
+                    let reply = self.mesh.call(&leader, &request, limit).await;
+                    if reply.as_ref().is_err_and(|f| is_unreached(f.code)) {
+                        self.hint.forget(&leader);
+                    }
+                    if let Ok(Reply::NotLeader { leader: next }) = &reply {
+                        self.hint.forget(&leader);
+                        if let Some((term, next)) = next {
+                            self.hint.set(*term, next);
+                        }
+                    }
+                    reply
+                }
+            };
+            let code = match reply {
+                Ok(Reply::NotLeader { .. }) => Code::NotLeader,
+                Err(failure) if is_unreached(failure.code) => failure.code,
+                reply => return reply,
+            };
+            is_unknown |= code == Code::NotConfirmed;
+            let waited = begun.elapsed();
+            let may_wait = if is_unknown {
+                limit
+            } else {
+                timing.leader_wait().min(limit)
+            };
+            if waited + TRY_PAUSE >= may_wait {
+                let code = if is_unknown {
+                    Code::NotConfirmed
+                } else {
+                    Code::NoLeader
+                };
+                return Err(Failure::of(code).retry_after(RETRY_MS));
+            }
+            sleep(TRY_PAUSE).await;
+        }
+    }
+
+    /// Answers a request as the leader, or says that this host does not lead.
+    pub(crate) async fn answer_here(&self, request: Request) -> Outcome<Reply> {
+        if let Request::Advise(call) = request {
+            let limit = Duration::from_millis(call.limit.0);
+            let asked = self.outside.advice.ask(call.step, call.workers, limit);
+            return Ok(Reply::Advice(asked.await));
+        }
+        match &self.replica {
+            Some(seated) => seated.desk.answer(request).await,
+            None => Ok(Reply::NotLeader {
+                leader: self.hint.with_term(),
+            }),
+        }
+    }
+
+    /// Tells whether the host can answer callers.
+    pub fn is_ready(&self) -> bool {
+        let answers = self
+            .presence
+            .silence()
+            .is_some_and(|silence| silence < self.cfg.timing.ready());
+        let is_ready = answers && !self.stopping.load(Ordering::Acquire);
+        self.metrics.ready.set(i64::from(is_ready));
+        is_ready
+    }
+
+    /// Replaces the seeds after a change of the settings.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock() = seeds;
+    }
+
+    pub(crate) fn seeds(&self) -> Vec<HostName> {
+        let seeds = self.seeds.lock();
+        seeds
+            .iter()
+            .map(|s| HostName::from(s.to_string()))
+            .collect()
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            host: self.cfg.own.clone(),
+            domain: self.cfg.domain.clone(),
+            member: self.replica.as_ref().map(|seated| seated.id),
+        }
+    }
+
+    fn leads(&self) -> bool {
+        self.replica
+            .as_ref()
+            .is_some_and(|seated| seated.desk.leads())
+    }
+
+    /// Begins a planned stop: the host is not ready any more and hands over the leadership.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.events.emit(&Event::info("stopping"));
+        if let Some(seated) = &self.replica {
+            seated.handle.transfer();
+        }
+    }
+
+    /// Ends the host's threads; everything that was answered is on disk already.
+    pub fn stop(&self) {
+        self.stop.cancel();
+        if let Some(seated) = &self.replica {
+            seated.handle.stop();
+            for thread in seated.threads.lock().drain(..) {
+                // A thread that panicked has ended the process.
+                let _ended = thread.join();
+            }
+        }
+        self.events.emit(&Event::info("stopped"));
+    }
+}
+
+/// What a replica takes from the rest of its host.
+struct Surroundings<'a> {
+    cfg: &'a EntryConfig,
+    parts: &'a EntryParts,
+    clock: &'a Arc<dyn Clock>,
+    mesh: &'a Arc<Mesh>,
+    hint: &'a Arc<LeaderHint>,
+    stop: &'a CancellationToken,
+}
+
+impl Surroundings<'_> {
+    fn seat(
+        &self,
+        store: tarragon_storage::FileStore,
+        recovered: tarragon_agreement::Recovered,
+        seed: u64,
+    ) -> Outcome<Seated> {
+        let timing = &self.cfg.timing;
+        let flow = Arc::new(Flow::new(timing.kept_ms()));
+        let state = Arc::new(FlowLog(Arc::clone(&flow)));
+        let mut applied = LogIndex(0);
+        if let Some((meta, image)) = &recovered.snapshot {
+            state.restore(image)?;
+            applied = meta.index;
+        }
+        let saved = recovered.snapshot.clone();
+        let replica = Replica::new(timing.agreement(), recovered, seed);
+        let id = replica.id();
+        let event = Event::info("replica_recovered").index(replica.last_index());
+        let event = event.term(replica.term()).detail(format!("member {id}"));
+        self.parts.events.emit(&event);
+        let (tx, rx) = channel();
+        let dispatch = DispatchHandle::new(tx);
+        let parts = ReplicaParts {
+            replica,
+            store: Box::new(store),
+            saved,
+            state,
+            clock: Arc::clone(self.clock),
+            links: Arc::clone(&self.mesh.links),
+            sink: Arc::new(DispatchSink(dispatch.clone())),
+            hint: Arc::clone(self.hint),
+            events: Arc::clone(&self.parts.events),
+            metrics: Arc::clone(&self.parts.replica_metrics),
+        };
+        for member in parts.replica.members().by_id.values() {
+            self.mesh.connect(&member.host);
+        }
+        let (handle, replica_thread) = ReplicaDriver::start(parts, applied);
+        let parts = DispatchParts {
+            dispatcher: Dispatcher::new(timing.dispatch(), Arc::clone(&flow)),
+            handle: dispatch.clone(),
+            replica: handle.clone(),
+            mesh: Arc::clone(self.mesh),
+            outside: self.parts.outside.clone(),
+            clock: Arc::clone(self.clock),
+            events: Arc::clone(&self.parts.events),
+            metrics: self.parts.metrics.clone(),
+            runtime: Handle::current(),
+            stop: self.stop.clone(),
+        };
+        let dispatch_thread = DispatchLoop::start(parts, rx);
+        let voters = Arc::new(Voters::new(
+            handle.clone(),
+            Arc::clone(&self.parts.events),
+            self.cfg.wanted_voters(),
+            timing.replace_after(),
+        ));
+        let desk = LeaderDesk {
+            flow,
+            replica: handle.clone(),
+            dispatch,
+            clock: Arc::clone(self.clock),
+            hint: Arc::clone(self.hint),
+            events: Arc::clone(&self.parts.events),
+            voters,
+            heartbeats: Heartbeats::default(),
+            heartbeat_address: self.cfg.heartbeats.clone(),
+            commit_limit: timing.call_try(),
+        };
+        Ok(Seated {
+            id,
+            handle,
+            desk,
+            threads: Mutex::new(vec![dispatch_thread, replica_thread]),
+        })
+    }
+}
+
+/// Takes in what arrives from other hosts.
+#[derive(Debug)]
+struct Inbound(Arc<EntryHost>);
+
+impl PeerSink for Inbound {
+    fn receive(&self, host: &HostName, event: PeerEvent) {
+        match event {
+            PeerEvent::Agreement { from, to, msg } => {
+                if let Some(seated) = self.0.replica.as_ref().filter(|seated| seated.id == to) {
+                    self.0.mesh.connect(host);
+                    seated.handle.message(host.clone(), from, msg);
+                }
+            }
+            PeerEvent::Call { id, body } => {
+                let (own, caller) = (Arc::clone(&self.0), host.clone());
+                tokio::spawn(async move {
+                    let reply = match mesh::decode::<Request>(&body) {
+                        Ok(request) => own.answer_here(request).await,
+                        Err(failure) => Err(failure),
+                    };
+                    own.mesh.answer(&caller, id, &reply);
+                });
+            }
+            PeerEvent::Answer { id, body } => self.0.mesh.answered(id, body),
+            // Workers are called here, and there are no load summaries.
+            PeerEvent::Up { .. } | PeerEvent::Down { .. } | PeerEvent::Load(_) => {}
+        }
+    }
+}
+
+/// Codes after which a request is sent to the next leader.
+fn is_unreached(code: Code) -> bool {
+    matches!(
+        code,
+        Code::NoLeader | Code::NotLeader | Code::HostUnreachable | Code::NotConfirmed
+    )
+}
+
+fn kind_of(request: &Request) -> &'static str {
+    match request {
+        Request::Submit { .. } => "submit",
+        Request::Look { .. } => "look",
+        Request::Cancel { .. } => "cancel",
+        Request::PutDocument(_) => "put_configuration",
+        Request::ReadDocument => "read_configuration",
+        Request::Announce(_) => "announce",
+        Request::Leave(_) => "leave",
+        Request::StartWave { .. } => "start_wave",
+        Request::LookAtWave(_) => "look_at_wave",
+        Request::Hello(_) => "hello",
+        Request::Advise(_) => "advise",
+    }
+}
+
+/// Seed that differs between processes, from the hasher keys that the operating system provides.
+fn process_seed() -> [u8; 32] {
+    use std::hash::{BuildHasher, RandomState};
+
+    let mut seed = [0; 32];
+    for chunk in seed.chunks_mut(8) {
+        chunk.copy_from_slice(
+            &RandomState::new()
+                .hash_one(std::process::id())
+                .to_le_bytes(),
+        );
+    }
+    seed
+}
--- /dev/null
+++ b/lib/entry/src/flow_log.rs
@@ -0,0 +1,35 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_names::LogIndex;
+use tarragon_replica::StateMachine;
+use tarragon_wire::record;
+use tarragon_workflow::{Answer, Command, Flow, FlowImage};
+
+/// The state of jobs and configuration as the replicated log builds it up.
+#[derive(Clone, Debug)]
+pub struct FlowLog(pub Arc<Flow>);
+
+impl StateMachine for FlowLog {
+    type Command = Command;
+    type Answer = Answer;
+
+    fn apply(&self, _: LogIndex, at_ms: u64, command: &Command) -> Answer {
+        self.0.apply(at_ms, command)
+    }
+
+    fn snapshot(&self) -> Outcome<Bytes> {
+        record::encode(&self.0.image()).map_err(|e| Failure::new(Code::Internal, e.to_string()))
+    }
+
+    fn restore(&self, state: &[u8]) -> Outcome<()> {
+        let image = if state.is_empty() {
+            FlowImage::default()
+        } else {
+            record::decode(state).map_err(|e| Failure::new(Code::CorruptRecord, e.to_string()))?
+        };
+        self.0.restore(image);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lib/entry/src/lib.rs
@@ -0,0 +1,35 @@
+//! Runtime of an entry host on a platform whose workers are called.
+//!
+//! Every host answers callers and operators through [`EntryHost`]; the leading one decides. Hosts
+//! with a data folder hold the replicated state. What the platform's interfaces look like is
+//! hidden behind the traits [`WorkerCalls`] and [`AdviceCalls`].
+
+mod dispatch_handle;
+mod dispatch_loop;
+mod dispatch_sink;
+mod entry_config;
+mod entry_host;
+mod entry_log;
+mod entry_metrics;
+mod entry_timing;
+mod flow_log;
+mod formation;
+mod heartbeats;
+mod leader_desk;
+mod mesh;
+mod mesh_meter;
+mod outside;
+mod presence;
+mod reply;
+mod request;
+mod voters;
+
+pub use entry_config::EntryConfig;
+pub use entry_host::{EntryHost, EntryParts};
+pub use entry_metrics::EntryMetrics;
+pub use entry_timing::{Bounds, EntryTiming};
+pub use flow_log::FlowLog;
+pub use formation::{founding_members, member_id_of, open_store};
+pub use outside::{AdviceCalls, Outside, WorkerCalls};
+pub use reply::{MemberView, Reply};
+pub use request::{Hello, Request, WorkerReport};
--- /dev/null
+++ b/lib/entry/src/voters.rs
@@ -0,0 +1,108 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tarragon_codes::Outcome;
+use tarragon_membership::{Group, next_change};
+use tarragon_names::{DomainName, HostName, MemberId, Millis};
+use tarragon_replica::ReplicaHandle;
+use tarragon_telemetry::{Event, EventSink};
+use tokio::time::interval;
+use tokio_util::sync::CancellationToken;
+
+use crate::{FlowLog, Hello, MemberView};
+
+/// Time between two looks at the members.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Time limit of a look or a change.
+const LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Keeps the group of voters at its size while this host leads.
+#[derive(Debug)]
+pub(crate) struct Voters {
+    pub(crate) replica: ReplicaHandle<FlowLog>,
+    pub(crate) events: Arc<dyn EventSink>,
+    pub(crate) wanted: usize,
+    pub(crate) replace_after: Millis,
+    announced: Mutex<BTreeMap<HostName, MemberId>>,
+    domains: Mutex<BTreeMap<HostName, DomainName>>,
+}
+
+impl Voters {
+    pub(crate) fn new(
+        replica: ReplicaHandle<FlowLog>,
+        events: Arc<dyn EventSink>,
+        wanted: usize,
+        replace_after: Millis,
+    ) -> Self {
+        Self {
+            replica,
+            events,
+            wanted,
+            replace_after,
+            announced: Mutex::default(),
+            domains: Mutex::default(),
+        }
+    }
+
+    /// Takes note of a host; one with a disk becomes a learner.
+    pub(crate) async fn seen(&self, hello: Hello) -> Outcome<Vec<MemberView>> {
+        let members = self.replica.status(LIMIT).await?.members;
+        self.domains
+            .lock()
+            .insert(hello.host.clone(), hello.domain.clone());
+        if let Some(id) = hello.member {
+            self.announced.lock().insert(hello.host.clone(), id);
+            if !members.by_id.contains_key(&id) {
+                let event = Event::info("learner_added").peer(hello.host.clone());
+                self.events.emit(&event.detail(format!("member {id}")));
+                self.replica.join(id, hello.host, LIMIT).await?;
+            }
+        }
+        let view = |(id, member): (&MemberId, &tarragon_agreement::Member)| MemberView {
+            id: *id,
+            host: member.host.clone(),
+        };
+        Ok(members.by_id.iter().map(view).collect())
+    }
+
+    /// Replaces and adds voters until the stop, while `leads` tells that this host leads.
+    pub(crate) async fn keep<F>(self: Arc<Self>, leads: F, stop: CancellationToken)
+    where
+        F: Fn() -> bool + Send,
+    {
+        let mut due = interval(LOOK);
+        while stop.run_until_cancelled(due.tick()).await.is_some() {
+            if leads() {
+                self.change().await;
+            }
+        }
+    }
+
+    async fn change(&self) {
+        let Ok(status) = self.replica.status(LIMIT).await else {
+            return;
+        };
+        let change = {
+            let announced = self.announced.lock();
+            let domains = self.domains.lock();
+            next_change(&Group {
+                status: &status.status,
+                domains: &domains,
+                announced: &announced,
+                wanted: self.wanted,
+                replace_after: self.replace_after,
+            })
+        };
+        let Some(change) = change else { return };
+        let detail = format!("{change:?}");
+        let event = Event::warning("changing_voters");
+        self.events.emit(&event.detail(detail.clone()));
+        let target = change.applied_to(&status.members);
+        let event = match self.replica.change_members(target, LIMIT).await {
+            Ok(()) => Event::info("voters_changed"),
+            Err(failure) => Event::warning("voters_not_changed").code(failure.code.number()),
+        };
+        self.events.emit(&event.detail(detail));
+    }
+}
--- a/lib/front/src/server.rs
+++ b/lib/front/src/server.rs
@@ -1,37 +1,21 @@
-use std::{convert::Infallible, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::FutureExt;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{
-    Response,
-    body::{Body, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use futures::{FutureExt, future::BoxFuture};
+use http_body_util::Full;
+use hyper::{Response, body::Incoming};
 use tarragon_codes::{Code, Failure, Outcome};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Semaphore,
-    time::{sleep, timeout},
-};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Backend, FrontConfig, calls, reply::Reply, request::Request, route::Route,
-    stall_limit::StallLimit,
+    Backend, FrontConfig, HttpHandler, calls,
+    http_server::{read_body, serve_http},
+    reply::Reply,
+    request::Request,
+    route::Route,
 };
 
-/// Pause after a failed accept, which is mostly a lack of file descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
-
-/// Answer to a connection beyond the limit; the request on it is not read.
-const TOO_MANY: &[u8] = b"HTTP/1.1 429 Too Many Requests\r\n\
-    content-type: application/json\r\nx-tarragon-code: 3107\r\nretry-after: 1\r\n\
-    content-length: 51\r\nconnection: close\r\n\r\n\
-    {\"code\":3107,\"cause\":\"too many connections here\"} \n";
-
 /// Serves calls on a listener until `shutdown`.
 ///
 /// Returns when no connection is left: idle ones close at once, requests in flight have
@@ -43,77 +27,24 @@
     shutdown: CancellationToken,
 ) {
     let limits = cfg.limits;
-    let cfg = Arc::new(cfg);
-    let permits = Arc::new(Semaphore::new(limits.connections));
-    let tracker = TaskTracker::new();
-    let cut_off = CancellationToken::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            // Best effort: the socket is new, so its send buffer takes this answer.
-            let _sent = stream.try_write(TOO_MANY);
-            continue;
-        };
-        let conn = connection(
-            stream,
-            Arc::clone(&backend),
-            Arc::clone(&cfg),
-            shutdown.clone(),
-        );
-        let cut_off = cut_off.clone();
-        tracker.spawn(async move {
-            tokio::select! {
-                () = conn => {}
-                () = cut_off.cancelled() => {}
-            }
-            drop(permit);
-        });
-    }
-    drop(listener);
-    tracker.close();
-    if timeout(limits.drain_max, tracker.wait()).await.is_err() {
-        cut_off.cancel();
-        tracker.wait().await;
-    }
+    let handler = Calls {
+        backend,
+        cfg: Arc::new(cfg),
+    };
+    serve_http(listener, Arc::new(handler), limits, shutdown).await;
 }
 
-async fn connection(
-    stream: TcpStream,
+/// The calls of the product's own interface.
+#[derive(Debug)]
+struct Calls {
     backend: Arc<dyn Backend>,
     cfg: Arc<FrontConfig>,
-    shutdown: CancellationToken,
-) {
-    // Answers are small and whole, so waiting for more bytes only adds delay.
-    let _set = stream.set_nodelay(true);
-    let limits = cfg.limits;
-    let io = TokioIo::new(StallLimit::new(stream, limits.write_stall));
-    let service = service_fn(move |req| {
-        let backend = Arc::clone(&backend);
-        let cfg = Arc::clone(&cfg);
-        async move { Ok::<_, Infallible>(respond(req, backend, cfg).await) }
-    });
-    let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_headers(limits.headers)
-        .max_buf_size(limits.head_bytes)
-        .serve_connection(io, service);
-    let mut conn = std::pin::pin!(conn);
-    // An error here is the peer's: a broken head, a silent peer or a closed socket.
-    let _ended = tokio::select! {
-        ended = conn.as_mut() => ended,
-        () = shutdown.cancelled() => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
-        }
-    };
+}
+
+impl HttpHandler for Calls {
+    fn answer(&self, req: hyper::Request<Incoming>) -> BoxFuture<'static, Response<Full<Bytes>>> {
+        respond(req, Arc::clone(&self.backend), Arc::clone(&self.cfg)).boxed()
+    }
 }
 
 /// Answers one request.
@@ -148,16 +79,6 @@
         head.uri.query().unwrap_or_default(),
     )?;
     route.access().check(&head.headers, cfg)?;
-    let limit = cfg.limits.body_bytes;
-    let too_large = || Failure::new(Code::TooLarge, format!("body: at most {limit} bytes"));
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    let whole = Limited::new(body, limit).collect();
-    match timeout(cfg.limits.body_timeout, whole).await {
-        Ok(Ok(body)) => Ok((route, Request::new(head.headers, body.to_bytes()))),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(e)) => Err(Failure::new(Code::Malformed, format!("body: {e}"))),
-        Err(_) => Err(Failure::of(Code::SlowRequest)),
-    }
+    let body = read_body(body, &cfg.limits).await?;
+    Ok((route, Request::new(head.headers, body)))
 }
--- a/lib/host/src/lib.rs
+++ b/lib/host/src/lib.rs
@@ -49,7 +49,6 @@
 pub use link_meter::LinkMeter;
 pub use local_leader::LocalLeader;
 pub use log_keys::LogKeys;
-pub use member_repair::choose_replacement;
 pub use order_routes::OrderRoutes;
 pub use poll_table::PollTable;
 pub use replica_disk::{init_replica, initial_member_id, initial_members};
--- a/lib/host/tests/member_repair.rs
+++ b/lib/membership/tests/choose_replacement.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use tarragon_agreement::{MemberStatus, Role};
-use tarragon_host::choose_replacement;
+use tarragon_membership::choose_replacement;
 use tarragon_names::{DomainName, HostName, LogIndex, MemberId, Millis};
 use yare::parameterized;
 
--- a/lib/settings/src/lib.rs
+++ b/lib/settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! The reference for readers is `docs/settings.md`; a test holds it to the keys that are read.
 
 mod document;
+mod entry_settings;
 mod executor_group;
 mod fault;
 mod fault_kind;
@@ -23,6 +24,7 @@
 mod worker_fault;
 mod worker_group;
 
+pub use entry_settings::EntrySettings;
 pub use executor_group::ExecutorGroup;
 pub use fault::Fault;
 pub use fault_kind::FaultKind;
--- a/lib/wire/src/peer.rs
+++ b/lib/wire/src/peer.rs
@@ -19,7 +19,7 @@
     #[prost(string, tag = "1")]
     pub from: String,
     /// Contents; absent in a heartbeat of the link.
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7")]
     pub body: Option<PeerBody>,
 }
 
@@ -38,6 +38,23 @@
     /// Slots at the sender.
     #[prost(message, tag = "5")]
     Load(LoadMsg),
+    /// Call to the receiver.
+    #[prost(message, tag = "6")]
+    Call(CallFrame),
+    /// Answer to a call of the receiver.
+    #[prost(message, tag = "7")]
+    Answer(CallFrame),
+}
+
+/// A call between two hosts, or its answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CallFrame {
+    /// Number that the caller chose.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Encoded contents.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
 }
 
 /// Message of the agreement between two members.
@@ -129,6 +146,20 @@
     },
     /// Slots at the sender.
     Load(LoadSummary),
+    /// Call to the receiver.
+    Call {
+        /// Number that the caller chose.
+        id: u64,
+        /// Encoded contents.
+        body: Bytes,
+    },
+    /// Answer to a call of the receiver.
+    Answer {
+        /// Number of the call.
+        id: u64,
+        /// Encoded contents.
+        body: Bytes,
+    },
 }
 
 impl PeerFrame {
@@ -149,6 +180,14 @@
                 order: Some(convert::order_to_msg(order)),
             }),
             PeerEvent::Load(load) => PeerBody::Load(load.into()),
+            PeerEvent::Call { id, body } => PeerBody::Call(CallFrame {
+                id: *id,
+                body: body.clone(),
+            }),
+            PeerEvent::Answer { id, body } => PeerBody::Answer(CallFrame {
+                id: *id,
+                body: body.clone(),
+            }),
         });
         Self {
             from: from.to_string(),
@@ -197,6 +236,8 @@
             sequence: load.sequence,
             pools: load.pools.into_iter().map(PoolLoad::from).collect(),
         }),
+        PeerBody::Call(CallFrame { id, body }) => PeerEvent::Call { id, body },
+        PeerBody::Answer(CallFrame { id, body }) => PeerEvent::Answer { id, body },
     })
 }
 
