dispatch: stop an adopted run before its room is free

Cause: a run that a new leader found on its worker had no start of its own counted, so a stop took it for one that was never sent and gave its room away at once. Ruled out: late orders of the earlier leader, which were refused by their fence.

Answers to an earlier term of the same host are left aside too; that was found by reading, not seen.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -128,21 +128,28 @@
                 self.lanes.seen(&host, self.now);
             }
             _ if self.term.is_none() => {}
+            // What an earlier term of this host began says nothing about the state of this one.
+            Input::Held { fence, .. }
+            | Input::StartEnded { fence, .. }
+            | Input::StopEnded { fence, .. }
+                if self.term != Some(fence) => {}
             Input::Applied(command) => self.applied(&command),
             Input::NotProposed(commands) => self.not_proposed(&commands),
             Input::Heard { life, leaves_in } => self.heard(&life, leaves_in),
-            Input::Held { life, outcome } => self.held(&life, outcome),
+            Input::Held { life, outcome, .. } => self.held(&life, outcome),
             Input::StartEnded {
                 life,
                 task,
                 run,
                 outcome,
+                ..
             } => self.start_ended(&life, task, run, outcome),
             Input::StopEnded {
                 life,
                 task,
                 run,
                 outcome,
+                ..
             } => self.stop_ended(&life, task, run, outcome),
             Input::Advised { ask, answer } => self.advised(ask, answer),
             Input::Tick => self.tick(),
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -228,11 +228,12 @@
             let mut due = Vec::new();
             for (task, view) in seat.runs.iter_mut().filter(|(_, view)| !view.is_ended) {
                 if let StopState::Wanted { at } = view.stop {
-                    let was_sent = view.tries > 0 || view.start == StartState::Inherited;
+                    let is_unsent =
+                        view.tries == 0 && matches!(view.start, StartState::Unanswered { .. });
                     if view.start == StartState::Committing || now < at {
                         continue;
                     }
-                    if was_sent {
+                    if !is_unsent {
                         view.stop = StopState::Sent;
                         stops.push(StopOrder {
                             life: seat.record.life.clone(),
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -38,6 +38,8 @@
     HostSeen(HostName),
     /// A look at a worker ended.
     Held {
+        /// Term in which it was sent.
+        fence: u64,
         /// The worker.
         life: WorkerLife,
         /// What became of the look.
@@ -45,6 +47,8 @@
     },
     /// The order to start a run was answered, or was not.
     StartEnded {
+        /// Term in which it was sent.
+        fence: u64,
         /// The worker.
         life: WorkerLife,
         /// The task.
@@ -56,6 +60,8 @@
     },
     /// The order to stop a run was answered, or was not.
     StopEnded {
+        /// Term in which it was sent.
+        fence: u64,
         /// The worker.
         life: WorkerLife,
         /// The task.
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -117,7 +117,7 @@
 
     fn hold(&self, call: HoldCall) {
         let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
-        let life = call.life.clone();
+        let (life, fence) = (call.life.clone(), call.fence);
         let limit = Duration::from_millis(call.wait.0) + HOLD_SLACK;
         let answer = self.parts.outside.workers.hold(call, limit);
         self.parts.runtime.spawn(async move {
@@ -135,13 +135,18 @@
                 HoldOutcome::Unanswered => "unanswered",
             };
             metrics.outside.with_label_values(&["hold", label]).inc();
-            handle.send(Input::Held { life, outcome });
+            handle.send(Input::Held {
+                fence,
+                life,
+                outcome,
+            });
         });
     }
 
     fn start_run(&self, order: StartOrder) {
         let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         let (life, task, run) = (order.life.clone(), order.task, order.run);
+        let fence = order.fence;
         let answer = self.parts.outside.workers.start(order, ORDER_LIMIT);
         self.parts.runtime.spawn(async move {
             let timer = metrics
@@ -152,6 +157,7 @@
             drop(timer);
             count_order(&metrics, "start", outcome);
             handle.send(Input::StartEnded {
+                fence,
                 life,
                 task,
                 run,
@@ -163,11 +169,13 @@
     fn stop_run(&self, order: StopOrder) {
         let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         let (life, task, run) = (order.life.clone(), order.task, order.run);
+        let fence = order.fence;
         let answer = self.parts.outside.workers.stop(order, ORDER_LIMIT);
         self.parts.runtime.spawn(async move {
             let outcome = answer.await;
             count_order(&metrics, "stop", outcome);
             handle.send(Input::StopEnded {
+                fence,
                 life,
                 task,
                 run,
