--- a/lib/dispatch/src/dispatcher_holds.rs
+++ b/lib/dispatch/src/dispatcher_holds.rs
@@ -2,26 +2,17 @@
 
 use std::collections::BTreeSet;
 
-use tarragon_names::{Millis, WorkerName};
-use tarragon_workflow::{JobKey, OrderRecord, WorkerLife};
+use tarragon_names::Millis;
+use tarragon_workflow::{End, JobKey, OrderRecord, WorkerLife};
 
 use crate::{
     Dispatcher, FinishedRow, HoldAnswer, HoldCall, HoldOutcome, Note, Output, StopOrder,
     run_view::{StartState, StopState},
 };
 
-/// A run that takes longer than this many times its estimate is started elsewhere.
-const OVERDUE_FACTOR: u64 = 3;
-
-/// Time beyond that, so that short estimates leave room for the start.
-const OVERDUE_SLACK: Millis = Millis(2_000);
-
 /// Margin on the time in which a stopped run ends.
 const STOP_MARGIN: Millis = Millis(300);
 
-/// Runs after which a task is not moved any more for taking too long.
-const MOVED_RUNS: u32 = 3;
-
 impl Dispatcher {
     pub(crate) fn heard(&mut self, life: &WorkerLife, leaves_in: Option<Millis>) {
         let now = self.now;
@@ -106,12 +97,17 @@
                 continue;
             }
             seat.proposed_end = row.number;
+            if row.end == End::Done {
+                seat.done_at = self.now;
+            }
             let mut ran = Millis(0);
+            let mut used = None;
             if let Some(view) = seat.runs.get_mut(&row.task)
                 && view.run == row.run
             {
                 view.is_ended = true;
                 ran = self.now.since(view.placed_at);
+                used = view.in_use;
                 self.is_dirty = true;
             }
             self.records.push(OrderRecord::Ended {
@@ -122,7 +118,10 @@
                 end: row.end,
                 saved: row.saved.clone(),
             });
-            let detail = format!("{}, end {} there, after {} ms", row.end, row.number, ran.0);
+            let detail = format!(
+                "{}, end {} there, after {} ms, last use {used:?}",
+                row.end, row.number, ran.0
+            );
             self.note(
                 Note::new("run_ended", detail)
                     .task(row.task, row.run)
@@ -150,6 +149,7 @@
                     if row.saved.is_some() {
                         view.saved.clone_from(&row.saved);
                     }
+                    view.in_use = row.figure;
                 }
                 _ => strangers.push((row.task, row.run)),
             }
@@ -248,50 +248,6 @@
         self.move_overdue();
     }
 
-    /// Stops runs that take far longer than estimated, so that they start elsewhere.
-    fn move_overdue(&mut self) {
-        let now = self.now;
-        let mut overdue = Vec::new();
-        for (worker, seat) in &self.seats {
-            for (task, view) in &seat.runs {
-                let limit = Millis(view.estimate.0 * OVERDUE_FACTOR + OVERDUE_SLACK.0);
-                if view.estimate.0 > 0
-                    && !view.is_ended
-                    && view.run <= MOVED_RUNS
-                    && view.stop == StopState::NotWanted
-                    && matches!(view.start, StartState::Present { .. })
-                    && now.since(view.placed_at) > limit
-                {
-                    overdue.push((*task, worker.clone()));
-                }
-            }
-        }
-        for (task, worker) in overdue {
-            self.move_away(task, &worker, "overdue");
-        }
-    }
-
-    /// Stops a run so that it starts elsewhere.
-    fn move_away(&mut self, task: tarragon_workflow::TaskKey, worker: &WorkerName, cause: &str) {
-        let now = self.now;
-        if let Some(plan) = self.plans.get_mut(&task.step) {
-            plan.failed_on.insert(worker.clone());
-        }
-        let seat = self.seats.get_mut(worker);
-        let Some(view) = seat.and_then(|seat| seat.runs.get_mut(&task)) else {
-            return;
-        };
-        view.want_stop(now);
-        let run = view.run;
-        self.note(
-            Note::new("run_moved", cause.to_owned())
-                .task(task, run)
-                .worker(worker)
-                .warning(),
-        );
-        self.break_gang(task.step, run);
-    }
-
     /// Sends the looks that are due.
     pub(crate) fn drive_holds(&mut self) {
         let Some(term) = self.term else { return };
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -69,15 +69,16 @@
         let step = plan.step();
         let need = step.reserved();
         let count = plan.waiting.len() as u32;
-        let mut candidates = self.candidates(key, among, claims);
-        let is_untried = |c: &Candidate| !plan.failed_on.contains(&c.worker);
-        if candidates.iter().any(is_untried) {
-            candidates.retain(is_untried);
-        }
-        if step.gang {
-            return pack_all(candidates, &need, count, step.same_rack);
-        }
-        Some(pack(candidates, &need, count)).filter(|chosen| !chosen.is_empty())
+        let candidates = self.candidates(key, among, claims);
+        let fit = |candidates: Vec<Candidate>| {
+            if step.gang {
+                return pack_all(candidates, &need, count, step.same_rack);
+            }
+            Some(pack(candidates, &need, count)).filter(|chosen| !chosen.is_empty())
+        };
+        let is_untried = |c: &&Candidate| !plan.failed_on.contains(&c.worker);
+        let untried = candidates.iter().filter(is_untried).cloned().collect();
+        fit(untried).or_else(|| fit(candidates))
     }
 
     pub(crate) fn candidates(
--- a/lib/dispatch/src/hold.rs
+++ b/lib/dispatch/src/hold.rs
@@ -28,6 +28,9 @@
     pub run: u32,
     /// Its last checkpoint.
     pub saved: Option<Name>,
+    /// Thousandths of a core that it used in the last half second; for a task that serves users,
+    /// the tail of its response times in milliseconds.
+    pub figure: Option<u64>,
 }
 
 /// The end of a run that its worker lists until it is acknowledged.
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod dispatcher_holds;
 mod dispatcher_jobs;
 mod dispatcher_orders;
+mod dispatcher_overdue;
 mod dispatcher_place;
 mod hold;
 mod input;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -42,6 +42,8 @@
     pub(crate) ticket: Option<Name>,
     pub(crate) placed_at: Millis,
     pub(crate) saved: Option<Name>,
+    /// Thousandths of a core in use, as the worker last said.
+    pub(crate) in_use: Option<u64>,
     /// The end was listed or is certain, and its record is proposed; the room is free.
     pub(crate) is_ended: bool,
 }
@@ -59,6 +61,7 @@
             ticket: None,
             placed_at: now,
             saved: None,
+            in_use: None,
             is_ended: false,
         }
     }
--- a/lib/dispatch/src/seat.rs
+++ b/lib/dispatch/src/seat.rs
@@ -42,6 +42,8 @@
     pub(crate) reserved: BTreeMap<StepKey, Resources>,
     /// Its lease has ended and everything on it was declared lost.
     pub(crate) is_lapsed: bool,
+    /// When a run was last done there.
+    pub(crate) done_at: Millis,
     /// Tasks fail or stand still there more than elsewhere.
     pub(crate) avoid_until: Millis,
 }
@@ -64,6 +66,7 @@
             runs: BTreeMap::new(),
             reserved: BTreeMap::new(),
             is_lapsed: false,
+            done_at: Millis(0),
             avoid_until: Millis(0),
         }
     }
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -186,6 +186,7 @@
         let end = self.now + millis;
         while self.now < end {
             self.now = end.min(self.now + 20);
+            self.input(Input::HostSeen(HostName::from("10.0.0.1:1")));
             self.input(Input::Tick);
         }
     }
@@ -221,6 +222,7 @@
                     task: *task,
                     run: *run,
                     saved: None,
+                    figure: None,
                 })
                 .collect(),
             finished: ends
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -224,6 +224,9 @@
             let asked = self.outside.advice.ask(call.step, call.workers, limit);
             return Ok(Reply::Advice(asked.await));
         }
+        if let Request::Hello(hello) = &request {
+            self.presence.called_by(&hello.host);
+        }
         match &self.replica {
             Some(seated) => seated.desk.answer(request).await,
             None => Ok(Reply::NotLeader {
@@ -260,10 +263,21 @@
         Hello {
             host: self.cfg.own.clone(),
             domain: self.cfg.domain.clone(),
-            member: self.replica.as_ref().map(|seated| seated.id),
+            member: self.member(),
         }
     }
 
+    /// Identity of the host's replica, if it has one.
+    pub fn member(&self) -> Option<MemberId> {
+        self.replica.as_ref().map(|seated| seated.id)
+    }
+
+    /// Identities of the voters, if this host leads.
+    pub fn voters_if_leading(&self) -> Option<Vec<MemberId>> {
+        let seated = self.replica.as_ref().filter(|_| self.leads())?;
+        Some(seated.desk.voters.present())
+    }
+
     fn leads(&self) -> bool {
         self.replica
             .as_ref()
--- a/lib/entry/src/presence.rs
+++ b/lib/entry/src/presence.rs
@@ -18,11 +18,19 @@
 /// Hosts that are asked at the same time while no leader is known.
 const ASKED_AT_ONCE: usize = 4;
 
+/// Announcements to the leader for each one to the seeds.
+const SEED_ROUNDS: usize = 4;
+
+/// Callers that are remembered; more than any deployment has hosts.
+const MOST_CALLERS: usize = 1_000;
+
 /// What a host knows of the others, and when it last heard from the leader.
 #[derive(Debug, Default)]
 pub(crate) struct Presence {
     /// Hosts that hold a replica.
     members: Mutex<BTreeSet<HostName>>,
+    /// Hosts that announced themselves here.
+    callers: Mutex<BTreeSet<HostName>>,
     heard: Mutex<Option<Instant>>,
 }
 
@@ -38,8 +46,20 @@
         before.is_none()
     }
 
+    /// Takes note of a host that announced itself here.
+    ///
+    /// The seeds may be hosts that know nobody, so that whoever asks them is all they can find.
+    pub(crate) fn called_by(&self, host: &HostName) {
+        let mut callers = self.callers.lock();
+        if callers.len() < MOST_CALLERS {
+            callers.insert(host.clone());
+        }
+    }
+
     fn known(&self) -> BTreeSet<HostName> {
-        self.members.lock().clone()
+        let mut known = self.members.lock().clone();
+        known.extend(self.callers.lock().iter().cloned());
+        known
     }
 }
 
@@ -51,6 +71,11 @@
     while stop.run_until_cancelled(due.tick()).await.is_some() {
         let leader = host.hint.get();
         let asked = match leader {
+            Some(leader) if round % SEED_ROUNDS == 0 => {
+                let seeds = host.seeds().into_iter();
+                let others = seeds.filter(|seed| *seed != leader && *seed != host.cfg.own);
+                others.chain([leader.clone()]).collect()
+            }
             Some(leader) => vec![leader],
             None => candidates(&host, round),
         };
@@ -109,6 +134,9 @@
         }
         Ok(Reply::NotLeader { leader }) => {
             host.hint.forget(to);
+            if host.hint.get().is_some() {
+                return;
+            }
             if let Some((term, leader)) = leader
                 && leader != *to
             {
--- a/lib/entry/src/voters.rs
+++ b/lib/entry/src/voters.rs
@@ -26,6 +26,7 @@
     pub(crate) replace_after: Millis,
     announced: Mutex<BTreeMap<HostName, MemberId>>,
     domains: Mutex<BTreeMap<HostName, DomainName>>,
+    present: Mutex<Vec<MemberId>>,
 }
 
 impl Voters {
@@ -42,6 +43,7 @@
             replace_after,
             announced: Mutex::default(),
             domains: Mutex::default(),
+            present: Mutex::default(),
         }
     }
 
@@ -66,6 +68,11 @@
         Ok(members.by_id.iter().map(view).collect())
     }
 
+    /// Identities of the voters at the last look.
+    pub(crate) fn present(&self) -> Vec<MemberId> {
+        self.present.lock().clone()
+    }
+
     /// Replaces and adds voters until the stop, while `leads` tells that this host leads.
     pub(crate) async fn keep<F>(self: Arc<Self>, leads: F, stop: CancellationToken)
     where
@@ -83,6 +90,7 @@
         let Ok(status) = self.replica.status(LIMIT).await else {
             return;
         };
+        *self.present.lock() = status.members.voters().collect();
         let change = {
             let announced = self.announced.lock();
             let domains = self.domains.lock();
