dispatch: name more workers in a long call; keep fewer workers for gangs; prefer fast workers

Up to a fifth of the room stayed idle, kept for gangs, and short checks ran on slow workers as often as on fast.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     DispatchConfig, Input, Lanes, Note, Output,
+    pace::Pace,
     run_view::{RunView, StartState},
     seat::Seat,
     seats::Seats,
@@ -54,6 +55,8 @@
     pub(crate) approved_permille: BTreeMap<Name, u64>,
     pub(crate) records: Vec<OrderRecord>,
     pub(crate) out: Vec<Output>,
+    /// Pace of the mean worker.
+    pub(crate) mean_pace: Pace,
     pub(crate) is_dirty: bool,
     /// No placement before this time, so that many events share one.
     pub(crate) place_at: Millis,
@@ -98,6 +101,7 @@
             approved_permille: BTreeMap::new(),
             records: Vec::new(),
             out: Vec::new(),
+            mean_pace: Pace::default(),
             is_dirty: false,
             place_at: Millis(0),
             expire_at: Millis(0),
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -19,6 +19,9 @@
 /// Workers named in excess of those that the known share of approvals calls for, in percent.
 const NAMED_EXCESS_PERCENT: u64 = 150;
 
+/// Time for the workers named in a long call, as a share of its base, in percent.
+const LONG_CALL_PERCENT: u64 = 140;
+
 /// Share of approvals that is assumed before the first answer, in thousandths.
 const ASSUMED_PERMILLE: u64 = 500;
 
@@ -120,7 +123,14 @@
             .unwrap_or(ASSUMED_PERMILLE)
             .max(LEAST_PERMILLE);
         let named = needed * 1_000 * NAMED_EXCESS_PERCENT / 100 / share;
-        let named = (named as usize).clamp(LEAST_NAMED, MOST_NAMED);
+        // A second call costs its whole base again, so a long one names as many workers as that is
+        // worth.
+        let worth = if is_early {
+            terms.decide_us * LONG_CALL_PERCENT / 100 / terms.per_worker_us.max(1)
+        } else {
+            0
+        };
+        let named = (named.max(worth) as usize).clamp(LEAST_NAMED, MOST_NAMED);
         unknown
             .into_iter()
             .take(named)
--- a/lib/dispatch/src/dispatcher_holds.rs
+++ b/lib/dispatch/src/dispatcher_holds.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Dispatcher, FinishedRow, HoldAnswer, HoldCall, HoldOutcome, Note, Output, StopOrder,
+    pace::Pace,
     run_view::{StartState, StopState},
 };
 
@@ -99,6 +100,11 @@
             seat.proposed_end = row.number;
             if row.end == End::Done {
                 seat.done_at = self.now;
+                let view = seat.runs.get(&row.task).filter(|view| view.run == row.run);
+                if let Some(view) = view {
+                    let ran = self.now.since(view.placed_at);
+                    seat.pace.learn(ran, view.estimate);
+                }
             }
             let mut ran = Millis(0);
             let mut used = None;
@@ -245,6 +251,8 @@
         self.expire_at = self.now + self.cfg.expire_every;
         self.is_dirty = true;
         self.expire();
+        let paces = self.seats.iter().map(|(_, seat)| seat.pace.0);
+        self.mean_pace = Pace(paces.sum::<u64>() / (self.seats.len() as u64).max(1));
         self.lanes.forget(self.now, self.cfg.host_silent);
         self.give_up_asks();
         let due = self.timed.iter().copied().collect::<Vec<JobKey>>();
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -27,6 +27,10 @@
 /// Workers kept for a gang that could not be placed yet.
 pub(crate) type Claims = BTreeSet<WorkerName>;
 
+/// Most workers that are kept for gangs at the same time, in percent; kept room stays idle until
+/// it is enough.
+const CLAIMED_PERCENT: usize = 12;
+
 impl Dispatcher {
     /// Places what can be placed, in the order of urgency.
     pub(crate) fn place(&mut self) {
@@ -130,6 +134,7 @@
             rack: seat.record.rack.clone(),
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
+            is_slow: seat.pace.is_slow(self.mean_pace),
         })
     }
 
@@ -147,7 +152,8 @@
             return;
         };
         let step = plan.step();
-        if !step.gang {
+        let most = self.seats.len() * CLAIMED_PERCENT / 100;
+        if !step.gang || claims.len() >= most {
             return;
         }
         let mut candidates = self.candidates(key, among, claims);
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod note;
 mod order;
 mod output;
+mod pace;
 mod packing;
 mod run_view;
 mod seat;
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -10,6 +10,8 @@
     pub(crate) rack: Option<RackName>,
     /// Most tasks of the step that it may take.
     pub(crate) limit: u32,
+    /// Tasks take longer there than elsewhere.
+    pub(crate) is_slow: bool,
     /// Preferred to others, for example because it is near the data.
     pub(crate) is_preferred: bool,
 }
@@ -27,14 +29,17 @@
 
 /// Chooses workers for up to `count` tasks; fewer are returned if there is no more room.
 ///
-/// Preferred workers come first, then the fullest: that keeps whole workers free for large tasks.
+/// Preferred workers come first and slow ones last, then the fullest: that keeps whole workers free for large tasks.
 pub(crate) fn pack(
     mut candidates: Vec<Candidate>,
     need: &Resources,
     count: u32,
 ) -> Vec<(WorkerName, u32)> {
     candidates.retain(|candidate| candidate.fits(need) > 0);
-    candidates.sort_by_key(|c| (!c.is_preferred, c.free.cpu_milli, c.free.memory_mb));
+    candidates.sort_by_key(|c| {
+        let room = (c.free.cpu_milli, c.free.memory_mb);
+        (!c.is_preferred, c.is_slow, room)
+    });
     let mut chosen = Vec::new();
     let mut left = count;
     for candidate in candidates {
--- a/lib/dispatch/src/seat.rs
+++ b/lib/dispatch/src/seat.rs
@@ -3,7 +3,7 @@
 use tarragon_names::{Millis, Resources};
 use tarragon_workflow::{StepKey, TaskKey, WorkerLife, WorkerRecord};
 
-use crate::{DispatchConfig, run_view::RunView};
+use crate::{DispatchConfig, pace::Pace, run_view::RunView};
 
 /// Slowest rate of a worker's clock against the own one, in percent.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
@@ -45,6 +45,8 @@
     pub(crate) reserved: BTreeMap<StepKey, Resources>,
     /// Its lease has ended and everything on it was declared lost.
     pub(crate) is_lapsed: bool,
+    /// How long runs take there.
+    pub(crate) pace: Pace,
     /// When a run was last done there.
     pub(crate) done_at: Millis,
     /// Tasks fail or stand still there more than elsewhere.
@@ -70,6 +72,7 @@
             used: Resources::ZERO,
             reserved: BTreeMap::new(),
             is_lapsed: false,
+            pace: Pace::default(),
             done_at: Millis(0),
             avoid_until: Millis(0),
         }
--- a/lib/dispatch/tests/placement.rs
+++ b/lib/dispatch/tests/placement.rs
@@ -57,6 +57,7 @@
         times.push(world.now - began);
         world.answer_stops(OrderOutcome::Accepted);
         world.hold("w1", &[], &[(u64::from(run), a, run, End::Stopped)]);
+        world.pass(20);
     }
     // Three estimates of a second and two seconds more, doubled with each run; looks at time-outs
     // and steps of the test are 100 ms apart each.
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -36,6 +36,7 @@
         "the second step waits for the first"
     );
     world.hold("w1", &[], &[(2, b, 1, End::Done)]);
+    world.pass(20);
     assert_eq!(world.answer_starts(OrderOutcome::Accepted)[0].task, c);
     assert_eq!(world.phase(1), Some(JobPhase::Running));
     world.hold("w1", &[], &[(3, c, 1, End::Done)]);
@@ -78,6 +79,7 @@
     assert_eq!(world.answer_starts(OrderOutcome::Accepted).len(), 2);
     let (a, b) = (task(1, 0, 0), task(1, 0, 1));
     world.hold("w1", &[(b, 1)], &[(1, a, 1, End::Done)]);
+    world.pass(20);
     assert_eq!(world.starts.len(), 1);
 }
 
@@ -128,6 +130,7 @@
     world.hold(&of, &[], &[]);
     world.hold(&of, &[], &[]);
     assert_eq!(world.lost(), 1);
+    world.pass(20);
     assert_eq!(world.starts[0].run, 2);
 }
 
