entry: wait for a full disk; bound the log lines; resend a first start sooner

Not waited for: a write that fails while it runs still ends the process once, since the page cache cannot be trusted then. - log.lines_per_s had no effect; lines of requests beyond it are left out, counted and told of.

--- a/cli/src/entryd/listeners.rs
+++ b/cli/src/entryd/listeners.rs
@@ -7,10 +7,12 @@
     CallerInterface, ControlInterface, MetricsInterface, PlatformSettings, ReadyInterface,
 };
 use tarragon_settings::EntrySettings;
-use tarragon_telemetry::{Events, Metrics};
+use tarragon_telemetry::Metrics;
 use tokio::{net::TcpListener, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 
+use crate::entryd::Logs;
+
 /// Connections of one interface; well below the descriptors of a host.
 const CONNECTIONS: usize = 1_500;
 
@@ -31,7 +33,7 @@
         own: &EntrySettings,
         platform: &PlatformSettings,
         host: &Arc<EntryHost>,
-        events: &Arc<Events>,
+        logs: Logs,
         metrics: EntryMetrics,
         replica_metrics: Arc<Metrics>,
     ) -> Outcome<Self> {
@@ -58,9 +60,8 @@
             let ready = ReadyInterface(Arc::clone(host));
             listeners.add(address, limits, Arc::new(ready)).await?;
         }
-        let events = Arc::clone(events);
         let render = move || {
-            metrics.log_dropped.set(events.dropped() as i64);
+            metrics.log_dropped.set(logs.dropped() as i64);
             metrics.render(&replica_metrics.render())
         };
         let address = SocketAddr::new(platform.entry.peer.ip(), own.metrics_port);
--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -6,14 +6,14 @@
 mod listeners;
 mod reload;
 
-use std::{path::Path, process::ExitCode, sync::Arc};
+use std::{path::Path, process::ExitCode, sync::Arc, time::Instant};
 
 use getopts::Options;
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_entry::{EntryHost, EntryMetrics, EntryParts, Outside};
 use tarragon_platform::{AdviceClient, HttpClient, PlatformSettings, WorkerClient, settings_path};
 use tarragon_settings::EntrySettings;
-use tarragon_telemetry::{Event, EventSink, Events, Metrics};
+use tarragon_telemetry::{Event, EventSink, Events, LineBudget, Metrics};
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
@@ -76,7 +76,13 @@
         Box::new(std::io::stdout()),
         slog_level(own.log_level),
     ));
-    let outcome = runtime.block_on(serve(own, platform, Arc::clone(&events)));
+    let begun = Instant::now();
+    let now = move || begun.elapsed().as_millis() as u64;
+    let lines = own.log_lines_per_s;
+    let budget = Arc::new(LineBudget::new(Arc::clone(&events) as _, lines, now));
+    let logs = Logs { events, budget };
+    let events = Arc::clone(&logs.events);
+    let outcome = runtime.block_on(serve(own, platform, logs));
     if let Err(failure) = &outcome {
         let event = Event::error("failed").code(failure.code.number());
         events.emit(&event.detail(failure.cause.clone()));
@@ -84,12 +90,27 @@
     outcome
 }
 
-async fn serve(own: EntrySettings, platform: PlatformSettings, events: Arc<Events>) -> Outcome<()> {
+/// Where events go, and what counts those that were dropped.
+#[derive(Clone)]
+pub(crate) struct Logs {
+    pub(crate) events: Arc<Events>,
+    pub(crate) budget: Arc<LineBudget>,
+}
+
+impl Logs {
+    /// Events dropped because the writer did not keep up, or beyond the lines of a second.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.events.dropped() + self.budget.left_out()
+    }
+}
+
+async fn serve(own: EntrySettings, platform: PlatformSettings, logs: Logs) -> Outcome<()> {
+    let events = Arc::clone(&logs.budget) as Arc<dyn EventSink>;
     let http = HttpClient::default();
     let metrics = EntryMetrics::new()?;
     let replica_metrics = Arc::new(Metrics::new());
     let parts = EntryParts {
-        events: Arc::clone(&events) as Arc<dyn EventSink>,
+        events: Arc::clone(&events),
         metrics: metrics.clone(),
         replica_metrics: Arc::clone(&replica_metrics),
         outside: Outside {
@@ -99,7 +120,7 @@
     };
     let host = EntryHost::start(platform.entry.clone(), parts).await?;
     let listeners =
-        Listeners::start(&own, &platform, &host, &events, metrics, replica_metrics).await?;
+        Listeners::start(&own, &platform, &host, logs, metrics, replica_metrics).await?;
     let detail = format!(
         "control {}, disk: {}, first start: {}, pid {}",
         platform.control,
--- a/cli/src/entryd/reload.rs
+++ b/cli/src/entryd/reload.rs
@@ -2,7 +2,7 @@
 
 use tarragon_entry::EntryHost;
 use tarragon_platform::{PlatformSettings, settings_path};
-use tarragon_telemetry::{Event, EventSink, Events};
+use tarragon_telemetry::{Event, EventSink};
 use tokio::{
     signal::unix::{SignalKind, signal},
     time::interval,
@@ -14,7 +14,7 @@
 /// Takes in changes of the platform's settings file.
 ///
 /// Only the seeds can change while the process runs; the file is otherwise read at the start.
-pub(crate) async fn reload_settings(host: Arc<EntryHost>, events: Arc<Events>) {
+pub(crate) async fn reload_settings(host: Arc<EntryHost>, events: Arc<dyn EventSink>) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         events.emit(&Event::warning("reload_without_signal"));
         return;
--- a/lib/dispatch/src/config.rs
+++ b/lib/dispatch/src/config.rs
@@ -13,8 +13,13 @@
     pub hold_retry: Millis,
     /// Time in which a stopped run certainly ends.
     pub stop: Millis,
-    /// Time until an unanswered order is sent again.
+    /// Time until a stop that was not accepted is sent again.
     pub order_retry: Millis,
+    /// Time in which the first start of a run is answered; a second one does no harm, so that it is
+    /// short.
+    pub first_limit: Millis,
+    /// Time in which any other order is answered.
+    pub order_limit: Millis,
     /// Starts of one run that may stay unanswered before it is stopped.
     pub start_tries: u32,
     /// Part of a ticket's time that is left for the commit and the way to the worker.
@@ -40,6 +45,8 @@
             hold_retry: Millis(250),
             stop: Millis(900),
             order_retry: Millis(400),
+            first_limit: Millis(200),
+            order_limit: Millis(600),
             start_tries: 2,
             ticket_margin: Millis(250),
             gone_after: Millis(8_000),
--- a/lib/dispatch/src/dispatcher_holds.rs
+++ b/lib/dispatch/src/dispatcher_holds.rs
@@ -194,6 +194,7 @@
                 task,
                 run,
                 fence: term,
+                limit: self.cfg.order_limit,
             }));
         }
         for task in gone {
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -241,6 +241,7 @@
                             task: *task,
                             run: view.run,
                             fence: term,
+                            limit: cfg.order_limit,
                         });
                     }
                 } else if let StartState::Unanswered { again_at } = view.start
@@ -249,12 +250,17 @@
                 {
                     view.start = StartState::Sent;
                     view.tries += 1;
-                    due.push((*task, view.run, view.ticket.clone()));
+                    let limit = if view.tries == 1 {
+                        cfg.first_limit
+                    } else {
+                        cfg.order_limit
+                    };
+                    due.push((*task, view.run, view.ticket.clone(), limit));
                 }
             }
-            for (task, run, ticket) in due {
+            for (task, run, ticket, limit) in due {
                 if let Some(until) = seat.grant(now, cfg.lease) {
-                    starts.push((task, run, ticket, seat.record.clone(), until));
+                    starts.push((task, run, ticket, limit, seat.record.clone(), until));
                 }
             }
         }
@@ -262,7 +268,7 @@
             self.lose_run(task, &worker);
         }
         self.out.extend(stops.into_iter().map(Output::Stop));
-        for (task, run, ticket, record, until) in starts {
+        for (task, run, ticket, limit, record, until) in starts {
             let given = self.flow.with_job(task.step.job, |job| {
                 let is_gang = job.spec.steps.get(task.step.step as usize)?.gang;
                 let occurrence = job.occurrences.get(&task.step.occurrence)?;
@@ -283,6 +289,7 @@
                 fence: term,
                 checkpoint,
                 ticket,
+                limit,
             }));
         }
     }
--- a/lib/dispatch/src/order.rs
+++ b/lib/dispatch/src/order.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use tarragon_names::Name;
+use tarragon_names::{Millis, Name};
 use tarragon_workflow::{TaskKey, WorkerLife};
 
 /// Order to start a run.
@@ -23,6 +23,8 @@
     pub checkpoint: Option<Name>,
     /// Proof that the worker may run the step.
     pub ticket: Option<Name>,
+    /// Time after which the order counts as unanswered.
+    pub limit: Millis,
 }
 
 /// Order to stop a run, or to refuse it if it is still to come.
@@ -38,6 +40,8 @@
     pub run: u32,
     /// Term of the leader.
     pub fence: u64,
+    /// Time after which the order counts as unanswered.
+    pub limit: Millis,
 }
 
 /// Why a worker did nothing.
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -29,9 +29,6 @@
 /// Most events handled in one step.
 const BATCH: usize = 1_024;
 
-/// Time in which an order is answered, or counts as unanswered.
-const ORDER_LIMIT: Duration = Duration::from_millis(450);
-
 /// Time beyond its wait in which a look is answered.
 const HOLD_SLACK: Duration = Duration::from_millis(600);
 
@@ -154,8 +151,8 @@
     fn start_run(&self, order: StartOrder) {
         let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         let (life, task, run) = (order.life.clone(), order.task, order.run);
-        let fence = order.fence;
-        let answer = self.parts.outside.workers.start(order, ORDER_LIMIT);
+        let (fence, limit) = (order.fence, Duration::from_millis(order.limit.0));
+        let answer = self.parts.outside.workers.start(order, limit);
         self.parts.runtime.spawn(async move {
             let timer = metrics
                 .outside_time
@@ -177,8 +174,8 @@
     fn stop_run(&self, order: StopOrder) {
         let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         let (life, task, run) = (order.life.clone(), order.task, order.run);
-        let fence = order.fence;
-        let answer = self.parts.outside.workers.stop(order, ORDER_LIMIT);
+        let (fence, limit) = (order.fence, Duration::from_millis(order.limit.0));
+        let answer = self.parts.outside.workers.stop(order, limit);
         self.parts.runtime.spawn(async move {
             let outcome = answer.await;
             count_order(&metrics, "stop", outcome);
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -1,5 +1,6 @@
 use std::{
     net::SocketAddr,
+    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -14,7 +15,7 @@
     ChaCha12Rng,
     rand_core::{Rng, SeedableRng},
 };
-use tarragon_agreement::Replica;
+use tarragon_agreement::{Recovered, Replica};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_dispatch::Dispatcher;
 use tarragon_names::{HostName, LogIndex, MemberId};
@@ -22,6 +23,7 @@
     Clock, LeaderHint, Links, PeerListener, PeerSink, ReplicaDriver, ReplicaHandle, ReplicaParts,
     StateMachine, SystemClock,
 };
+use tarragon_storage::FileStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
 use tarragon_wire::peer::PeerEvent;
 use tarragon_workflow::Flow;
@@ -48,6 +50,9 @@
 /// Time to come back that a refused caller is told, in milliseconds.
 const RETRY_MS: u64 = 400;
 
+/// Pause between two tries to open a disk that takes no bytes.
+const DISK_PAUSE: Duration = Duration::from_millis(250);
+
 /// What a host is started with besides its settings.
 #[derive(Clone, Debug)]
 pub struct EntryParts {
@@ -107,7 +112,7 @@
             None => None,
             Some(dir) => {
                 let fresh = MemberId(rng.next_u64() | 1);
-                let (store, recovered) = open_store(&cfg, dir, fresh, parts.events.as_ref())?;
+                let (store, recovered) = open_when_writable(&cfg, dir, fresh, &parts).await?;
                 let surroundings = Surroundings {
                     cfg: &cfg,
                     parts: &parts,
@@ -307,6 +312,35 @@
     }
 }
 
+/// Opens the store of the host; while the disk takes no bytes, it waits instead of ending the
+/// process, since a restart finds the same disk.
+async fn open_when_writable(
+    cfg: &EntryConfig,
+    dir: &Path,
+    fresh: MemberId,
+    parts: &EntryParts,
+) -> Outcome<(FileStore, Recovered)> {
+    let mut was_told = false;
+    loop {
+        match open_store(cfg, dir, fresh, parts.events.as_ref()) {
+            Err(failure) if failure.code == Code::DiskFull => {
+                if !was_told {
+                    let event = Event::error("disk_lost").code(failure.code.number());
+                    parts.events.emit(&event.detail(failure.cause));
+                }
+                was_told = true;
+                sleep(DISK_PAUSE).await;
+            }
+            opened => {
+                if was_told {
+                    parts.events.emit(&Event::info("disk_regained"));
+                }
+                return opened;
+            }
+        }
+    }
+}
+
 /// What a replica takes from the rest of its host.
 struct Surroundings<'a> {
     cfg: &'a EntryConfig,
@@ -318,12 +352,7 @@
 }
 
 impl Surroundings<'_> {
-    fn seat(
-        &self,
-        store: tarragon_storage::FileStore,
-        recovered: tarragon_agreement::Recovered,
-        seed: u64,
-    ) -> Outcome<Seated> {
+    fn seat(&self, store: FileStore, recovered: Recovered, seed: u64) -> Outcome<Seated> {
         let timing = &self.cfg.timing;
         let flow = Arc::new(Flow::new(timing.kept_ms()));
         let state = Arc::new(FlowLog(Arc::clone(&flow)));
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -82,7 +82,7 @@
             },
         };
         let parts = EntryParts {
-            events: Arc::new(NullSink::default()),
+            events: Arc::new(NullSink),
             metrics: EntryMetrics::new().expect("metrics"),
             replica_metrics: Arc::new(Metrics::new()),
             outside: Outside {
