dispatch: renew tickets while a step waits; upkeep: carry out waves

- Room was kept idle for the 650 ms and more of a renewed call for advice, 5% of the cores of the grown deployment at four gang steps a second.
- Waves of upkeep were accepted and not carried out. lib/upkeep decides which machine goes down next; the leader lists the machines and orders.

--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -11,7 +11,9 @@
 use getopts::Options;
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_entry::{EntryHost, EntryMetrics, EntryParts, Outside};
-use tarragon_platform::{AdviceClient, HttpClient, PlatformSettings, WorkerClient, settings_path};
+use tarragon_platform::{
+    AdviceClient, HttpClient, MachineClient, PlatformSettings, WorkerClient, settings_path,
+};
 use tarragon_settings::EntrySettings;
 use tarragon_telemetry::{Event, EventSink, Events, LineBudget, Metrics};
 use tokio::{
@@ -115,7 +117,8 @@
         replica_metrics: Arc::clone(&replica_metrics),
         outside: Outside {
             workers: Arc::new(WorkerClient::new(http.clone())),
-            advice: Arc::new(AdviceClient::new(http, platform.advice)),
+            advice: Arc::new(AdviceClient::new(http.clone(), platform.advice)),
+            machines: Arc::new(MachineClient::new(http, platform.machines)),
         },
     };
     let host = EntryHost::start(platform.entry.clone(), parts).await?;
--- a/lib/codes/src/code.rs
+++ b/lib/codes/src/code.rs
@@ -105,7 +105,7 @@
     /// fault in a settings file
     BadSettings = 6101, 500, "Correct each listed place in the settings file.";
     /// corrupt record in the data folder
-    CorruptRecord = 7101, 500, "Replace the host's data: see 'lose a disk' in docs/operations.md.";
+    CorruptRecord = 7101, 500, "Replace the host's data: see 'lose a disk' in docs/OPERATIONS.md.";
     /// disk full or not writable
     DiskFull = 7102, 500, "Free space in the data folder and start the host again.";
     /// sync to disk failed
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -169,6 +169,7 @@
                 ..
             } => self.stop_ended(&life, task, run, outcome),
             Input::Advised { ask, answer } => self.advised(ask, answer),
+            Input::Spare(worker) => self.spare(&worker),
             Input::Tick => self.tick(),
         }
     }
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -8,6 +8,7 @@
     advice::Approval,
     dispatcher::Asking,
     dispatcher_place::{Among, Claims},
+    lanes::HEAVY_CALL,
 };
 
 /// Most workers that one call names.
@@ -20,7 +21,7 @@
 const NAMED_EXCESS_PERCENT: u64 = 150;
 
 /// Time for the workers named in a long call, as a share of its base, in percent.
-const LONG_CALL_PERCENT: u64 = 140;
+const LONG_CALL_PERCENT: u64 = 100;
 
 /// Share of approvals that is assumed before the first answer, in thousandths.
 const ASSUMED_PERMILLE: u64 = 500;
@@ -69,12 +70,34 @@
             return;
         }
         let workers = self.workers_to_ask(&key, claims);
-        if !workers.is_empty() {
+        if workers.is_empty() {
+            self.renew_early(key, length);
+        } else {
             self.ask(key, workers);
         }
         self.claim(&key, Among::Approved, claims);
     }
 
+    /// Renews the tickets of a step that waits for room, if the call is long.
+    ///
+    /// When room appears, the step starts at once; otherwise the room would stay idle for the time
+    /// of the call. Only hosts that nothing else needs are used.
+    fn renew_early(&mut self, key: StepKey, length: Millis) {
+        let Some(plan) = self.plans.get(&key) else {
+            return;
+        };
+        let approved = &plan.advice.approved;
+        let call = length + Millis(approved.len() as u64);
+        let is_fresh = approved
+            .values()
+            .any(|approval| approval.fresh_until > self.now + call);
+        if length < HEAVY_CALL || is_fresh || approved.is_empty() || !self.lanes.has_spare(length) {
+            return;
+        }
+        let workers = approved.keys().cloned().collect();
+        self.ask(key, workers);
+    }
+
     fn reserve(&mut self, key: &StepKey, chosen: &[(WorkerName, u32)]) {
         self.release(key);
         let Some(plan) = self.plans.get_mut(key) else {
@@ -203,6 +226,10 @@
         let fresh_until = (self.now + valid)
             .0
             .saturating_sub(self.cfg.ticket_margin.0);
+        let is_renewal = asking
+            .workers
+            .iter()
+            .all(|worker| plan.advice.approved.contains_key(worker));
         let mut approved = 0;
         for worker in &asking.workers {
             let ticket = answer.approved.iter().find(|(name, _)| name == worker);
@@ -221,7 +248,7 @@
                 plan.advice.refused.insert(worker.clone());
             }
         }
-        let (queue, is_renewal) = (plan.queue.name.clone(), !plan.reserved.is_empty());
+        let queue = plan.queue.name.clone();
         if !is_renewal {
             self.learn_share(queue, approved, asking.workers.len() as u64);
         }
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Places nothing on a worker for a while, because its machine goes down soon.
+    pub(crate) fn spare(&mut self, worker: &WorkerName) {
+        let until = self.now + SUSPECT_PAUSE;
+        if let Some(seat) = self.seats.get_mut(worker) {
+            seat.avoid_until = seat.avoid_until.max(until);
+        }
+    }
+
     /// Stops a run so that it starts elsewhere.
     fn move_away(&mut self, task: TaskKey, worker: &WorkerName, cause: &str) {
         let now = self.now;
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -78,6 +78,8 @@
         /// The answer; absent if none came.
         answer: Option<AdviceAnswer>,
     },
+    /// A worker goes down soon; nothing more is to be placed there for a while.
+    Spare(WorkerName),
     /// Time has passed.
     Tick,
 }
--- a/lib/dispatch/src/lanes.rs
+++ b/lib/dispatch/src/lanes.rs
@@ -2,12 +2,15 @@
 
 use tarragon_names::{HostName, Millis};
 
-/// Length of a call above which it may use half of the hosts only.
-const HEAVY_CALL: Millis = Millis(300);
+/// Length of a call above which it may not use the first third of the hosts.
+pub(crate) const HEAVY_CALL: Millis = Millis(300);
 
 /// Length of a call above which it may not use the hosts kept for short calls.
 const MEDIUM_CALL: Millis = Millis(60);
 
+/// One in so many hosts is kept for steps that were not asked about yet.
+const SPARE_DIVISOR: usize = 4;
+
 #[derive(Clone, Copy, Debug)]
 struct Lane {
     seen: Millis,
@@ -17,7 +20,7 @@
 /// Hosts through which advice is asked, one call at a time each.
 ///
 /// The service serves the calls of one host in turn, so a long call holds up the short ones behind
-/// it. Long calls use the last half of the hosts, and a quarter is kept for short calls.
+/// it. Long calls use the last two thirds of the hosts, and a quarter is kept for short calls.
 #[derive(Clone, Debug, Default)]
 pub struct Lanes {
     lanes: BTreeMap<HostName, Lane>,
@@ -56,11 +59,24 @@
         lanes.any(|lane| lane.busy.is_none())
     }
 
+    /// Tells whether so many hosts are idle for a call of the expected length that one may be used
+    /// for a call that can wait.
+    pub fn has_spare(&self, length: Millis) -> bool {
+        let lanes = self.lanes.values().skip(self.first_for(length));
+        let (mut all, mut idle) = (0, 0);
+        for lane in lanes {
+            all += 1;
+            idle += usize::from(lane.busy.is_none());
+        }
+        idle * SPARE_DIVISOR > all
+    }
+
     /// Number of hosts that are kept for shorter calls.
     fn first_for(&self, length: Millis) -> usize {
         let count = self.lanes.len();
         if length >= HEAVY_CALL {
-            count / 2
+            // Of nine hosts, four are kept for shorter calls.
+            (count / 3).max((count / 2).min(4))
         } else if length >= MEDIUM_CALL {
             count / 4
         } else {
--- a/lib/dispatch/tests/placement.rs
+++ b/lib/dispatch/tests/placement.rs
@@ -108,3 +108,33 @@
     assert_eq!(world.starts[0].task, task(2, 0, 0));
     assert!(world.starts[0].ticket.is_some());
 }
+
+/// Guards against room that stays idle for the time of a long call once it is there.
+#[test]
+fn long_call_is_renewed_while_the_step_waits() {
+    let long = AdviceTerms {
+        decide_us: 650_000,
+        per_worker_us: 9_200,
+        valid: Millis(1_500),
+    };
+    let mut world = World::with_advice(&[worker("w1", 8)], Some(long));
+    world.submit(1, vec![step(1, 8)]);
+    world.pass(40);
+    world.answer_asks(&["w1"]);
+    world.pass(40);
+    assert_eq!(world.answer_starts(OrderOutcome::Accepted).len(), 1);
+    let first = task(1, 0, 0);
+    world.hold("w1", &[(first, 1)], &[]);
+    world.submit(2, vec![step(1, 8)]);
+    for _ in 0..4 {
+        world.pass(700);
+        assert_eq!(world.answer_asks(&["w1"]).len(), 1, "the call is repeated");
+    }
+    world.hold("w1", &[], &[(1, first, 1, End::Done)]);
+    world.pass(20);
+    assert_eq!(
+        world.starts.len(),
+        1,
+        "the ticket is fresh when the room is there"
+    );
+}
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     path::Path,
     sync::{
@@ -18,7 +19,7 @@
 use tarragon_agreement::{Recovered, Replica};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_dispatch::Dispatcher;
-use tarragon_names::{HostName, LogIndex, MemberId};
+use tarragon_names::{HostName, LogIndex, MemberId, Name};
 use tarragon_replica::{
     Clock, LeaderHint, Links, PeerListener, PeerSink, ReplicaDriver, ReplicaHandle, ReplicaParts,
     StateMachine, SystemClock,
@@ -26,7 +27,7 @@
 use tarragon_storage::FileStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
 use tarragon_wire::peer::PeerEvent;
-use tarragon_workflow::Flow;
+use tarragon_workflow::{Command, Flow, WaveKey};
 use tokio::{net::TcpListener, runtime::Handle, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -41,6 +42,7 @@
     mesh::{self, Mesh},
     mesh_meter::MeshMeter,
     presence::{self, Presence},
+    upkeep_loop::UpkeepLoop,
     voters::Voters,
 };
 
@@ -148,7 +150,18 @@
         if let Some(seated) = &host.replica {
             let voters = Arc::clone(&seated.desk.voters);
             let leads = Arc::clone(&host);
-            tokio::spawn(voters.keep(move || leads.leads(), stop));
+            tokio::spawn(voters.keep(move || leads.leads(), stop.clone()));
+            let upkeep = UpkeepLoop {
+                flow: Arc::clone(&seated.desk.flow),
+                dispatch: seated.desk.dispatch.clone(),
+                clock: Arc::clone(&seated.desk.clock),
+                events: Arc::clone(&host.events),
+                machines: Arc::clone(&host.outside.machines),
+                down_time: host.cfg.timing.bounds.upkeep,
+                ordered: BTreeMap::new(),
+                led_since: None,
+            };
+            tokio::spawn(upkeep.run(Arc::clone(&host), stop));
         }
         Ok(host)
     }
@@ -283,6 +296,30 @@
         Some(seated.desk.voters.present())
     }
 
+    pub(crate) fn own(&self) -> &HostName {
+        &self.cfg.own
+    }
+
+    /// Term of this host, if it leads.
+    pub(crate) fn leading_term(&self) -> Option<u64> {
+        let (term, leader) = self.hint.with_term()?;
+        (self.leads() && leader == self.cfg.own).then_some(term.0)
+    }
+
+    /// Records a change of the state, if this host leads.
+    pub(crate) async fn record(&self, command: Command) {
+        let Some(seated) = &self.replica else { return };
+        if let Err(failure) = seated.desk.propose(command).await {
+            let event = Event::warning("not_recorded").code(failure.code.number());
+            self.events.emit(&event.detail(failure.cause));
+        }
+    }
+
+    /// Records that the upkeep of a machine has begun or is not needed.
+    pub(crate) async fn record_upkeep(&self, key: WaveKey, machine: Name) {
+        self.record(Command::MachineDone { key, machine }).await;
+    }
+
     fn leads(&self) -> bool {
         self.replica
             .as_ref()
--- a/lib/entry/src/entry_timing.rs
+++ b/lib/entry/src/entry_timing.rs
@@ -20,6 +20,8 @@
     pub grace: Millis,
     /// Time between two heartbeats of a worker.
     pub heartbeat: Millis,
+    /// Time for which a machine is down for its upkeep.
+    pub upkeep: Millis,
 }
 
 impl Default for Bounds {
@@ -31,6 +33,7 @@
             status: Millis(120_000),
             grace: Millis(6_000),
             heartbeat: Millis(1_500),
+            upkeep: Millis(2_000),
         }
     }
 }
--- a/lib/entry/src/leader_desk.rs
+++ b/lib/entry/src/leader_desk.rs
@@ -245,7 +245,7 @@
         Ok(Reply::Welcome { term, members })
     }
 
-    async fn propose(&self, command: Command) -> Outcome<Answer> {
+    pub(crate) async fn propose(&self, command: Command) -> Outcome<Answer> {
         let at_ms = self.clock.wall_ms();
         self.replica
             .propose(at_ms, command, self.commit_limit)
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Every host answers callers and operators through [`EntryHost`]; the leading one decides. Hosts
 //! with a data folder hold the replicated state. What the platform's interfaces look like is
-//! hidden behind the traits [`WorkerCalls`] and [`AdviceCalls`].
+//! hidden behind the traits [`WorkerCalls`], [`AdviceCalls`] and [`MachineCalls`].
 
 mod dispatch_handle;
 mod dispatch_loop;
@@ -22,6 +22,7 @@
 mod presence;
 mod reply;
 mod request;
+mod upkeep_loop;
 mod voters;
 
 pub use entry_config::EntryConfig;
@@ -30,6 +31,6 @@
 pub use entry_timing::{Bounds, EntryTiming};
 pub use flow_log::FlowLog;
 pub use formation::{founding_members, member_id_of, open_store};
-pub use outside::{AdviceCalls, Outside, WorkerCalls};
+pub use outside::{AdviceCalls, MachineCalls, MachineOutcome, Outside, WorkerCalls};
 pub use reply::{MemberView, Reply};
 pub use request::{Hello, Request, WorkerReport};
--- a/lib/entry/src/outside.rs
+++ b/lib/entry/src/outside.rs
@@ -2,8 +2,9 @@
 
 use futures::future::BoxFuture;
 use tarragon_dispatch::{AdviceAnswer, HoldCall, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
-use tarragon_names::WorkerName;
-use tarragon_workflow::StepKey;
+use tarragon_names::{Name, WorkerName};
+use tarragon_upkeep::Machine;
+use tarragon_workflow::{StepKey, WaveKey};
 
 /// Calls to workers.
 pub trait WorkerCalls: Debug + Send + Sync {
@@ -28,6 +29,33 @@
     ) -> BoxFuture<'static, Option<AdviceAnswer>>;
 }
 
+/// What became of an order for a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineOutcome {
+    /// It is carried out, now or before.
+    Done,
+    /// Nothing was done.
+    Refused,
+    /// No answer came; it may have been carried out.
+    Unanswered,
+}
+
+/// Calls to the platform about machines.
+pub trait MachineCalls: Debug + Send + Sync {
+    /// Lists all machines; nothing if a part of the list is missing.
+    fn list(&self, limit: Duration) -> BoxFuture<'static, Option<Vec<Machine>>>;
+
+    /// Orders the upkeep of a machine for a wave, as `holder` with the fencing token `fence`.
+    fn begin_upkeep(
+        &self,
+        machine: Name,
+        wave: WaveKey,
+        holder: Name,
+        fence: u64,
+        limit: Duration,
+    ) -> BoxFuture<'static, MachineOutcome>;
+}
+
 /// What the host calls outside of the system.
 #[derive(Clone, Debug)]
 pub struct Outside {
@@ -35,4 +63,6 @@
     pub workers: Arc<dyn WorkerCalls>,
     /// The advice service.
     pub advice: Arc<dyn AdviceCalls>,
+    /// The platform, about machines.
+    pub machines: Arc<dyn MachineCalls>,
 }
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -12,12 +12,13 @@
 use futures::{FutureExt, future::BoxFuture, future::ready};
 use tarragon_dispatch::{AdviceAnswer, HoldCall, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
 use tarragon_entry::{
-    AdviceCalls, Bounds, EntryConfig, EntryHost, EntryMetrics, EntryParts, EntryTiming, Outside,
-    WorkerCalls,
+    AdviceCalls, Bounds, EntryConfig, EntryHost, EntryMetrics, EntryParts, EntryTiming,
+    MachineCalls, MachineOutcome, Outside, WorkerCalls,
 };
 use tarragon_names::{DomainName, HostName, Name, WorkerName};
 use tarragon_telemetry::{Metrics, NullSink};
-use tarragon_workflow::StepKey;
+use tarragon_upkeep::Machine;
+use tarragon_workflow::{StepKey, WaveKey};
 use tokio::time::{Instant, sleep};
 
 /// Port of all hosts; each has an address of its own.
@@ -88,6 +89,7 @@
             outside: Outside {
                 workers: Arc::new(Nobody),
                 advice: Arc::new(Nobody),
+                machines: Arc::new(Nobody),
             },
         };
         let started = EntryHost::start(cfg, parts).await;
@@ -168,3 +170,20 @@
         ready(None).boxed()
     }
 }
+
+impl MachineCalls for Nobody {
+    fn list(&self, _: Duration) -> BoxFuture<'static, Option<Vec<Machine>>> {
+        ready(None).boxed()
+    }
+
+    fn begin_upkeep(
+        &self,
+        _: Name,
+        _: WaveKey,
+        _: Name,
+        _: u64,
+        _: Duration,
+    ) -> BoxFuture<'static, MachineOutcome> {
+        ready(MachineOutcome::Unanswered).boxed()
+    }
+}
--- a/lib/settings/tests/reference.rs
+++ b/lib/settings/tests/reference.rs
@@ -2,11 +2,12 @@
 
 use std::{fs, path::Path};
 
-use tarragon_settings::{HostSettings, Key, StandinSettings};
+use tarragon_settings::{EntrySettings, HostSettings, Key, StandinSettings};
 use yare::parameterized;
 
 #[parameterized(
     host = { "## Host", HostSettings::keys() },
+    entry = { "## Entry daemon", EntrySettings::keys() },
     standins = { "## Stand-ins", StandinSettings::keys() },
 )]
 fn page_lists_each_key_with_its_default(heading: &str, keys: Vec<Key>) {
--- /dev/null
+++ b/lib/upkeep/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions about waves of upkeep: which machine goes down next, and when.
+//!
+//! The caller lists the machines, carries out the [`UpkeepStep`]s, and records what came of them.
+
+mod machine;
+mod next_steps;
+mod upkeep_step;
+
+pub use machine::{Machine, MachineState};
+pub use next_steps::{Upkeep, next_steps};
+pub use upkeep_step::UpkeepStep;
--- /dev/null
+++ b/lib/upkeep/src/next_steps.rs
@@ -0,0 +1,85 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use tarragon_names::{Millis, Name, WorkerName};
+use tarragon_workflow::{MachinePhase, Wave, WaveKey};
+
+use crate::{Machine, MachineState, UpkeepStep};
+
+/// What is known of the machines and of the work on them.
+#[derive(Clone, Debug)]
+pub struct Upkeep<'a> {
+    /// Every machine; one that is missing is gone for good.
+    pub machines: &'a BTreeMap<Name, Machine>,
+    /// Machines whose upkeep was ordered so lately that the list may not show it.
+    pub ordered: &'a BTreeSet<Name>,
+    /// Runs by worker; none for a worker that is not listed.
+    pub runs: &'a BTreeMap<WorkerName, usize>,
+    /// Unix time in milliseconds.
+    pub now_ms: u64,
+    /// Time for which a machine is down.
+    pub down_time: Millis,
+}
+
+/// What the waves need next.
+///
+/// Machines with little work go first, and nothing more is placed on those that are next. A machine
+/// goes down when nothing runs there, or when the wave would be late otherwise; never more than the
+/// cap of its wave are down at once.
+pub fn next_steps(waves: &BTreeMap<WaveKey, Wave>, known: &Upkeep<'_>) -> Vec<UpkeepStep> {
+    let mut steps = Vec::new();
+    for (key, wave) in waves.iter().filter(|(_, wave)| !wave.is_completed()) {
+        wave_steps(*key, wave, known, &mut steps);
+    }
+    steps
+}
+
+fn wave_steps(key: WaveKey, wave: &Wave, known: &Upkeep<'_>, steps: &mut Vec<UpkeepStep>) {
+    let is_down = |name: &Name| {
+        let state = known.machines.get(name).map(|machine| machine.state);
+        known.ordered.contains(name) || state == Some(MachineState::Upkeep)
+    };
+    let down = wave.machines.keys().filter(|name| is_down(name)).count();
+    let mut waiting = Vec::new();
+    for (name, phase) in &wave.machines {
+        if *phase == MachinePhase::Done {
+            continue;
+        }
+        match known.machines.get(name) {
+            None => steps.push(UpkeepStep::Skip {
+                wave: key,
+                machine: name.clone(),
+            }),
+            Some(machine) if machine.state == MachineState::Up && !is_down(name) => {
+                waiting.push(machine);
+            }
+            Some(_) => {}
+        }
+    }
+    let runs_on = |machine: &Machine| {
+        let worker = machine.worker.as_ref();
+        worker
+            .and_then(|worker| known.runs.get(worker))
+            .copied()
+            .unwrap_or(0)
+    };
+    waiting.sort_by_key(|machine| (runs_on(machine), machine.name.clone()));
+    let cap = (wave.cap as usize).max(1);
+    let rounds = waiting.len().div_ceil(cap) as u64;
+    // One round more than is needed, so that a lost answer does not make the wave late.
+    let needed = (rounds + 1) * known.down_time.0;
+    let is_late = known.now_ms + needed >= wave.due_ms;
+    let free = cap.saturating_sub(down);
+    for machine in waiting.into_iter().take(free) {
+        if runs_on(machine) == 0 || is_late {
+            steps.push(UpkeepStep::Begin {
+                wave: key,
+                machine: machine.name.clone(),
+                worker: machine.worker.clone(),
+            });
+        } else if let Some(worker) = &machine.worker {
+            steps.push(UpkeepStep::Drain {
+                worker: worker.clone(),
+            });
+        }
+    }
+}
