--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -141,8 +141,8 @@
         match input {
             Input::BecameLeader { term } => self.lead(term),
             Input::LostLeadership => self.stop_leading(),
-            Input::HostSeen(host) => {
-                self.lanes.seen(&host, self.now);
+            Input::HostSeen { host, is_large } => {
+                self.lanes.seen(&host, is_large, self.now);
             }
             _ if self.term.is_none() => {}
             // What an earlier term of this host began says nothing about the state of this one.
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -35,7 +35,12 @@
         leaves_in: Option<Millis>,
     },
     /// A host can ask for advice.
-    HostSeen(HostName),
+    HostSeen {
+        /// The host.
+        host: HostName,
+        /// Whether it is one of the larger hosts, which hold a replica.
+        is_large: bool,
+    },
     /// A look at a worker ended.
     Held {
         /// Term in which it was sent.
--- a/lib/dispatch/src/lanes.rs
+++ b/lib/dispatch/src/lanes.rs
@@ -23,17 +23,20 @@
 /// it. Long calls use the last two thirds of the hosts, and a quarter is kept for short calls.
 #[derive(Clone, Debug, Default)]
 pub struct Lanes {
-    lanes: BTreeMap<HostName, Lane>,
+    /// The larger hosts come first: short calls use them, and a small host takes longer to pass a
+    /// call on than the call itself takes.
+    lanes: BTreeMap<(bool, HostName), Lane>,
 }
 
 impl Lanes {
     /// Notes that a host can make calls.
-    pub fn seen(&mut self, host: &HostName, now: Millis) {
+    pub fn seen(&mut self, host: &HostName, is_large: bool, now: Millis) {
         let lane = Lane {
             seen: now,
             busy: None,
         };
-        self.lanes.entry(host.clone()).or_insert(lane).seen = now;
+        let key = (!is_large, host.clone());
+        self.lanes.entry(key).or_insert(lane).seen = now;
     }
 
     /// Forgets hosts that were not seen for `silent`.
@@ -44,7 +47,7 @@
     /// Takes an idle host for a call of the expected length.
     pub fn take(&mut self, length: Millis, ask: u64) -> Option<HostName> {
         let first = self.first_for(length);
-        let (host, lane) = self
+        let ((_, host), lane) = self
             .lanes
             .iter_mut()
             .skip(first)
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -143,7 +143,10 @@
         self.asks.clear();
         let term = self.term;
         self.input(Input::BecameLeader { term });
-        self.input(Input::HostSeen(HostName::from("10.0.0.1:1")));
+        self.input(Input::HostSeen {
+            host: HostName::from("10.0.0.1:1"),
+            is_large: true,
+        });
     }
 
     pub fn input(&mut self, input: Input) {
@@ -186,7 +189,10 @@
         let end = self.now + millis;
         while self.now < end {
             self.now = end.min(self.now + 20);
-            self.input(Input::HostSeen(HostName::from("10.0.0.1:1")));
+            self.input(Input::HostSeen {
+                host: HostName::from("10.0.0.1:1"),
+                is_large: true,
+            });
             self.input(Input::Tick);
         }
     }
--- a/lib/entry/src/leader_desk.rs
+++ b/lib/entry/src/leader_desk.rs
@@ -239,7 +239,10 @@
     }
 
     async fn hello(&self, hello: Hello) -> Outcome<Reply> {
-        self.dispatch.send(Input::HostSeen(hello.host.clone()));
+        self.dispatch.send(Input::HostSeen {
+            host: hello.host.clone(),
+            is_large: hello.member.is_some(),
+        });
         let members = self.voters.seen(hello).await?;
         let term = self.hint.with_term().map_or(Term(0), |(term, _)| term);
         Ok(Reply::Welcome { term, members })
