trial: give each deployment loopback addresses of its own

The trial found free ports on 127.0.0.1, let them go, and gave them to processes started later; an outgoing connection or another run may hold such a port by then.

A deployment claims a network 127.x.y.0 for its life and uses fixed ports there; connections go out from 127.0.0.1, so none can hold such a port.

--- a/cli/src/trial/deployment.rs
+++ b/cli/src/trial/deployment.rs
@@ -1,23 +1,33 @@
 use std::{
     fs, io,
-    net::TcpListener,
+    net::SocketAddr,
     os::unix::fs::PermissionsExt,
     path::{Path, PathBuf},
 };
 
 use toml::{Table, Value};
 
-use super::{example::Example, trial_host::TrialHost};
+use super::{example::Example, loopback_net::LoopbackNet, trial_host::TrialHost};
 
 /// Time after which stand-ins end by themselves, should the trial be killed.
 const STANDIN_LIMIT_MS: i64 = 120_000;
 
+/// Ports of a host, the same on all hosts.
+const PORTS: [(&str, u16); 4] = [
+    ("http", 7_101),
+    ("peer", 7_201),
+    ("control", 7_301),
+    ("worker", 7_401),
+];
+
 const TOKEN: &str = "token-of-the-trial";
 
-/// Settings of a deployment on free ports, written into a folder.
+/// Settings of a deployment on loopback addresses of its own, written into a folder.
 #[derive(Debug)]
 pub struct Deployment {
     folder: PathBuf,
+    /// Keeps the addresses from other deployments while this one lives.
+    net: LoopbackNet,
     /// Entry hosts.
     pub hosts: Vec<TrialHost>,
     /// Workers that the stand-ins pretend to be.
@@ -36,20 +46,20 @@
         fs::write(&token, TOKEN)?;
         fs::set_permissions(&token, fs::Permissions::from_mode(0o600))?;
 
-        let mut ports = free_ports(example.hosts.len())?;
         let mut deployment = Self {
             folder: folder.to_owned(),
+            net: LoopbackNet::claim()?,
             hosts: Vec::new(),
             workers: 0,
             executors: 0,
         };
         // Addresses of a host in the order of its keys.
         let mut addresses = Table::new();
-        for host in &example.hosts {
+        for (number, host) in (1..).zip(&example.hosts) {
             let mut own = Table::new();
-            for key in ["http", "peer", "control", "worker"] {
-                let port = ports.pop().ok_or(io::ErrorKind::AddrNotAvailable)?;
-                own.insert(key.to_owned(), format!("127.0.0.1:{port}").into());
+            for (key, port) in PORTS {
+                let address = SocketAddr::from((deployment.net.host(number), port));
+                own.insert(key.to_owned(), address.to_string().into());
             }
             addresses.insert(text(host, "name"), own.into());
         }
@@ -183,17 +193,6 @@
     }
 }
 
-/// Ports that nothing listens on: four for each host.
-fn free_ports(hosts: usize) -> io::Result<Vec<u16>> {
-    let listeners: Vec<_> = (0..4 * hosts)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<Result<_, _>>()?;
-    let ports = listeners
-        .iter()
-        .map(|listener| Ok(listener.local_addr()?.port()));
-    ports.collect()
-}
-
 fn readdress(table: &mut Table, addresses: &Table, keys: &[&str]) {
     let Some(Value::Table(own)) = addresses.get(&text(table, "name")) else {
         return;
--- a/cli/src/trial/mod.rs
+++ b/cli/src/trial/mod.rs
@@ -8,6 +8,7 @@
 mod job_template;
 mod job_told;
 mod load;
+mod loopback_net;
 mod metrics_sample;
 mod mix;
 mod process;
@@ -43,6 +44,7 @@
     example::Example,
     job_told::JobTold,
     load::{Load, settle},
+    loopback_net::LoopbackNet,
     metrics_sample::MetricsSample,
     process::Process,
     request_history::RequestHistory,
