dispatch: no calls for advice through hosts that stop or do not answer

A host that stops says so in its announcements; one whose call got no answer is left alone for a second.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -144,6 +144,7 @@
             Input::HostSeen { host, is_large } => {
                 self.lanes.seen(&host, is_large, self.now);
             }
+            Input::HostStops(host) => self.lanes.stopped(&host),
             _ if self.term.is_none() => {}
             // What an earlier term of this host began says nothing about the state of this one.
             Input::Held { fence, .. }
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -57,7 +57,7 @@
             .queue
             .advice
             .map_or(Millis(0), |terms| call_length(&terms, 0));
-        if self.now < plan.advice.ask_at || !self.lanes.has_idle(length) {
+        if self.now < plan.advice.ask_at || !self.lanes.has_idle(length, self.now) {
             self.claim(&key, Among::Approved, claims);
             return;
         }
@@ -91,7 +91,11 @@
         let is_fresh = approved
             .values()
             .any(|approval| approval.fresh_until > self.now + call);
-        if length < HEAVY_CALL || is_fresh || approved.is_empty() || !self.lanes.has_spare(length) {
+        if length < HEAVY_CALL
+            || is_fresh
+            || approved.is_empty()
+            || !self.lanes.has_spare(length, self.now)
+        {
             return;
         }
         let workers = approved.keys().cloned().collect();
@@ -172,7 +176,7 @@
             return false;
         };
         let length = call_length(&terms, workers.len() as u64);
-        let Some(host) = self.lanes.take(length, ask) else {
+        let Some(host) = self.lanes.take(length, ask, self.now) else {
             return false;
         };
         self.next_ask = ask;
@@ -199,7 +203,7 @@
     }
 
     pub(crate) fn advised(&mut self, ask: u64, answer: Option<AdviceAnswer>) {
-        self.lanes.release(ask);
+        self.lanes.release(ask, answer.is_some(), self.now);
         let Some(asking) = self.asks.remove(&ask) else {
             return;
         };
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -41,6 +41,8 @@
         /// Whether it is one of the larger hosts, which hold a replica.
         is_large: bool,
     },
+    /// A host stops.
+    HostStops(HostName),
     /// A look at a worker ended.
     Held {
         /// Term in which it was sent.
--- a/lib/dispatch/src/lanes.rs
+++ b/lib/dispatch/src/lanes.rs
@@ -8,6 +8,9 @@
 /// Length of a call above which it may not use the hosts kept for short calls.
 const MEDIUM_CALL: Millis = Millis(60);
 
+/// Time for which a host is left alone whose call got no answer.
+const FAILED_PAUSE: Millis = Millis(1_000);
+
 /// One in so many hosts is kept for steps that were not asked about yet.
 const SPARE_DIVISOR: usize = 4;
 
@@ -15,6 +18,14 @@
 struct Lane {
     seen: Millis,
     busy: Option<u64>,
+    /// No call before this time.
+    not_before: Millis,
+}
+
+impl Lane {
+    fn is_idle(&self, now: Millis) -> bool {
+        self.busy.is_none() && self.not_before <= now
+    }
 }
 
 /// Hosts through which advice is asked, one call at a time each.
@@ -34,42 +45,48 @@
         let lane = Lane {
             seen: now,
             busy: None,
+            not_before: now,
         };
         let key = (!is_large, host.clone());
         self.lanes.entry(key).or_insert(lane).seen = now;
     }
 
+    /// Forgets a host that stops.
+    pub fn stopped(&mut self, host: &HostName) {
+        self.lanes.retain(|(_, known), _| known != host);
+    }
+
     /// Forgets hosts that were not seen for `silent`.
     pub fn forget(&mut self, now: Millis, silent: Millis) {
         self.lanes.retain(|_, lane| now.since(lane.seen) < silent);
     }
 
     /// Takes an idle host for a call of the expected length.
-    pub fn take(&mut self, length: Millis, ask: u64) -> Option<HostName> {
+    pub fn take(&mut self, length: Millis, ask: u64, now: Millis) -> Option<HostName> {
         let first = self.first_for(length);
         let ((_, host), lane) = self
             .lanes
             .iter_mut()
             .skip(first)
-            .find(|(_, lane)| lane.busy.is_none())?;
+            .find(|(_, lane)| lane.is_idle(now))?;
         lane.busy = Some(ask);
         Some(host.clone())
     }
 
     /// Tells whether a call of the expected length would find an idle host.
-    pub fn has_idle(&self, length: Millis) -> bool {
+    pub fn has_idle(&self, length: Millis, now: Millis) -> bool {
         let mut lanes = self.lanes.values().skip(self.first_for(length));
-        lanes.any(|lane| lane.busy.is_none())
+        lanes.any(|lane| lane.is_idle(now))
     }
 
     /// Tells whether so many hosts are idle for a call of the expected length that one may be used
     /// for a call that can wait.
-    pub fn has_spare(&self, length: Millis) -> bool {
+    pub fn has_spare(&self, length: Millis, now: Millis) -> bool {
         let lanes = self.lanes.values().skip(self.first_for(length));
         let (mut all, mut idle) = (0, 0);
         for lane in lanes {
             all += 1;
-            idle += usize::from(lane.busy.is_none());
+            idle += usize::from(lane.is_idle(now));
         }
         idle * SPARE_DIVISOR > all
     }
@@ -87,11 +104,15 @@
         }
     }
 
-    /// Gives back the host of a call that has ended.
-    pub fn release(&mut self, ask: u64) {
+    /// Gives back the host of a call that has ended; one that got no answer is left alone for a
+    /// while, since its host may be gone.
+    pub fn release(&mut self, ask: u64, was_answered: bool, now: Millis) {
         for lane in self.lanes.values_mut() {
             if lane.busy == Some(ask) {
                 lane.busy = None;
+                if !was_answered {
+                    lane.not_before = now + FAILED_PAUSE;
+                }
             }
         }
     }
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -282,6 +282,7 @@
             host: self.cfg.own.clone(),
             domain: self.cfg.domain.clone(),
             member: self.member(),
+            is_stopping: self.stopping.load(Ordering::Acquire),
         }
     }
 
--- a/lib/entry/src/leader_desk.rs
+++ b/lib/entry/src/leader_desk.rs
@@ -239,9 +239,14 @@
     }
 
     async fn hello(&self, hello: Hello) -> Outcome<Reply> {
-        self.dispatch.send(Input::HostSeen {
-            host: hello.host.clone(),
-            is_large: hello.member.is_some(),
+        let host = hello.host.clone();
+        self.dispatch.send(if hello.is_stopping {
+            Input::HostStops(host)
+        } else {
+            Input::HostSeen {
+                host,
+                is_large: hello.member.is_some(),
+            }
         });
         let members = self.voters.seen(hello).await?;
         let term = self.hint.with_term().map_or(Term(0), |(term, _)| term);
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -12,6 +12,8 @@
     pub domain: DomainName,
     /// Identity of its replica, if it has one.
     pub member: Option<MemberId>,
+    /// It stops and takes no more work.
+    pub is_stopping: bool,
 }
 
 /// A heartbeat of a worker.
