--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -108,7 +108,7 @@
 
 async fn serve(own: EntrySettings, platform: PlatformSettings, logs: Logs) -> Outcome<()> {
     let events = Arc::clone(&logs.budget) as Arc<dyn EventSink>;
-    let http = HttpClient::default();
+    let http = HttpClient::new(Arc::clone(&events));
     let metrics = EntryMetrics::new()?;
     let replica_metrics = Arc::new(Metrics::new());
     let parts = EntryParts {
--- a/lib/dispatch/src/dispatcher_holds.rs
+++ b/lib/dispatch/src/dispatcher_holds.rs
@@ -17,11 +17,7 @@
 impl Dispatcher {
     pub(crate) fn heard(&mut self, life: &WorkerLife, leaves_in: Option<Millis>) {
         let now = self.now;
-        if let Some(seat) = self
-            .seats
-            .get_mut(&life.worker)
-            .filter(|s| s.life() == life)
-        {
+        if let Some(seat) = self.seats.of_life(life) {
             seat.heard = now;
             if let Some(leaves_in) = leaves_in {
                 seat.leaves_at = Some(now + leaves_in);
@@ -31,11 +27,7 @@
 
     pub(crate) fn held(&mut self, life: &WorkerLife, outcome: HoldOutcome) {
         let (now, cfg) = (self.now, self.cfg);
-        let Some(seat) = self
-            .seats
-            .get_mut(&life.worker)
-            .filter(|s| s.life() == life)
-        else {
+        let Some(seat) = self.seats.of_life(life) else {
             return;
         };
         let asked = seat.hold_sent.take().unwrap_or(now);
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -68,11 +68,7 @@
         outcome: OrderOutcome,
     ) {
         let now = self.now;
-        let Some(seat) = self
-            .seats
-            .get_mut(&life.worker)
-            .filter(|s| s.life() == life)
-        else {
+        let Some(seat) = self.seats.of_life(life) else {
             return;
         };
         if outcome != OrderOutcome::Unanswered {
@@ -166,11 +162,7 @@
     ) {
         let now = self.now;
         let retry = now + self.cfg.order_retry;
-        let Some(seat) = self
-            .seats
-            .get_mut(&life.worker)
-            .filter(|s| s.life() == life)
-        else {
+        let Some(seat) = self.seats.of_life(life) else {
             return;
         };
         if outcome == OrderOutcome::Refused(Refusal::OtherLife) {
--- a/lib/dispatch/src/seats.rs
+++ b/lib/dispatch/src/seats.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, btree_map};
 
 use tarragon_names::WorkerName;
+use tarragon_workflow::WorkerLife;
 
 use crate::seat::Seat;
 
@@ -25,6 +26,12 @@
         Some(seat)
     }
 
+    /// Like `get_mut`, unless another life of the worker has taken the place of this one.
+    pub(crate) fn of_life(&mut self, life: &WorkerLife) -> Option<&mut Seat> {
+        self.get_mut(&life.worker)
+            .filter(|seat| seat.life() == life)
+    }
+
     pub(crate) fn insert(&mut self, worker: WorkerName, seat: Seat) {
         self.touched.insert(worker.clone());
         self.by_name.insert(worker, seat);
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -196,6 +196,7 @@
         let limit = Duration::from_millis(call.limit.0);
         let mesh = Arc::clone(&self.parts.mesh);
         let outside = self.parts.outside.clone();
+        let events = Arc::clone(&self.parts.events);
         self.parts.runtime.spawn(async move {
             let timer = metrics
                 .outside_time
@@ -208,7 +209,12 @@
                 let request = Request::Advise(call);
                 match mesh.call(&host, &request, limit + RELAY_SLACK).await {
                     Ok(Reply::Advice(answer)) => answer,
-                    _ => None,
+                    Ok(_) => None,
+                    Err(failure) => {
+                        let event = Event::warning("advice_not_relayed").peer(host);
+                        events.emit(&event.code(failure.code.number()));
+                        None
+                    }
                 }
             };
             drop(timer);
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -22,7 +22,7 @@
 use tarragon_names::{HostName, LogIndex, MemberId, Name};
 use tarragon_replica::{
     Clock, LeaderHint, Links, PeerListener, PeerSink, ReplicaDriver, ReplicaHandle, ReplicaParts,
-    StateMachine, SystemClock,
+    StateMachine, SystemClock, process_seed,
 };
 use tarragon_storage::FileStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
@@ -516,18 +516,3 @@
         Request::Advise(_) => "advise",
     }
 }
-
-/// Seed that differs between processes, from the hasher keys that the operating system provides.
-fn process_seed() -> [u8; 32] {
-    use std::hash::{BuildHasher, RandomState};
-
-    let mut seed = [0; 32];
-    for chunk in seed.chunks_mut(8) {
-        chunk.copy_from_slice(
-            &RandomState::new()
-                .hash_one(std::process::id())
-                .to_le_bytes(),
-        );
-    }
-    seed
-}
--- a/lib/entry/src/voters.rs
+++ b/lib/entry/src/voters.rs
@@ -87,8 +87,13 @@
     }
 
     async fn change(&self) {
-        let Ok(status) = self.replica.status(LIMIT).await else {
-            return;
+        let status = match self.replica.status(LIMIT).await {
+            Ok(status) => status,
+            Err(failure) => {
+                let event = Event::warning("members_not_read").code(failure.code.number());
+                self.events.emit(&event.detail(failure.cause));
+                return;
+            }
         };
         *self.present.lock() = status.members.voters().collect();
         let change = {
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -30,7 +30,9 @@
     metrics_page,
     replica_runtime::{ReplicaRuntime, Surroundings, keep_membership},
 };
-use tarragon_replica::{Clock, LeaderHint, LinkTiming, Links, PeerListener, PeerSink, SystemClock};
+use tarragon_replica::{
+    Clock, LeaderHint, LinkTiming, Links, PeerListener, PeerSink, SystemClock, process_seed,
+};
 
 /// Silence of a worker after which its connection is closed, in heartbeats.
 const WORKER_SILENT_BEATS: u64 = 5;
@@ -320,18 +322,3 @@
         )
     })
 }
-
-/// Seed that differs between processes, from the hasher keys that the operating system provides.
-fn process_seed() -> [u8; 32] {
-    use std::hash::{BuildHasher, RandomState};
-
-    let mut seed = [0; 32];
-    for chunk in seed.chunks_mut(8) {
-        chunk.copy_from_slice(
-            &RandomState::new()
-                .hash_one(std::process::id())
-                .to_le_bytes(),
-        );
-    }
-    seed
-}
