dispatch: give no lease and no order that a successor does not count on

Orders and leases now go out only while the leader's own lease holds; the freeze of a process between the check and the send does no harm, since the lease is a time on the worker's clock. - A worker that starts again under its name may carry out an order for its last life. Runs whose order was sent and not seen listed are stopped on the next life before they are given up.

The tests leader_that_may_be_deposed_gives_no_lease_and_no_order and next_life_of_a_worker_refuses_orders_for_the_last_one fail without the changes.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -12,7 +12,7 @@
 use crate::{
     DispatchConfig, Input, Lanes, Note, Output,
     pace::Pace,
-    run_view::{RunView, StartState},
+    run_view::{RunView, StartState, StopState},
     seat::Seat,
     seats::Seats,
     step_plan::StepPlan,
@@ -112,7 +112,17 @@
 
     /// Takes in events at the time `now`, which is `now_ms` in unix milliseconds, and returns what
     /// is to be done, in order.
-    pub fn step(&mut self, now: Millis, now_ms: u64, inputs: Vec<Input>) -> Vec<Output> {
+    ///
+    /// Leases and orders are given only while `is_sole_leader`, that is, while no other host can
+    /// have been elected: a deposed leader that does not know it yet, as after a pause, would
+    /// otherwise renew a lease that its successor counts as ended.
+    pub fn step(
+        &mut self,
+        now: Millis,
+        now_ms: u64,
+        is_sole_leader: bool,
+        inputs: Vec<Input>,
+    ) -> Vec<Output> {
         self.now = self.now.max(now);
         self.now_ms = now_ms;
         for input in inputs {
@@ -124,9 +134,11 @@
                 self.place_at = self.now + self.cfg.place_every;
                 self.place();
             }
-            let touched = self.seats.take_touched();
-            self.drive_orders(&touched);
-            self.drive_holds(&touched);
+            if is_sole_leader {
+                let touched = self.seats.take_touched();
+                self.drive_orders(&touched);
+                self.drive_holds(&touched);
+            }
             self.flush_records();
         }
         std::mem::take(&mut self.out)
@@ -194,8 +206,8 @@
         });
         for (task, placement) in placements {
             let (need, estimate) = self.need_of(&task);
-            let seat = self.seats.get_mut(&placement.life.worker);
-            if let Some(seat) = seat.filter(|seat| *seat.life() == placement.life) {
+            // A later life under the same name may still get a late order for the run.
+            if let Some(seat) = self.seats.get_mut(&placement.life.worker) {
                 let mut view = RunView::new(placement.run, need, estimate, self.now);
                 view.start = StartState::Inherited;
                 seat.insert_run(task, view);
@@ -261,9 +273,15 @@
                 seat.record.acknowledged = acknowledged;
                 seat.heard = self.now;
             }
-            Some(_) => {
+            Some(seat) => {
+                let uncertain = seat.uncertain_runs();
+                for (task, _) in &uncertain {
+                    self.drop_view(task, &record.life.worker);
+                }
                 self.unseat(&record.life.worker);
+                let worker = record.life.worker.clone();
                 self.seat_worker(record);
+                self.pass_on(&worker, uncertain);
             }
             None => self.seat_worker(record),
         }
@@ -315,6 +333,20 @@
         }
     }
 
+    /// Has the next life of a worker refuse orders that were meant for the last one and may still
+    /// arrive, before their tasks run elsewhere.
+    fn pass_on(&mut self, worker: &WorkerName, uncertain: Vec<(TaskKey, RunView)>) {
+        let now = self.now;
+        for (task, mut view) in uncertain {
+            view.start = StartState::Inherited;
+            view.stop = StopState::Wanted { at: now };
+            if let Some(seat) = self.seats.get_mut(worker) {
+                seat.insert_run(task, view);
+                self.placed.insert((task, worker.clone()));
+            }
+        }
+    }
+
     /// Declares that a run certainly does not go on.
     pub(crate) fn record_lost(&mut self, task: TaskKey, run: u32, saved: Option<Name>) {
         self.records.push(OrderRecord::Lost { task, run, saved });
--- a/lib/dispatch/src/dispatcher_holds.rs
+++ b/lib/dispatch/src/dispatcher_holds.rs
@@ -148,6 +148,7 @@
                         view.saved.clone_from(&row.saved);
                     }
                     view.in_use = row.figure;
+                    view.is_listed = true;
                 }
                 _ => strangers.push((row.task, row.run)),
             }
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -39,6 +39,8 @@
     /// Starts that were sent, and whether one of them stayed unanswered.
     pub(crate) tries: u32,
     pub(crate) had_unanswered: bool,
+    /// A look has shown it.
+    pub(crate) is_listed: bool,
     pub(crate) ticket: Option<Name>,
     pub(crate) placed_at: Millis,
     pub(crate) saved: Option<Name>,
@@ -58,6 +60,7 @@
             stop: StopState::NotWanted,
             tries: 0,
             had_unanswered: false,
+            is_listed: false,
             ticket: None,
             placed_at: now,
             saved: None,
--- a/lib/dispatch/src/seat.rs
+++ b/lib/dispatch/src/seat.rs
@@ -122,6 +122,16 @@
         self.runs.remove(task);
     }
 
+    /// Runs whose order was sent and that the worker has not listed.
+    pub(crate) fn uncertain_runs(&self) -> Vec<(TaskKey, RunView)> {
+        let runs = self.runs.iter();
+        let uncertain =
+            runs.filter(|(_, view)| !view.is_ended && !view.is_listed && view.tries > 0);
+        uncertain
+            .map(|(task, view)| (*task, view.clone()))
+            .collect()
+    }
+
     /// Marks a run as ended, which frees its room, or takes that back.
     pub(crate) fn set_ended(&mut self, task: &TaskKey, is_ended: bool) {
         let Some(view) = self.runs.get_mut(task) else {
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -33,6 +33,8 @@
     pub proposed: Vec<OrderRecord>,
     /// Commands are kept back instead of being committed.
     pub is_log_held: bool,
+    /// No other leader can have been elected.
+    pub is_sole_leader: bool,
     pub held_commands: Vec<Command>,
 }
 
@@ -124,6 +126,7 @@
             asks: Vec::new(),
             proposed: Vec::new(),
             is_log_held: false,
+            is_sole_leader: true,
             held_commands: Vec::new(),
         };
         world.elect();
@@ -150,9 +153,12 @@
     }
 
     pub fn input(&mut self, input: Input) {
-        let outputs = self
-            .dispatcher
-            .step(Millis(self.now), self.wall(), vec![input]);
+        let outputs = self.dispatcher.step(
+            Millis(self.now),
+            self.wall(),
+            self.is_sole_leader,
+            vec![input],
+        );
         for output in outputs {
             match output {
                 Output::Propose(command) if self.is_log_held => self.held_commands.push(command),
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -221,3 +221,44 @@
         "the look of the present term is still open"
     );
 }
+
+/// Guards against a lease that a deposed leader renews after its successor counts it as ended, and
+/// against its orders, as after a pause.
+#[test]
+fn leader_that_may_be_deposed_gives_no_lease_and_no_order() {
+    let mut world = World::new(&[worker("w1", 8)]);
+    world.hold("w1", &[], &[]);
+    world.holds.clear();
+    world.is_sole_leader = false;
+    let waiting = world.held_commands.len();
+    world.submit(1, vec![step(1, 4)]);
+    world.pass(2_000);
+    assert!(world.starts.is_empty() && world.holds.is_empty());
+    assert_eq!(world.held_commands.len(), waiting);
+    world.is_sole_leader = true;
+    world.pass(20);
+    assert_eq!(
+        world.starts.len(),
+        1,
+        "the order goes out once the lease holds again"
+    );
+}
+
+/// Guards against two runs of a task when a worker starts again under its name and then gets an
+/// order that was meant for its last life.
+#[test]
+fn next_life_of_a_worker_refuses_orders_for_the_last_one() {
+    let mut world = World::new(&[worker("w1", 8), worker("w2", 8)]);
+    world.submit(1, vec![step(1, 4)]);
+    let order = std::mem::take(&mut world.starts).remove(0);
+    let name = order.life.worker.to_string();
+    let mut reborn = worker(&name, 8);
+    reborn.life.born_ms += 1;
+    world.commit(Command::PutWorker(reborn));
+    world.pass(100);
+    assert!(world.starts.is_empty(), "the order may still be on its way");
+    let stops = world.answer_stops(OrderOutcome::Accepted);
+    assert_eq!(stops[0].task, order.task);
+    assert_ne!(stops[0].life, order.life);
+    assert_eq!(world.lost(), 0);
+}
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -88,7 +88,11 @@
             }
             let timer = self.parts.metrics.dispatch_step.start_timer();
             let now_ms = self.parts.clock.wall_ms();
-            let outputs = self.parts.dispatcher.step(now, now_ms, inputs);
+            let is_sole_leader = self.parts.handle.leads_at(now);
+            let outputs = self
+                .parts
+                .dispatcher
+                .step(now, now_ms, is_sole_leader, inputs);
             drop(timer);
             for output in outputs {
                 self.carry_out(output);
