entry: say what a job asks for when it is accepted, and what a worker offers

Cause: from the id of a job that was never placed there was no way to its reason; the line of its acceptance had only numbers of steps and tasks. Ruled out: timed jobs, which are placed when due. Before and after: the same decisions; only the text of two events differs.

--- a/lib/entry/src/leader_desk.rs
+++ b/lib/entry/src/leader_desk.rs
@@ -109,8 +109,7 @@
         if self.flow.job_count() >= MOST_JOBS {
             return self.confirmed(Err(Failure::of(Code::TooManyRequests).retry_after(RETRY_MS)));
         }
-        let tasks = spec.steps.iter().map(|step| step.count).sum::<u32>();
-        let steps = spec.steps.len();
+        let asked = spec.to_string();
         let command = Command::Submit {
             job,
             queue: queue.name.clone(),
@@ -119,10 +118,7 @@
         self.propose(command).await?;
         let event = Event::info("job_accepted").request(Name::from(job.to_string()));
         let version = self.flow.document().version;
-        let detail = format!(
-            "queue {}, configuration {version}, {steps} steps, {tasks} tasks",
-            queue.name
-        );
+        let detail = format!("queue {}, configuration {version}, {asked}", queue.name);
         self.events.emit(&event.detail(detail));
         Ok(Reply::Done)
     }
@@ -179,9 +175,15 @@
             }
             Meaning::Changed(commands) => {
                 let event = Event::info("worker_announced").worker(life.worker.clone());
+                let record = &report.record;
+                let labels = record.labels.iter().map(|label| &**label);
                 let detail = format!(
-                    "{life} at {}, draining: {}, sequence {}",
-                    report.record.address, report.record.is_draining, report.sequence
+                    "{life} at {}, {}, labels {}, draining: {}, sequence {}",
+                    record.address,
+                    record.capacity,
+                    labels.collect::<Vec<_>>().join(" "),
+                    record.is_draining,
+                    report.sequence
                 );
                 self.events.emit(&event.detail(detail));
                 commands
--- a/lib/workflow/src/job_spec.rs
+++ b/lib/workflow/src/job_spec.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{Millis, Name};
@@ -61,3 +63,18 @@
             .saturating_add(self.every.0.saturating_mul(u64::from(occurrence)))
     }
 }
+
+/// The steps and times, for the log.
+impl fmt::Display for JobSpec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.times > 0 {
+            let (times, first) = (self.times, self.first_at_ms);
+            write!(f, "{times} times, each {} from {first} on: ", self.every)?;
+        }
+        for (i, step) in self.steps.iter().enumerate() {
+            let gap = if i == 0 { "" } else { "; " };
+            write!(f, "{gap}{step}")?;
+        }
+        Ok(())
+    }
+}
--- a/lib/workflow/src/step_spec.rs
+++ b/lib/workflow/src/step_spec.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use tarragon_names::{Millis, Name, RackName, Resources};
 
@@ -55,3 +57,44 @@
         }
     }
 }
+
+/// What decides where and when the tasks may run, for the log.
+impl fmt::Display for StepSpec {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { count, need, .. } = self;
+        write!(f, "{count} x ({need}) of {}", self.estimate)?;
+        let flags = [
+            (self.gang, "gang"),
+            (self.same_rack, "same rack"),
+            (self.checkpointing, "checkpointing"),
+            (self.allow_duplicates, "copies"),
+            (self.long_running, "long-running"),
+            (self.fills, "fills"),
+        ];
+        for (_, flag) in flags.iter().filter(|(is_set, _)| *is_set) {
+            write!(f, ", {flag}")?;
+        }
+        if !self.after.is_empty() {
+            write!(f, ", after {:?}", self.after)?;
+        }
+        if let Some(label) = &self.label {
+            write!(f, ", label {label}")?;
+        }
+        if let Some(rack) = &self.data_rack {
+            write!(f, ", data on {rack}")?;
+        }
+        if let Some(most) = self.per_worker {
+            write!(f, ", {most} on a worker")?;
+        }
+        if let Some(image) = &self.image {
+            write!(f, ", image {image}")?;
+        }
+        if let Some(target) = self.target {
+            write!(f, ", target {target}")?;
+        }
+        if let Some(most) = self.max_unavailable {
+            write!(f, ", {most} may be unavailable")?;
+        }
+        Ok(())
+    }
+}
