dispatch: stop resumable runs of less urgent queues for urgent steps, and place arrivals alone

Change: a step without room has such runs stopped and their room kept for it; never of gangs, long-running tasks or tasks without checkpoints, at most three times a task, and not for late work. Ruled out: one runtime thread instead of two (no difference beyond noise).

--- a/lib/dispatch/src/config.rs
+++ b/lib/dispatch/src/config.rs
@@ -51,7 +51,7 @@
             ticket_margin: Millis(250),
             gone_after: Millis(8_000),
             host_silent: Millis(3_000),
-            place_every: Millis(4),
+            place_every: Millis(20),
             expire_every: Millis(100),
             ask_slack: Millis(800),
         }
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     DispatchConfig, Input, Lanes, Note, Output,
+    dispatcher_place::Claims,
     pace::Pace,
     run_view::{RunView, StartState, StopState},
     seat::Seat,
@@ -57,6 +58,12 @@
     pub(crate) out: Vec<Output>,
     /// Pace of the mean worker.
     pub(crate) mean_pace: Pace,
+    /// Priority of the least urgent queue.
+    pub(crate) last_priority: u32,
+    /// Steps whose turn has just come; they need not wait for the next placement of all.
+    pub(crate) arrivals: Vec<StepKey>,
+    /// Workers that the last placement kept for gangs, and the highest priority among these.
+    pub(crate) kept: (u32, Claims),
     pub(crate) is_dirty: bool,
     /// No placement before this time, so that many events share one.
     pub(crate) place_at: Millis,
@@ -102,6 +109,9 @@
             records: Vec::new(),
             out: Vec::new(),
             mean_pace: Pace::default(),
+            last_priority: 0,
+            arrivals: Vec::new(),
+            kept: (u32::MAX, Claims::new()),
             is_dirty: false,
             place_at: Millis(0),
             expire_at: Millis(0),
@@ -132,7 +142,10 @@
             if self.is_dirty && self.now >= self.place_at {
                 self.is_dirty = false;
                 self.place_at = self.now + self.cfg.place_every;
+                self.arrivals.clear();
                 self.place();
+            } else {
+                self.place_arrivals();
             }
             if is_sole_leader {
                 let touched = self.seats.take_touched();
@@ -144,11 +157,6 @@
         std::mem::take(&mut self.out)
     }
 
-    /// Tells whether a placement is due before the next event.
-    pub fn has_placement_due(&self) -> bool {
-        self.term.is_some() && self.is_dirty
-    }
-
     fn take(&mut self, input: Input) {
         match input {
             Input::BecameLeader { term } => self.lead(term),
@@ -193,6 +201,7 @@
         self.forget_all();
         self.term = Some(term);
         self.led_since = self.now;
+        self.read_priorities();
         for record in self.flow.workers() {
             self.seat_worker(record);
         }
@@ -205,10 +214,10 @@
             }
         });
         for (task, placement) in placements {
-            let (need, estimate) = self.need_of(&task);
+            let terms = self.terms_of(&task);
             // A later life under the same name may still get a late order for the run.
             if let Some(seat) = self.seats.get_mut(&placement.life.worker) {
-                let mut view = RunView::new(placement.run, need, estimate, self.now);
+                let mut view = RunView::new(placement.run, terms, self.now);
                 view.start = StartState::Inherited;
                 seat.insert_run(task, view);
                 self.placed.insert((task, placement.life.worker));
@@ -238,6 +247,8 @@
         self.seats.clear();
         self.placed.clear();
         self.plans.clear();
+        self.arrivals.clear();
+        self.kept = (u32::MAX, Claims::new());
         self.timed.clear();
         self.asks.clear();
         self.lanes = Lanes::default();
@@ -247,6 +258,7 @@
     fn applied(&mut self, command: &Command) {
         match command {
             Command::PutDocument(_) => {
+                self.read_priorities();
                 for plan in self.plans.values_mut() {
                     if let Some(queue) = self.flow.queue(&plan.queue.name) {
                         plan.queue = queue;
@@ -262,6 +274,12 @@
         }
     }
 
+    fn read_priorities(&mut self) {
+        let document = self.flow.document();
+        let priorities = document.queues.iter().map(|queue| queue.priority);
+        self.last_priority = priorities.max().unwrap_or(0);
+    }
+
     fn worker_put(&mut self, record: &WorkerRecord) {
         let Some(record) = self.flow.worker(&record.life.worker) else {
             return;
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -9,6 +9,7 @@
     dispatcher::Asking,
     dispatcher_place::{Among, Claims},
     lanes::HEAVY_CALL,
+    step_plan::StepPlan,
 };
 
 /// Most workers that one call names.
@@ -35,6 +36,9 @@
 /// Length of a call above which it is made before there is room.
 const EARLY_CALL: Millis = Millis(60);
 
+/// Pause after a look at all workers that found none to ask about.
+const NONE_PAUSE: Millis = Millis(50);
+
 /// Pause after a call that failed.
 const FAILED_PAUSE: Millis = Millis(150);
 
@@ -46,6 +50,9 @@
             self.start_on(key, &chosen);
             return;
         }
+        if self.preempt(key, Among::Fresh, claims) {
+            return;
+        }
         let Some(plan) = self.plans.get(&key) else {
             return;
         };
@@ -53,6 +60,11 @@
             self.claim(&key, Among::Approved, claims);
             return;
         }
+        // Room that was made for the step and came too late for its tickets.
+        self.release(&key);
+        let Some(plan) = self.plans.get(&key) else {
+            return;
+        };
         let length = plan
             .queue
             .advice
@@ -71,6 +83,9 @@
         }
         let workers = self.workers_to_ask(&key, claims);
         if workers.is_empty() {
+            if let Some(plan) = self.plans.get_mut(&key) {
+                plan.advice.ask_at = self.now + NONE_PAUSE;
+            }
             self.renew_early(key, length);
         } else {
             self.ask(key, workers);
@@ -102,7 +117,7 @@
         self.ask(key, workers);
     }
 
-    fn reserve(&mut self, key: &StepKey, chosen: &[(WorkerName, u32)]) {
+    pub(crate) fn reserve(&mut self, key: &StepKey, chosen: &[(WorkerName, u32)]) {
         self.release(key);
         let Some(plan) = self.plans.get_mut(key) else {
             return;
@@ -129,9 +144,10 @@
         let waiting = plan.waiting.len() as u64;
         let is_early = call_length(&terms, 0) >= EARLY_CALL;
         let mut unknown = self.candidates(key, Among::All, claims);
-        unknown.retain(|candidate| {
-            !plan.advice.is_known(&candidate.worker) && (is_early || candidate.fits(&need) > 0)
-        });
+        unknown.retain(|candidate| !plan.advice.is_known(&candidate.worker));
+        if !is_early {
+            self.retain_prospects(&mut unknown, &need, plan.queue.priority);
+        }
         unknown.sort_by_key(|c| std::cmp::Reverse(c.free.cpu_milli));
         // Tasks that one worker takes when it is empty.
         let on_one = unknown.iter().filter_map(|candidate| {
@@ -263,11 +279,9 @@
         self.note(Note::new("advice_answered", detail).job(key.job));
         // The room that was kept for the step is given to it before others are considered.
         self.place_step(key, &mut Claims::new());
-        let has_asked_again = self
-            .plans
-            .get(&key)
-            .is_some_and(|plan| plan.advice.asking.is_some());
-        if !has_asked_again {
+        let now = self.now;
+        let is_room_needed = |plan: &StepPlan| plan.advice.asking.is_some() || now < plan.room_by;
+        if !self.plans.get(&key).is_some_and(is_room_needed) {
             self.release(&key);
         }
     }
--- a/lib/dispatch/src/dispatcher_holds.rs
+++ b/lib/dispatch/src/dispatcher_holds.rs
@@ -95,7 +95,7 @@
                 let view = seat.runs.get(&row.task).filter(|view| view.run == row.run);
                 if let Some(view) = view {
                     let ran = self.now.since(view.placed_at);
-                    seat.pace.learn(ran, view.estimate);
+                    seat.pace.learn(ran, view.terms.estimate);
                 }
             }
             let mut ran = Millis(0);
@@ -238,10 +238,10 @@
     }
 
     pub(crate) fn tick(&mut self) {
-        self.seats.touch_all();
         if self.now < self.expire_at {
             return;
         }
+        self.seats.touch_all();
         self.expire_at = self.now + self.cfg.expire_every;
         self.is_dirty = true;
         self.expire();
@@ -260,15 +260,12 @@
     pub(crate) fn drive_holds(&mut self, touched: &BTreeSet<WorkerName>) {
         let Some(term) = self.term else { return };
         let (now, cfg) = (self.now, self.cfg);
-        for (_, seat) in self
-            .seats
-            .iter_mut()
-            .filter(|(worker, _)| touched.contains(*worker))
-        {
+        let out = &mut self.out;
+        self.seats.each_mut(touched, |_, seat| {
             let is_open = seat.hold_sent.is_some();
             let waits_for_commit = seat.proposed_end > seat.record.acknowledged;
             if is_open || now < seat.hold_at || waits_for_commit {
-                continue;
+                return;
             }
             seat.hold_sent = Some(now);
             let is_calm = seat.is_synced && seat.hold_failures == 0;
@@ -278,7 +275,7 @@
             } else {
                 None
             };
-            self.out.push(Output::Hold(HoldCall {
+            out.push(Output::Hold(HoldCall {
                 life: seat.record.life.clone(),
                 address: seat.record.address.clone(),
                 lease_until_ms,
@@ -286,6 +283,6 @@
                 acknowledged: seat.record.acknowledged,
                 wait: if is_calm { cfg.hold_wait } else { Millis(0) },
             }));
-        }
+        });
     }
 }
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -2,10 +2,13 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use tarragon_names::{JobId, Millis, Resources, WorkerName};
+use tarragon_names::{JobId, Millis, WorkerName};
 use tarragon_workflow::{End, JobKey, JobPhase, OrderRecord, StepKey, StepRun, TaskKey};
 
-use crate::{Dispatcher, Note, advice::Advice, run_view::StartState, step_plan::StepPlan};
+use crate::{
+    Dispatcher, Note, advice::Advice, run_terms::RunTerms, run_view::StartState,
+    step_plan::StepPlan,
+};
 
 impl Dispatcher {
     /// Takes in the state of a job: which of its steps wait, and which of its runs must end.
@@ -124,8 +127,11 @@
             failed_on: BTreeSet::new(),
             reserved: std::collections::BTreeMap::new(),
             not_before: Millis(0),
+            preempt_at: Millis(0),
+            room_by: Millis(0),
         };
         self.plans.insert(key, plan);
+        self.arrivals.push(key);
     }
 
     /// Workers at which a task is placed as far as the leader knows.
@@ -188,18 +194,15 @@
         }
     }
 
-    /// What a task takes from its worker, and how long it may run.
-    pub(crate) fn need_of(&self, task: &TaskKey) -> (Resources, Millis) {
-        let need = self.flow.with_job(task.step.job, |job| {
-            let step = job.spec.steps.get(task.step.step as usize)?;
-            let estimate = if step.long_running {
-                Millis(0)
-            } else {
-                step.estimate
-            };
-            Some((step.reserved(), estimate))
+    pub(crate) fn terms_of(&self, task: &TaskKey) -> RunTerms {
+        let found = self.flow.with_job(task.step.job, |job| {
+            let step = job.spec.steps.get(task.step.step as usize).cloned()?;
+            Some((step, job.queue.clone()))
         });
-        need.flatten().unwrap_or_default()
+        let Some((step, queue)) = found.flatten() else {
+            return RunTerms::default();
+        };
+        RunTerms::new(&step, self.flow.queue(&queue).as_deref())
     }
 
     pub(crate) fn orders_applied(&mut self, records: &[OrderRecord]) {
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -211,9 +211,9 @@
         let mut starts = Vec::new();
         let mut stops = Vec::new();
         let mut unsent = Vec::new();
-        for (worker, seat) in self.seats.iter_mut() {
-            if seat.is_lapsed || !touched.contains(worker) {
-                continue;
+        self.seats.each_mut(touched, |worker, seat| {
+            if seat.is_lapsed {
+                return;
             }
             let mut due = Vec::new();
             for (task, view) in seat.runs.iter_mut().filter(|(_, view)| !view.is_ended) {
@@ -255,7 +255,7 @@
                     starts.push((task, run, ticket, limit, seat.record.clone(), until));
                 }
             }
-        }
+        });
         for (task, worker) in unsent {
             self.lose_run(task, &worker);
         }
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -92,9 +92,9 @@
         let detail = format!(
             "{cause}, {} ms for an estimate of {} ms, {:?} in use of {}",
             now.since(view.placed_at).0,
-            view.estimate.0,
+            view.terms.estimate.0,
             view.in_use,
-            view.need
+            view.terms.need
         );
         self.note(
             Note::new("run_moved", detail)
@@ -111,7 +111,7 @@
     let is_running = !view.is_ended
         && view.stop == StopState::NotWanted
         && matches!(view.start, StartState::Present { .. });
-    (is_running && view.estimate.0 > 0).then(|| now.since(view.placed_at))
+    (is_running && view.terms.estimate.0 > 0).then(|| now.since(view.placed_at))
 }
 
 /// Time after which a run is started elsewhere, in milliseconds.
@@ -121,15 +121,15 @@
 fn overdue_limit(view: &RunView, is_suspect: bool) -> u64 {
     let runs = view.run.clamp(1, GROWING_RUNS);
     if is_suspect && runs == 1 {
-        return view.estimate.0 * SUSPECT_PERCENT / 100 + LATE_SLACK.0;
+        return view.terms.estimate.0 * SUSPECT_PERCENT / 100 + LATE_SLACK.0;
     }
-    (view.estimate.0 * OVERDUE_FACTOR + OVERDUE_SLACK.0) << (runs - 1)
+    (view.terms.estimate.0 * OVERDUE_FACTOR + OVERDUE_SLACK.0) << (runs - 1)
 }
 
 /// Number of jobs with a late run on a worker.
 fn late_jobs(seat: &Seat, now: Millis) -> usize {
     let late = seat.runs.iter().filter(|(_, view)| {
-        let limit = Millis(view.estimate.0 * LATE_PERCENT / 100 + LATE_SLACK.0);
+        let limit = Millis(view.terms.estimate.0 * LATE_PERCENT / 100 + LATE_SLACK.0);
         time_run(view, now).is_some_and(|ran| ran > limit)
     });
     late.map(|(task, _)| task.step.job)
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -8,6 +8,7 @@
 use crate::{
     Dispatcher, Note,
     packing::{Candidate, pack, pack_all},
+    run_terms::RunTerms,
     run_view::RunView,
     seat::Seat,
     step_plan::StepPlan,
@@ -43,7 +44,28 @@
             .collect::<Vec<_>>();
         order.sort_unstable();
         let mut claims = Claims::new();
-        for (.., key) in order {
+        let mut first_kept = u32::MAX;
+        for (priority, .., key) in order {
+            self.place_step(key, &mut claims);
+            if !claims.is_empty() {
+                first_kept = first_kept.min(priority);
+            }
+        }
+        self.kept = (first_kept, claims);
+    }
+
+    /// Places steps whose turn has just come, apart from all others.
+    pub(crate) fn place_arrivals(&mut self) {
+        for key in std::mem::take(&mut self.arrivals) {
+            let Some(plan) = self.plans.get(&key) else {
+                continue;
+            };
+            let (first_kept, kept) = &self.kept;
+            let mut claims = if plan.queue.priority < *first_kept {
+                Claims::new()
+            } else {
+                kept.clone()
+            };
             self.place_step(key, &mut claims);
         }
     }
@@ -58,8 +80,10 @@
         if plan.queue.advice.is_some() {
             self.place_advised(key, claims);
         } else if let Some(chosen) = self.choose(&key, Among::All, claims) {
+            self.release(&key);
             self.start_on(key, &chosen);
-        } else {
+        } else if !self.preempt(key, Among::All, claims) {
+            self.release(&key);
             self.claim(&key, Among::All, claims);
         }
     }
@@ -189,11 +213,7 @@
         };
         let step = plan.step().clone();
         let need = step.reserved();
-        let estimate = if step.long_running {
-            tarragon_names::Millis(0)
-        } else {
-            step.estimate
-        };
+        let terms = RunTerms::new(&step, Some(&*plan.queue));
         let waited = self.now_ms.saturating_sub(plan.asked_ms);
         let mut tasks = std::mem::take(&mut plan.waiting).into_iter();
         let mut decided = Vec::new();
@@ -214,7 +234,7 @@
             let (Some(run), Some(seat)) = (run, self.seats.get_mut(&worker)) else {
                 continue;
             };
-            let mut view = RunView::new(run, need, estimate, self.now);
+            let mut view = RunView::new(run, terms, self.now);
             view.ticket = ticket;
             seat.insert_run(task, view);
             let life = seat.record.life.clone();
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,4 +1,6 @@
-use tarragon_names::{Millis, Name, Resources};
+use tarragon_names::{Millis, Name};
+
+use crate::run_terms::RunTerms;
 
 /// How far the order to start a run is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -32,8 +34,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RunView {
     pub(crate) run: u32,
-    pub(crate) need: Resources,
-    pub(crate) estimate: Millis,
+    pub(crate) terms: RunTerms,
     pub(crate) start: StartState,
     pub(crate) stop: StopState,
     /// Starts that were sent, and whether one of them stayed unanswered.
@@ -51,11 +52,10 @@
 }
 
 impl RunView {
-    pub(crate) fn new(run: u32, need: Resources, estimate: Millis, now: Millis) -> Self {
+    pub(crate) fn new(run: u32, terms: RunTerms, now: Millis) -> Self {
         Self {
             run,
-            need,
-            estimate,
+            terms,
             start: StartState::Committing,
             stop: StopState::NotWanted,
             tries: 0,
--- a/lib/dispatch/src/seat.rs
+++ b/lib/dispatch/src/seat.rs
@@ -112,7 +112,7 @@
     pub(crate) fn insert_run(&mut self, task: TaskKey, view: RunView) {
         self.remove_run(&task);
         if !view.is_ended {
-            self.used += view.need;
+            self.used += view.terms.need;
         }
         self.runs.insert(task, view);
     }
@@ -140,9 +140,9 @@
         if view.is_ended != is_ended {
             view.is_ended = is_ended;
             if is_ended {
-                self.used = self.used.saturating_sub(&view.need);
+                self.used = self.used.saturating_sub(&view.terms.need);
             } else {
-                self.used += view.need;
+                self.used += view.terms.need;
             }
         }
     }
--- a/lib/dispatch/src/seats.rs
+++ b/lib/dispatch/src/seats.rs
@@ -46,6 +46,18 @@
         self.by_name.iter()
     }
 
+    /// Access to these workers, for their orders and looks; it touches none.
+    pub(crate) fn each_mut<F>(&mut self, workers: &BTreeSet<WorkerName>, mut f: F)
+    where
+        F: FnMut(&WorkerName, &mut Seat),
+    {
+        for worker in workers {
+            if let Some(seat) = self.by_name.get_mut(worker) {
+                f(worker, seat);
+            }
+        }
+    }
+
     /// Access to all, for looks at time-outs; it touches none.
     pub(crate) fn iter_mut(&mut self) -> btree_map::IterMut<'_, WorkerName, Seat> {
         self.by_name.iter_mut()
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -26,6 +26,10 @@
     pub(crate) reserved: BTreeMap<WorkerName, u32>,
     /// No placement before this time, after a refusal.
     pub(crate) not_before: Millis,
+    /// No try to make room before this time.
+    pub(crate) preempt_at: Millis,
+    /// Time by which runs that were stopped for the step have ended.
+    pub(crate) room_by: Millis,
 }
 
 impl StepPlan {
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -18,6 +18,9 @@
 
 pub const QUEUE: &str = "queue";
 
+/// A queue whose work comes after that of the other one.
+pub const LOW_QUEUE: &str = "low";
+
 /// Unix time at the start of each test, in milliseconds.
 pub const EPOCH_MS: u64 = 1_700_000_000_000;
 
@@ -68,21 +71,25 @@
     }
 }
 
+fn queue(name: &str, priority: u32, advice: Option<AdviceTerms>) -> Queue {
+    Queue {
+        name: Name::from(name),
+        host: Name::from("h"),
+        prefix: Name::from(format!("/{name}/")),
+        pool: PoolName::from("reels"),
+        priority,
+        max_attempts: 3,
+        stretch_permille: 2_000,
+        target: Millis(500),
+        advice,
+    }
+}
+
 pub fn document(advice: Option<AdviceTerms>) -> Document {
     Document {
         version: 1,
         text: Name::from("{}"),
-        queues: vec![Queue {
-            name: Name::from(QUEUE),
-            host: Name::from("h"),
-            prefix: Name::from("/q/"),
-            pool: PoolName::from("reels"),
-            priority: 0,
-            max_attempts: 3,
-            stretch_permille: 2_000,
-            target: Millis(500),
-            advice,
-        }],
+        queues: vec![queue(QUEUE, 0, advice), queue(LOW_QUEUE, 2, advice)],
         services: vec![Service {
             pool: PoolName::from("reels"),
             guards_capacity: false,
@@ -204,12 +211,16 @@
     }
 
     pub fn submit(&mut self, job: u64, steps: Vec<StepSpec>) {
+        self.submit_to(QUEUE, job, steps);
+    }
+
+    pub fn submit_to(&mut self, queue: &str, job: u64, steps: Vec<StepSpec>) {
         let spec = JobSpec {
             payload: Name::from("work"),
             steps,
             ..JobSpec::default()
         };
-        let (job, queue) = (JobKey(job), Name::from(QUEUE));
+        let (job, queue) = (JobKey(job), Name::from(queue));
         self.commit(Command::Submit { job, queue, spec });
         self.pass(5);
     }
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -23,9 +23,6 @@
 /// Time between two ticks of the dispatcher.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Time until a placement that is due.
-const PLACE_TICK: Duration = Duration::from_millis(4);
-
 /// Most events handled in one step.
 const BATCH: usize = 1_024;
 
@@ -70,12 +67,7 @@
         let mut ticked = self.parts.clock.now();
         while !self.parts.stop.is_cancelled() {
             let mut inputs = Vec::new();
-            let wait = if self.parts.dispatcher.has_placement_due() {
-                PLACE_TICK
-            } else {
-                TICK
-            };
-            match self.rx.recv_timeout(wait) {
+            match self.rx.recv_timeout(TICK) {
                 Ok(input) => inputs.push(input),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
