telemetry: gather log lines for 20 ms and write them at once

Lines are now serialized by their emitter into a bounded queue of 1 MiB, and the writer takes all that came within 20 ms. What finds no room, or a closed reader, is counted; an end of the process waits for its last lines for half a second at most.

--- a/cli/src/daemon/mod.rs
+++ b/cli/src/daemon/mod.rs
@@ -97,6 +97,7 @@
         let event = Event::error("failed").code(failure.code.number());
         events.emit(&event.detail(failure.cause.clone()));
     }
+    events.flush();
     outcome
 }
 
@@ -159,6 +160,7 @@
         }
         if stop.is_cancelled() {
             events.emit(&Event::warning("ended_by_second_signal"));
+            events.flush();
             std::process::exit(EXIT_CUT_OFF);
         }
         stop.cancel();
--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -89,6 +89,7 @@
         let event = Event::error("failed").code(failure.code.number());
         events.emit(&event.detail(failure.cause.clone()));
     }
+    events.flush();
     outcome
 }
 
--- a/lib/telemetry/src/event.rs
+++ b/lib/telemetry/src/event.rs
@@ -146,17 +146,21 @@
     fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
         serializer.emit_str(Key::from("event"), self.name)?;
         serializer.emit_str(Key::from("level"), self.level.as_str())?;
+        let names = [
+            ("request", self.request.as_deref()),
+            ("worker", self.worker.as_deref()),
+            ("executor", self.executor.as_deref()),
+            ("peer", self.peer.as_deref()),
+            ("detail", self.detail.as_deref()),
+        ];
+        for (key, value) in names {
+            if let Some(value) = value {
+                serializer.emit_str(Key::from(key), value)?;
+            }
+        }
         let texts = [
             ("job", self.job.map(|v| v.to_string())),
             ("task", self.task.map(|v| v.to_string())),
-            ("request", self.request.as_ref().map(Name::to_string)),
-            ("worker", self.worker.as_ref().map(WorkerName::to_string)),
-            (
-                "executor",
-                self.executor.as_ref().map(ExecutorName::to_string),
-            ),
-            ("peer", self.peer.as_ref().map(HostName::to_string)),
-            ("detail", self.detail.clone()),
             (
                 "after",
                 self.after
--- a/lib/telemetry/src/events.rs
+++ b/lib/telemetry/src/events.rs
@@ -1,25 +1,23 @@
 use std::{
     fs::OpenOptions,
-    io::{self, BufWriter, Write},
+    io::{self, Write},
     path::Path,
     process,
     sync::{
         Arc,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use slog::{Drain, Level, Logger, Record, b, o, record_static};
-use slog_async::AsyncCore;
-use slog_json::Json;
+use slog::{Level, Logger, Record, b, o, record_static};
 use tarragon_names::{DomainName, HostName, Name};
 
-use crate::{Event, EventSink, Mark, counting_drain::CountingDrain};
+use crate::{Event, EventSink, Mark, line_drain::LineDrain, line_queue::LineQueue};
 
-/// Events that wait for the writing thread; more are dropped and counted, so that a slow disk
-/// holds up no caller.
-const QUEUED_EVENTS: usize = 8_192;
+/// Time for which the end of a process waits for its last lines.
+const LAST_LINES: Duration = Duration::from_millis(500);
 
 /// Sink that writes events as JSON lines from a thread of its own.
 #[derive(Debug)]
@@ -29,6 +27,7 @@
     start: Instant,
     seq: AtomicU64,
     level: AtomicUsize,
+    queue: Arc<LineQueue>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -58,17 +57,18 @@
     ) -> Self {
         // The time tells apart two processes of a host that were given the same process id.
         let process = Name::from(format!("{host}/{}/{}", process::id(), unix_ms()));
-        let json = Json::new(BufWriter::new(out))
-            .set_newlines(true)
-            .set_flush(true)
-            .build();
-        let core = AsyncCore::custom(json.fuse())
-            .chan_size(QUEUED_EVENTS)
-            .blocking(false)
-            .thread_name("events".to_owned())
-            .build_no_guard();
+        let queue = Arc::new(LineQueue::default());
         let dropped = Arc::new(AtomicU64::new(0));
-        let drain = CountingDrain::new(core, Arc::clone(&dropped));
+        let (lines, lost) = (Arc::clone(&queue), Arc::clone(&dropped));
+        let spawned = thread::Builder::new()
+            .name("events".to_owned())
+            .spawn(move || {
+                lines.write_all(out, |count| {
+                    lost.fetch_add(count, Ordering::Relaxed);
+                });
+            });
+        spawned.expect("the process may start a thread at its start");
+        let drain = LineDrain::new(Arc::clone(&queue), Arc::clone(&dropped));
         let values = o!(
             "host" => host.to_string(),
             "domain" => domain.to_string(),
@@ -80,6 +80,7 @@
             start: Instant::now(),
             seq: AtomicU64::new(0),
             level: AtomicUsize::new(level.as_usize()),
+            queue,
             dropped,
         }
     }
@@ -99,12 +100,23 @@
         self.dropped.load(Ordering::Relaxed)
     }
 
+    /// Waits until what was emitted is written, at most for a short time.
+    pub fn flush(&self) {
+        self.queue.flush(LAST_LINES);
+    }
+
     /// Name of this process in the events.
     pub fn process(&self) -> &Name {
         &self.process
     }
 }
 
+impl Drop for Events {
+    fn drop(&mut self) {
+        self.queue.close(LAST_LINES);
+    }
+}
+
 impl EventSink for Events {
     fn emit(&self, event: &Event) -> Mark {
         // Counted even if not written, so that the marks do not depend on the level.
--- a/lib/telemetry/src/lib.rs
+++ b/lib/telemetry/src/lib.rs
@@ -3,11 +3,12 @@
 //! Events are JSON lines, one an event, that `tarragon-timeline` merges over all processes. Code
 //! that emits them knows only the trait [`EventSink`].
 
-mod counting_drain;
 mod event;
 mod event_sink;
 mod events;
 mod line_budget;
+mod line_drain;
+mod line_queue;
 mod link_counters;
 mod mark;
 mod metrics;
--- /dev/null
+++ b/lib/telemetry/src/line_queue.rs
@@ -0,0 +1,100 @@
+use std::{io::Write, panic::RefUnwindSafe, time::Duration};
+
+use parking_lot::{Condvar, Mutex};
+
+/// Bytes of lines that wait for the writer; more are dropped, so that a slow reader holds up no
+/// caller and the memory stays bounded.
+const QUEUED_BYTES: usize = 1 << 20;
+
+/// Time for which the writer gathers lines after the first. A write for each line costs more
+/// processor time than the decision that it tells of.
+const GATHER: Duration = Duration::from_millis(20);
+
+#[derive(Debug, Default)]
+struct State {
+    lines: Vec<u8>,
+    /// Someone waits for what is queued.
+    is_urgent: bool,
+    is_closed: bool,
+    /// The writer has lines that are not written yet.
+    is_writing: bool,
+}
+
+/// Lines on their way to the thread that writes them.
+#[derive(Debug, Default)]
+pub(crate) struct LineQueue {
+    state: Mutex<State>,
+    filled: Condvar,
+    emptied: Condvar,
+}
+
+/// A drain must be safe to use after a panic; nothing under the lock leaves a line half written.
+impl RefUnwindSafe for LineQueue {}
+
+impl LineQueue {
+    /// Queues a whole line without waiting; false if there is no room for it.
+    pub(crate) fn push(&self, line: &[u8]) -> bool {
+        let mut state = self.state.lock();
+        if state.lines.len() + line.len() > QUEUED_BYTES {
+            return false;
+        }
+        if state.lines.is_empty() {
+            self.filled.notify_one();
+        }
+        state.lines.extend_from_slice(line);
+        true
+    }
+
+    /// Waits until all lines are written, at most for `limit`.
+    pub(crate) fn flush(&self, limit: Duration) {
+        self.hurry(limit, false);
+    }
+
+    /// Lets the writer end once all lines are written, and waits for that at most for `limit`.
+    pub(crate) fn close(&self, limit: Duration) {
+        self.hurry(limit, true);
+    }
+
+    fn hurry(&self, limit: Duration, is_last: bool) {
+        let mut state = self.state.lock();
+        state.is_urgent = true;
+        state.is_closed |= is_last;
+        self.filled.notify_one();
+        self.emptied.wait_while_for(
+            &mut state,
+            |state| state.is_writing || !state.lines.is_empty(),
+            limit,
+        );
+    }
+
+    /// Writes lines until the queue is closed; `lost` is told how many could not be written.
+    pub(crate) fn write_all<F>(&self, mut out: Box<dyn Write + Send>, lost: F)
+    where
+        F: Fn(u64),
+    {
+        let mut batch = Vec::new();
+        loop {
+            let mut state = self.state.lock();
+            let is_idle = |state: &mut State| state.lines.is_empty() && !state.is_closed;
+            self.filled.wait_while(&mut state, is_idle);
+            if state.lines.is_empty() {
+                return;
+            }
+            let can_wait = |state: &mut State| !state.is_urgent && !state.is_closed;
+            self.filled.wait_while_for(&mut state, can_wait, GATHER);
+            batch.clear();
+            std::mem::swap(&mut batch, &mut state.lines);
+            state.is_writing = true;
+            drop(state);
+            if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+                lost(batch.iter().filter(|byte| **byte == b'\n').count() as u64);
+            }
+            let mut state = self.state.lock();
+            state.is_writing = false;
+            if state.lines.is_empty() {
+                state.is_urgent = false;
+                self.emptied.notify_all();
+            }
+        }
+    }
+}
--- a/lib/telemetry/tests/events.rs
+++ b/lib/telemetry/tests/events.rs
@@ -111,3 +111,65 @@
 fn null_sink_gives_no_mark() {
     assert_eq!(NullSink.emit(&Event::info("a")).seq, 0);
 }
+
+/// Guards against lines that a process which ends at once leaves behind.
+#[test]
+fn flush_waits_until_the_lines_are_written() {
+    let out = Shared::default();
+    let host = "zilina-1".into();
+    let events = Events::new(&host, &"zilina".into(), Box::new(out.clone()), Level::Info);
+    for _ in 0..100 {
+        events.emit(&Event::info("a"));
+    }
+    events.flush();
+    let written = out.0.lock().unwrap().clone();
+    assert_eq!(String::from_utf8(written).unwrap().lines().count(), 100);
+}
+
+/// Guards against an end of the process that waits for a reader which takes nothing.
+#[test]
+fn stuck_reader_does_not_hold_up_the_end() {
+    let (_release, held) = mpsc::channel();
+    let host = "zilina-1".into();
+    let events = Events::new(&host, &"zilina".into(), Box::new(Stuck(held)), Level::Info);
+    events.emit(&Event::info("a"));
+    // Returns although the writer still waits.
+    drop(events);
+}
+
+/// Writer whose reader has gone.
+struct Closed;
+
+impl Write for Closed {
+    fn write(&mut self, _buf: &[u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines that get lost uncounted.
+#[test]
+fn lines_that_cannot_be_written_are_counted() {
+    let host = "zilina-1".into();
+    let events = Events::new(&host, &"zilina".into(), Box::new(Closed), Level::Info);
+    for _ in 0..10 {
+        events.emit(&Event::info("a"));
+    }
+    events.flush();
+    assert_eq!(events.dropped(), 10);
+}
+
+/// Guards against names that break the line they stand in.
+#[test]
+fn odd_texts_stay_inside_their_line() {
+    let odd = "a \"quoted\"\nname\u{0}";
+    let found = lines(Level::Info, |events| {
+        events.emit(&Event::info("a").request(odd).detail(odd));
+    });
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0]["request"], odd);
+    assert_eq!(found[0]["detail"], odd);
+}
