dispatch, upkeep: hold filling tasks back beside harmed ones; keep bounds of unavailability in waves

Cause: two promises to serving tasks were not built. A filling task could keep a serving one over its target for good (HARM), and an upkeep ended tasks of a step whatever was away already (AVAIL). Filling tasks do not count as late for their worker, and are moved only after ten times their estimate: a test of the pace showed that a task held back was taken for overdue and its work thrown away. Found by reading and mended with a test: a confirmed upkeep declared all runs of the worker lost, also when the order had been carried out before (its answer lost) and the worker of now began after it: its runs would have been started a second time beside themselves. Only a life from clearly before the wave is ended.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     DispatchConfig, Input, Lanes, Note, Output,
+    dispatcher_pace::FULL_PACE,
     dispatcher_place::Claims,
     pace::Pace,
     run_view::{RunView, StartState, StopState},
@@ -157,6 +158,19 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Runs of steps with bounded unavailability that do their full work.
+    pub fn bounded_at_work(&self) -> BTreeSet<TaskKey> {
+        let seats = self.seats.iter().filter(|(_, seat)| !seat.is_lapsed);
+        let runs = seats.flat_map(|(_, seat)| &seat.runs);
+        let at_work = runs.filter(|(_, view)| {
+            view.terms.is_bounded
+                && view.percent >= FULL_PACE
+                && view.stop == StopState::NotWanted
+                && !view.is_ended
+        });
+        at_work.map(|(task, _)| *task).collect()
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::BecameLeader { term } => self.lead(term),
@@ -170,6 +184,7 @@
             Input::Held { fence, .. }
             | Input::StartEnded { fence, .. }
             | Input::StopEnded { fence, .. }
+            | Input::PaceEnded { fence, .. }
                 if self.term != Some(fence) => {}
             Input::Applied(command) => self.applied(&command),
             Input::NotProposed(commands) => self.not_proposed(&commands),
@@ -189,6 +204,13 @@
                 outcome,
                 ..
             } => self.stop_ended(&life, task, run, outcome),
+            Input::PaceEnded {
+                life,
+                task,
+                run,
+                outcome,
+                ..
+            } => self.pace_ended(&life, task, run, outcome),
             Input::Advised { ask, answer } => self.advised(ask, answer),
             Input::Spare(worker) => self.spare(&worker),
             Input::Tick => self.tick(),
@@ -219,6 +241,9 @@
             if let Some(seat) = self.seats.get_mut(&placement.life.worker) {
                 let mut view = RunView::new(placement.run, terms, self.now);
                 view.start = StartState::Inherited;
+                if view.terms.fills {
+                    view.pace = None;
+                }
                 seat.insert_run(task, view);
                 self.placed.insert((task, placement.life.worker));
             } else {
--- a/lib/dispatch/src/dispatcher_holds.rs
+++ b/lib/dispatch/src/dispatcher_holds.rs
@@ -79,6 +79,7 @@
         }
         self.take_ends(life, &answer.finished);
         self.take_running(life, &answer, asked);
+        self.pace_fillers(&life.worker);
     }
 
     fn take_ends(&mut self, life: &WorkerLife, finished: &[FinishedRow]) {
@@ -147,6 +148,7 @@
                     if row.saved.is_some() {
                         view.saved.clone_from(&row.saved);
                     }
+                    view.percent = row.percent;
                     view.in_use = row.figure;
                     view.is_listed = true;
                 }
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Dispatcher, Note,
+    dispatcher_pace::FULL_PACE,
     run_view::{RunView, StartState, StopState},
     seat::Seat,
 };
@@ -14,6 +15,9 @@
 /// A run that takes longer than this many times its estimate is started elsewhere.
 const OVERDUE_FACTOR: u64 = 3;
 
+/// The same for a run that gets only what others leave unused.
+const OVERDUE_FILLING_FACTOR: u64 = 10;
+
 /// Time beyond that, so that short estimates leave room for the start.
 const OVERDUE_SLACK: Millis = Millis(2_000);
 
@@ -108,7 +112,9 @@
 
 /// Time that a run has taken, if it has an estimate and goes on as it should.
 fn time_run(view: &RunView, now: Millis) -> Option<Millis> {
+    // A run that is held back takes longer without a fault of its worker.
     let is_running = !view.is_ended
+        && view.pace == Some(FULL_PACE)
         && view.stop == StopState::NotWanted
         && matches!(view.start, StartState::Present { .. });
     (is_running && view.terms.estimate.0 > 0).then(|| now.since(view.placed_at))
@@ -123,12 +129,18 @@
     if is_suspect && runs == 1 {
         return view.terms.estimate.0 * SUSPECT_PERCENT / 100 + LATE_SLACK.0;
     }
-    (view.terms.estimate.0 * OVERDUE_FACTOR + OVERDUE_SLACK.0) << (runs - 1)
+    let factor = if view.terms.fills {
+        OVERDUE_FILLING_FACTOR
+    } else {
+        OVERDUE_FACTOR
+    };
+    (view.terms.estimate.0 * factor + OVERDUE_SLACK.0) << (runs - 1)
 }
 
 /// Number of jobs with a late run on a worker.
 fn late_jobs(seat: &Seat, now: Millis) -> usize {
-    let late = seat.runs.iter().filter(|(_, view)| {
+    let runs = seat.runs.iter().filter(|(_, view)| !view.terms.fills);
+    let late = runs.filter(|(_, view)| {
         let limit = Millis(view.terms.estimate.0 * LATE_PERCENT / 100 + LATE_SLACK.0);
         time_run(view, now).is_some_and(|ran| ran > limit)
     });
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Dispatcher, Note,
+    dispatcher_pace::FULL_PACE,
     packing::{Candidate, pack, pack_all},
     run_terms::RunTerms,
     run_view::RunView,
@@ -158,7 +159,8 @@
             rack: seat.record.rack.clone(),
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
-            is_slow: seat.pace.is_slow(self.mean_pace),
+            is_slow: seat.pace.is_slow(self.mean_pace)
+                || (step.fills && seat.filler_pace < FULL_PACE),
         })
     }
 
--- a/lib/dispatch/src/hold.rs
+++ b/lib/dispatch/src/hold.rs
@@ -28,6 +28,9 @@
     pub run: u32,
     /// Its last checkpoint.
     pub saved: Option<Name>,
+    /// Share of its work that is done, in percent; for a task that serves users, its share of full
+    /// work.
+    pub percent: u64,
     /// Thousandths of a core that it used in the last half second; for a task that serves users,
     /// the tail of its response times in milliseconds.
     pub figure: Option<u64>,
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -78,6 +78,19 @@
         /// What became of the order.
         outcome: OrderOutcome,
     },
+    /// The order to change the pace of a run was answered, or was not.
+    PaceEnded {
+        /// Term in which it was sent.
+        fence: u64,
+        /// The worker.
+        life: WorkerLife,
+        /// The task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// What became of the order.
+        outcome: OrderOutcome,
+    },
     /// A call for advice ended.
     Advised {
         /// Number of the call.
--- a/lib/dispatch/src/order.rs
+++ b/lib/dispatch/src/order.rs
@@ -44,6 +44,25 @@
     pub limit: Millis,
 }
 
+/// Order to let a run work at a share of its usual speed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PaceOrder {
+    /// The worker.
+    pub life: WorkerLife,
+    /// Where it takes orders.
+    pub address: Name,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// The share in percent.
+    pub percent: u64,
+    /// Term of the leader.
+    pub fence: u64,
+    /// Time after which the order counts as unanswered.
+    pub limit: Millis,
+}
+
 /// Why a worker did nothing.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
 #[display(rename_all = "snake_case")]
--- a/lib/dispatch/src/output.rs
+++ b/lib/dispatch/src/output.rs
@@ -2,7 +2,7 @@
 use tarragon_names::{HostName, Millis, WorkerName};
 use tarragon_workflow::{Command, StepKey};
 
-use crate::{HoldCall, Note, StartOrder, StopOrder};
+use crate::{HoldCall, Note, PaceOrder, StartOrder, StopOrder};
 
 /// A call for advice.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -30,6 +30,8 @@
     Start(StartOrder),
     /// Stop a run.
     Stop(StopOrder),
+    /// Change the pace of a run.
+    Pace(PaceOrder),
     /// Ask which workers may run a step.
     Ask(AskCall),
     /// Write an event.
--- a/lib/dispatch/src/run_terms.rs
+++ b/lib/dispatch/src/run_terms.rs
@@ -13,6 +13,12 @@
     pub(crate) estimate: Millis,
     /// Priority of the queue; 0 comes first.
     pub(crate) priority: u32,
+    /// Bound of the tail latency of a run that serves users.
+    pub(crate) target: Option<Millis>,
+    /// It takes only what other runs leave unused.
+    pub(crate) fills: bool,
+    /// Only so many runs of its step may be ended or out of work at the same time.
+    pub(crate) is_bounded: bool,
     /// A stopped run goes on elsewhere from where it was, and no other run ends with it.
     pub(crate) is_resumable: bool,
 }
@@ -27,6 +33,9 @@
                 step.estimate
             },
             priority: queue.map_or(LAST_PRIORITY, |queue| queue.priority),
+            target: step.target.filter(|_| step.long_running),
+            fills: step.fills,
+            is_bounded: step.long_running && step.max_unavailable.is_some(),
             is_resumable: step.checkpointing && !step.gang && !step.long_running,
         }
     }
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,6 +1,6 @@
 use tarragon_names::{Millis, Name};
 
-use crate::run_terms::RunTerms;
+use crate::{dispatcher_pace::FULL_PACE, run_terms::RunTerms};
 
 /// How far the order to start a run is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,7 +45,11 @@
     pub(crate) ticket: Option<Name>,
     pub(crate) placed_at: Millis,
     pub(crate) saved: Option<Name>,
-    /// Thousandths of a core in use, as the worker last said.
+    /// Share at which it works, or of its work that is done, in percent, as the worker last said.
+    pub(crate) percent: u64,
+    /// Share at which it was ordered to work, in percent; none if that is not known.
+    pub(crate) pace: Option<u64>,
+    /// Thousandths of a core in use, or the tail of a serving run in ms, as the worker last said.
     pub(crate) in_use: Option<u64>,
     /// The end was listed or is certain, and its record is proposed; the room is free.
     pub(crate) is_ended: bool,
@@ -64,6 +68,8 @@
             ticket: None,
             placed_at: now,
             saved: None,
+            percent: 0,
+            pace: Some(FULL_PACE),
             in_use: None,
             is_ended: false,
         }
--- a/lib/dispatch/src/seat.rs
+++ b/lib/dispatch/src/seat.rs
@@ -3,7 +3,7 @@
 use tarragon_names::{Millis, Resources};
 use tarragon_workflow::{StepKey, TaskKey, WorkerLife, WorkerRecord};
 
-use crate::{DispatchConfig, pace::Pace, run_view::RunView};
+use crate::{DispatchConfig, dispatcher_pace::FULL_PACE, pace::Pace, run_view::RunView};
 
 /// Slowest rate of a worker's clock against the own one, in percent.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
@@ -49,6 +49,10 @@
     pub(crate) pace: Pace,
     /// When a run was last done there.
     pub(crate) done_at: Millis,
+    /// Pace of the filling runs there, in percent.
+    pub(crate) filler_pace: u64,
+    /// Since when all serving runs there are well below their targets.
+    pub(crate) calm_since: Option<Millis>,
     /// Tasks fail or stand still there more than elsewhere.
     pub(crate) avoid_until: Millis,
 }
@@ -74,6 +78,8 @@
             is_lapsed: false,
             pace: Pace::default(),
             done_at: Millis(0),
+            filler_pace: FULL_PACE,
+            calm_since: None,
             avoid_until: Millis(0),
         }
     }
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -7,17 +7,20 @@
     time::Duration,
 };
 
+use futures::future::BoxFuture;
 use tarragon_dispatch::{
-    AskCall, Dispatcher, HoldCall, HoldOutcome, Input, OrderOutcome, Output, StartOrder, StopOrder,
+    AskCall, Dispatcher, HoldCall, HoldOutcome, Input, OrderOutcome, Output, PaceOrder, StartOrder,
+    StopOrder,
 };
 use tarragon_replica::{AbortOnPanic, Clock, ReplicaHandle};
 use tarragon_telemetry::{Event, EventSink};
+use tarragon_workflow::Flow;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    EntryMetrics, FlowLog, Outside, Reply, Request, dispatch_handle::DispatchHandle, entry_log,
-    mesh::Mesh,
+    EntryMetrics, FlowLog, Outside, Reply, Request, at_work::AtWork,
+    dispatch_handle::DispatchHandle, entry_log, mesh::Mesh,
 };
 
 /// Time between two ticks of the dispatcher.
@@ -36,9 +39,11 @@
 #[derive(Debug)]
 pub(crate) struct DispatchParts {
     pub(crate) dispatcher: Dispatcher,
+    pub(crate) flow: Arc<Flow>,
     pub(crate) handle: DispatchHandle,
     pub(crate) replica: ReplicaHandle<FlowLog>,
     pub(crate) mesh: Arc<Mesh>,
+    pub(crate) at_work: Arc<AtWork>,
     pub(crate) outside: Outside,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) events: Arc<dyn EventSink>,
@@ -77,6 +82,10 @@
             if now.since(ticked).0 >= TICK.as_millis() as u64 {
                 ticked = now;
                 inputs.push(Input::Tick);
+                if self.parts.flow.has_open_wave() {
+                    let tasks = self.parts.dispatcher.bounded_at_work();
+                    self.parts.at_work.set(tasks);
+                }
             }
             let timer = self.parts.metrics.dispatch_step.start_timer();
             let now_ms = self.parts.clock.wall_ms();
@@ -109,6 +118,7 @@
             Output::Hold(call) => self.hold(call),
             Output::Start(order) => self.start_run(order),
             Output::Stop(order) => self.stop_run(order),
+            Output::Pace(order) => self.pace_run(order),
             Output::Ask(call) => self.ask(call),
             Output::Note(note) => {
                 self.parts.events.emit(&entry_log::event_of(&note));
@@ -145,43 +155,57 @@
     }
 
     fn start_run(&self, order: StartOrder) {
-        let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         let (life, task, run) = (order.life.clone(), order.task, order.run);
         let (fence, limit) = (order.fence, Duration::from_millis(order.limit.0));
         let answer = self.parts.outside.workers.start(order, limit);
-        self.parts.runtime.spawn(async move {
-            let timer = metrics
-                .outside_time
-                .with_label_values(&["start"])
-                .start_timer();
-            let outcome = answer.await;
-            drop(timer);
-            count_order(&metrics, "start", outcome);
-            handle.send(Input::StartEnded {
-                fence,
-                life,
-                task,
-                run,
-                outcome,
-            });
+        self.follow("start", answer, move |outcome| Input::StartEnded {
+            fence,
+            life,
+            task,
+            run,
+            outcome,
         });
     }
 
     fn stop_run(&self, order: StopOrder) {
-        let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         let (life, task, run) = (order.life.clone(), order.task, order.run);
         let (fence, limit) = (order.fence, Duration::from_millis(order.limit.0));
         let answer = self.parts.outside.workers.stop(order, limit);
+        self.follow("stop", answer, move |outcome| Input::StopEnded {
+            fence,
+            life,
+            task,
+            run,
+            outcome,
+        });
+    }
+
+    fn pace_run(&self, order: PaceOrder) {
+        let (life, task, run) = (order.life.clone(), order.task, order.run);
+        let (fence, limit) = (order.fence, Duration::from_millis(order.limit.0));
+        let answer = self.parts.outside.workers.pace(order, limit);
+        self.follow("pace", answer, move |outcome| Input::PaceEnded {
+            fence,
+            life,
+            task,
+            run,
+            outcome,
+        });
+    }
+
+    /// Hands in what became of an order, and counts it.
+    fn follow<F>(&self, kind: &'static str, answer: BoxFuture<'static, OrderOutcome>, ended: F)
+    where
+        F: FnOnce(OrderOutcome) -> Input + Send + 'static,
+    {
+        let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         self.parts.runtime.spawn(async move {
+            let time = metrics.outside_time.with_label_values(&[kind]);
+            let timer = time.start_timer();
             let outcome = answer.await;
-            count_order(&metrics, "stop", outcome);
-            handle.send(Input::StopEnded {
-                fence,
-                life,
-                task,
-                run,
-                outcome,
-            });
+            drop(timer);
+            count_order(&metrics, kind, outcome);
+            handle.send(ended(outcome));
         });
     }
 
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -33,6 +33,7 @@
 
 use crate::{
     EntryConfig, EntryMetrics, FlowLog, Hello, Outside, Reply, Request,
+    at_work::AtWork,
     dispatch_handle::DispatchHandle,
     dispatch_loop::{DispatchLoop, DispatchParts},
     dispatch_sink::DispatchSink,
@@ -74,6 +75,7 @@
     id: MemberId,
     handle: ReplicaHandle<FlowLog>,
     desk: LeaderDesk,
+    at_work: Arc<AtWork>,
     threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -157,6 +159,7 @@
                 clock: Arc::clone(&seated.desk.clock),
                 events: Arc::clone(&host.events),
                 machines: Arc::clone(&host.outside.machines),
+                at_work: Arc::clone(&seated.at_work),
                 down_time: host.cfg.timing.bounds.upkeep,
                 ordered: BTreeMap::new(),
                 led_since: None,
@@ -423,7 +426,10 @@
             self.mesh.connect(&member.host);
         }
         let (handle, replica_thread) = ReplicaDriver::start(parts, applied);
+        let at_work = Arc::new(AtWork::default());
         let parts = DispatchParts {
+            flow: Arc::clone(&flow),
+            at_work: Arc::clone(&at_work),
             dispatcher: Dispatcher::new(timing.dispatch(), Arc::clone(&flow)),
             handle: dispatch.clone(),
             replica: handle.clone(),
@@ -458,6 +464,7 @@
             id,
             handle,
             desk,
+            at_work,
             threads: Mutex::new(vec![dispatch_thread, replica_thread]),
         })
     }
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! with a data folder hold the replicated state. What the platform's interfaces look like is
 //! hidden behind the traits [`WorkerCalls`], [`AdviceCalls`] and [`MachineCalls`].
 
+mod at_work;
 mod dispatch_handle;
 mod dispatch_loop;
 mod dispatch_sink;
--- a/lib/entry/src/outside.rs
+++ b/lib/entry/src/outside.rs
@@ -1,7 +1,9 @@
 use std::{fmt::Debug, sync::Arc, time::Duration};
 
 use futures::future::BoxFuture;
-use tarragon_dispatch::{AdviceAnswer, HoldCall, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
+use tarragon_dispatch::{
+    AdviceAnswer, HoldCall, HoldOutcome, OrderOutcome, PaceOrder, StartOrder, StopOrder,
+};
 use tarragon_names::{Name, WorkerName};
 use tarragon_upkeep::Machine;
 use tarragon_workflow::{StepKey, WaveKey};
@@ -14,6 +16,9 @@
     /// Stops a run.
     fn stop(&self, order: StopOrder, limit: Duration) -> BoxFuture<'static, OrderOutcome>;
 
+    /// Changes the pace of a run.
+    fn pace(&self, order: PaceOrder, limit: Duration) -> BoxFuture<'static, OrderOutcome>;
+
     /// Looks at a worker.
     fn hold(&self, call: HoldCall, limit: Duration) -> BoxFuture<'static, HoldOutcome>;
 }
--- a/lib/entry/src/upkeep_loop.rs
+++ b/lib/entry/src/upkeep_loop.rs
@@ -8,12 +8,14 @@
 use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_replica::Clock;
 use tarragon_telemetry::{Event, EventSink};
-use tarragon_upkeep::{Machine, Upkeep, UpkeepStep, next_steps};
-use tarragon_workflow::{Command, Flow, WaveKey};
+use tarragon_upkeep::{BoundedTask, Machine, Upkeep, UpkeepStep, ends_life, next_steps};
+use tarragon_workflow::{Command, Flow, WaveKey, WorkerRecord};
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
-use crate::{EntryHost, MachineCalls, MachineOutcome, dispatch_handle::DispatchHandle};
+use crate::{
+    EntryHost, MachineCalls, MachineOutcome, at_work::AtWork, dispatch_handle::DispatchHandle,
+};
 
 /// Time between two looks at the waves.
 const LOOK: Duration = Duration::from_millis(500);
@@ -31,6 +33,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) events: Arc<dyn EventSink>,
     pub(crate) machines: Arc<dyn MachineCalls>,
+    pub(crate) at_work: Arc<AtWork>,
     /// Time for which a machine is down.
     pub(crate) down_time: Millis,
     pub(crate) ordered: BTreeMap<Name, Instant>,
@@ -50,8 +53,7 @@
                 self.led_since = Some((term, Instant::now()));
                 self.ordered.clear();
             }
-            let waves = self.flow.waves();
-            if waves.values().any(|wave| !wave.is_completed()) {
+            if self.flow.has_open_wave() {
                 self.look(&host, term).await;
             }
         }
@@ -82,6 +84,7 @@
             machines: &machines,
             ordered: &ordered,
             runs: &self.runs(),
+            bounded: &self.bounded(),
             now_ms: self.clock.wall_ms(),
             down_time: self.down_time,
         };
@@ -119,7 +122,11 @@
             .emit(&event.detail(format!("machine {machine}, wave {wave}: {outcome:?}")));
         match outcome {
             MachineOutcome::Done => {
-                if let Some(record) = life {
+                let known = self.flow.wave(wave);
+                let has_ended = |record: &WorkerRecord| {
+                    known.is_some_and(|wave| ends_life(&wave, &record.life))
+                };
+                if let Some(record) = life.filter(has_ended) {
                     host.record(Command::RemoveWorker(record.life)).await;
                 }
                 host.record_upkeep(wave, machine).await;
@@ -131,6 +138,25 @@
         }
     }
 
+    /// Tasks of steps with bounded unavailability.
+    fn bounded(&self) -> Vec<BoundedTask> {
+        let at_work = self.at_work.get();
+        let mut tasks = Vec::new();
+        self.flow.for_each_job(|job| {
+            for (task, step, placement) in job.long_running() {
+                if let Some(most_away) = step.max_unavailable {
+                    tasks.push(BoundedTask {
+                        step: task.step,
+                        worker: placement.map(|placement| placement.life.worker.clone()),
+                        is_at_work: placement.is_some() && at_work.contains(&task),
+                        most_away,
+                    });
+                }
+            }
+        });
+        tasks
+    }
+
     /// Runs by worker, as the replicated state knows them.
     fn runs(&self) -> BTreeMap<WorkerName, usize> {
         let mut runs = BTreeMap::new();
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -10,7 +10,9 @@
 };
 
 use futures::{FutureExt, future::BoxFuture, future::ready};
-use tarragon_dispatch::{AdviceAnswer, HoldCall, HoldOutcome, OrderOutcome, StartOrder, StopOrder};
+use tarragon_dispatch::{
+    AdviceAnswer, HoldCall, HoldOutcome, OrderOutcome, PaceOrder, StartOrder, StopOrder,
+};
 use tarragon_entry::{
     AdviceCalls, Bounds, EntryConfig, EntryHost, EntryMetrics, EntryParts, EntryTiming,
     MachineCalls, MachineOutcome, Outside, WorkerCalls,
@@ -155,6 +157,10 @@
         ready(OrderOutcome::Unanswered).boxed()
     }
 
+    fn pace(&self, _: PaceOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
+        ready(OrderOutcome::Unanswered).boxed()
+    }
+
     fn hold(&self, _: HoldCall, _: Duration) -> BoxFuture<'static, HoldOutcome> {
         ready(HoldOutcome::Unanswered).boxed()
     }
--- a/lib/telemetry/src/line_queue.rs
+++ b/lib/telemetry/src/line_queue.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Default)]
 struct State {
     lines: Vec<u8>,
+    count: u64,
     /// Someone waits for what is queued.
     is_urgent: bool,
     is_closed: bool,
@@ -42,6 +43,7 @@
             self.filled.notify_one();
         }
         state.lines.extend_from_slice(line);
+        state.count += 1;
         true
     }
 
@@ -84,10 +86,11 @@
             self.filled.wait_while_for(&mut state, can_wait, GATHER);
             batch.clear();
             std::mem::swap(&mut batch, &mut state.lines);
+            let count = std::mem::take(&mut state.count);
             state.is_writing = true;
             drop(state);
             if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
-                lost(batch.iter().filter(|byte| **byte == b'\n').count() as u64);
+                lost(count);
             }
             let mut state = self.state.lock();
             state.is_writing = false;
--- /dev/null
+++ b/lib/upkeep/src/bounded_task.rs
@@ -0,0 +1,40 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use tarragon_names::WorkerName;
+use tarragon_workflow::StepKey;
+
+/// A task of a step of which only so many may be unavailable at the same time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BoundedTask {
+    /// Its step.
+    pub step: StepKey,
+    /// Where it runs.
+    pub worker: Option<WorkerName>,
+    /// It does its full work.
+    pub is_at_work: bool,
+    /// Most tasks of the step that may be unavailable.
+    pub most_away: u32,
+}
+
+/// Tells whether the end of a worker would take more tasks of a step away than may be, when the
+/// workers in `ending` end too.
+pub(crate) fn breaks_bound(
+    tasks: &[BoundedTask],
+    worker: &WorkerName,
+    ending: &BTreeSet<WorkerName>,
+) -> bool {
+    let mut away = BTreeMap::<StepKey, u32>::new();
+    let mut would_end = BTreeSet::new();
+    for task in tasks {
+        let is_there = task.worker.as_ref() == Some(worker);
+        let ends_anyway = task.worker.as_ref().is_none_or(|on| ending.contains(on));
+        if is_there || ends_anyway || !task.is_at_work {
+            *away.entry(task.step).or_default() += 1;
+        }
+        if is_there && task.is_at_work {
+            would_end.insert(task.step);
+        }
+    }
+    let mut bounds = tasks.iter().map(|task| (task.step, task.most_away));
+    bounds.any(|(step, most)| would_end.contains(&step) && away[&step] > most)
+}
--- a/lib/upkeep/src/lib.rs
+++ b/lib/upkeep/src/lib.rs
@@ -2,10 +2,14 @@
 //!
 //! The caller lists the machines, carries out the [`UpkeepStep`]s, and records what came of them.
 
+mod bounded_task;
+mod ends_life;
 mod machine;
 mod next_steps;
 mod upkeep_step;
 
+pub use bounded_task::BoundedTask;
+pub use ends_life::ends_life;
 pub use machine::{Machine, MachineState};
 pub use next_steps::{Upkeep, next_steps};
 pub use upkeep_step::UpkeepStep;
--- a/lib/upkeep/src/next_steps.rs
+++ b/lib/upkeep/src/next_steps.rs
@@ -3,7 +3,7 @@
 use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{MachinePhase, Wave, WaveKey};
 
-use crate::{Machine, MachineState, UpkeepStep};
+use crate::{BoundedTask, Machine, MachineState, UpkeepStep, bounded_task::breaks_bound};
 
 /// What is known of the machines and of the work on them.
 #[derive(Clone, Debug)]
@@ -14,6 +14,8 @@
     pub ordered: &'a BTreeSet<Name>,
     /// Runs by worker; none for a worker that is not listed.
     pub runs: &'a BTreeMap<WorkerName, usize>,
+    /// Tasks of steps of which only so many may be unavailable.
+    pub bounded: &'a [BoundedTask],
     /// Unix time in milliseconds.
     pub now_ms: u64,
     /// Time for which a machine is down.
@@ -24,16 +26,25 @@
 ///
 /// Machines with little work go first, and nothing more is placed on those that are next. A machine
 /// goes down when nothing runs there, or when the wave would be late otherwise; never more than the
-/// cap of its wave are down at once.
+/// cap of its wave are down at once, and never with more tasks of a step than may be unavailable.
 pub fn next_steps(waves: &BTreeMap<WaveKey, Wave>, known: &Upkeep<'_>) -> Vec<UpkeepStep> {
     let mut steps = Vec::new();
+    let ordered = known.ordered.iter();
+    let ordered = ordered.filter_map(|name| known.machines.get(name)?.worker.clone());
+    let mut ending = ordered.collect::<BTreeSet<_>>();
     for (key, wave) in waves.iter().filter(|(_, wave)| !wave.is_completed()) {
-        wave_steps(*key, wave, known, &mut steps);
+        wave_steps(*key, wave, known, &mut ending, &mut steps);
     }
     steps
 }
 
-fn wave_steps(key: WaveKey, wave: &Wave, known: &Upkeep<'_>, steps: &mut Vec<UpkeepStep>) {
+fn wave_steps(
+    key: WaveKey,
+    wave: &Wave,
+    known: &Upkeep<'_>,
+    ending: &mut BTreeSet<WorkerName>,
+    steps: &mut Vec<UpkeepStep>,
+) {
     let is_down = |name: &Name| {
         let state = known.machines.get(name).map(|machine| machine.state);
         known.ordered.contains(name) || state == Some(MachineState::Upkeep)
@@ -69,8 +80,17 @@
     let needed = (rounds + 1) * known.down_time.0;
     let is_late = known.now_ms + needed >= wave.due_ms;
     let free = cap.saturating_sub(down);
+    let may_end = |machine: &&Machine, ending: &BTreeSet<WorkerName>| {
+        let worker = machine.worker.as_ref();
+        worker.is_none_or(|worker| !breaks_bound(known.bounded, worker, ending))
+    };
+    waiting.retain(|machine| may_end(machine, ending));
     for machine in waiting.into_iter().take(free) {
+        if !may_end(&machine, ending) {
+            continue;
+        }
         if runs_on(machine) == 0 || is_late {
+            ending.extend(machine.worker.clone());
             steps.push(UpkeepStep::Begin {
                 wave: key,
                 machine: machine.name.clone(),
--- a/lib/workflow/src/flow.rs
+++ b/lib/workflow/src/flow.rs
@@ -140,6 +140,12 @@
         self.waves.lock().clone()
     }
 
+    /// Tells whether a wave of upkeep is not completed.
+    pub fn has_open_wave(&self) -> bool {
+        let waves = self.waves.lock();
+        waves.values().any(|wave| !wave.is_completed())
+    }
+
     /// One wave of upkeep.
     pub fn wave(&self, key: WaveKey) -> Option<Wave> {
         self.waves.lock().get(&key).cloned()
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -4,7 +4,7 @@
 use tarragon_names::Name;
 
 use crate::{
-    End, JobKey, JobPhase, JobSpec, Occurrence, OrderRecord, Placement, StepKey, TaskKey,
+    End, JobKey, JobPhase, JobSpec, Occurrence, OrderRecord, Placement, StepKey, StepSpec, TaskKey,
     TaskPhase, TaskRun,
 };
 
@@ -124,6 +124,28 @@
         placements
     }
 
+    /// Tasks of begun occurrences that last until the job is cancelled, with what they are and
+    /// where they run.
+    pub fn long_running(&self) -> Vec<(TaskKey, &StepSpec, Option<&Placement>)> {
+        let mut found = Vec::new();
+        for (occurrence, run) in &self.occurrences {
+            for ((step, spec), step_run) in (0..).zip(&self.spec.steps).zip(&run.steps) {
+                if !spec.long_running {
+                    continue;
+                }
+                let step = StepKey {
+                    job: self.key,
+                    occurrence: *occurrence,
+                    step,
+                };
+                for (index, task) in (0..).zip(&step_run.tasks) {
+                    found.push((TaskKey { step, index }, spec, task.placement()));
+                }
+            }
+        }
+        found
+    }
+
     pub(crate) fn cancel(&mut self, now_ms: u64) {
         self.end(JobPhase::Cancelled, now_ms);
     }
