--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
     DispatchConfig, Input, Lanes, Note, Output,
     dispatcher_pace::FULL_PACE,
     dispatcher_place::Claims,
+    headroom::Headroom,
     pace::Pace,
     run_view::{RunView, StartState, StopState},
     seat::Seat,
@@ -59,8 +60,10 @@
     pub(crate) out: Vec<Output>,
     /// Pace of the mean worker.
     pub(crate) mean_pace: Pace,
-    /// Priority of the least urgent queue.
+    /// Priorities of the most and the least urgent queue.
+    pub(crate) first_priority: u32,
     pub(crate) last_priority: u32,
+    pub(crate) headroom: Headroom,
     /// Steps whose turn has just come; they need not wait for the next placement of all.
     pub(crate) arrivals: Vec<StepKey>,
     /// Workers that the last placement kept for gangs, and the highest priority among these.
@@ -110,7 +113,9 @@
             records: Vec::new(),
             out: Vec::new(),
             mean_pace: Pace::default(),
+            first_priority: 0,
             last_priority: 0,
+            headroom: Headroom::default(),
             arrivals: Vec::new(),
             kept: (u32::MAX, Claims::new()),
             is_dirty: false,
@@ -302,6 +307,7 @@
     fn read_priorities(&mut self) {
         let document = self.flow.document();
         let priorities = document.queues.iter().map(|queue| queue.priority);
+        self.first_priority = priorities.clone().min().unwrap_or(0);
         self.last_priority = priorities.max().unwrap_or(0);
     }
 
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod dispatcher_pace;
 mod dispatcher_place;
 mod dispatcher_preempt;
+mod headroom;
 mod hold;
 mod input;
 mod lanes;
--- a/lib/telemetry/src/line_queue.rs
+++ b/lib/telemetry/src/line_queue.rs
@@ -10,6 +10,10 @@
 /// processor time than the decision that it tells of.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Most bytes of one write, unless a single line is longer: a pipe takes so many as a whole, and
+/// readers that cut long writes short lose no line.
+const WRITE_BYTES: usize = 4_096;
+
 #[derive(Debug, Default)]
 struct State {
     lines: Vec<u8>,
@@ -89,7 +93,8 @@
             let count = std::mem::take(&mut state.count);
             state.is_writing = true;
             drop(state);
-            if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+            let written = chunks(&batch).try_for_each(|chunk| out.write_all(chunk));
+            if written.and_then(|()| out.flush()).is_err() {
                 lost(count);
             }
             let mut state = self.state.lock();
@@ -101,3 +106,19 @@
         }
     }
 }
+
+/// Cuts a batch of whole lines into parts of whole lines, as few as the size of a write allows.
+fn chunks(mut batch: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        if batch.is_empty() {
+            return None;
+        }
+        let is_end = |byte: &u8| *byte == b'\n';
+        let window = &batch[..batch.len().min(WRITE_BYTES)];
+        let last = window.iter().rposition(is_end);
+        let last = last.or_else(|| batch.iter().position(is_end));
+        let (chunk, rest) = batch.split_at(last.map_or(batch.len(), |at| at + 1));
+        batch = rest;
+        Some(chunk)
+    })
+}
--- a/lib/telemetry/tests/events.rs
+++ b/lib/telemetry/tests/events.rs
@@ -173,3 +173,41 @@
     assert_eq!(found[0]["request"], odd);
     assert_eq!(found[0]["detail"], odd);
 }
+
+/// Writer that keeps each write apart.
+#[derive(Clone, Default)]
+struct Writes(Arc<Mutex<Vec<Vec<u8>>>>);
+
+impl Write for Writes {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().push(buf.to_vec());
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines that a reader loses because it takes only the first kilobytes of a write.
+#[test]
+fn writes_are_short_and_hold_whole_lines() {
+    let out = Writes::default();
+    let host = "zilina-1".into();
+    let events = Events::new(&host, &"zilina".into(), Box::new(out.clone()), Level::Info);
+    for _ in 0..500 {
+        events.emit(&Event::info("a").detail("x".repeat(100)));
+    }
+    events.emit(&Event::info("long").detail("x".repeat(10_000)));
+    events.flush();
+    let writes = out.0.lock().unwrap().clone();
+    let is_whole = |write: &Vec<u8>| write.ends_with(b"\n");
+    assert!(writes.iter().all(is_whole));
+    let is_one_line = |write: &Vec<u8>| write.iter().filter(|byte| **byte == b'\n').count() == 1;
+    assert!(
+        writes
+            .iter()
+            .all(|write| write.len() <= 4_096 || is_one_line(write))
+    );
+    assert!(writes.len() < 100, "{} writes", writes.len());
+}
