--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -13,7 +13,6 @@
     DispatchConfig, Input, Lanes, Note, Output,
     dispatcher_pace::FULL_PACE,
     dispatcher_place::Claims,
-    headroom::Headroom,
     pace::Pace,
     run_view::{RunView, StartState, StopState},
     seat::Seat,
@@ -60,10 +59,8 @@
     pub(crate) out: Vec<Output>,
     /// Pace of the mean worker.
     pub(crate) mean_pace: Pace,
-    /// Priorities of the most and the least urgent queue.
-    pub(crate) first_priority: u32,
+    /// Priority of the least urgent queue.
     pub(crate) last_priority: u32,
-    pub(crate) headroom: Headroom,
     /// Steps whose turn has just come; they need not wait for the next placement of all.
     pub(crate) arrivals: Vec<StepKey>,
     /// Workers that the last placement kept for gangs, and the highest priority among these.
@@ -113,9 +110,7 @@
             records: Vec::new(),
             out: Vec::new(),
             mean_pace: Pace::default(),
-            first_priority: 0,
             last_priority: 0,
-            headroom: Headroom::default(),
             arrivals: Vec::new(),
             kept: (u32::MAX, Claims::new()),
             is_dirty: false,
@@ -307,7 +302,6 @@
     fn read_priorities(&mut self) {
         let document = self.flow.document();
         let priorities = document.queues.iter().map(|queue| queue.priority);
-        self.first_priority = priorities.clone().min().unwrap_or(0);
         self.last_priority = priorities.max().unwrap_or(0);
     }
 
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -8,7 +8,6 @@
 use crate::{
     Dispatcher, Note,
     dispatcher_pace::FULL_PACE,
-    headroom::Headroom,
     packing::{Candidate, pack, pack_all},
     run_terms::RunTerms,
     run_view::RunView,
@@ -38,7 +37,6 @@
     /// Places what can be placed, in the order of urgency.
     pub(crate) fn place(&mut self) {
         let (now, now_ms) = (self.now, self.now_ms);
-        self.headroom = Headroom::of(&self.seats);
         let mut order = self
             .plans
             .values()
@@ -101,11 +99,7 @@
         let plan = self.plans.get(key)?;
         let step = plan.step();
         let need = step.reserved();
-        let waiting = plan.waiting.len() as u32;
-        let count = waiting.min(self.most_tasks(plan));
-        if count == 0 || (step.gang && count < waiting) {
-            return None;
-        }
+        let count = plan.waiting.len() as u32;
         let candidates = self.candidates(key, among, claims);
         let fit = |candidates: Vec<Candidate>| {
             if step.gang {
@@ -118,16 +112,6 @@
         fit(untried).or_else(|| fit(candidates))
     }
 
-    /// Tasks of a step that may be placed without taking what is kept for more urgent queues.
-    fn most_tasks(&self, plan: &StepPlan) -> u32 {
-        let is_last = plan.queue.priority == self.last_priority;
-        if !is_last || self.first_priority == self.last_priority {
-            return u32::MAX;
-        }
-        let cpu_milli = plan.step().reserved().cpu_milli;
-        self.headroom.tasks(&plan.queue.pool, cpu_milli)
-    }
-
     pub(crate) fn candidates(
         &self,
         key: &StepKey,
@@ -257,7 +241,6 @@
             seat.insert_run(task, view);
             let life = seat.record.life.clone();
             let free = seat.free_for(&key);
-            self.headroom.take(&seat.record.pool, need.cpu_milli);
             self.placed.insert((task, worker.clone()));
             self.records.push(OrderRecord::Placed { task, run, life });
             let detail = format!("waited {waited} ms, needs {need}, leaves {free}");
--- a/lib/dispatch/src/dispatcher_preempt.rs
+++ b/lib/dispatch/src/dispatcher_preempt.rs
@@ -40,8 +40,9 @@
         if now < plan.room_by {
             return true;
         }
-        // Late work is worth little, so that it does not delay other work.
-        let may_preempt = plan.queue.priority < last && now_ms < plan.objective_ms;
+        // Room that comes too late for the objective is not worth the delay of other work.
+        let room_at = now_ms + (self.cfg.stop + KNOWN_SLACK + plan.step().estimate).0;
+        let may_preempt = plan.queue.priority < last && room_at <= plan.objective_ms;
         if !may_preempt || now < plan.preempt_at {
             return false;
         }
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -15,7 +15,6 @@
 mod dispatcher_pace;
 mod dispatcher_place;
 mod dispatcher_preempt;
-mod headroom;
 mod hold;
 mod input;
 mod lanes;
--- a/lib/dispatch/src/seat.rs
+++ b/lib/dispatch/src/seat.rs
@@ -128,11 +128,6 @@
         self.runs.remove(task);
     }
 
-    /// What the runs that have not ended take.
-    pub(crate) fn used(&self) -> Resources {
-        self.used
-    }
-
     /// Runs whose order was sent and that the worker has not listed.
     pub(crate) fn uncertain_runs(&self) -> Vec<(TaskKey, RunView)> {
         let runs = self.runs.iter();
