entryd: take in the log level and the lines of a second while it runs; timeline: read collected logs

Change: the daemon's own settings file is looked at with that of the platform, on SIGHUP and every second; bad settings leave the old ones in force and say so. What stands before a line's object is left aside. Found by a test that failed once (full_queue_drops_and_counts: 9,710 dropped of 20,000): what the writer had taken did not count towards the bound of 1 MiB, so that nearly twice as much could be held; it counts now, and the test holds as it was. By reading: Links::disconnect was never called and is gone; the comment of a metric named another time.

--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -26,7 +26,10 @@
 use crate::{
     command_line::CommandLine,
     daemon::slog_level,
-    entryd::{listeners::Listeners, reload::reload_settings},
+    entryd::{
+        listeners::Listeners,
+        reload::{Reload, hangups},
+    },
 };
 
 /// Runs one command line until the daemon has stopped.
@@ -57,7 +60,7 @@
     if matches.opt_present("check-config") {
         return ExitCode::SUCCESS;
     }
-    match start(own, platform) {
+    match start(Path::new(&path), own, platform) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             eprintln!("tarragon-entryd: {failure}\n{}", failure.code.advice());
@@ -66,7 +69,7 @@
     }
 }
 
-fn start(own: EntrySettings, platform: PlatformSettings) -> Outcome<()> {
+fn start(path: &Path, own: EntrySettings, platform: PlatformSettings) -> Outcome<()> {
     let runtime = Builder::new_multi_thread()
         .worker_threads(own.worker_threads as usize)
         .enable_all()
@@ -84,7 +87,7 @@
     let budget = Arc::new(LineBudget::new(Arc::clone(&events) as _, lines, now));
     let logs = Logs { events, budget };
     let events = Arc::clone(&logs.events);
-    let outcome = runtime.block_on(serve(own, platform, logs));
+    let outcome = runtime.block_on(serve(path, own, platform, logs));
     if let Err(failure) = &outcome {
         let event = Event::error("failed").code(failure.code.number());
         events.emit(&event.detail(failure.cause.clone()));
@@ -107,8 +110,16 @@
     }
 }
 
-async fn serve(own: EntrySettings, platform: PlatformSettings, logs: Logs) -> Outcome<()> {
+async fn serve(
+    path: &Path,
+    own: EntrySettings,
+    platform: PlatformSettings,
+    logs: Logs,
+) -> Outcome<()> {
     let events = Arc::clone(&logs.budget) as Arc<dyn EventSink>;
+    // Before anything else, since the signal would end the process.
+    let hangup = hangups().map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
+    let reloaded = logs.clone();
     let http = HttpClient::new(Arc::clone(&events));
     let metrics = EntryMetrics::new()?;
     let replica_metrics = Arc::new(Metrics::new());
@@ -134,8 +145,12 @@
     );
     events.emit(&Event::info("started").detail(detail));
     let stop = CancellationToken::new();
-    let reload = reload_settings(Arc::clone(&host), Arc::clone(&events));
-    tokio::spawn(stop.clone().run_until_cancelled_owned(reload));
+    let reload = Reload {
+        host: Arc::clone(&host),
+        logs: reloaded,
+        own: path.to_owned(),
+    };
+    tokio::spawn(stop.clone().run_until_cancelled_owned(reload.run(hangup)));
     wait_for_stop().await?;
     stop.cancel();
     host.begin_stop();
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -23,7 +23,7 @@
     pub outside_time: HistogramVec,
     /// Runs that ended, by how.
     pub ends: IntCounterVec,
-    /// Time from the acceptance of a job, or the end of what it waited for, to a placement.
+    /// Time of a decision step of the dispatcher.
     pub dispatch_step: Histogram,
     /// Messages on the links between hosts.
     pub link_messages: IntCounter,
--- a/lib/replica/src/links.rs
+++ b/lib/replica/src/links.rs
@@ -74,11 +74,6 @@
         tokio::spawn(async move { stop.run_until_cancelled(link.run()).await });
     }
 
-    /// Ends the link to a host that has left for good.
-    pub fn disconnect(&self, host: &HostName) {
-        self.queues.write().remove(host);
-    }
-
     /// Sends a message; it may be lost.
     pub fn send(&self, to: &HostName, event: PeerEvent) {
         let queues = self.queues.read();
--- a/lib/telemetry/src/line_budget.rs
+++ b/lib/telemetry/src/line_budget.rs
@@ -21,7 +21,7 @@
 /// At the end of a second in which lines were left out, one line tells how many.
 pub struct LineBudget {
     inner: Arc<dyn EventSink>,
-    lines_per_s: u64,
+    lines_per_s: AtomicU64,
     now: Millis,
     period: AtomicU64,
     used: AtomicU64,
@@ -37,7 +37,7 @@
     {
         Self {
             inner,
-            lines_per_s,
+            lines_per_s: AtomicU64::new(lines_per_s),
             now: Box::new(now),
             period: AtomicU64::new(0),
             used: AtomicU64::new(0),
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Changes the bound from now on.
+    pub fn set_lines_per_s(&self, lines: u64) {
+        self.lines_per_s.store(lines, Ordering::Relaxed);
+    }
+
     /// Lines that were left out so far.
     pub fn left_out(&self) -> u64 {
         self.total.load(Ordering::Relaxed)
@@ -77,7 +82,8 @@
     fn emit(&self, event: &Event) -> Mark {
         self.begin_period();
         let is_rare = event.level.is_at_least(Level::Warning);
-        if is_rare || self.used.fetch_add(1, Ordering::Relaxed) < self.lines_per_s {
+        let most = self.lines_per_s.load(Ordering::Relaxed);
+        if is_rare || self.used.fetch_add(1, Ordering::Relaxed) < most {
             return self.inner.emit(event);
         }
         self.left_out.fetch_add(1, Ordering::Relaxed);
--- a/lib/telemetry/src/line_queue.rs
+++ b/lib/telemetry/src/line_queue.rs
@@ -2,7 +2,7 @@
 
 use parking_lot::{Condvar, Mutex};
 
-/// Bytes of lines that wait for the writer; more are dropped, so that a slow reader holds up no
+/// Bytes of lines that are not written yet; more are dropped, so that a slow reader holds up no
 /// caller and the memory stays bounded.
 const QUEUED_BYTES: usize = 1 << 20;
 
@@ -21,8 +21,8 @@
     /// Someone waits for what is queued.
     is_urgent: bool,
     is_closed: bool,
-    /// The writer has lines that are not written yet.
-    is_writing: bool,
+    /// Bytes that the writer has taken and not written yet.
+    writing: usize,
 }
 
 /// Lines on their way to the thread that writes them.
@@ -40,7 +40,7 @@
     /// Queues a whole line without waiting; false if there is no room for it.
     pub(crate) fn push(&self, line: &[u8]) -> bool {
         let mut state = self.state.lock();
-        if state.lines.len() + line.len() > QUEUED_BYTES {
+        if state.writing + state.lines.len() + line.len() > QUEUED_BYTES {
             return false;
         }
         if state.lines.is_empty() {
@@ -68,7 +68,7 @@
         self.filled.notify_one();
         self.emptied.wait_while_for(
             &mut state,
-            |state| state.is_writing || !state.lines.is_empty(),
+            |state| state.writing > 0 || !state.lines.is_empty(),
             limit,
         );
     }
@@ -91,14 +91,14 @@
             batch.clear();
             std::mem::swap(&mut batch, &mut state.lines);
             let count = std::mem::take(&mut state.count);
-            state.is_writing = true;
+            state.writing = batch.len();
             drop(state);
             let written = chunks(&batch).try_for_each(|chunk| out.write_all(chunk));
             if written.and_then(|()| out.flush()).is_err() {
                 lost(count);
             }
             let mut state = self.state.lock();
-            state.is_writing = false;
+            state.writing = 0;
             if state.lines.is_empty() {
                 state.is_urgent = false;
                 self.emptied.notify_all();
--- a/lib/telemetry/tests/events.rs
+++ b/lib/telemetry/tests/events.rs
@@ -203,7 +203,7 @@
     let writes = out.0.lock().unwrap().clone();
     let is_whole = |write: &Vec<u8>| write.ends_with(b"\n");
     assert!(writes.iter().all(is_whole));
-    let is_one_line = |write: &Vec<u8>| write.iter().filter(|byte| **byte == b'\n').count() == 1;
+    let is_one_line = |write: &Vec<u8>| write.split_inclusive(|byte| *byte == b'\n').count() == 1;
     assert!(
         writes
             .iter()
--- a/lib/telemetry/tests/line_budget.rs
+++ b/lib/telemetry/tests/line_budget.rs
@@ -48,3 +48,19 @@
     let summaries = u64::from(passed < 5_000);
     assert_eq!(inner.summaries.load(Ordering::Relaxed), summaries);
 }
+
+/// Guards against a bound that holds until the next start of the process.
+#[test]
+fn bound_changes_while_it_runs() {
+    let inner = Arc::new(Counting::default());
+    let budget = LineBudget::new(Arc::clone(&inner) as _, 10, || 5_000);
+    for _ in 0..50 {
+        budget.emit(&Event::info("a"));
+    }
+    // The lines of this second that were left out count as used.
+    budget.set_lines_per_s(60);
+    for _ in 0..50 {
+        budget.emit(&Event::info("a"));
+    }
+    assert_eq!(inner.lines.load(Ordering::Relaxed), 20);
+}
--- a/lib/timeline/src/record.rs
+++ b/lib/timeline/src/record.rs
@@ -26,10 +26,13 @@
 impl Record {
     /// Reads a line of a log.
     ///
+    /// What a collector wrote in front of the object, such as its own time, is left aside.
+    ///
     /// Lines of the task log of stand-ins have no process and no count; for them the name of the
     /// file and the number of the line stand in.
     pub fn parse(line: &str, file: &str, number: u64) -> Outcome<Self> {
-        let fields: Map<String, Value> = serde_json::from_str(line)
+        let object = line.find('{').map_or(line, |at| &line[at..]);
+        let fields: Map<String, Value> = serde_json::from_str(object)
             .map_err(|e| Failure::new(Code::Malformed, format!("{file} line {number}: {e}")))?;
         let text = |key| fields.get(key).and_then(Value::as_str);
         let count = |key| fields.get(key).and_then(Value::as_u64);
--- a/lib/timeline/tests/order.rs
+++ b/lib/timeline/tests/order.rs
@@ -194,3 +194,17 @@
     assert_eq!(picture.matches("<circle").count(), 6);
     assert_eq!(picture.matches("marker-end").count(), 2);
 }
+
+/// Guards against logs that cannot be merged because a collector put its own columns in front.
+#[parameterized(
+    as_written = { "" },
+    time_and_host = { "  19.4553 lugang-dock-1 " },
+)]
+fn prefix_of_a_collector_is_left_aside(prefix: &str) {
+    let line = r#"{"process":"a","host":"a","seq":1,"ts":5,"event":"x","request":"r1"}"#;
+    let mut merge = Merge::default();
+    merge.add("log", &format!("{prefix}{line}"));
+    assert!(merge.unread().is_empty());
+    let events = merge.order();
+    assert_eq!(events[0].record.field("request").as_deref(), Some("r1"));
+}
