dispatch: judge runs by their times only when the leader has led without doubt for 1.5 s

Test: runs_are_not_judged_right_after_a_pause_of_the_leader, failing before and passing after. Ruled out: leases, which are judged by clocks that count the pause, and rightly so.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -68,6 +68,8 @@
     pub(crate) is_dirty: bool,
     /// No placement before this time, so that many events share one.
     pub(crate) place_at: Millis,
+    /// Since when no other host can have led.
+    pub(crate) steady_since: Millis,
     /// Next look at what has expired or takes too long.
     pub(crate) expire_at: Millis,
     pub(crate) now: Millis,
@@ -115,6 +117,7 @@
             kept: (u32::MAX, Claims::new()),
             is_dirty: false,
             place_at: Millis(0),
+            steady_since: Millis(0),
             expire_at: Millis(0),
             now: Millis(0),
             now_ms: 0,
@@ -136,6 +139,9 @@
     ) -> Vec<Output> {
         self.now = self.now.max(now);
         self.now_ms = now_ms;
+        if !is_sole_leader {
+            self.steady_since = self.now;
+        }
         for input in inputs {
             self.take(input);
         }
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -39,11 +39,18 @@
 /// Time for which nothing is placed on a suspected worker.
 const SUSPECT_PAUSE: Millis = Millis(1_000);
 
+/// Time for which the leader must have led without doubt before it judges runs by their times.
+/// After a pause of the leader all of them look late, and their ends are told with the next looks.
+const STEADY: Millis = Millis(1_500);
+
 impl Dispatcher {
     /// Suspects workers on which several jobs are late, and stops runs that take far longer than
     /// estimated, so that they start elsewhere.
     pub(crate) fn move_overdue(&mut self) {
         let now = self.now;
+        if now.since(self.steady_since) < STEADY {
+            return;
+        }
         let mut suspects = Vec::new();
         let mut overdue = Vec::new();
         for (worker, seat) in self.seats.iter_mut() {
--- a/lib/dispatch/tests/placement.rs
+++ b/lib/dispatch/tests/placement.rs
@@ -138,3 +138,22 @@
         "the ticket is fresh when the room is there"
     );
 }
+
+/// Guards against work that is moved away everywhere after a pause of the leader, in which runs
+/// have ended that it could not see.
+#[test]
+fn runs_are_not_judged_right_after_a_pause_of_the_leader() {
+    let mut world = World::new(&[worker("w1", 8)]);
+    world.submit(1, vec![step(1, 4)]);
+    world.answer_starts(OrderOutcome::Accepted);
+    let a = task(1, 0, 0);
+    world.hold("w1", &[(a, 1)], &[]);
+    world.is_sole_leader = false;
+    world.pass(8_000);
+    world.is_sole_leader = true;
+    world.pass(200);
+    assert!(world.stops.is_empty(), "{:?}", world.stops);
+    world.hold("w1", &[], &[(1, a, 1, End::Done)]);
+    world.pass(3_000);
+    assert!(world.stops.is_empty());
+}
