--- a/lib/dispatch/src/config.rs
+++ b/lib/dispatch/src/config.rs
@@ -28,7 +28,7 @@
     pub gone_after: Millis,
     /// Silence of a host after which no advice is asked through it.
     pub host_silent: Millis,
-    /// Least time between two placements.
+    /// Least time between two placements of all waiting steps.
     pub place_every: Millis,
     /// Time between two looks at leases and at runs that take too long.
     pub expire_every: Millis,
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -194,6 +194,7 @@
         }
     }
 
+    /// What the description of a task says of its runs.
     pub(crate) fn terms_of(&self, task: &TaskKey) -> RunTerms {
         let found = self.flow.with_job(task.step.job, |job| {
             let step = job.spec.steps.get(task.step.step as usize).cloned()?;
--- a/lib/dispatch/src/dispatcher_pace.rs
+++ b/lib/dispatch/src/dispatcher_pace.rs
@@ -1,7 +1,7 @@
 //! Pace of the tasks that take what others leave unused, beside tasks that serve users.
 
 use tarragon_names::{Millis, WorkerName};
-use tarragon_workflow::TaskKey;
+use tarragon_workflow::{TaskKey, WorkerLife};
 
 use crate::{
     Dispatcher, Note, OrderOutcome, Output, PaceOrder,
@@ -77,7 +77,7 @@
     /// The pace of a run whose order was not carried out is not known; the next look sends it again.
     pub(crate) fn pace_ended(
         &mut self,
-        life: &tarragon_workflow::WorkerLife,
+        life: &WorkerLife,
         task: TaskKey,
         run: u32,
         outcome: OrderOutcome,
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -29,7 +29,8 @@
 
 /// Chooses workers for up to `count` tasks; fewer are returned if there is no more room.
 ///
-/// Preferred workers come first and slow ones last, then the fullest: that keeps whole workers free for large tasks.
+/// Preferred workers come first and slow ones last, then the fullest: that keeps whole workers free
+/// for large tasks.
 pub(crate) fn pack(
     mut candidates: Vec<Candidate>,
     need: &Resources,
