platform: refuse odd entries, and saturate sums of amounts and times

Cause: another writer may leave an entry with a port of 0, a number near the maximum of its type, a start in the far future or a million labels. decode_report took these over, and they entered the replicated log, where every host reads them for ever. Resources and Millis derived Add and Sum, which wrap in a release build and panic in a test build: two capacities of 2^63 summed to nothing, and a remaining time of 1e300 lay in the past.

Change: a heartbeat with a value that no executor can have is refused as a whole. Sums of amounts and times saturate.

--- a/lib/front/src/calls/nodes.rs
+++ b/lib/front/src/calls/nodes.rs
@@ -87,12 +87,8 @@
     .any(|name| name.len() > MAX_NAME_BYTES)
     {
         "name, pool and domain: at most 256 bytes each"
-    } else if announcement
-        .address
-        .parse::<std::net::SocketAddr>()
-        .is_err()
-    {
-        "address: must be ip:port"
+    } else if !is_address(&announcement.address) {
+        "address: must be ip:port, with a port from 1 to 65535"
     } else if !allowed.contains(&announcement.slots) || !allowed.contains(&announcement.connections)
     {
         "slots and connections: must be from 1 to 65536"
@@ -101,3 +97,8 @@
     };
     Err(Failure::new(Code::Malformed, cause))
 }
+
+fn is_address(text: &str) -> bool {
+    let address = text.parse::<std::net::SocketAddr>();
+    address.is_ok_and(|address| address.port() != 0)
+}
--- a/lib/front/tests/calls.rs
+++ b/lib/front/tests/calls.rs
@@ -92,6 +92,10 @@
     no_revision = { "PUT /v1/catalogue/reel%2F*", "OPx-request-id: w\r\n", ENTRY, 1001 },
     other_pattern = { "PUT /v1/catalogue/other", "OPif-match: 3\r\nx-request-id: w\r\n", ENTRY, 1001 },
     executor_address = { "POST /v1/executors", "", &EXECUTOR.replace("127.0.0.1:9", "host:9"), 1001 },
+    executor_port_zero = { "POST /v1/executors", "", &EXECUTOR.replace("127.0.0.1:9", "127.0.0.1:0"), 1001 },
+    executor_port_out_of_range = { "POST /v1/executors", "", &EXECUTOR.replace("127.0.0.1:9", "127.0.0.1:99999"), 1001 },
+    executor_slots_out_of_range = { "POST /v1/executors", "", &EXECUTOR.replace("\"slots\":8", "\"slots\":4294967296"), 1001 },
+    executor_nested = { "POST /v1/executors", "", &EXECUTOR.replace("\"busy\":0", &format!("\"busy\":{}", "[".repeat(60_000))), 1001 },
     executor_without_slots = { "POST /v1/executors", "", &EXECUTOR.replace("\"slots\":8", "\"slots\":0"), 1001 },
     bad_level = { "PUT /v1/log-level", "OP", r#"{"level":"loud"}"#, 1001 },
 )]
--- a/lib/names/src/millis.rs
+++ b/lib/names/src/millis.rs
@@ -1,12 +1,14 @@
-use derive_more::{Add, AddAssign, Display, From, Into, Sub};
+use std::ops::{Add, AddAssign, Sub};
+
+use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 
 /// A monotonic clock reading or a duration, in milliseconds.
 ///
-/// Decision code gets clock readings from its caller and reads no clock itself.
+/// Decision code gets clock readings from its caller and reads no clock itself. Sums and differences
+/// saturate, because workers and callers report durations: a deadline that wraps around would lie in
+/// the past.
 #[derive(
-    Add,
-    AddAssign,
     Clone,
     Copy,
     Debug,
@@ -21,7 +23,6 @@
     PartialEq,
     PartialOrd,
     Serialize,
-    Sub,
 )]
 #[display("{_0}ms")]
 pub struct Millis(pub u64);
@@ -45,6 +46,29 @@
     /// it adds this share of the lease and `LEASE_MARGIN`.
     #[must_use]
     pub fn with_clock_margin(self) -> Self {
-        Self(self.0 + (self.0 * MAX_CLOCK_DRIFT_PERCENT).div_ceil(100)) + LEASE_MARGIN
+        let drift = self.0.saturating_mul(MAX_CLOCK_DRIFT_PERCENT).div_ceil(100);
+        self + Self(drift) + LEASE_MARGIN
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Millis {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        self.since(other)
     }
 }
--- a/lib/names/src/resources.rs
+++ b/lib/names/src/resources.rs
@@ -1,22 +1,16 @@
-use derive_more::{Add, AddAssign, Display, Sum};
+use std::{
+    iter::Sum,
+    ops::{Add, AddAssign},
+};
+
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 /// Amounts of the resources that a worker offers or a task needs.
-#[derive(
-    Add,
-    AddAssign,
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    Hash,
-    PartialEq,
-    Serialize,
-    Sum,
-)]
+///
+/// Sums saturate, because workers and callers report the amounts: two capacities near the maximum
+/// must not add up to nothing.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
 #[display("{cpu_milli}m cpu, {memory_mb} MB, {accelerators} acc")]
 #[serde(deny_unknown_fields)]
 pub struct Resources {
@@ -103,3 +97,30 @@
         }
     }
 }
+
+impl Add for Resources {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
+impl AddAssign for Resources {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sum for Resources {
+    fn sum<I>(amounts: I) -> Self
+    where
+        I: Iterator<Item = Self>,
+    {
+        amounts.fold(Self::ZERO, Add::add)
+    }
+}
