--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -9,6 +9,8 @@
 mod decisions;
 mod delay_proxy;
 mod deployment;
+mod dispatch;
+mod dispatch_simulation;
 mod entry_overhead;
 mod goodput;
 mod health;
@@ -32,7 +34,7 @@
 
 type RunExperiment = fn(&Options) -> Report;
 
-const COMMANDS: [(&str, &str, RunExperiment); 10] = [
+const COMMANDS: [(&str, &str, RunExperiment); 11] = [
     (
         "commits",
         "catalogue changes through the replicated log",
@@ -48,6 +50,11 @@
         "latency of a placement decision",
         decisions::run,
     ),
+    (
+        "dispatch",
+        "time of the dispatcher's steps and jobs in time, by load",
+        dispatch::run,
+    ),
     (
         "entry_overhead",
         "time that an entry host adds to a service request",
--- /dev/null
+++ b/lib/delivery/tests/delivery_routes.rs
@@ -0,0 +1,136 @@
+//! Choice of the hosts that deliver to the workers.
+
+use std::collections::BTreeMap;
+
+use tarragon_delivery::{DeliveryLimits, DeliveryRoutes};
+use tarragon_names::{DomainName, HostName, Millis, WorkerName};
+use yare::parameterized;
+
+const DOMAINS: u64 = 5;
+
+fn host(number: u64) -> HostName {
+    HostName::from(format!("10.0.0.{number}:1"))
+}
+
+fn domain(number: u64) -> DomainName {
+    DomainName::from(format!("d{}", number % DOMAINS))
+}
+
+fn workers(count: u64) -> Vec<(WorkerName, DomainName)> {
+    let worker = |number| (WorkerName::from(format!("w{number}")), domain(number));
+    (0..count).map(worker).collect()
+}
+
+/// Routes with these hosts, the first five of them large, and all workers assigned.
+fn routes(hosts: u64, worker_count: u64) -> DeliveryRoutes {
+    let mut routes = DeliveryRoutes::new(DeliveryLimits::default());
+    for number in 0..hosts {
+        routes.host_seen(&host(number), &domain(number), number < DOMAINS, Millis(0));
+    }
+    routes.assign(&workers(worker_count), Millis(0));
+    routes
+}
+
+fn assignment(routes: &DeliveryRoutes, count: u64) -> BTreeMap<WorkerName, HostName> {
+    let hosts = workers(count).into_iter().filter_map(|(worker, _)| {
+        let host = routes.host_of(&worker)?.clone();
+        Some((worker, host))
+    });
+    hosts.collect()
+}
+
+/// Guards against a small system that pays for a detour, and against a leader that opens connections
+/// to a thousand workers.
+#[parameterized(
+    few_workers = { 48, 9, 0 },
+    at_the_limit = { 100, 9, 0 },
+    grown = { 350, 45, 350 },
+    large = { 1_100, 150, 1_100 },
+    no_other_host = { 1_100, 0, 0 },
+)]
+fn hosts_deliver_to_the_workers_of_large_systems(workers: u64, hosts: u64, delivered: usize) {
+    assert_eq!(routes(hosts, workers).delivered_workers(), delivered);
+}
+
+/// Guards against orders that cross failure domains twice, against work for the hosts that hold
+/// replicas, and against one host that does all of it.
+#[test]
+fn workers_are_spread_over_small_hosts_of_their_domain() {
+    let routes = routes(150, 1_100);
+    let mut loads = BTreeMap::<HostName, usize>::new();
+    for (worker, host_name) in assignment(&routes, 1_100) {
+        let worker_number = worker.as_str()[1..].parse::<u64>().unwrap();
+        let host_number = (0..150).find(|n| host(*n) == host_name).unwrap();
+        assert_eq!(domain(worker_number), domain(host_number));
+        assert!(host_number >= DOMAINS, "a large host delivers");
+        *loads.entry(host_name).or_default() += 1;
+    }
+    assert!(loads.len() >= 40, "{} hosts deliver", loads.len());
+    assert!(loads.values().all(|load| *load <= 60), "{loads:?}");
+}
+
+/// Guards against a leader that moves all workers whenever a host comes or goes.
+#[parameterized(
+    stops = { |routes: &mut DeliveryRoutes, gone: &HostName| routes.host_stopped(gone) },
+    fails = { |routes: &mut DeliveryRoutes, gone: &HostName| { routes.host_failed(gone, Millis(1)); } },
+)]
+fn few_workers_move_when_a_host_goes(lose: fn(&mut DeliveryRoutes, &HostName)) {
+    let mut routes = routes(150, 1_100);
+    let before = assignment(&routes, 1_100);
+    let gone = before.values().next().unwrap().clone();
+    lose(&mut routes, &gone);
+    assert!(routes.is_changed());
+    routes.assign(&workers(1_100), Millis(1));
+    let after = assignment(&routes, 1_100);
+    assert_eq!(after.len(), 1_100);
+    assert!(after.values().all(|host| *host != gone));
+    let moved = before
+        .iter()
+        .filter(|(w, host)| after[*w] != **host)
+        .count();
+    assert!(moved < 100, "{moved} of 1100 workers moved");
+}
+
+/// Guards against a failed host that never delivers again.
+#[test]
+fn failed_host_delivers_again_after_a_pause() {
+    let mut routes = routes(150, 1_100);
+    let before = assignment(&routes, 1_100);
+    let failed = before.values().next().unwrap().clone();
+    assert!(routes.host_failed(&failed, Millis(1)));
+    assert!(!routes.host_failed(&failed, Millis(2)), "known already");
+    routes.assign(&workers(1_100), Millis(2));
+    for number in 0..150 {
+        routes.host_seen(
+            &host(number),
+            &domain(number),
+            number < DOMAINS,
+            Millis(2_500),
+        );
+    }
+    assert!(routes.is_changed());
+    routes.assign(&workers(1_100), Millis(2_500));
+    assert_eq!(assignment(&routes, 1_100), before);
+}
+
+/// Guards against workers that no host reaches: a domain whose small hosts are gone is served by its
+/// large ones, and then by hosts of other domains; a silent host serves none.
+#[test]
+fn workers_of_a_domain_without_small_hosts_are_delivered_to() {
+    let mut routes = routes(150, 1_100);
+    for number in (DOMAINS..150).filter(|number| number % DOMAINS == 0) {
+        routes.host_stopped(&host(number));
+    }
+    routes.assign(&workers(1_100), Millis(1));
+    let of_domain = |routes: &DeliveryRoutes| {
+        let all = assignment(routes, 1_100).into_iter();
+        let first_domain = all.filter(|(w, _)| w.as_str()[1..].parse::<u64>().unwrap() % 5 == 0);
+        first_domain.map(|(_, host)| host).collect::<Vec<_>>()
+    };
+    assert!(of_domain(&routes).iter().all(|name| *name == host(0)));
+    routes.host_stopped(&host(0));
+    routes.assign(&workers(1_100), Millis(2));
+    assert_eq!(of_domain(&routes).len(), 220);
+    routes.assign(&workers(1_100), Millis(4_000));
+    assert_eq!(routes.delivered_workers(), 0, "no host was seen for long");
+}
--- a/lib/dispatch/src/config.rs
+++ b/lib/dispatch/src/config.rs
@@ -15,6 +15,8 @@
     pub stop_time: Millis,
     /// Time after which a stop order that was not accepted is sent again.
     pub order_retry: Millis,
+    /// Shortest time after which an order that was not sent is tried again.
+    pub unsent_retry: Millis,
     /// Timeout of the first start order of a run. It is short, because a repeated start order does
     /// no harm.
     pub first_start_timeout: Millis,
@@ -45,6 +47,7 @@
             poll_retry: Millis(250),
             stop_time: Millis(900),
             order_retry: Millis(400),
+            unsent_retry: Millis(50),
             first_start_timeout: Millis(200),
             order_timeout: Millis(600),
             max_unanswered_starts: 2,
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -71,6 +71,8 @@
     /// and the workers claimed for gangs.
     pub(crate) gang_claims: (u32, Claims),
     pub(crate) needs_placement: bool,
+    /// Number of stop orders that were not accepted within the timeout of an order.
+    pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
     pub(crate) next_placement_at: Millis,
     /// Time since which no other host can have been the leader.
@@ -121,6 +123,7 @@
             new_steps: Vec::new(),
             gang_claims: (u32::MAX, Claims::new()),
             needs_placement: false,
+            unaccepted_stops: 0,
             next_placement_at: Millis(0),
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
@@ -152,6 +155,7 @@
             self.handle_input(input);
         }
         if self.term.is_some() {
+            self.workers.update_index();
             if self.needs_placement && self.now >= self.next_placement_at {
                 self.needs_placement = false;
                 self.next_placement_at = self.now + self.cfg.placement_interval;
@@ -190,7 +194,7 @@
         match input {
             Input::BecameLeader { term } => self.start_leading(term),
             Input::LostLeadership => self.stop_leading(),
-            Input::HostSeen { host, is_large } => {
+            Input::HostSeen { host, is_large, .. } => {
                 self.relays.host_seen(&host, is_large, self.now);
             }
             Input::HostStops(host) => self.relays.host_stopped(&host),
@@ -297,6 +301,7 @@
         self.plans.clear();
         self.new_steps.clear();
         self.gang_claims = (u32::MAX, Claims::new());
+        self.unaccepted_stops = 0;
         self.scheduled_jobs.clear();
         self.pending_requests.clear();
         self.relays = AdviceRelays::default();
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -1,7 +1,7 @@
 //! Requests for advice on the workers that may run a step: about which workers, when, and through
 //! which host.
 
-use tarragon_names::{Millis, WorkerName};
+use tarragon_names::{Millis, Name, Resources, WorkerName};
 use tarragon_workflow::{AdviceTerms, StepKey};
 
 use crate::{
@@ -10,6 +10,7 @@
     advice_relays::LONG_REQUEST,
     dispatcher::PendingRequest,
     dispatcher_place::{CandidateSet, Claims},
+    packing::Candidate,
     step_plan::StepPlan,
 };
 
@@ -135,8 +136,11 @@
         }
     }
 
-    /// Returns the workers to name in a request: not judged for the step yet, largest free CPU
-    /// first.
+    /// Returns the workers to name in a request, those with the most available capacity first: as
+    /// many as are expected to yield enough approved capacity for the waiting tasks.
+    ///
+    /// Capacity that other steps have asked for already does not count, since two steps that ask for
+    /// the same capacity at the same time need a second request.
     fn workers_to_name(&self, key: &StepKey, claims: &Claims) -> Vec<WorkerName> {
         let Some(plan) = self.plans.get(key) else {
             return Vec::new();
@@ -146,44 +150,76 @@
         };
         let step = plan.step();
         let need = step.reserved();
-        let waiting = plan.waiting.len() as u64;
         let is_early = request_duration(&terms, 0) >= EARLY_REQUEST;
-        let mut unjudged = self.candidates(key, CandidateSet::All, claims);
-        unjudged.retain(|candidate| !plan.advice.is_judged(&candidate.worker));
-        if !is_early {
-            self.retain_with_capacity(&mut unjudged, &need, plan.queue.priority);
-        }
-        unjudged.sort_by_key(|c| std::cmp::Reverse(c.free.cpu_milli));
-        // Number of tasks that fit on an empty worker.
-        let tasks_per_worker = unjudged.iter().filter_map(|candidate| {
-            let state = self.workers.get(&candidate.worker)?;
-            let empty_worker = crate::packing::Candidate {
-                free: state.record.capacity,
-                ..candidate.clone()
+        let wanted = plan.waiting.len() as u64 * 1_000 * NAMED_WORKERS_PERCENT
+            / 100
+            / self.approval_rate(&plan.queue.name);
+        let mut named = Vec::new();
+        let mut without_capacity = Vec::new();
+        let mut expected = 0;
+        for state in self.workers.most_available(&plan.queue.pool) {
+            let is_enough = expected >= wanted && named.len() >= MIN_NAMED_WORKERS;
+            if is_enough || named.len() >= MAX_NAMED_WORKERS {
+                return named;
+            }
+            let available = state.available();
+            let has_cpu = need.cpu_milli <= available.cpu_milli;
+            if !has_cpu && without_capacity.len() >= MAX_NAMED_WORKERS {
+                break;
+            }
+            let worker = &state.incarnation().worker;
+            if plan.advice.is_judged(worker) {
+                continue;
+            }
+            let Some(candidate) = self.candidate(plan, state, claims) else {
+                continue;
             };
-            Some(u64::from(empty_worker.fits(&need)))
-        });
-        let tasks_per_worker = tasks_per_worker.max().unwrap_or(1).max(1);
-        let needed = waiting.div_ceil(tasks_per_worker);
-        let approved_permille = self.approved_permille.get(&plan.queue.name);
-        let approved_permille = approved_permille
-            .copied()
-            .unwrap_or(INITIAL_APPROVED_PERMILLE)
-            .max(MIN_APPROVED_PERMILLE);
-        let named = needed * 1_000 * NAMED_WORKERS_PERCENT / 100 / approved_permille;
-        // Each further request costs the base time again, so a long request names more workers,
-        // until they cost as much time as the base.
-        let affordable = if is_early {
-            terms.decide_us * PER_WORKER_TIME_PERCENT / 100 / terms.per_worker_us.max(1)
-        } else {
-            0
-        };
-        let named = (named.max(affordable) as usize).clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS);
-        unjudged
-            .into_iter()
-            .take(named)
-            .map(|candidate| candidate.worker)
-            .collect()
+            let candidate = Candidate {
+                free: available,
+                ..candidate
+            };
+            match u64::from(candidate.fits(&need)) {
+                0 => without_capacity.push(candidate),
+                fits => {
+                    expected += fits;
+                    named.push(candidate.worker);
+                }
+            }
+        }
+        if is_early {
+            let left = MAX_NAMED_WORKERS.min(affordable_workers(&terms));
+            let rest = without_capacity
+                .into_iter()
+                .map(|candidate| candidate.worker);
+            let count = left.saturating_sub(named.len());
+            named.extend(rest.take(count));
+        } else if named.is_empty() {
+            named = self.preemptible_workers(without_capacity, &need, plan.queue.priority);
+        }
+        named
+    }
+
+    /// Returns a few of the workers on which a task fits after preemption.
+    fn preemptible_workers(
+        &self,
+        candidates: Vec<Candidate>,
+        need: &Resources,
+        priority: u32,
+    ) -> Vec<WorkerName> {
+        if priority >= self.lowest_priority {
+            return Vec::new();
+        }
+        let candidates = candidates.into_iter();
+        let fitting = candidates.filter_map(|c| self.preemption_candidate(c, need, priority));
+        let workers = fitting.map(|candidate| candidate.worker);
+        workers.take(MIN_NAMED_WORKERS).collect()
+    }
+
+    /// Share of the workers named for a queue that are approved, in thousandths.
+    fn approval_rate(&self, queue: &Name) -> u64 {
+        let rate = self.approved_permille.get(queue).copied();
+        rate.unwrap_or(INITIAL_APPROVED_PERMILLE)
+            .max(MIN_APPROVED_PERMILLE)
     }
 
     /// Sends a request through an idle relay. Returns false if there is none.
@@ -202,6 +238,12 @@
         };
         self.last_request_id = request_id;
         plan.advice.open_request = Some(request_id);
+        let asked = plan.asked_on_each(workers.len());
+        for worker in &workers {
+            if let Some(state) = self.workers.get_mut(worker) {
+                state.asked.insert(key, asked);
+            }
+        }
         let timeout = duration + self.cfg.advice_slack;
         self.pending_requests.insert(
             request_id,
@@ -229,6 +271,11 @@
             return;
         };
         self.needs_placement = true;
+        for worker in &request.workers {
+            if let Some(state) = self.workers.get_mut(worker) {
+                state.asked.remove(&request.step);
+            }
+        }
         let Some(plan) = self.plans.get_mut(&request.step) else {
             return;
         };
@@ -292,7 +339,7 @@
         }
     }
 
-    fn update_approval_rate(&mut self, queue: tarragon_names::Name, approved: u64, named: u64) {
+    fn update_approval_rate(&mut self, queue: Name, approved: u64, named: u64) {
         let new_rate = approved * 1_000 / named.max(1);
         let mean_rate = self.approved_permille.entry(queue).or_insert(new_rate);
         *mean_rate = (*mean_rate * (100 - NEW_ANSWER_WEIGHT_PERCENT)
@@ -314,6 +361,12 @@
     }
 }
 
+/// Number of workers on which a request spends as much time as on its base.
+fn affordable_workers(terms: &AdviceTerms) -> usize {
+    let time = terms.decide_us * PER_WORKER_TIME_PERCENT / 100;
+    (time / terms.per_worker_us.max(1)) as usize
+}
+
 /// Expected duration of a request.
 fn request_duration(terms: &AdviceTerms, workers: u64) -> Millis {
     Millis((terms.decide_us + terms.per_worker_us * workers) / 1_000)
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     DecisionEvent, Dispatcher, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
+    backoff::backoff,
     run_view::{StartState, StopState},
 };
 
@@ -74,7 +75,7 @@
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
         };
-        if outcome != OrderOutcome::Unanswered {
+        if outcome.is_answer() {
             state.last_contact = now;
         }
         let Some(view) = state.runs.get_mut(&task).filter(|view| view.run == run) else {
@@ -84,6 +85,7 @@
         let has_unanswered_start = view.has_unanswered_start;
         match outcome {
             OrderOutcome::Accepted => {
+                view.unsent_orders = 0;
                 if !matches!(view.start, StartState::Present { .. }) {
                     view.start = StartState::Present { since: now };
                 }
@@ -100,6 +102,14 @@
                     self.stop_gang(task.step, run);
                 }
             }
+            OrderOutcome::NotSent if is_stale => return,
+            OrderOutcome::NotSent => {
+                view.start_attempts = view.start_attempts.saturating_sub(1);
+                view.unsent_orders += 1;
+                let delay = backoff(self.cfg.unsent_retry, view.unsent_orders, &task);
+                let again_at = now + delay;
+                view.start = StartState::Unanswered { again_at };
+            }
             OrderOutcome::Refused(_) if is_stale || view.is_ended => return,
             OrderOutcome::Refused(refusal) => {
                 self.start_refused(incarnation, task, run, refusal, has_unanswered_start);
@@ -136,7 +146,7 @@
         }
         if let Some(state) = self.workers.get_mut(&incarnation.worker) {
             match refusal {
-                Refusal::Unhealthy | Refusal::Capacity => {
+                Refusal::Unhealthy | Refusal::Capacity | Refusal::Unreachable => {
                     state.avoid_until = state.avoid_until.max(now + REFUSING_WORKER_PAUSE);
                 }
                 Refusal::Fence => state.suspend_polls(now),
@@ -165,7 +175,7 @@
         outcome: OrderOutcome,
     ) {
         let now = self.now;
-        let retry = now + self.cfg.order_retry;
+        let (first_retry, first_unsent_retry) = (self.cfg.order_retry, self.cfg.unsent_retry);
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
         };
@@ -177,10 +187,17 @@
             state.suspend_polls(now);
         }
         if let Some(view) = state.runs.get_mut(&task).filter(|view| view.run == run) {
-            view.stop = if outcome == OrderOutcome::Accepted {
-                StopState::Accepted { at: now }
-            } else {
-                StopState::Requested { at: retry }
+            view.failed_stops += 1;
+            view.stop = match outcome {
+                OrderOutcome::Accepted => StopState::Accepted { at: now },
+                OrderOutcome::NotSent => {
+                    let delay = backoff(first_unsent_retry, view.failed_stops, &task);
+                    StopState::Requested { at: now + delay }
+                }
+                _ => {
+                    let delay = backoff(first_retry, view.failed_stops, &task);
+                    StopState::Requested { at: now + delay }
+                }
             };
         }
         if outcome != OrderOutcome::Accepted {
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -54,6 +54,7 @@
         if now.since(self.sole_leader_since) < MIN_SOLE_LEADER_TIME {
             return;
         }
+        self.unaccepted_stops = 0;
         let mut suspects = Vec::new();
         let mut overdue = Vec::new();
         for (worker, state) in self.workers.iter_mut() {
@@ -65,6 +66,9 @@
                 state.avoid_until = state.avoid_until.max(now + SUSPECT_PAUSE);
             }
             for (task, view) in &state.runs {
+                if view.has_unaccepted_stop(now, self.cfg.order_timeout) {
+                    self.unaccepted_stops += 1;
+                }
                 let Some(ran) = running_time(view, now) else {
                     continue;
                 };
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -78,6 +78,10 @@
         if plan.waiting.is_empty() {
             return;
         }
+        self.workers.update_index();
+        let Some(plan) = self.plans.get(&key) else {
+            return;
+        };
         if plan.queue.advice.is_some() {
             self.place_with_advice(key, claims);
         } else if let Some(chosen) = self.choose_workers(&key, CandidateSet::All, claims) {
@@ -145,7 +149,7 @@
     }
 
     /// Returns a worker as a candidate for tasks of a step, if it is eligible.
-    fn candidate(
+    pub(crate) fn candidate(
         &self,
         plan: &StepPlan,
         state: &WorkerState,
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, StopOrder,
+    backoff::backoff,
     run_view::{StartState, StopState},
     worker_speed::WorkerSpeed,
 };
@@ -15,6 +16,10 @@
 /// Margin added to the time within which a stopped run ends.
 const STOP_TIME_MARGIN: Millis = Millis(300);
 
+/// Number of polls in a row that may fail to leave their host before the worker counts as silent.
+/// Its lease is not renewed meanwhile.
+const MAX_UNSENT_POLLS: u32 = 3;
+
 impl Dispatcher {
     pub(crate) fn heartbeat_received(
         &mut self,
@@ -48,7 +53,13 @@
                 self.emit(event.worker(&incarnation.worker).warning());
                 return;
             }
-            PollOutcome::Unanswered => {
+            PollOutcome::NotSent if state.unsent_polls + 1 < MAX_UNSENT_POLLS => {
+                state.unsent_polls += 1;
+                let worker = &incarnation.worker;
+                state.next_poll_at = now + backoff(cfg.unsent_retry, state.unsent_polls, worker);
+                return;
+            }
+            PollOutcome::Unanswered | PollOutcome::NotSent => {
                 state.poll_failures += 1;
                 state.next_poll_at = now + cfg.poll_retry;
                 if state.poll_failures == 1 {
@@ -71,6 +82,7 @@
         state.next_poll_at = now;
         let was_unresponsive = state.poll_failures > 0 || !state.is_synced;
         state.poll_failures = 0;
+        state.unsent_polls = 0;
         state.is_synced = true;
         state.is_lease_expired = false;
         if was_unresponsive {
--- a/lib/dispatch/src/dispatcher_preempt.rs
+++ b/lib/dispatch/src/dispatcher_preempt.rs
@@ -7,13 +7,9 @@
     DecisionEvent, Dispatcher,
     dispatcher_place::{CandidateSet, Claims},
     packing::Candidate,
-    run_view::{StartState, StopState},
     worker_state::WorkerState,
 };
 
-/// Highest run number of a task that may be preempted, so that every task ends eventually.
-const MAX_PREEMPTED_RUN: u32 = 3;
-
 /// Time from the end of a stopped run until the leader knows of it.
 const END_REPORT_SLACK: Millis = Millis(200);
 
@@ -21,9 +17,17 @@
 /// candidates.
 const PREEMPTION_RETRY_PAUSE: Millis = Millis(100);
 
+/// Number of stop orders that may stay unaccepted, in percent of the workers, before preemption
+/// pauses. Without the pause, stops that do not get through are followed by ever more stops.
+const MAX_UNACCEPTED_STOPS_PERCENT: usize = 5;
+
+/// Number of unaccepted stop orders that never pauses preemption, so that one bad worker of a few does
+/// not.
+const MIN_UNACCEPTED_STOPS: usize = 8;
+
 /// Number of tasks that fit on a worker now, and after its preemptible runs were stopped.
-struct PreemptionCandidate {
-    worker: WorkerName,
+pub(crate) struct PreemptionCandidate {
+    pub(crate) worker: WorkerName,
     fits_now: u32,
     fits_after: u32,
 }
@@ -51,7 +55,7 @@
             now_ms + (self.cfg.stop_time + END_REPORT_SLACK + plan.step().estimate).0;
         let may_preempt =
             plan.queue.priority < lowest_priority && capacity_at_ms <= plan.objective_ms;
-        if !may_preempt || now < plan.next_preemption_at {
+        if !may_preempt || now < plan.next_preemption_at || self.are_stops_stuck() {
             return false;
         }
         let step = plan.step();
@@ -105,27 +109,13 @@
         true
     }
 
-    /// Keeps the candidates on which a task fits or, if there are none, those on which one fits
-    /// after preemption.
-    pub(crate) fn retain_with_capacity(
-        &self,
-        candidates: &mut Vec<Candidate>,
-        need: &Resources,
-        priority: u32,
-    ) {
-        if candidates.iter().any(|candidate| candidate.fits(need) > 0) {
-            candidates.retain(|candidate| candidate.fits(need) > 0);
-        } else if priority < self.lowest_priority {
-            candidates.retain(|candidate| {
-                self.preemption_candidate(candidate.clone(), need, priority)
-                    .is_some()
-            });
-        } else {
-            candidates.clear();
-        }
+    /// Returns whether so many stop orders stay unaccepted that no more runs are to be stopped.
+    fn are_stops_stuck(&self) -> bool {
+        let limit = self.workers.len() * MAX_UNACCEPTED_STOPS_PERCENT / 100;
+        self.unaccepted_stops > limit.max(MIN_UNACCEPTED_STOPS)
     }
 
-    fn preemption_candidate(
+    pub(crate) fn preemption_candidate(
         &self,
         candidate: Candidate,
         need: &Resources,
@@ -133,9 +123,8 @@
     ) -> Option<PreemptionCandidate> {
         let state = self.workers.get(&candidate.worker)?;
         let fits_now = candidate.fits(need);
-        let freed = preemptible(state, priority).map(|(_, need)| need);
         let freed_candidate = Candidate {
-            free: candidate.free + freed.sum::<Resources>(),
+            free: candidate.free + state.preemptible_for(priority),
             ..candidate
         };
         Some(PreemptionCandidate {
@@ -187,13 +176,9 @@
 
 /// Runs on a worker that may be stopped for a queue of the given priority.
 fn preemptible(state: &WorkerState, priority: u32) -> impl Iterator<Item = (TaskKey, Resources)> {
-    let runs = state.runs.iter().filter(move |(_, view)| {
-        view.spec.is_resumable
-            && view.spec.priority > priority
-            && view.run <= MAX_PREEMPTED_RUN
-            && view.stop == StopState::NotRequested
-            && matches!(view.start, StartState::Present { .. })
-            && !view.is_ended
-    });
+    let runs = state
+        .runs
+        .iter()
+        .filter(move |(_, view)| view.spec.priority > priority && view.is_preemptible());
     runs.map(|(task, view)| (*task, view.spec.need))
 }
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use tarragon_names::{HostName, Millis, Name, WorkerName};
+use tarragon_names::{DomainName, HostName, Millis, Name, WorkerName};
 use tarragon_workflow::{Command, TaskKey, WorkerIncarnation};
 
 use crate::{OrderOutcome, PollOutcome};
@@ -34,10 +34,12 @@
         /// Shortest time until the worker leaves; `None` if it is not leaving.
         leaves_in: Option<Millis>,
     },
-    /// A host announced that it can relay requests for advice.
+    /// A host announced that it can relay requests for advice and deliver orders.
     HostSeen {
         /// Host that may relay requests.
         host: HostName,
+        /// Failure domain of the host.
+        domain: DomainName,
         /// Whether it is one of the larger hosts, which hold a replica.
         is_large: bool,
     },
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod advice;
 mod advice_relays;
+mod backoff;
 mod config;
 mod decision_event;
 mod dispatcher;
--- a/lib/dispatch/src/order.rs
+++ b/lib/dispatch/src/order.rs
@@ -64,7 +64,7 @@
 }
 
 /// Reason why a worker refused an order.
-#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, derive_more::Display, Eq, PartialEq, Serialize)]
 #[display(rename_all = "snake_case")]
 pub enum Refusal {
     /// The worker has seen a higher term.
@@ -85,10 +85,12 @@
     Unhealthy,
     /// The worker could not parse the order.
     Malformed,
+    /// No connection to the worker could be made, so the order was not sent.
+    Unreachable,
 }
 
 /// Result of an order.
-#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, derive_more::Display, Eq, PartialEq, Serialize)]
 pub enum OrderOutcome {
     /// The order was carried out, now or earlier.
     #[display("accepted")]
@@ -99,4 +101,19 @@
     /// No answer came; the order may still be carried out.
     #[display("unanswered")]
     Unanswered,
+    /// The order did not leave the host that was to send it, so the worker did nothing. This says
+    /// nothing about the worker.
+    #[display("not_sent")]
+    NotSent,
+}
+
+impl OrderOutcome {
+    /// Returns whether the worker itself answered.
+    pub fn is_answer(self) -> bool {
+        match self {
+            Self::Accepted => true,
+            Self::Refused(refusal) => refusal != Refusal::Unreachable,
+            Self::Unanswered | Self::NotSent => false,
+        }
+    }
 }
--- a/lib/dispatch/src/poll.rs
+++ b/lib/dispatch/src/poll.rs
@@ -61,6 +61,9 @@
     Fenced,
     /// No answer came.
     Unanswered,
+    /// The poll did not leave the host that was to send it, or that host did not report the answer.
+    /// This says nothing about the worker.
+    NotSent,
 }
 
 /// State of a worker, as the worker reports it.
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -2,6 +2,9 @@
 
 use crate::{dispatcher_throttle::FULL_RATE, run_spec::RunSpec};
 
+/// Highest run number of a task that may be preempted, so that every task ends eventually.
+const MAX_PREEMPTED_RUN: u32 = 3;
+
 /// Progress of the order to start a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StartState {
@@ -40,6 +43,12 @@
     pub(crate) stop: StopState,
     /// Number of start orders that were sent.
     pub(crate) start_attempts: u32,
+    /// Number of orders in a row that did not leave the host that was to send them.
+    pub(crate) unsent_orders: u32,
+    /// Number of stop orders in a row that were not accepted.
+    pub(crate) failed_stops: u32,
+    /// Time at which the stop was requested first.
+    pub(crate) stop_requested_at: Millis,
     /// Whether one of these start orders got no answer.
     pub(crate) has_unanswered_start: bool,
     /// Whether a poll has listed the run.
@@ -69,6 +78,9 @@
             start: StartState::Committing,
             stop: StopState::NotRequested,
             start_attempts: 0,
+            unsent_orders: 0,
+            failed_stops: 0,
+            stop_requested_at: Millis(0),
             has_unanswered_start: false,
             is_listed: false,
             ticket: None,
@@ -84,6 +96,22 @@
     pub(crate) fn request_stop(&mut self, now: Millis) {
         if self.stop == StopState::NotRequested {
             self.stop = StopState::Requested { at: now };
+            self.stop_requested_at = now;
         }
     }
+
+    /// Returns whether the run may be stopped for a more urgent one.
+    pub(crate) fn is_preemptible(&self) -> bool {
+        self.spec.is_resumable
+            && self.run <= MAX_PREEMPTED_RUN
+            && self.stop == StopState::NotRequested
+            && matches!(self.start, StartState::Present { .. })
+            && !self.is_ended
+    }
+
+    /// Returns whether a stop was requested at least `age` ago and the worker has not accepted it.
+    pub(crate) fn has_unaccepted_stop(&self, now: Millis, age: Millis) -> bool {
+        let is_open = matches!(self.stop, StopState::Requested { .. } | StopState::Sent);
+        is_open && !self.is_ended && now.since(self.stop_requested_at) >= age
+    }
 }
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -3,7 +3,7 @@
     sync::Arc,
 };
 
-use tarragon_names::{Millis, WorkerName};
+use tarragon_names::{Millis, Resources, WorkerName};
 use tarragon_workflow::{JobSpec, Queue, StepKey, StepSpec};
 
 use crate::advice::Advice;
@@ -37,6 +37,12 @@
         &self.spec.steps[self.key.step as usize]
     }
 
+    /// Resources that a request for advice about this number of workers asks for on each of them.
+    pub(crate) fn asked_on_each(&self, workers: usize) -> Resources {
+        let tasks = self.waiting.len().div_ceil(workers.max(1));
+        self.step().reserved().times(tasks as u64)
+    }
+
     /// Sort key for placement: urgent queues come first; within a queue priority, jobs that can no
     /// longer meet their objective come last.
     pub(crate) fn rank(&self, now_ms: u64) -> (u32, bool, u64, StepKey) {
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use tarragon_names::{Millis, Resources};
+use tarragon_names::{Millis, PoolName, Resources};
 use tarragon_workflow::{StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
@@ -38,6 +38,8 @@
     /// No poll is sent before this time.
     pub(crate) next_poll_at: Millis,
     pub(crate) poll_failures: u32,
+    /// Number of polls in a row that did not leave the host that was to send them.
+    pub(crate) unsent_polls: u32,
     /// Highest number of an end that was proposed; the next poll waits for its commit.
     pub(crate) last_proposed_end: u64,
     /// Runs by task. `insert_run`, `remove_run` and `set_ended` keep `used` consistent with them.
@@ -46,6 +48,15 @@
     used: Resources,
     /// Resources reserved for steps that wait for tickets or for preempted runs to end.
     pub(crate) reserved: BTreeMap<StepKey, Resources>,
+    /// Resources that steps with an open request for advice may use here. Other requests name other
+    /// workers first, so that steps that ask at the same time do not ask for the same capacity.
+    pub(crate) asked: BTreeMap<StepKey, Resources>,
+    /// Resources of the runs that may be preempted, by their priority, as of the last update.
+    preemptible: BTreeMap<u32, Resources>,
+    /// Pool and available processor time under which the worker is in the index of the table.
+    pub(crate) indexed: Option<(PoolName, u64)>,
+    /// Whether the worker changed since the last update of the index.
+    pub(crate) is_unindexed: bool,
     /// Whether the lease has expired and all runs on the worker were declared lost.
     pub(crate) is_lease_expired: bool,
     /// Duration of runs on this worker, relative to their estimates.
@@ -75,10 +86,15 @@
             poll_sent_at: None,
             next_poll_at: now,
             poll_failures: 0,
+            unsent_polls: 0,
             last_proposed_end,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             reserved: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            preemptible: BTreeMap::new(),
+            indexed: None,
+            is_unindexed: true,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
             last_success_at: Millis(0),
@@ -96,7 +112,8 @@
     pub(crate) fn record_clock(&mut self, clock_ms: u64, now: Millis, cfg: &DispatchConfig) {
         if self.clock.is_none() {
             // An earlier leader may have granted a lease up to this time.
-            self.lease_until_ms = self.lease_until_ms.max(clock_ms + cfg.longest_lease.0);
+            let until = clock_ms.saturating_add(cfg.longest_lease.0);
+            self.lease_until_ms = self.lease_until_ms.max(until);
         }
         self.clock = Some((clock_ms, now));
     }
@@ -105,7 +122,7 @@
     /// the first reading of the clock.
     pub(crate) fn grant_lease(&mut self, now: Millis, lease: Millis) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
-        let until = clock_ms + now.since(at).0 + lease.0;
+        let until = clock_ms.saturating_add((now.since(at) + lease).0);
         self.lease_until_ms = self.lease_until_ms.max(until);
         Some(until)
     }
@@ -116,8 +133,8 @@
             let longest = cfg.longest_lease.0 * 100 / SLOWEST_CLOCK_PERCENT + LEASE_MARGIN.0;
             return now.since(self.leading_since).0 > longest;
         };
-        let least = clock_ms + now.since(at).0 * SLOWEST_CLOCK_PERCENT / 100;
-        least > self.lease_until_ms + LEASE_MARGIN.0
+        let least = clock_ms.saturating_add(now.since(at).0 * SLOWEST_CLOCK_PERCENT / 100);
+        least > self.lease_until_ms.saturating_add(LEASE_MARGIN.0)
     }
 
     pub(crate) fn insert_run(&mut self, task: TaskKey, view: RunView) {
@@ -168,6 +185,30 @@
             .saturating_sub(&reserved)
     }
 
+    /// Capacity that no run uses and no step has reserved or asked for.
+    pub(crate) fn available(&self) -> Resources {
+        let asked = self.asked.values().copied().sum::<Resources>();
+        let reserved = self.reserved.values().copied().sum::<Resources>();
+        let free = self.record.capacity.saturating_sub(&self.used);
+        free.saturating_sub(&asked).saturating_sub(&reserved)
+    }
+
+    /// Sums up the resources of the runs that may be preempted.
+    pub(crate) fn update_totals(&mut self) {
+        self.preemptible.clear();
+        for view in self.runs.values().filter(|view| view.is_preemptible()) {
+            let sum = self.preemptible.entry(view.spec.priority).or_default();
+            *sum += view.spec.need;
+        }
+    }
+
+    /// Resources of the runs that may be preempted for a queue of the given priority, as of the last
+    /// update.
+    pub(crate) fn preemptible_for(&self, priority: u32) -> Resources {
+        let less_urgent = self.preemptible.range(priority.saturating_add(1)..);
+        less_urgent.map(|(_, resources)| *resources).sum()
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
         self.is_synced
--- a/lib/dispatch/src/worker_table.rs
+++ b/lib/dispatch/src/worker_table.rs
@@ -1,16 +1,22 @@
 use std::collections::{BTreeMap, BTreeSet, btree_map};
 
-use tarragon_names::WorkerName;
+use tarragon_names::{PoolName, WorkerName};
 use tarragon_workflow::WorkerIncarnation;
 
 use crate::worker_state::WorkerState;
 
-/// The state of all workers, and the set of workers that changed since their orders and polls were
-/// last considered.
+/// Processor time that is available on a worker, in thousandths of a core, and the worker.
+type Available = (u64, WorkerName);
+
+/// The state of all workers, the set of workers that changed since their orders and polls were last
+/// considered, and an index of the workers by their available processor time.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerTable {
     by_name: BTreeMap<WorkerName, WorkerState>,
     changed: BTreeSet<WorkerName>,
+    by_available: BTreeMap<PoolName, BTreeSet<Available>>,
+    /// Workers that changed since the index was brought up to date.
+    unindexed: Vec<WorkerName>,
 }
 
 impl WorkerTable {
@@ -25,9 +31,66 @@
         if !self.changed.contains(worker) {
             self.changed.insert(worker.clone());
         }
+        if !state.is_unindexed {
+            state.is_unindexed = true;
+            self.unindexed.push(worker.clone());
+        }
         Some(state)
     }
 
+    /// Brings the index and the totals of the workers up to date. Its cost depends on the number of
+    /// workers that changed.
+    pub(crate) fn update_index(&mut self) {
+        for worker in std::mem::take(&mut self.unindexed) {
+            let Some(state) = self.by_name.get_mut(&worker) else {
+                continue;
+            };
+            state.is_unindexed = false;
+            state.update_totals();
+            let available = state.available().cpu_milli;
+            let indexed = (state.record.pool.clone(), available);
+            if state.indexed.as_ref() == Some(&indexed) {
+                continue;
+            }
+            let previous = state.indexed.replace(indexed.clone());
+            self.remove_from_index(previous, &worker);
+            let (pool, available) = indexed;
+            let workers = self.by_available.entry(pool).or_default();
+            workers.insert((available, worker));
+        }
+    }
+
+    /// Iterates over the workers of a pool, those with the most available processor time first, as
+    /// of the last update of the index.
+    pub(crate) fn most_available(&self, pool: &PoolName) -> impl Iterator<Item = &WorkerState> {
+        let workers = self.by_available.get(pool).into_iter().flatten().rev();
+        workers.filter_map(|(_, worker)| self.by_name.get(worker))
+    }
+
+    /// Iterates over the workers of a pool with at least this processor time available, those with
+    /// the least first, as of the last update of the index.
+    pub(crate) fn least_available(
+        &self,
+        pool: &PoolName,
+        cpu_milli: u64,
+    ) -> impl Iterator<Item = &WorkerState> {
+        let workers = self.by_available.get(pool);
+        let from = (cpu_milli, WorkerName::default());
+        let workers = workers
+            .into_iter()
+            .flat_map(move |w| w.range(from.clone()..));
+        workers.filter_map(|(_, worker)| self.by_name.get(worker))
+    }
+
+    fn remove_from_index(&mut self, indexed: Option<(PoolName, u64)>, worker: &WorkerName) {
+        let Some((pool, available)) = indexed else {
+            return;
+        };
+        if let Some(workers) = self.by_available.get_mut(&pool) {
+            workers.remove(&(available, worker.clone()));
+        }
+    }
+
     /// Like `get_mut`, but returns `None` if another incarnation has replaced this one.
     pub(crate) fn get_incarnation_mut(
         &mut self,
@@ -38,13 +101,17 @@
     }
 
     pub(crate) fn insert(&mut self, worker: WorkerName, state: WorkerState) {
+        self.remove(&worker);
         self.changed.insert(worker.clone());
+        self.unindexed.push(worker.clone());
         self.by_name.insert(worker, state);
     }
 
     pub(crate) fn remove(&mut self, worker: &WorkerName) -> Option<WorkerState> {
         self.changed.remove(worker);
-        self.by_name.remove(worker)
+        let mut state = self.by_name.remove(worker)?;
+        self.remove_from_index(state.indexed.take(), worker);
+        Some(state)
     }
 
     pub(crate) fn iter(&self) -> btree_map::Iter<'_, WorkerName, WorkerState> {
@@ -75,6 +142,8 @@
     pub(crate) fn clear(&mut self) {
         self.by_name.clear();
         self.changed.clear();
+        self.by_available.clear();
+        self.unindexed.clear();
     }
 
     /// Marks all workers as changed.
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -159,6 +159,7 @@
         self.input(Input::BecameLeader { term });
         self.input(Input::HostSeen {
             host: HostName::from("10.0.0.1:1"),
+            domain: DomainName::from("zilina"),
             is_large: true,
         });
     }
@@ -209,6 +210,7 @@
             self.now = end.min(self.now + 20);
             self.input(Input::HostSeen {
                 host: HostName::from("10.0.0.1:1"),
+                domain: DomainName::from("zilina"),
                 is_large: true,
             });
             self.input(Input::Tick);
@@ -286,6 +288,11 @@
 
     /// Lets the open poll of a worker time out.
     pub fn time_out_poll(&mut self, worker: &str) {
+        self.finish_poll(worker, PollOutcome::Unanswered);
+    }
+
+    /// Ends the open poll of a worker with this outcome.
+    pub fn finish_poll(&mut self, worker: &str, outcome: PollOutcome) {
         let at = self
             .polls
             .iter()
@@ -296,7 +303,7 @@
         self.input(Input::PollFinished {
             fence: call.fence,
             incarnation: call.incarnation,
-            outcome: PollOutcome::Unanswered,
+            outcome,
         });
     }
 
--- a/lib/dispatch/tests/preemption.rs
+++ b/lib/dispatch/tests/preemption.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::{Harness, LOW_QUEUE, step, task, worker};
-use tarragon_dispatch::OrderOutcome;
+use tarragon_dispatch::{OrderOutcome, StopOrder};
 use tarragon_names::Millis;
 use tarragon_workflow::{AdviceTerms, RunEnd, StepSpec};
 use yare::parameterized;
@@ -189,3 +191,38 @@
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].incarnation.worker.as_str(), "w2");
 }
+
+/// Guards against stops that do not get through and are followed by ever more of them: preemption
+/// pauses until the stop orders are accepted.
+#[test]
+fn preemption_pauses_while_stops_are_not_accepted() {
+    let workers = (0..20).map(|i| worker(&format!("w{i:02}"), 8));
+    let workers = workers.collect::<Vec<_>>();
+    let mut harness = Harness::new(&workers);
+    harness.submit_to(LOW_QUEUE, 1, vec![resumable(20, 7)]);
+    for start in harness.answer_starts(OrderOutcome::Accepted) {
+        let name = start.incarnation.worker.to_string();
+        harness.answer_poll(&name, &[(start.task, 1)], &[]);
+    }
+    harness.submit(2, vec![gang(12, 8)]);
+    let stops = harness.answer_stops(OrderOutcome::Unanswered);
+    let stopped = stops.iter().map(|order| order.task);
+    let stopped = stopped.collect::<BTreeSet<_>>();
+    assert_eq!(stopped.len(), 12);
+    harness.advance(1_000);
+    assert!(!harness.answer_stops(OrderOutcome::NotSent).is_empty());
+    harness.advance(300);
+    harness.answer_stops(OrderOutcome::NotSent);
+    harness.submit(3, vec![urgent(8)]);
+    let is_repeated = |order: &StopOrder| stopped.contains(&order.task);
+    assert!(harness.stops.iter().all(is_repeated), "a further run stops");
+    let mut accepted = 0;
+    while accepted < 12 {
+        harness.advance(100);
+        accepted += harness.answer_stops(OrderOutcome::Accepted).len();
+    }
+    harness.advance(200);
+    harness.stops.clear();
+    harness.submit(4, vec![urgent(8)]);
+    assert!(!harness.stops.is_empty(), "preemption resumes");
+}
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, incarnation, step, task, worker};
-use tarragon_dispatch::{Input, OrderOutcome, Refusal};
+use tarragon_dispatch::{Input, OrderOutcome, PollOutcome, Refusal};
 use tarragon_workflow::{Command, JobKey, JobPhase, RunEnd, RunEvent, StepSpec};
 use yare::parameterized;
 
@@ -270,3 +270,80 @@
     assert_ne!(stops[0].incarnation, order.incarnation);
     assert_eq!(harness.lost_runs(), 0);
 }
+
+/// Guards against a local failure that counts as an unanswered order: an order that did not leave its
+/// host has certainly not run, so the run is neither stopped nor lost, and the order is sent again
+/// with a growing delay.
+#[test]
+fn start_that_was_not_sent_is_sent_again() {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    harness.submit(1, vec![step(1, 4)]);
+    let mut sent_at = Vec::new();
+    for _ in 0..5 {
+        sent_at.push(harness.now);
+        assert_eq!(harness.answer_starts(OrderOutcome::NotSent).len(), 1);
+        while harness.starts.is_empty() {
+            harness.advance(10);
+        }
+    }
+    let delays = sent_at.windows(2).map(|pair| pair[1] - pair[0]);
+    let delays = delays.collect::<Vec<_>>();
+    assert!(delays[0] >= 50 && delays[3] >= 400, "{delays:?}");
+    assert!(harness.stops.is_empty());
+    assert_eq!(harness.lost_runs(), 0);
+    assert_eq!(harness.answer_starts(OrderOutcome::Accepted)[0].run, 1);
+}
+
+/// Guards against work that waits for the lease of a worker that cannot be reached: no order was sent
+/// to it, so the task runs elsewhere at once.
+#[test]
+fn task_of_an_unreachable_worker_starts_elsewhere_at_once() {
+    let mut harness = Harness::new(&[worker("w1", 8), worker("w2", 8)]);
+    harness.submit(1, vec![step(1, 8)]);
+    let refused = OrderOutcome::Refused(Refusal::Unreachable);
+    let first = harness.answer_starts(refused)[0].incarnation.clone();
+    harness.advance(200);
+    assert_eq!(harness.starts.len(), 1);
+    assert_ne!(harness.starts[0].incarnation, first);
+    assert_eq!(harness.starts[0].run, 2);
+    assert!(harness.stops.is_empty());
+}
+
+/// Guards against workers that count as silent because this host, or the one that delivers, cannot
+/// send polls. After several failures in a row nothing is placed on the worker any more.
+#[test]
+fn poll_that_was_not_sent_is_no_silence_of_the_worker() {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    harness.submit(1, vec![step(1, 4)]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    for is_usable in [true, true, false] {
+        harness.finish_poll("w1", PollOutcome::NotSent);
+        harness.submit(10 + harness.now, vec![step(1, 1)]);
+        assert_eq!(!harness.starts.is_empty(), is_usable);
+        harness.answer_starts(OrderOutcome::Accepted);
+        harness.advance(300);
+    }
+    assert_eq!(harness.lost_runs(), 0);
+}
+
+/// Guards against stop orders that are repeated at a fixed rate while the worker does not accept
+/// them.
+#[test]
+fn unanswered_stop_is_repeated_less_and_less_often() {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    harness.submit(1, vec![step(1, 4)]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    harness.answer_poll("w1", &[(task(1, 0, 0), 1)], &[]);
+    harness.commit(Command::Cancel { job: JobKey(1) });
+    let mut sent_at = Vec::new();
+    for _ in 0..5 {
+        while harness.stops.is_empty() {
+            harness.advance(10);
+        }
+        sent_at.push(harness.now);
+        harness.answer_stops(OrderOutcome::Unanswered);
+    }
+    let delays = sent_at.windows(2).map(|pair| pair[1] - pair[0]);
+    let delays = delays.collect::<Vec<_>>();
+    assert!(delays[0] >= 400 && delays[3] >= 2 * delays[0], "{delays:?}");
+}
--- /dev/null
+++ b/lib/entry/src/delivery.rs
@@ -0,0 +1,247 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use tarragon_delivery::{DeliveryLimits, DeliveryRoutes};
+use tarragon_dispatch::Input;
+use tarragon_names::{HostName, Millis};
+use tarragon_telemetry::{Event, EventSink};
+use tarragon_wire::peer::PeerEvent;
+use tarragon_workflow::WorkflowState;
+
+use crate::{
+    EntryMetrics,
+    mesh::{self, Mesh},
+    order_batch::OrderBatch,
+    worker_order::{OrderKey, OrderResult, WorkerOrder},
+};
+
+/// Time that an order may take beyond its own timeout, for the frames to the delivering host and
+/// back.
+const DELIVERY_SLACK: Millis = Millis(400);
+
+/// Time without any result after which a host with overdue orders counts as failed.
+const MAX_RESULT_SILENCE: Millis = Millis(1_000);
+
+/// Interval between two checks of the hosts and the overdue orders.
+const CHECK_INTERVAL: Millis = Millis(100);
+
+/// Interval between two assignments of the workers while no host comes or goes.
+const ASSIGN_INTERVAL: Millis = Millis(1_000);
+
+/// An order that a host was asked to deliver.
+#[derive(Debug)]
+struct PendingOrder {
+    host: HostName,
+    deadline: Millis,
+    key: OrderKey,
+}
+
+/// Delivery of the leader's orders through other hosts.
+#[derive(Debug)]
+pub(crate) struct Delivery {
+    pub(crate) routes: DeliveryRoutes,
+    mesh: Arc<Mesh>,
+    workflow_state: Arc<WorkflowState>,
+    events: Arc<dyn EventSink>,
+    metrics: EntryMetrics,
+    pending: BTreeMap<u64, PendingOrder>,
+    deadlines: BTreeSet<(Millis, u64)>,
+    /// Time of the last result of each host that has pending orders.
+    last_results: BTreeMap<HostName, Millis>,
+    /// Orders of the current step, by delivering host.
+    batches: BTreeMap<HostName, Vec<(u64, WorkerOrder)>>,
+    last_id: u64,
+    next_check_at: Millis,
+    next_assign_at: Millis,
+}
+
+impl Delivery {
+    /// Numbers its orders from `first_id`, which differs between processes, so that a late result for
+    /// an earlier process matches no order.
+    pub(crate) fn new(
+        limits: DeliveryLimits,
+        mesh: Arc<Mesh>,
+        workflow_state: Arc<WorkflowState>,
+        events: Arc<dyn EventSink>,
+        metrics: EntryMetrics,
+        first_id: u64,
+    ) -> Self {
+        Self {
+            routes: DeliveryRoutes::new(limits),
+            mesh,
+            workflow_state,
+            events,
+            metrics,
+            pending: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            last_results: BTreeMap::new(),
+            batches: BTreeMap::new(),
+            last_id: first_id,
+            next_check_at: Millis(0),
+            next_assign_at: Millis(0),
+        }
+    }
+
+    /// Learns from an input of the dispatcher which hosts can deliver.
+    pub(crate) fn observe(&mut self, input: &Input, now: Millis) {
+        match input {
+            Input::HostSeen {
+                host,
+                domain,
+                is_large,
+            } => self.routes.host_seen(host, domain, *is_large, now),
+            Input::HostStops(host) => self.routes.host_stopped(host),
+            Input::LostLeadership => {
+                self.routes.clear();
+                self.pending.clear();
+                self.deadlines.clear();
+                self.last_results.clear();
+                self.batches.clear();
+            }
+            _ => {}
+        }
+    }
+
+    /// Queues an order for the host that delivers to its worker. Returns the order if this host calls
+    /// the worker itself.
+    pub(crate) fn queue(&mut self, order: WorkerOrder, now: Millis) -> Option<WorkerOrder> {
+        let Some(host) = self.routes.host_of(order.worker()) else {
+            return Some(order);
+        };
+        if host == self.mesh.links.own_host() {
+            return Some(order);
+        }
+        let host = host.clone();
+        self.last_id = self.last_id.wrapping_add(1);
+        let id = self.last_id;
+        let deadline = now + order.timeout() + DELIVERY_SLACK;
+        let pending = PendingOrder {
+            host: host.clone(),
+            deadline,
+            key: OrderKey::of(&order),
+        };
+        self.pending.insert(id, pending);
+        self.deadlines.insert((deadline, id));
+        self.last_results.entry(host.clone()).or_insert(now);
+        self.batches.entry(host).or_default().push((id, order));
+        None
+    }
+
+    /// Sends the orders of a step, one frame for each host.
+    pub(crate) fn send_batches(&mut self) {
+        for (host, orders) in std::mem::take(&mut self.batches) {
+            self.mesh.connect(&host);
+            match mesh::encode(&OrderBatch { orders }) {
+                Ok(body) => self.mesh.links.send(&host, PeerEvent::Orders(body)),
+                Err(failure) => {
+                    // The orders count as unanswered after their deadlines.
+                    let event = Event::error("orders_not_encoded").code(failure.code.number());
+                    self.events.emit(&event.detail(failure.cause));
+                }
+            }
+        }
+    }
+
+    /// Takes the results that a host reported. Results of other hosts' orders are ignored.
+    pub(crate) fn take_results(
+        &mut self,
+        host: &HostName,
+        results: Vec<(u64, OrderResult)>,
+        now: Millis,
+    ) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        for (id, result) in results {
+            if self.pending.get(&id).is_none_or(|o| o.host != *host) {
+                continue;
+            }
+            inputs.extend(self.remove(id).and_then(|key| key.input(result)));
+            self.last_results.insert(host.clone(), now);
+        }
+        inputs
+    }
+
+    /// Assigns workers to hosts if hosts have changed, and returns the results of the orders whose
+    /// delivery failed.
+    pub(crate) fn check(&mut self, now: Millis) -> Vec<Input> {
+        if now < self.next_check_at {
+            return Vec::new();
+        }
+        self.next_check_at = now + CHECK_INTERVAL;
+        let mut failed = self.fail_unreachable_hosts(now);
+        failed.extend(self.fail_overdue_orders(now));
+        if self.routes.is_changed() || now >= self.next_assign_at {
+            self.next_assign_at = now + ASSIGN_INTERVAL;
+            self.assign(now);
+        }
+        self.metrics.pending_orders.set(self.pending.len() as i64);
+        failed
+    }
+
+    fn assign(&mut self, now: Millis) {
+        let workers = self.workflow_state.workers().into_iter();
+        let workers = workers.map(|record| (record.incarnation.worker, record.domain));
+        let workers = workers.collect::<Vec<_>>();
+        self.routes.assign(&workers, now);
+        let delivered = self.routes.delivered_workers() as i64;
+        self.metrics.delivered_workers.set(delivered);
+    }
+
+    /// Fails the orders of the hosts whose link is down.
+    fn fail_unreachable_hosts(&mut self, now: Millis) -> Vec<Input> {
+        let hosts = self.last_results.keys();
+        let down = hosts.filter(|host| self.mesh.link_monitor.is_down(host));
+        let down = down.cloned().collect::<Vec<_>>();
+        let mut inputs = Vec::new();
+        for host in down {
+            self.host_failed(&host, "its link is down", now);
+            let orders = self.pending.iter().filter(|(_, o)| o.host == host);
+            let ids = orders.map(|(id, _)| *id).collect::<Vec<_>>();
+            inputs.extend(ids.into_iter().filter_map(|id| self.fail(id)));
+            self.last_results.remove(&host);
+        }
+        inputs
+    }
+
+    fn fail_overdue_orders(&mut self, now: Millis) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        while let Some((deadline, id)) = self.deadlines.first().copied()
+            && deadline <= now
+        {
+            if let Some(order) = self.pending.get(&id) {
+                let host = order.host.clone();
+                let last_result = self.last_results.get(&host).copied();
+                if last_result.is_none_or(|at| now.since(at) > MAX_RESULT_SILENCE) {
+                    self.host_failed(&host, "it reports no results", now);
+                }
+            }
+            inputs.extend(self.fail(id));
+            self.deadlines.remove(&(deadline, id));
+        }
+        inputs
+    }
+
+    fn host_failed(&mut self, host: &HostName, cause: &str, now: Millis) {
+        if self.routes.host_failed(host, now) {
+            let event = Event::warning("delivering_host_failed").peer(host.clone());
+            let pending = self.pending.values().filter(|o| o.host == *host).count();
+            self.events
+                .emit(&event.detail(format!("{cause}, {pending} orders pending")));
+        }
+    }
+
+    /// Ends a pending order whose result is not known.
+    fn fail(&mut self, id: u64) -> Option<Input> {
+        let key = self.remove(id)?;
+        let result = key.undelivered();
+        self.metrics.count_result(key.label(), &result);
+        key.input(result)
+    }
+
+    fn remove(&mut self, id: u64) -> Option<OrderKey> {
+        let order = self.pending.remove(&id)?;
+        self.deadlines.remove(&(order.deadline, id));
+        Some(order.key)
+    }
+}
--- a/lib/entry/src/dispatch_handle.rs
+++ b/lib/entry/src/dispatch_handle.rs
@@ -5,17 +5,30 @@
 };
 
 use tarragon_dispatch::Input;
-use tarragon_names::Millis;
+use tarragon_names::{HostName, Millis};
+
+use crate::worker_order::OrderResult;
+
+/// An event for the thread of the dispatcher.
+#[derive(Debug)]
+pub(crate) enum DispatchEvent {
+    Input(Input),
+    /// Results of orders that a host delivered.
+    Results {
+        host: HostName,
+        results: Vec<(u64, OrderResult)>,
+    },
+}
 
 /// Sends inputs to the thread of the dispatcher and shares the time until which this host leads.
 #[derive(Clone, Debug)]
 pub(crate) struct DispatchHandle {
-    tx: Sender<Input>,
+    tx: Sender<DispatchEvent>,
     leader_until: Arc<AtomicU64>,
 }
 
 impl DispatchHandle {
-    pub(crate) fn new(tx: Sender<Input>) -> Self {
+    pub(crate) fn new(tx: Sender<DispatchEvent>) -> Self {
         Self {
             tx,
             leader_until: Arc::default(),
@@ -24,7 +37,12 @@
 
     /// Queues an input; does nothing once the thread has stopped.
     pub(crate) fn send(&self, input: Input) {
-        let _stopped = self.tx.send(input);
+        let _stopped = self.tx.send(DispatchEvent::Input(input));
+    }
+
+    /// Queues the results of orders that a host delivered.
+    pub(crate) fn send_results(&self, host: HostName, results: Vec<(u64, OrderResult)>) {
+        let _stopped = self.tx.send(DispatchEvent::Results { host, results });
     }
 
     /// Sets the time before which no other host can lead.
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -7,11 +7,8 @@
     time::Duration,
 };
 
-use futures::future::BoxFuture;
-use tarragon_dispatch::{
-    AdviceRequest, Dispatcher, Input, OrderOutcome, Output, PollCall, PollOutcome, StartOrder,
-    StopOrder, ThrottleOrder,
-};
+use tarragon_dispatch::{AdviceRequest, Dispatcher, Input, Output};
+use tarragon_names::Millis;
 use tarragon_replica::{AbortOnPanic, Clock, ReplicaHandle};
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_workflow::WorkflowState;
@@ -19,18 +16,20 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    EntryMetrics, ExternalServices, Reply, Request, WorkflowLog, available_tasks::AvailableTasks,
-    dispatch_handle::DispatchHandle, entry_log, mesh::Mesh,
+    EntryMetrics, ExternalServices, Reply, Request, WorkflowLog,
+    available_tasks::AvailableTasks,
+    delivery::Delivery,
+    dispatch_handle::{DispatchEvent, DispatchHandle},
+    entry_log,
+    mesh::Mesh,
+    worker_order::{OrderKey, WorkerOrder},
 };
 
 /// Interval between two ticks of the dispatcher.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Maximum number of queued inputs that one step handles in addition to the first one.
-const MAX_BATCHED_INPUTS: usize = 1_024;
-
-/// Time that a poll may take in addition to the delay that the worker is allowed.
-const POLL_SLACK: Duration = Duration::from_millis(600);
+/// Maximum number of queued events that one step handles in addition to the first one.
+const MAX_BATCHED_EVENTS: usize = 1_024;
 
 /// Time that a relayed request for advice may take beyond its timeout, for the messages to the
 /// relaying host and back.
@@ -57,14 +56,24 @@
 #[derive(Debug)]
 pub(crate) struct DispatchLoop {
     parts: DispatchParts,
-    rx: Receiver<Input>,
+    delivery: Delivery,
+    rx: Receiver<DispatchEvent>,
 }
 
 impl DispatchLoop {
-    pub(crate) fn start(parts: DispatchParts, rx: Receiver<Input>) -> JoinHandle<()> {
+    pub(crate) fn start(
+        parts: DispatchParts,
+        delivery: Delivery,
+        rx: Receiver<DispatchEvent>,
+    ) -> JoinHandle<()> {
+        let dispatch_loop = Self {
+            parts,
+            delivery,
+            rx,
+        };
         let spawned = thread::Builder::new()
             .name("dispatch".to_owned())
-            .spawn(|| Self { parts, rx }.run());
+            .spawn(|| dispatch_loop.run());
         spawned.expect("a thread can be spawned at startup")
     }
 
@@ -72,14 +81,18 @@
         let _guard = AbortOnPanic;
         let mut last_tick = self.parts.clock.now();
         while !self.parts.stop.is_cancelled() {
-            let mut inputs = Vec::new();
+            let mut events = Vec::new();
             match self.rx.recv_timeout(TICK_INTERVAL) {
-                Ok(input) => inputs.push(input),
+                Ok(event) => events.push(event),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            inputs.extend(self.rx.try_iter().take(MAX_BATCHED_INPUTS));
+            events.extend(self.rx.try_iter().take(MAX_BATCHED_EVENTS));
             let now = self.parts.clock.now();
+            let mut inputs = self.delivery.check(now);
+            for event in events {
+                self.take(event, now, &mut inputs);
+            }
             if now.since(last_tick).0 >= TICK_INTERVAL.as_millis() as u64 {
                 last_tick = now;
                 inputs.push(Input::Tick);
@@ -97,12 +110,26 @@
                 .step(now, now_ms, is_sole_leader, inputs);
             drop(timer);
             for output in outputs {
-                self.carry_out(output);
+                self.carry_out(output, now);
+            }
+            self.delivery.send_batches();
+        }
+    }
+
+    /// Adds the inputs that an event brings.
+    fn take(&mut self, event: DispatchEvent, now: Millis, inputs: &mut Vec<Input>) {
+        match event {
+            DispatchEvent::Input(input) => {
+                self.delivery.observe(&input, now);
+                inputs.push(input);
+            }
+            DispatchEvent::Results { host, results } => {
+                inputs.extend(self.delivery.take_results(&host, results, now));
             }
         }
     }
 
-    fn carry_out(&self, output: Output) {
+    fn carry_out(&mut self, output: Output, now: Millis) {
         match output {
             Output::Propose(command) => {
                 let at_ms = self.parts.clock.wall_ms();
@@ -116,10 +143,10 @@
                     self.parts.handle.send(Input::NotProposed(vec![command]));
                 }
             }
-            Output::Poll(call) => self.poll(call),
-            Output::Start(order) => self.start_run(order),
-            Output::Stop(order) => self.stop_run(order),
-            Output::Throttle(order) => self.throttle_run(order),
+            Output::Poll(call) => self.order(WorkerOrder::Poll(call), now),
+            Output::Start(order) => self.order(WorkerOrder::Start(order), now),
+            Output::Stop(order) => self.order(WorkerOrder::Stop(order), now),
+            Output::Throttle(order) => self.order(WorkerOrder::Throttle(order), now),
             Output::RequestAdvice(call) => self.request_advice(call),
             Output::Event(decision) => {
                 self.parts.events.emit(&entry_log::event_of(&decision));
@@ -127,96 +154,23 @@
         }
     }
 
-    fn poll(&self, call: PollCall) {
-        let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
-        let (incarnation, fence) = (call.incarnation.clone(), call.fence);
-        let timeout = Duration::from_millis(call.wait.0) + POLL_SLACK;
-        let answer = self.parts.external.workers.poll(call, timeout);
-        self.parts.runtime.spawn(async move {
-            let outcome = answer.await;
-            let label = match &outcome {
-                PollOutcome::Answered(answer) => {
-                    for run in &answer.finished {
-                        let end = run.end.to_string();
-                        metrics.run_ends.with_label_values(&[&end]).inc();
-                    }
-                    "answered"
-                }
-                PollOutcome::OtherIncarnation => "other_life",
-                PollOutcome::Fenced => "fenced",
-                PollOutcome::Unanswered => "unanswered",
-            };
-            metrics
-                .external_calls
-                .with_label_values(&["hold", label])
-                .inc();
-            handle.send(Input::PollFinished {
-                fence,
-                incarnation,
-                outcome,
-            });
-        });
-    }
-
-    fn start_run(&self, order: StartOrder) {
-        let (incarnation, task, run) = (order.incarnation.clone(), order.task, order.run);
-        let (fence, timeout) = (order.fence, Duration::from_millis(order.timeout.0));
-        let answer = self.parts.external.workers.start(order, timeout);
-        self.spawn_order("start", answer, move |outcome| Input::StartOrderFinished {
-            fence,
-            incarnation,
-            task,
-            run,
-            outcome,
-        });
-    }
-
-    fn stop_run(&self, order: StopOrder) {
-        let (incarnation, task, run) = (order.incarnation.clone(), order.task, order.run);
-        let (fence, timeout) = (order.fence, Duration::from_millis(order.timeout.0));
-        let answer = self.parts.external.workers.stop(order, timeout);
-        self.spawn_order("stop", answer, move |outcome| Input::StopOrderFinished {
-            fence,
-            incarnation,
-            task,
-            run,
-            outcome,
-        });
-    }
-
-    fn throttle_run(&self, order: ThrottleOrder) {
-        let (incarnation, task, run) = (order.incarnation.clone(), order.task, order.run);
-        let (fence, timeout) = (order.fence, Duration::from_millis(order.timeout.0));
-        let answer = self.parts.external.workers.throttle(order, timeout);
-        self.spawn_order("pace", answer, move |outcome| {
-            Input::ThrottleOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            }
-        });
-    }
-
-    /// Spawns a task that waits for the outcome of an order, counts the outcome and sends it to the
-    /// dispatcher.
-    fn spawn_order<F>(
-        &self,
-        kind: &'static str,
-        answer: BoxFuture<'static, OrderOutcome>,
-        input_of: F,
-    ) where
-        F: FnOnce(OrderOutcome) -> Input + Send + 'static,
-    {
+    /// Sends an order through the host that delivers to its worker, or from here.
+    fn order(&mut self, order: WorkerOrder, now: Millis) {
+        let Some(order) = self.delivery.queue(order, now) else {
+            return;
+        };
         let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
+        let key = OrderKey::of(&order);
+        let result = order.send(self.parts.external.workers.as_ref());
         self.parts.runtime.spawn(async move {
-            let time = metrics.external_call_time.with_label_values(&[kind]);
+            let time = metrics.external_call_time.with_label_values(&[key.label()]);
             let timer = time.start_timer();
-            let outcome = answer.await;
+            let result = result.await;
             drop(timer);
-            count_order_outcome(&metrics, kind, outcome);
-            handle.send(input_of(outcome));
+            metrics.count_result(key.label(), &result);
+            if let Some(input) = key.input(result) {
+                handle.send(input);
+            }
         });
     }
 
@@ -265,15 +219,3 @@
         });
     }
 }
-
-fn count_order_outcome(metrics: &EntryMetrics, kind: &str, outcome: OrderOutcome) {
-    let label = match outcome {
-        OrderOutcome::Accepted => "accepted".to_owned(),
-        OrderOutcome::Refused(refusal) => refusal.to_string(),
-        OrderOutcome::Unanswered => "unanswered".to_owned(),
-    };
-    metrics
-        .external_calls
-        .with_label_values(&[kind, &label])
-        .inc();
-}
--- a/lib/entry/src/entry_config.rs
+++ b/lib/entry/src/entry_config.rs
@@ -24,6 +24,8 @@
     pub is_first_start: bool,
     /// Number of hosts with a disk that the group may lose at the same time.
     pub tolerated_failures: usize,
+    /// Number of files and connections that the process may have open.
+    pub max_descriptors: usize,
     /// Intervals and timeouts, derived from the bounds of the platform.
     pub timing: EntryTiming,
 }
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -18,6 +18,7 @@
 };
 use tarragon_agreement::{Recovered, Replica};
 use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_delivery::BudgetLimits;
 use tarragon_dispatch::Dispatcher;
 use tarragon_names::{HostName, LogIndex, MemberId, Name};
 use tarragon_replica::{
@@ -34,6 +35,9 @@
 use crate::{
     EntryConfig, EntryMetrics, ExternalServices, Hello, Reply, Request, WorkflowLog,
     available_tasks::AvailableTasks,
+    budgeted_calls::BudgetedCalls,
+    deliverer::Deliverer,
+    delivery::Delivery,
     dispatch_handle::DispatchHandle,
     dispatch_loop::{DispatchLoop, DispatchParts},
     dispatch_sink::DispatchSink,
@@ -43,6 +47,7 @@
     leader_service::LeaderService,
     link_monitor::LinkMonitor,
     mesh::{self, Mesh},
+    order_batch::ResultBatch,
     upkeep_loop::UpkeepLoop,
     voter_manager::VoterManager,
 };
@@ -91,13 +96,18 @@
     external: ExternalServices,
     metrics: EntryMetrics,
     replica: Option<ActiveReplica>,
+    deliverer: Arc<Deliverer>,
     is_stopping: AtomicBool,
     stop: CancellationToken,
 }
 
 impl EntryHost {
     /// Starts the host on the current Tokio runtime.
-    pub async fn start(cfg: EntryConfig, parts: EntryParts) -> Outcome<Arc<Self>> {
+    pub async fn start(cfg: EntryConfig, mut parts: EntryParts) -> Outcome<Arc<Self>> {
+        let limits = BudgetLimits::from_descriptors(cfg.max_descriptors);
+        let workers = Arc::clone(&parts.external.workers);
+        let workers = BudgetedCalls::new(workers, limits, parts.metrics.clone());
+        parts.external.workers = Arc::new(workers);
         let mut rng = ChaCha12Rng::from_seed(process_seed());
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
         let stop = CancellationToken::new();
@@ -135,7 +145,14 @@
             );
             Failure::new(Code::BadSettings, cause)
         })?;
+        let deliverer = Deliverer::new(
+            Arc::clone(&parts.external.workers),
+            Arc::clone(&mesh),
+            parts.metrics.clone(),
+            Arc::clone(&parts.events),
+        );
         let host = Arc::new(Self {
+            deliverer: Arc::new(deliverer),
             seeds: Mutex::new(cfg.seeds.clone()),
             mesh,
             leader_hint,
@@ -335,6 +352,22 @@
         self.record(Command::MachineDone { key, machine }).await;
     }
 
+    /// Passes the results that a delivering host reports on to the dispatcher.
+    fn receive_results(&self, host: &HostName, body: &[u8]) {
+        let Some(active) = &self.replica else { return };
+        match mesh::decode::<ResultBatch>(body) {
+            Ok(batch) => {
+                let dispatch = &active.leader_service.dispatch;
+                dispatch.send_results(host.clone(), batch.results);
+            }
+            Err(failure) => {
+                let event = Event::warning("results_unreadable").peer(host.clone());
+                let event = event.code(failure.code.number());
+                self.events.emit(&event.detail(failure.cause));
+            }
+        }
+    }
+
     fn is_leader(&self) -> bool {
         self.replica
             .as_ref()
@@ -459,7 +492,15 @@
             runtime: Handle::current(),
             stop: self.stop.clone(),
         };
-        let dispatch_thread = DispatchLoop::start(dispatch_parts, rx);
+        let delivery = Delivery::new(
+            timing.delivery_limits(),
+            Arc::clone(self.mesh),
+            Arc::clone(&workflow_state),
+            Arc::clone(&self.parts.events),
+            self.parts.metrics.clone(),
+            seed,
+        );
+        let dispatch_thread = DispatchLoop::start(dispatch_parts, delivery, rx);
         let voter_manager = Arc::new(VoterManager::new(
             handle.clone(),
             Arc::clone(&self.parts.events),
@@ -512,6 +553,8 @@
                 });
             }
             PeerEvent::Answer { id, body } => self.0.mesh.complete_call(id, body),
+            PeerEvent::Orders(body) => self.0.deliverer.deliver(host, &body),
+            PeerEvent::OrderResults(body) => self.0.receive_results(host, &body),
             // An entry host calls its workers instead of exchanging these messages with them, and
             // hosts send one another no load summaries.
             PeerEvent::Report { .. } | PeerEvent::Order { .. } | PeerEvent::Load(_) => {}
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -3,6 +3,9 @@
     Registry, TextEncoder, core::Collector,
 };
 use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_dispatch::{OrderOutcome, PollOutcome};
+
+use crate::worker_order::OrderResult;
 
 /// Upper bounds of the buckets of all histograms in seconds; the latency objectives of the
 /// requests lie between 0.25 s and 3 s.
@@ -35,6 +38,14 @@
     pub link_dropped: IntCounter,
     /// Links closed because the other host was silent.
     pub link_silent: IntCounter,
+    /// Workers that other hosts deliver to while this host leads.
+    pub delivered_workers: IntGauge,
+    /// Orders whose result a delivering host has not reported yet.
+    pub pending_orders: IntGauge,
+    /// Calls to workers that are open on this host.
+    pub open_worker_calls: IntGauge,
+    /// Calls to workers that wait on this host until others end.
+    pub waiting_worker_calls: IntGauge,
     /// 1 while this host reports itself ready, otherwise 0.
     pub ready: IntGauge,
     /// Log lines that were dropped because the writer did not keep up.
@@ -108,6 +119,26 @@
                 "tarragon_entry_link_silent_total",
                 "Links closed after silence",
             )?,
+            delivered_workers: gauge(
+                &registry,
+                "tarragon_entry_delivered_workers",
+                "Workers that other hosts deliver to",
+            )?,
+            pending_orders: gauge(
+                &registry,
+                "tarragon_entry_pending_orders",
+                "Orders without a result from their delivering host",
+            )?,
+            open_worker_calls: gauge(
+                &registry,
+                "tarragon_entry_open_worker_calls",
+                "Open calls to workers",
+            )?,
+            waiting_worker_calls: gauge(
+                &registry,
+                "tarragon_entry_waiting_worker_calls",
+                "Calls to workers that wait for others to end",
+            )?,
             ready: register(
                 &registry,
                 IntGauge::new("tarragon_entry_ready", "Whether the host is ready"),
@@ -120,6 +151,26 @@
         })
     }
 
+    /// Counts the result of an order to a worker by its kind and outcome.
+    pub(crate) fn count_result(&self, kind: &str, result: &OrderResult) {
+        let label = match result {
+            OrderResult::Poll(PollOutcome::Answered(answer)) => {
+                for run in &answer.finished {
+                    let end = run.end.to_string();
+                    self.run_ends.with_label_values(&[&end]).inc();
+                }
+                "answered".to_owned()
+            }
+            OrderResult::Poll(PollOutcome::OtherIncarnation) => "other_life".to_owned(),
+            OrderResult::Poll(PollOutcome::Fenced) => "fenced".to_owned(),
+            OrderResult::Poll(PollOutcome::Unanswered) => "unanswered".to_owned(),
+            OrderResult::Poll(PollOutcome::NotSent) => "not_sent".to_owned(),
+            OrderResult::Order(OrderOutcome::Refused(refusal)) => refusal.to_string(),
+            OrderResult::Order(outcome) => outcome.to_string(),
+        };
+        self.external_calls.with_label_values(&[kind, &label]).inc();
+    }
+
     /// Returns all metrics in the text format of Prometheus, followed by `other_metrics`, which is
     /// in the same format.
     pub fn render(&self, other_metrics: &str) -> Outcome<String> {
@@ -144,6 +195,10 @@
     register(registry, IntCounter::new(name, help))
 }
 
+fn gauge(registry: &Registry, name: &str, help: &str) -> Outcome<IntGauge> {
+    register(registry, IntGauge::new(name, help))
+}
+
 fn register<C>(registry: &Registry, created: prometheus::Result<C>) -> Outcome<C>
 where
     C: Collector + Clone + 'static,
--- a/lib/entry/src/entry_timing.rs
+++ b/lib/entry/src/entry_timing.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use tarragon_agreement::Config;
+use tarragon_delivery::DeliveryLimits;
 use tarragon_dispatch::DispatchConfig;
 use tarragon_names::Millis;
 use tarragon_replica::LinkTiming;
@@ -83,6 +84,14 @@
         }
     }
 
+    /// Returns the settings of the choice of the hosts that deliver orders.
+    pub fn delivery_limits(&self) -> DeliveryLimits {
+        DeliveryLimits {
+            silence_limit: self.bounds.recovery_time,
+            ..DeliveryLimits::default()
+        }
+    }
+
     /// Returns the silence after which a voter is replaced by a learner.
     pub fn replace_after(&self) -> Millis {
         Millis(self.bounds.recovery_time.0 * 3 / 4)
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -268,6 +268,7 @@
         } else {
             Input::HostSeen {
                 host,
+                domain: hello.domain.clone(),
                 is_large: hello.member.is_some(),
             }
         });
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -5,6 +5,9 @@
 //! [`AdviceCalls`] and [`MachineCalls`] hide the interfaces of the platform.
 
 mod available_tasks;
+mod budgeted_calls;
+mod deliverer;
+mod delivery;
 mod dispatch_handle;
 mod dispatch_loop;
 mod dispatch_sink;
@@ -20,10 +23,12 @@
 mod leader_service;
 mod link_monitor;
 mod mesh;
+mod order_batch;
 mod reply;
 mod request;
 mod upkeep_loop;
 mod voter_manager;
+mod worker_order;
 mod workflow_log;
 
 pub use entry_config::EntryConfig;
--- a/lib/entry/src/mesh.rs
+++ b/lib/entry/src/mesh.rs
@@ -108,7 +108,8 @@
     record::decode(body).map_err(|e| Failure::new(Code::Malformed, e.to_string()))
 }
 
-fn encode<T>(value: &T) -> Outcome<Bytes>
+/// Encodes the body of a message to another host.
+pub(crate) fn encode<T>(value: &T) -> Outcome<Bytes>
 where
     T: serde::Serialize,
 {
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -86,6 +86,7 @@
             data_dir,
             is_first_start,
             tolerated_failures: 1,
+            max_descriptors: 1_024,
             timing: EntryTiming {
                 bounds: Bounds::default(),
             },
--- a/lib/host/src/inbound_router.rs
+++ b/lib/host/src/inbound_router.rs
@@ -64,8 +64,11 @@
             PeerEvent::Order { worker, order } => self.gateway.send(&worker, order),
             PeerEvent::Load(load) => self.proxy.update_load_summary(load),
             // The hosts of a cell do not send these: they call one another through the `Control`
-            // service.
-            PeerEvent::Call { .. } | PeerEvent::Answer { .. } => {}
+            // service, and their workers call them.
+            PeerEvent::Call { .. }
+            | PeerEvent::Answer { .. }
+            | PeerEvent::Orders(_)
+            | PeerEvent::OrderResults(_) => {}
         }
     }
 }
--- a/lib/wire/src/peer.rs
+++ b/lib/wire/src/peer.rs
@@ -19,7 +19,7 @@
     #[prost(string, tag = "1")]
     pub from: String,
     /// Message; absent in a heartbeat of the link.
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<PeerBody>,
 }
 
@@ -44,6 +44,12 @@
     /// Answer to a call that the receiving host made.
     #[prost(message, tag = "7")]
     Answer(CallFrame),
+    /// Orders of the leader that the receiving host delivers to workers.
+    #[prost(bytes = "bytes", tag = "8")]
+    Orders(Bytes),
+    /// Results of orders that the receiving host had delivered by the sender.
+    #[prost(bytes = "bytes", tag = "9")]
+    OrderResults(Bytes),
 }
 
 /// Call between two hosts, or the answer to it.
@@ -160,6 +166,10 @@
         /// Encoded call or answer.
         body: Bytes,
     },
+    /// Encoded orders of the leader that the receiving host delivers to workers.
+    Orders(Bytes),
+    /// Encoded results of orders that the receiving host had delivered by the sender.
+    OrderResults(Bytes),
 }
 
 impl PeerFrame {
@@ -188,6 +198,8 @@
                 id: *id,
                 body: body.clone(),
             }),
+            PeerEvent::Orders(body) => PeerBody::Orders(body.clone()),
+            PeerEvent::OrderResults(body) => PeerBody::OrderResults(body.clone()),
         });
         Self {
             from: from.to_string(),
@@ -238,6 +250,8 @@
         }),
         PeerBody::Call(CallFrame { id, body }) => PeerEvent::Call { id, body },
         PeerBody::Answer(CallFrame { id, body }) => PeerEvent::Answer { id, body },
+        PeerBody::Orders(body) => PeerEvent::Orders(body),
+        PeerBody::OrderResults(body) => PeerEvent::OrderResults(body),
     })
 }
 
