dispatch: judge runs by their progress instead of their estimate

Cause: a run was restarted elsewhere at three times its estimate plus 2 s, and a worker with two such jobs was suspected.

Change: the progress that a worker reports with each poll decides. A run without progress for 1.5 s (0.7 s on a suspected worker, 3 s for a gang that has not begun) is restarted elsewhere, and the limit doubles with each run. A run that gets on is left alone. Only a run without any report is judged by its estimate as before.

Ruled out: a higher multiple of the estimate would leave hanging runs in place for longer.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -183,7 +183,7 @@
         let runs = workers.flat_map(|(_, state)| &state.runs);
         let available = runs.filter(|(_, view)| {
             view.spec.is_bounded
-                && view.percent >= FULL_RATE
+                && view.progress.percent >= FULL_RATE
                 && view.stop == StopState::NotRequested
                 && !view.is_ended
         });
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -1,4 +1,8 @@
-//! Runs that take too long: suspects their workers and restarts overdue tasks elsewhere.
+//! Runs that stand still or take too long: suspects their workers and restarts the tasks elsewhere.
+//!
+//! Estimates of callers are often wrong by a factor of three and more, so a run that makes progress is
+//! left alone however long it takes. Only a run without any report of its progress is judged by its
+//! estimate.
 
 use std::collections::BTreeSet;
 
@@ -12,6 +16,18 @@
     worker_state::WorkerState,
 };
 
+/// Time without progress after which a run is restarted elsewhere: at least two further reports of the
+/// same progress.
+const MAX_STALL: Millis = Millis(1_500);
+
+/// Like `MAX_STALL`, for a gang that has not begun to work because its members start at different
+/// times.
+const MAX_GANG_START_STALL: Millis = Millis(3_000);
+
+/// Time without progress after which a run counts against its worker: at least one further report of
+/// the same progress.
+const LATE_STALL: Millis = Millis(700);
+
 /// Multiple of its estimate after which a run is restarted elsewhere.
 const OVERDUE_FACTOR: u64 = 3;
 
@@ -72,8 +88,7 @@
                 let Some(ran) = running_time(view, now) else {
                     continue;
                 };
-                let limit = Millis(overdue_after_ms(view, is_suspect));
-                if ran > limit {
+                if is_overdue(view, ran, is_suspect) {
                     overdue.push((*task, worker.clone()));
                 }
             }
@@ -111,9 +126,11 @@
         view.request_stop(now);
         let run = view.run;
         let detail = format!(
-            "{cause}, {} ms for an estimate of {} ms, {:?} in use of {}",
+            "{cause}, {} ms for an estimate of {} ms, {}% done for {:?}, {:?} in use of {}",
             now.since(view.placed_at).0,
             view.spec.estimate.0,
+            view.progress.percent,
+            view.progress.stalled_for(),
             view.usage_or_tail_ms,
             view.spec.need
         );
@@ -137,7 +154,28 @@
     (is_running && view.spec.estimate.0 > 0).then(|| now.since(view.placed_at))
 }
 
-/// Returns the time after which a run is restarted elsewhere, in milliseconds.
+/// Returns whether a run is to be restarted elsewhere.
+fn is_overdue(view: &RunView, ran: Millis, is_suspect: bool) -> bool {
+    let Some(stalled_for) = view.progress.stalled_for() else {
+        return ran > Millis(overdue_after_ms(view, is_suspect));
+    };
+    let max_stall = if view.spec.is_best_effort {
+        return false;
+    } else if view.spec.is_gang && view.progress.percent == 0 {
+        MAX_GANG_START_STALL
+    } else if is_suspect {
+        LATE_STALL
+    } else {
+        MAX_STALL
+    };
+    // The limit doubles with each run, since the reported progress may be too coarse for the task.
+    let max_stall = Millis(max_stall.0 << (view.run.clamp(1, MAX_DOUBLED_RUNS) - 1));
+    // A run that completed its work waits for its end to be listed.
+    stalled_for >= max_stall && view.progress.percent < FULL_RATE
+}
+
+/// Returns the time after which a run without any report of its progress is restarted elsewhere, in
+/// milliseconds.
 ///
 /// It doubles with each run of the task: an estimate may be far too low, and a task that is moved
 /// again and again would never end.
@@ -162,7 +200,9 @@
         .filter(|(_, view)| !view.spec.is_best_effort);
     let late = runs.filter(|(_, view)| {
         let limit = Millis(view.spec.estimate.0 * LATE_PERCENT / 100 + LATE_SLACK.0);
-        running_time(view, now).is_some_and(|ran| ran > limit)
+        let is_late = running_time(view, now).is_some_and(|ran| ran > limit);
+        let stalled_for = view.progress.stalled_for();
+        is_late && stalled_for.is_none_or(|stalled| stalled >= LATE_STALL)
     });
     late.map(|(task, _)| task.step.job)
         .collect::<BTreeSet<_>>()
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -176,7 +176,7 @@
                     if status.checkpoint.is_some() {
                         view.checkpoint.clone_from(&status.checkpoint);
                     }
-                    view.percent = status.percent;
+                    view.progress.record(status.percent, now);
                     view.usage_or_tail_ms = status.usage_or_tail_ms;
                     view.is_listed = true;
                 }
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod output;
 mod packing;
 mod poll;
+mod run_progress;
 mod run_spec;
 mod run_view;
 mod step_plan;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,6 +1,6 @@
 use tarragon_names::{Millis, Name};
 
-use crate::{dispatcher_throttle::FULL_RATE, run_spec::RunSpec};
+use crate::{dispatcher_throttle::FULL_RATE, run_progress::RunProgress, run_spec::RunSpec};
 
 /// Highest run number of a task that may be preempted, so that every task ends eventually.
 const MAX_PREEMPTED_RUN: u32 = 3;
@@ -56,9 +56,7 @@
     pub(crate) ticket: Option<Name>,
     pub(crate) placed_at: Millis,
     pub(crate) checkpoint: Option<Name>,
-    /// Progress of the run or, for a latency-sensitive run, its share of full work, in percent, as
-    /// the worker last reported.
-    pub(crate) percent: u64,
+    pub(crate) progress: RunProgress,
     /// Rate that was last ordered, in percent; `None` if it is not known whether the order took
     /// effect.
     pub(crate) ordered_rate: Option<u64>,
@@ -86,7 +84,7 @@
             ticket: None,
             placed_at: now,
             checkpoint: None,
-            percent: 0,
+            progress: RunProgress::default(),
             ordered_rate: Some(FULL_RATE),
             usage_or_tail_ms: None,
             is_ended: false,
--- a/lib/dispatch/src/worker_table.rs
+++ b/lib/dispatch/src/worker_table.rs
@@ -67,21 +67,6 @@
         workers.filter_map(|(_, worker)| self.by_name.get(worker))
     }
 
-    /// Iterates over the workers of a pool with at least this processor time available, those with
-    /// the least first, as of the last update of the index.
-    pub(crate) fn least_available(
-        &self,
-        pool: &PoolName,
-        cpu_milli: u64,
-    ) -> impl Iterator<Item = &WorkerState> {
-        let workers = self.by_available.get(pool);
-        let from = (cpu_milli, WorkerName::default());
-        let workers = workers
-            .into_iter()
-            .flat_map(move |w| w.range(from.clone()..));
-        workers.filter_map(|(_, worker)| self.by_name.get(worker))
-    }
-
     fn remove_from_index(&mut self, indexed: Option<(PoolName, u64)>, worker: &WorkerName) {
         let Some((pool, available)) = indexed else {
             return;
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -249,6 +249,39 @@
         self.answer_poll_with(worker, statuses.collect(), ends);
     }
 
+    /// Lets time pass while a worker reports this progress of a run twice a second.
+    pub fn advance_with_progress<F>(
+        &mut self,
+        millis: u64,
+        reports: &[(&str, TaskKey, u32)],
+        percent: F,
+    ) where
+        F: Fn(u64) -> u64,
+    {
+        let begun = self.now;
+        while self.now < begun + millis && self.stops.is_empty() {
+            self.advance(500);
+            for (worker, ..) in reports {
+                let of_worker = reports.iter().filter(|(other, ..)| other == worker);
+                let statuses = of_worker.map(|(_, task, run)| RunStatus {
+                    task: *task,
+                    run: *run,
+                    checkpoint: None,
+                    percent: percent(self.now - begun),
+                    usage_or_tail_ms: None,
+                });
+                if self
+                    .polls
+                    .iter()
+                    .any(|call| call.incarnation.worker.as_str() == *worker)
+                {
+                    self.answer_poll_with(worker, statuses.collect(), &[]);
+                }
+            }
+            self.advance(100);
+        }
+    }
+
     /// Answers the open poll of a worker with the full status of its runs.
     pub fn answer_poll_with(
         &mut self,
