dispatch: name more workers in a short request for advice

A configuration of 1,388 routes (about 300 kB) took longer over two links of 2 Mbit/s than the 0.9 s that a host waits, so it was never acknowledged.

Change: a short request names as many workers as cost half of its base time, and workers where capacity can be freed if there is too little. What a request asks for is spread over the workers that it names. The time limits of large bodies grow with their size.

--- a/cli/src/bench/dispatch_simulation.rs
+++ b/cli/src/bench/dispatch_simulation.rs
@@ -144,7 +144,8 @@
 
 #[derive(Default)]
 struct SimWorker {
-    running: BTreeMap<(TaskKey, u32), u64>,
+    /// Runs with the times of their start and their end.
+    running: BTreeMap<(TaskKey, u32), (u64, u64)>,
     finished: VecDeque<FinishedRun>,
     last_number: u64,
     open_poll: Option<PollCall>,
@@ -415,7 +416,8 @@
         let Some(estimate) = estimate else { return };
         let worker = order.incarnation.worker.clone();
         let sim_worker = self.workers.get_mut(&worker).expect("known worker");
-        sim_worker.running.insert((order.task, order.run), self.now);
+        let times = (self.now, self.now + ROUND_TRIP_MS / 2 + estimate);
+        sim_worker.running.insert((order.task, order.run), times);
         self.schedule(
             ROUND_TRIP_MS / 2 + estimate,
             SimEvent::RunEnds(worker, order.task, order.run),
@@ -474,11 +476,13 @@
         let Some(call) = sim_worker.open_poll.take() else {
             return;
         };
-        let running = sim_worker.running.keys().map(|(task, run)| RunStatus {
+        let now = self.now;
+        let running = sim_worker.running.iter();
+        let running = running.map(|((task, run), (start, end))| RunStatus {
             task: *task,
             run: *run,
             checkpoint: Some(Name::from("c")),
-            percent: 50,
+            percent: (now - start) * 100 / (end - start).max(1),
             usage_or_tail_ms: Some(1_000),
         });
         let answer = PollAnswer {
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -23,9 +23,13 @@
 /// Workers named in a request, in percent of those that the approval rate calls for.
 const NAMED_WORKERS_PERCENT: u64 = 150;
 
-/// Time that a long request spends on the named workers, in percent of its base time.
+/// Time that a request spends on the named workers, in percent of its base time, if that many
+/// workers are worth naming: each further request costs the base time again.
 const PER_WORKER_TIME_PERCENT: u64 = 100;
 
+/// Like `PER_WORKER_TIME_PERCENT`, for a short request.
+const SHORT_PER_WORKER_TIME_PERCENT: u64 = 50;
+
 /// Approval rate assumed before the first answer, in thousandths.
 const INITIAL_APPROVED_PERMILLE: u64 = 500;
 
@@ -140,7 +144,8 @@
     /// many as are expected to yield enough approved capacity for the waiting tasks.
     ///
     /// Capacity that other steps have asked for already does not count, since two steps that ask for
-    /// the same capacity at the same time need a second request.
+    /// the same capacity at the same time need a second request. If there is too little capacity,
+    /// workers where it may be freed are named too.
     fn workers_to_name(&self, key: &StepKey, claims: &Claims) -> Vec<WorkerName> {
         let Some(plan) = self.plans.get(key) else {
             return Vec::new();
@@ -148,9 +153,14 @@
         let Some(terms) = plan.queue.advice else {
             return Vec::new();
         };
-        let step = plan.step();
-        let need = step.reserved();
+        let need = plan.step().reserved();
         let is_early = request_duration(&terms, 0) >= EARLY_REQUEST;
+        let affordable = affordable_workers(&terms);
+        let least = if is_early {
+            MIN_NAMED_WORKERS
+        } else {
+            affordable.clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS)
+        };
         let wanted = plan.waiting.len() as u64 * 1_000 * NAMED_WORKERS_PERCENT
             / 100
             / self.approval_rate(&plan.queue.name);
@@ -158,7 +168,7 @@
         let mut without_capacity = Vec::new();
         let mut expected = 0;
         for state in self.workers.most_available(&plan.queue.pool) {
-            let is_enough = expected >= wanted && named.len() >= MIN_NAMED_WORKERS;
+            let is_enough = expected >= wanted && named.len() >= least;
             if is_enough || named.len() >= MAX_NAMED_WORKERS {
                 return named;
             }
@@ -186,20 +196,20 @@
                 }
             }
         }
-        if is_early {
-            let left = MAX_NAMED_WORKERS.min(affordable_workers(&terms));
-            let rest = without_capacity
-                .into_iter()
-                .map(|candidate| candidate.worker);
-            let count = left.saturating_sub(named.len());
-            named.extend(rest.take(count));
-        } else if named.is_empty() {
-            named = self.preemptible_workers(without_capacity, &need, plan.queue.priority);
+        if expected < wanted {
+            let rest = if is_early {
+                without_capacity.into_iter().map(|c| c.worker).collect()
+            } else {
+                self.preemptible_workers(without_capacity, &need, plan.queue.priority)
+            };
+            let more = affordable.clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS);
+            let more = more.saturating_sub(named.len());
+            named.extend(rest.into_iter().take(more));
         }
         named
     }
 
-    /// Returns a few of the workers on which a task fits after preemption.
+    /// Returns the workers on which a task fits after preemption.
     fn preemptible_workers(
         &self,
         candidates: Vec<Candidate>,
@@ -211,8 +221,7 @@
         }
         let candidates = candidates.into_iter();
         let fitting = candidates.filter_map(|c| self.preemption_candidate(c, need, priority));
-        let workers = fitting.map(|candidate| candidate.worker);
-        workers.take(MIN_NAMED_WORKERS).collect()
+        fitting.map(|candidate| candidate.worker).collect()
     }
 
     /// Share of the workers named for a queue that are approved, in thousandths.
@@ -361,9 +370,14 @@
     }
 }
 
-/// Number of workers on which a request spends as much time as on its base.
+/// Number of workers that a request may name for the time that they take.
 fn affordable_workers(terms: &AdviceTerms) -> usize {
-    let time = terms.decide_us * PER_WORKER_TIME_PERCENT / 100;
+    let percent = if request_duration(terms, 0) >= EARLY_REQUEST {
+        PER_WORKER_TIME_PERCENT
+    } else {
+        SHORT_PER_WORKER_TIME_PERCENT
+    };
+    let time = terms.decide_us * percent / 100;
     (time / terms.per_worker_us.max(1)) as usize
 }
 
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -37,10 +37,16 @@
         &self.spec.steps[self.key.step as usize]
     }
 
-    /// Resources that a request for advice about this number of workers asks for on each of them.
+    /// Resources that a request for advice about this number of workers asks for on each of them, on
+    /// the mean.
     pub(crate) fn asked_on_each(&self, workers: usize) -> Resources {
-        let tasks = self.waiting.len().div_ceil(workers.max(1));
-        self.step().reserved().times(tasks as u64)
+        let workers = workers.max(1) as u64;
+        let all = self.step().reserved().times(self.waiting.len() as u64);
+        Resources::new(
+            all.cpu_milli / workers,
+            all.memory_mb / workers,
+            all.accelerators / workers,
+        )
     }
 
     /// Sort key for placement: urgent queues come first; within a queue priority, jobs that can no
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -79,6 +79,9 @@
 
     fn run(mut self) {
         let _guard = AbortOnPanic;
+        let runtime = self.parts.runtime.clone();
+        // Links to delivering hosts are opened on this thread.
+        let _entered = runtime.enter();
         let mut last_tick = self.parts.clock.now();
         while !self.parts.stop.is_cancelled() {
             let mut events = Vec::new();
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -189,7 +189,8 @@
         Ok(host)
     }
 
-    /// Answers a request of a caller, an operator or a worker within `timeout`.
+    /// Answers a request of a caller, an operator or a worker within `timeout`, and the time that a
+    /// large body takes.
     ///
     /// Repeating a request has no second effect, so a request whose answer is missing is sent to
     /// the next leader. The code `NoLeader` means that the request was not run; after
@@ -214,6 +215,8 @@
     async fn call_leader(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
         let started_at = Instant::now();
         let timing = &self.cfg.timing;
+        let transfer_time = request.transfer_time();
+        let timeout = timeout + transfer_time;
         let mut is_outcome_unknown = false;
         loop {
             let remaining = timeout.saturating_sub(started_at.elapsed());
@@ -221,7 +224,8 @@
                 None => Err(Failure::of(Code::NoLeader)),
                 Some(leader) if leader == self.cfg.host => self.answer_here(request.clone()).await,
                 Some(leader) => {
-                    let call_timeout = remaining.min(timing.call_attempt_timeout());
+                    let attempt_timeout = timing.call_attempt_timeout() + transfer_time;
+                    let call_timeout = remaining.min(attempt_timeout);
                     let reply = self.mesh.call(&leader, &request, call_timeout).await;
                     if reply.as_ref().is_err_and(|f| is_retried(f.code)) {
                         self.leader_hint.forget(&leader);
