dispatch: leave room for urgent arrivals and waiting gangs, and pause failing workers

A configuration of 300 kB takes 2.3 s or more over two links of 2 Mbit/s, longer than the operator waits, so it was in force but never acknowledged, and could not be read back in time.

Change: - Headroom: a less urgent step starts only if it leaves free what urgent steps ask for in 0.3 s, by their measured arrivals, and what more urgent steps wait for, together at most 15% of the pool. After a quarter of the time until its objective it no longer waits for the latter. - A worker gets no work for 1, 2, 4 s after runs that failed with no success in between. - A request for advice names workers that others have asked about when it finds too few. - Large configurations are exchanged with the leader directly (307), and large messages between hosts travel in parts, so that a slow link is not taken for a silent one.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
     AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
+    headroom::Headroom,
     run_view::{RunView, StartState, StopState},
     step_plan::StepPlan,
     worker_speed::WorkerSpeed,
@@ -71,6 +72,7 @@
     /// and the workers claimed for gangs.
     pub(crate) gang_claims: (u32, Claims),
     pub(crate) needs_placement: bool,
+    pub(crate) headroom: Headroom,
     /// Number of stop orders that were not accepted within the timeout of an order.
     pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
@@ -123,6 +125,7 @@
             new_steps: Vec::new(),
             gang_claims: (u32::MAX, Claims::new()),
             needs_placement: false,
+            headroom: Headroom::default(),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
             sole_leader_since: Millis(0),
@@ -155,7 +158,7 @@
             self.handle_input(input);
         }
         if self.term.is_some() {
-            self.workers.update_index();
+            self.workers.update_index(self.now);
             if self.needs_placement && self.now >= self.next_placement_at {
                 self.needs_placement = false;
                 self.next_placement_at = self.now + self.cfg.placement_interval;
@@ -301,6 +304,7 @@
         self.plans.clear();
         self.new_steps.clear();
         self.gang_claims = (u32::MAX, Claims::new());
+        self.headroom = Headroom::default();
         self.unaccepted_stops = 0;
         self.scheduled_jobs.clear();
         self.pending_requests.clear();
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -17,6 +17,9 @@
 /// Largest number of workers named in one request.
 const MAX_NAMED_WORKERS: usize = 100;
 
+/// Largest number of workers without available capacity that are considered for one request.
+const MAX_UNFIT_WORKERS: usize = 200;
+
 /// Smallest number of workers named in one request, unless fewer are left.
 const MIN_NAMED_WORKERS: usize = 4;
 
@@ -143,9 +146,9 @@
     /// Returns the workers to name in a request, those with the most available capacity first: as
     /// many as are expected to yield enough approved capacity for the waiting tasks.
     ///
-    /// Capacity that other steps have asked for already does not count, since two steps that ask for
-    /// the same capacity at the same time need a second request. If there is too little capacity,
-    /// workers where it may be freed are named too.
+    /// Capacity that other steps have asked for already comes last, since two steps that ask for the
+    /// same capacity at the same time need a second request. If there is too little capacity, workers
+    /// where it may be freed are named too.
     fn workers_to_name(&self, key: &StepKey, claims: &Claims) -> Vec<WorkerName> {
         let Some(plan) = self.plans.get(key) else {
             return Vec::new();
@@ -165,6 +168,7 @@
             / 100
             / self.approval_rate(&plan.queue.name);
         let mut named = Vec::new();
+        let mut asked_by_others = Vec::new();
         let mut without_capacity = Vec::new();
         let mut expected = 0;
         for state in self.workers.most_available(&plan.queue.pool) {
@@ -174,7 +178,8 @@
             }
             let available = state.available();
             let has_cpu = need.cpu_milli <= available.cpu_milli;
-            if !has_cpu && without_capacity.len() >= MAX_NAMED_WORKERS {
+            let others = asked_by_others.len() + without_capacity.len();
+            if !has_cpu && others >= MAX_UNFIT_WORKERS {
                 break;
             }
             let worker = &state.incarnation().worker;
@@ -184,11 +189,12 @@
             let Some(candidate) = self.candidate(plan, state, claims) else {
                 continue;
             };
-            let candidate = Candidate {
+            let fits = Candidate {
                 free: available,
-                ..candidate
+                ..candidate.clone()
             };
-            match u64::from(candidate.fits(&need)) {
+            match u64::from(fits.fits(&need)) {
+                0 if candidate.fits(&need) > 0 => asked_by_others.push(candidate),
                 0 => without_capacity.push(candidate),
                 fits => {
                     expected += fits;
@@ -196,6 +202,13 @@
                 }
             }
         }
+        for candidate in asked_by_others {
+            if expected >= wanted || named.len() >= MAX_NAMED_WORKERS {
+                break;
+            }
+            expected += u64::from(candidate.fits(&need));
+            named.push(candidate.worker);
+        }
         if expected < wanted {
             let rest = if is_early {
                 without_capacity.into_iter().map(|c| c.worker).collect()
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -10,6 +10,12 @@
     step_plan::StepPlan,
 };
 
+/// Time without placements on a worker after the first failed run.
+const FAILED_RUN_PAUSE: Millis = Millis(1_000);
+
+/// Number of failed runs after which the pause no longer doubles.
+const MAX_PAUSE_DOUBLINGS: u32 = 2;
+
 impl Dispatcher {
     /// Updates the plans and runs of a job from its replicated state: plans the steps that are
     /// ready, and stops the runs that are no longer needed.
@@ -133,6 +139,11 @@
             next_preemption_at: Millis(0),
             capacity_by: Millis(0),
         };
+        if !plan.step().best_effort && !plan.step().long_running {
+            let need = plan.waiting_need().cpu_milli;
+            self.headroom
+                .record_arrival(plan.queue.priority, need, self.now);
+        }
         self.plans.insert(key, plan);
         self.new_steps.push(key);
     }
@@ -293,6 +304,9 @@
         let job = JobId(task.step.job.0);
         match end {
             RunEnd::Done => {
+                if let Some(state) = self.workers.get_mut(worker) {
+                    state.failures_in_a_row = 0;
+                }
                 let decisions = self.health.record_success(worker, job, self.now);
                 self.apply_health_decisions(decisions);
             }
@@ -300,6 +314,7 @@
                 if let Some(plan) = self.plans.get_mut(&task.step) {
                     plan.failed_on.insert(worker.clone());
                 }
+                self.pause_failing_worker(worker);
                 let decisions = self.health.record_failure(worker, job, self.now, true);
                 self.apply_health_decisions(decisions);
             }
@@ -307,6 +322,20 @@
         }
     }
 
+    /// Places nothing on a worker for a while after a failed run, and longer after each further one
+    /// with no success in between.
+    ///
+    /// A worker that fails everything would otherwise end many gangs before enough different jobs
+    /// have failed there for its quarantine; a sound one loses little.
+    fn pause_failing_worker(&mut self, worker: &WorkerName) {
+        let now = self.now;
+        if let Some(state) = self.workers.get_mut(worker) {
+            let pause = FAILED_RUN_PAUSE.0 << state.failures_in_a_row.min(MAX_PAUSE_DOUBLINGS);
+            state.failures_in_a_row += 1;
+            state.avoid_until = state.avoid_until.max(now + Millis(pause));
+        }
+    }
+
     fn apply_health_decisions(&mut self, decisions: Vec<tarragon_health::HealthDecision>) {
         use tarragon_health::HealthDecision;
 
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -1,6 +1,6 @@
 //! Placement of waiting steps on workers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tarragon_names::WorkerName;
 use tarragon_workflow::{RunEvent, StepKey, TaskKey};
@@ -44,6 +44,7 @@
             .map(|plan| plan.rank(now_ms))
             .collect::<Vec<_>>();
         order.sort_unstable();
+        self.update_headroom(order.iter().map(|(priority, .., key)| (*priority, *key)));
         let mut claims = Claims::new();
         let mut claims_priority = u32::MAX;
         for (priority, .., key) in order {
@@ -71,6 +72,45 @@
         }
     }
 
+    /// Sums up the needs of the waiting steps by priority, for [`Headroom::below`].
+    ///
+    /// [`Headroom::below`]: crate::headroom::Headroom::below
+    fn update_headroom<I>(&mut self, waiting: I)
+    where
+        I: Iterator<Item = (u32, StepKey)>,
+    {
+        let mut sums = BTreeMap::<u32, u64>::new();
+        for (priority, key) in waiting {
+            if let Some(plan) = self.plans.get(&key) {
+                let sum = sums.entry(priority).or_default();
+                *sum = sum.saturating_add(plan.waiting_need().cpu_milli);
+            }
+        }
+        self.headroom.set_waiting(sums);
+    }
+
+    /// Returns whether a step waits because the free capacity is left to more urgent steps.
+    fn must_leave_headroom(&self, plan: &StepPlan) -> bool {
+        if plan.step().best_effort || plan.step().long_running {
+            return false;
+        }
+        let pool = &plan.queue.pool;
+        let capacity = self.workers.capacity_of(pool);
+        let has_waited_long = plan.has_waited_long(self.now_ms);
+        let priority = plan.queue.priority;
+        let headroom = self
+            .headroom
+            .below(priority, has_waited_long, capacity, self.now);
+        let need = if plan.step().gang {
+            plan.waiting_need()
+        } else {
+            plan.step().reserved()
+        };
+        // A step that needs nearly the whole pool starts when the pool is empty.
+        let headroom = headroom.min(capacity.saturating_sub(need.cpu_milli));
+        headroom > 0 && self.workers.available_in(pool) < headroom.saturating_add(need.cpu_milli)
+    }
+
     pub(crate) fn place_step(&mut self, key: StepKey, claims: &mut Claims) {
         let Some(plan) = self.plans.get(&key) else {
             return;
@@ -78,10 +118,13 @@
         if plan.waiting.is_empty() {
             return;
         }
-        self.workers.update_index();
+        self.workers.update_index(self.now);
         let Some(plan) = self.plans.get(&key) else {
             return;
         };
+        if self.must_leave_headroom(plan) {
+            return;
+        }
         if plan.queue.advice.is_some() {
             self.place_with_advice(key, claims);
         } else if let Some(chosen) = self.choose_workers(&key, CandidateSet::All, claims) {
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod dispatcher_polls;
 mod dispatcher_preempt;
 mod dispatcher_throttle;
+mod headroom;
 mod input;
 mod order;
 mod output;
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -8,6 +8,9 @@
 
 use crate::advice::Advice;
 
+/// Part of the time until its objective, in percent, that a step leaves to more urgent steps.
+const LONG_WAIT_PERCENT: u64 = 25;
+
 /// A step with tasks that wait for workers.
 #[derive(Clone, Debug)]
 pub(crate) struct StepPlan {
@@ -37,11 +40,23 @@
         &self.spec.steps[self.key.step as usize]
     }
 
+    /// Returns whether the job has used so much of the time until its objective that it waits for no
+    /// other steps any more.
+    pub(crate) fn has_waited_long(&self, now_ms: u64) -> bool {
+        let allowed = self.objective_ms.saturating_sub(self.due_ms);
+        now_ms.saturating_sub(self.due_ms) > allowed * LONG_WAIT_PERCENT / 100
+    }
+
+    /// Resources that all waiting tasks need.
+    pub(crate) fn waiting_need(&self) -> Resources {
+        self.step().reserved().times(self.waiting.len() as u64)
+    }
+
     /// Resources that a request for advice about this number of workers asks for on each of them, on
     /// the mean.
     pub(crate) fn asked_on_each(&self, workers: usize) -> Resources {
         let workers = workers.max(1) as u64;
-        let all = self.step().reserved().times(self.waiting.len() as u64);
+        let all = self.waiting_need();
         Resources::new(
             all.cpu_milli / workers,
             all.memory_mb / workers,
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -61,6 +61,8 @@
     pub(crate) is_lease_expired: bool,
     /// Duration of runs on this worker, relative to their estimates.
     pub(crate) speed: WorkerSpeed,
+    /// Number of failed runs since the last successful one.
+    pub(crate) failures_in_a_row: u32,
     /// Time at which the last successful run was reported.
     pub(crate) last_success_at: Millis,
     /// Rate of the best-effort runs on this worker, in percent.
@@ -97,6 +99,7 @@
             is_unindexed: true,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
+            failures_in_a_row: 0,
             last_success_at: Millis(0),
             best_effort_rate: FULL_RATE,
             below_target_since: None,
--- a/lib/dispatch/src/worker_table.rs
+++ b/lib/dispatch/src/worker_table.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet, btree_map};
 
-use tarragon_names::{PoolName, WorkerName};
+use tarragon_names::{Millis, PoolName, WorkerName};
 use tarragon_workflow::WorkerIncarnation;
 
 use crate::worker_state::WorkerState;
@@ -15,6 +15,10 @@
     by_name: BTreeMap<WorkerName, WorkerState>,
     changed: BTreeSet<WorkerName>,
     by_available: BTreeMap<PoolName, BTreeSet<Available>>,
+    /// Processor time of all workers, by pool.
+    capacity_by_pool: BTreeMap<PoolName, u64>,
+    /// Sums of the available processor time in the index, by pool.
+    available_by_pool: BTreeMap<PoolName, u64>,
     /// Workers that changed since the index was brought up to date.
     unindexed: Vec<WorkerName>,
 }
@@ -39,15 +43,19 @@
     }
 
     /// Brings the index and the totals of the workers up to date. Its cost depends on the number of
-    /// workers that changed.
-    pub(crate) fn update_index(&mut self) {
+    /// workers that changed. Nothing is available on a worker that is not usable.
+    pub(crate) fn update_index(&mut self, now: Millis) {
         for worker in std::mem::take(&mut self.unindexed) {
             let Some(state) = self.by_name.get_mut(&worker) else {
                 continue;
             };
             state.is_unindexed = false;
             state.update_totals();
-            let available = state.available().cpu_milli;
+            let available = if state.is_usable(now) {
+                state.available().cpu_milli
+            } else {
+                0
+            };
             let indexed = (state.record.pool.clone(), available);
             if state.indexed.as_ref() == Some(&indexed) {
                 continue;
@@ -55,6 +63,7 @@
             let previous = state.indexed.replace(indexed.clone());
             self.remove_from_index(previous, &worker);
             let (pool, available) = indexed;
+            *self.available_by_pool.entry(pool.clone()).or_default() += available;
             let workers = self.by_available.entry(pool).or_default();
             workers.insert((available, worker));
         }
@@ -67,6 +76,17 @@
         workers.filter_map(|(_, worker)| self.by_name.get(worker))
     }
 
+    /// Processor time that is available on the usable workers of a pool, in thousandths of a core, as
+    /// of the last update of the index.
+    pub(crate) fn available_in(&self, pool: &PoolName) -> u64 {
+        self.available_by_pool.get(pool).copied().unwrap_or(0)
+    }
+
+    /// Processor time of all workers of a pool, in thousandths of a core.
+    pub(crate) fn capacity_of(&self, pool: &PoolName) -> u64 {
+        self.capacity_by_pool.get(pool).copied().unwrap_or(0)
+    }
+
     fn remove_from_index(&mut self, indexed: Option<(PoolName, u64)>, worker: &WorkerName) {
         let Some((pool, available)) = indexed else {
             return;
@@ -74,6 +94,9 @@
         if let Some(workers) = self.by_available.get_mut(&pool) {
             workers.remove(&(available, worker.clone()));
         }
+        if let Some(sum) = self.available_by_pool.get_mut(&pool) {
+            *sum = sum.saturating_sub(available);
+        }
     }
 
     /// Like `get_mut`, but returns `None` if another incarnation has replaced this one.
@@ -89,12 +112,18 @@
         self.remove(&worker);
         self.changed.insert(worker.clone());
         self.unindexed.push(worker.clone());
+        let capacity = self.capacity_by_pool.entry(state.record.pool.clone());
+        let capacity = capacity.or_default();
+        *capacity = capacity.saturating_add(state.record.capacity.cpu_milli);
         self.by_name.insert(worker, state);
     }
 
     pub(crate) fn remove(&mut self, worker: &WorkerName) -> Option<WorkerState> {
         self.changed.remove(worker);
         let mut state = self.by_name.remove(worker)?;
+        if let Some(capacity) = self.capacity_by_pool.get_mut(&state.record.pool) {
+            *capacity = capacity.saturating_sub(state.record.capacity.cpu_milli);
+        }
         self.remove_from_index(state.indexed.take(), worker);
         Some(state)
     }
@@ -128,6 +157,8 @@
         self.by_name.clear();
         self.changed.clear();
         self.by_available.clear();
+        self.available_by_pool.clear();
+        self.capacity_by_pool.clear();
         self.unindexed.clear();
     }
 
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -347,3 +347,32 @@
     let delays = delays.collect::<Vec<_>>();
     assert!(delays[0] >= 400 && delays[3] >= 2 * delays[0], "{delays:?}");
 }
+
+/// Replays a worker that fails everything beside gangs that span many workers. Guards against gangs
+/// that end on the same worker again and again before enough different jobs have failed there: after
+/// one failed run it gets no work for a while, and for longer after each further one.
+#[test]
+fn worker_gets_no_work_for_a_while_after_a_failed_run() {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    let mut pauses = Vec::new();
+    for job in 1..=2 {
+        harness.submit(job, vec![step(1, 4)]);
+        let begun = harness.now;
+        while harness.starts.is_empty() && harness.now < begun + 10_000 {
+            harness.advance(20);
+        }
+        pauses.push(harness.now - begun);
+        harness.answer_starts(OrderOutcome::Accepted);
+        harness.answer_poll("w1", &[], &[(job, task(job, 0, 0), 1, RunEnd::Failed)]);
+        harness.commit(Command::Cancel { job: JobKey(job) });
+    }
+    harness.submit(3, vec![step(1, 4)]);
+    let begun = harness.now;
+    while harness.starts.is_empty() && harness.now < begun + 10_000 {
+        harness.advance(20);
+    }
+    pauses.push(harness.now - begun);
+    assert!(pauses[0] < 100, "{pauses:?}");
+    assert!((900..1_200).contains(&pauses[1]), "{pauses:?}");
+    assert!((1_900..2_300).contains(&pauses[2]), "{pauses:?}");
+}
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -48,6 +48,7 @@
     link_monitor::LinkMonitor,
     mesh::{self, Mesh},
     order_batch::ResultBatch,
+    request::is_large_configuration,
     upkeep_loop::UpkeepLoop,
     voter_manager::VoterManager,
 };
@@ -189,8 +190,7 @@
         Ok(host)
     }
 
-    /// Answers a request of a caller, an operator or a worker within `timeout`, and the time that a
-    /// large body takes.
+    /// Answers a request of a caller, an operator or a worker within `timeout`.
     ///
     /// Repeating a request has no second effect, so a request whose answer is missing is sent to
     /// the next leader. The code `NoLeader` means that the request was not run; after
@@ -215,17 +215,17 @@
     async fn call_leader(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
         let started_at = Instant::now();
         let timing = &self.cfg.timing;
-        let transfer_time = request.transfer_time();
-        let timeout = timeout + transfer_time;
         let mut is_outcome_unknown = false;
         loop {
             let remaining = timeout.saturating_sub(started_at.elapsed());
             let reply = match self.leader_hint.get() {
                 None => Err(Failure::of(Code::NoLeader)),
                 Some(leader) if leader == self.cfg.host => self.answer_here(request.clone()).await,
+                Some(leader) if is_large(&request) => {
+                    return self.redirect_to(&leader);
+                }
                 Some(leader) => {
-                    let attempt_timeout = timing.call_attempt_timeout() + transfer_time;
-                    let call_timeout = remaining.min(attempt_timeout);
+                    let call_timeout = remaining.min(timing.call_attempt_timeout());
                     let reply = self.mesh.call(&leader, &request, call_timeout).await;
                     if reply.as_ref().is_err_and(|f| is_retried(f.code)) {
                         self.leader_hint.forget(&leader);
@@ -263,6 +263,27 @@
         }
     }
 
+    /// Sends the caller to the control address of the leader. All hosts have the same ports.
+    fn redirect_to(&self, leader: &HostName) -> Outcome<Reply> {
+        let unusable = |_e| Failure::of(Code::NoLeader).retry_after(RETRY_AFTER_MS);
+        let leader = leader.parse::<SocketAddr>().map_err(unusable)?;
+        let own = self.cfg.heartbeat_address.parse::<SocketAddr>();
+        let own = own.map_err(unusable)?;
+        let address = SocketAddr::new(leader.ip(), own.port());
+        Ok(Reply::Redirect(Name::from(address.to_string())))
+    }
+
+    /// Answers a call of another host. A large configuration stays here: the other host's link may be
+    /// slow, so its caller is sent to this host.
+    async fn answer_call(&self, request: Request) -> Outcome<Reply> {
+        match self.answer_here(request).await? {
+            Reply::Configuration(text) if is_large_configuration(&text) => {
+                Ok(Reply::Redirect(self.cfg.heartbeat_address.clone()))
+            }
+            reply => Ok(reply),
+        }
+    }
+
     /// Answers a request on this host, or returns [`Reply::NotLeader`] if this host does not lead.
     pub(crate) async fn answer_here(&self, request: Request) -> Outcome<Reply> {
         if let Request::Advise(call) = request {
@@ -550,7 +571,7 @@
                 let (host, caller) = (Arc::clone(&self.0), host.clone());
                 tokio::spawn(async move {
                     let reply = match mesh::decode::<Request>(&body) {
-                        Ok(request) => host.answer_here(request).await,
+                        Ok(request) => host.answer_call(request).await,
                         Err(failure) => Err(failure),
                     };
                     host.mesh.send_answer(&caller, id, &reply);
@@ -566,6 +587,10 @@
     }
 }
 
+fn is_large(request: &Request) -> bool {
+    matches!(request, Request::PutConfiguration(c) if is_large_configuration(&c.text))
+}
+
 /// Returns whether a request that failed with `code` is sent again, to the next known leader.
 fn is_retried(code: Code) -> bool {
     matches!(
--- a/lib/entry/src/reply.rs
+++ b/lib/entry/src/reply.rs
@@ -23,6 +23,8 @@
     PendingCount(u64),
     /// Text of the configuration in force, as the operator sent it.
     Configuration(Name),
+    /// The caller had better repeat the request at this address, which is that of the leader.
+    Redirect(Name),
     /// The leader has handled the heartbeat of a worker.
     Announced {
         /// Address of the leader, to which the worker should send its heartbeats.
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::AdviceRequest;
 use tarragon_names::{DomainName, HostName, MemberId, Millis, Name};
@@ -29,12 +27,8 @@
     pub leaves_in: Option<Millis>,
 }
 
-/// Rate at which a request with a large body certainly passes a link between two hosts, in bytes per
-/// millisecond.
-const LEAST_LINK_RATE: usize = 75;
-
-/// Size of the largest configuration, in bytes, for the time that reading it takes.
-const LARGE_CONFIGURATION_BYTES: usize = 300_000;
+/// Size above which a configuration is not passed on between hosts, in bytes.
+const LARGE_CONFIGURATION_BYTES: usize = 64 << 10;
 
 /// A request to the leader; [`Request::Advise`] goes from the leader to another host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -85,15 +79,8 @@
     Advise(AdviceRequest),
 }
 
-impl Request {
-    /// Time that the body of the request, or of its answer, may take on the link to the leader, in
-    /// addition to the time of a small one.
-    pub(crate) fn transfer_time(&self) -> Duration {
-        let bytes = match self {
-            Self::PutConfiguration(configuration) => configuration.text.len(),
-            Self::ReadConfiguration => LARGE_CONFIGURATION_BYTES,
-            _ => 0,
-        };
-        Duration::from_millis((bytes / LEAST_LINK_RATE) as u64)
-    }
+/// Returns whether a configuration takes long on the link of a small host, so that the operator had
+/// better exchange it with the leader directly.
+pub(crate) fn is_large_configuration(text: &Name) -> bool {
+    text.len() > LARGE_CONFIGURATION_BYTES
 }
--- a/lib/replica/src/links.rs
+++ b/lib/replica/src/links.rs
@@ -1,4 +1,10 @@
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    future::ready,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use futures::{SinkExt, StreamExt};
 use parking_lot::RwLock;
@@ -139,12 +145,17 @@
         let mut last_sent_at = None::<Instant>;
         let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME_BYTES);
         let mut last_contact = Instant::now();
+        // Frames of the current message; replies are read in between.
+        let mut outgoing = VecDeque::new();
         loop {
-            let frame = tokio::select! {
-                event = self.rx.recv() => match event {
-                    Some(event) => PeerFrame::new(&self.own_host, Some(&event)),
+            tokio::select! {
+                event = self.rx.recv(), if outgoing.is_empty() => match event {
+                    Some(event) => {
+                        outgoing = PeerFrame::encoded_parts(&self.own_host, Some(&event));
+                    }
                     None => return false,
                 },
+                () = ready(()), if !outgoing.is_empty() => {}
                 _ = check_timer.tick() => {
                     if last_contact.elapsed() > silence_timeout {
                         self.observer.closed_after_silence();
@@ -153,7 +164,9 @@
                     if last_sent_at.is_some_and(|at| at.elapsed() < heartbeat_interval) {
                         continue;
                     }
-                    PeerFrame::new(&self.own_host, None)
+                    if outgoing.is_empty() {
+                        outgoing = PeerFrame::encoded_parts(&self.own_host, None);
+                    }
                 }
                 reply = frames.next() => match reply {
                     Some(Ok(buf)) => {
@@ -163,9 +176,11 @@
                     }
                     _ => return true,
                 },
+            }
+            let Some(buf) = outgoing.pop_front() else {
+                continue;
             };
             last_sent_at = Some(Instant::now());
-            let buf = frame.encoded();
             self.observer.sent(&self.host, buf.len());
             match timeout_at(Instant::now() + silence_timeout, frames.send(buf)).await {
                 Ok(Ok(())) => {}
--- a/lib/replica/src/peer_listener.rs
+++ b/lib/replica/src/peer_listener.rs
@@ -3,7 +3,7 @@
 use futures::{SinkExt, StreamExt};
 use tarragon_names::HostName;
 use tarragon_wire::{
-    MAX_PEER_FRAME_BYTES,
+    FrameAssembler, MAX_PEER_FRAME_BYTES,
     peer::{PeerEvent, PeerFrame},
 };
 use tokio::{
@@ -80,9 +80,10 @@
         let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME_BYTES);
         let heartbeat = PeerFrame::new(&self.own_host, None).encoded();
         let mut last_answer_at = None::<Instant>;
+        let mut assembler = FrameAssembler::default();
         while let Ok(Some(Ok(buf))) = timeout(self.silence_timeout, frames.next()).await {
             self.observer.inbound_frame(buf.len());
-            let Ok((from, event)) = PeerFrame::decode_parts(&buf) else {
+            let Ok((from, event)) = assembler.accept(&buf) else {
                 return;
             };
             if let Some(event) = event {
--- a/lib/wire/src/lib.rs
+++ b/lib/wire/src/lib.rs
@@ -9,11 +9,13 @@
 
 pub mod control;
 mod convert;
+mod frame_assembler;
 mod framing;
 pub mod peer;
 pub mod record;
 pub mod worker;
 
+pub use frame_assembler::FrameAssembler;
 pub use framing::{
     Frames, MAX_PEER_FRAME_BYTES, MAX_WORKER_FRAME_BYTES, WireError, frames, read, write,
 };
--- a/lib/wire/src/peer.rs
+++ b/lib/wire/src/peer.rs
@@ -1,5 +1,7 @@
 //! Frames between entry hosts.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 use prost::Message;
 use tarragon_agreement::PeerMsg;
@@ -12,6 +14,9 @@
     convert::{self, AgreementMsg, OrderMsg, ReportMsg},
 };
 
+/// Largest frame that is sent in one piece, in bytes.
+const MAX_PART_BYTES: usize = 16 << 10;
+
 /// Frame on the link between two entry hosts.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
@@ -19,7 +24,7 @@
     #[prost(string, tag = "1")]
     pub from: String,
     /// Message; absent in a heartbeat of the link.
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<PeerBody>,
 }
 
@@ -50,6 +55,20 @@
     /// Results of orders that the receiving host had delivered by the sender.
     #[prost(bytes = "bytes", tag = "9")]
     OrderResults(Bytes),
+    /// Part of the encoding of a large frame.
+    #[prost(message, tag = "10")]
+    Part(FramePart),
+}
+
+/// Part of the encoding of a large frame. The parts of one frame follow one another on a link.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FramePart {
+    /// Next bytes of the encoding.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub bytes: Bytes,
+    /// Whether the encoding ends here.
+    #[prost(bool, tag = "2")]
+    pub is_last: bool,
 }
 
 /// Call between two hosts, or the answer to it.
@@ -212,6 +231,32 @@
         Bytes::from(self.encode_to_vec())
     }
 
+    /// Returns the encoded frames that carry a message, or a heartbeat for `None`.
+    ///
+    /// A large message is split, so that a slow link is not taken for a silent one while the message
+    /// is on its way.
+    pub fn encoded_parts(from: &HostName, event: Option<&PeerEvent>) -> VecDeque<Bytes> {
+        let encoded = Self::new(from, event).encoded();
+        if encoded.len() <= MAX_PART_BYTES {
+            return VecDeque::from([encoded]);
+        }
+        let mut parts = VecDeque::new();
+        let mut rest = encoded;
+        while !rest.is_empty() {
+            let bytes = rest.split_to(rest.len().min(MAX_PART_BYTES));
+            let part = FramePart {
+                bytes,
+                is_last: rest.is_empty(),
+            };
+            let frame = Self {
+                from: from.to_string(),
+                body: Some(PeerBody::Part(part)),
+            };
+            parts.push_back(frame.encoded());
+        }
+        parts
+    }
+
     /// Decodes a frame and returns the sender and the message; `None` for a heartbeat.
     pub fn decode_parts(buf: &[u8]) -> Result<(HostName, Option<PeerEvent>), WireError> {
         Self::decode(buf)?.into_parts()
@@ -252,6 +297,7 @@
         PeerBody::Answer(CallFrame { id, body }) => PeerEvent::Answer { id, body },
         PeerBody::Orders(body) => PeerEvent::Orders(body),
         PeerBody::OrderResults(body) => PeerEvent::OrderResults(body),
+        PeerBody::Part(_) => return Err(WireError::Field("part")),
     })
 }
 
