entry: split the host from its replica and its inbound messages

The running replica, with the code that starts its threads, and the handler of messages from other hosts are files of their own now; the label of a request in metrics belongs to the request. No behaviour changes.

--- a/lib/dispatch/src/run_spec.rs
+++ b/lib/dispatch/src/run_spec.rs
@@ -5,6 +5,10 @@
 const LOWEST_PRIORITY: u32 = u32::MAX;
 
 /// Requirements of a run, from the description of its step.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent property of the step"
+)]
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RunSpec {
     /// Resources that a run occupies on its worker.
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -5,9 +5,7 @@
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
-        mpsc::channel,
     },
-    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
@@ -16,41 +14,32 @@
     ChaCha12Rng,
     rand_core::{Rng, SeedableRng},
 };
-use tarragon_agreement::{Recovered, Replica};
+use tarragon_agreement::Recovered;
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_delivery::BudgetLimits;
-use tarragon_dispatch::Dispatcher;
-use tarragon_names::{HostName, LogIndex, MemberId, Name};
+use tarragon_names::{HostName, MemberId, Name};
 use tarragon_replica::{
-    Clock, LeaderHint, Links, PeerListener, PeerSink, ReplicaDriver, ReplicaHandle, ReplicaParts,
-    StateMachine, SystemClock, process_seed,
+    Clock, LeaderHint, Links, PeerListener, PeerSink, SystemClock, process_seed,
 };
 use tarragon_storage::FileStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
-use tarragon_wire::peer::PeerEvent;
-use tarragon_workflow::{Command, WaveKey, WorkflowState};
-use tokio::{net::TcpListener, runtime::Handle, time::sleep};
+use tarragon_workflow::{Command, WaveKey};
+use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    EntryConfig, EntryMetrics, ExternalServices, Hello, Reply, Request, WorkflowLog,
-    available_tasks::AvailableTasks,
+    EntryConfig, EntryMetrics, ExternalServices, Hello, Reply, Request,
+    active_replica::{ActiveReplica, ReplicaContext},
     budgeted_calls::BudgetedCalls,
     deliverer::Deliverer,
-    delivery::Delivery,
-    dispatch_handle::DispatchHandle,
-    dispatch_loop::{DispatchLoop, DispatchParts},
-    dispatch_sink::DispatchSink,
     formation::open_store,
-    heartbeat_tracker::HeartbeatTracker,
     host_directory::{self, HostDirectory},
-    leader_service::LeaderService,
+    inbound::Inbound,
     link_monitor::LinkMonitor,
     mesh::{self, Mesh},
     order_batch::ResultBatch,
     request::is_large_configuration,
     upkeep_loop::UpkeepLoop,
-    voter_manager::VoterManager,
 };
 
 /// Delay between two attempts to reach the leader.
@@ -75,16 +64,6 @@
     pub external: ExternalServices,
 }
 
-/// The running replica of a host, with the dispatcher and the service that use it.
-#[derive(Debug)]
-struct ActiveReplica {
-    id: MemberId,
-    handle: ReplicaHandle<WorkflowLog>,
-    leader_service: LeaderService,
-    available_tasks: Arc<AvailableTasks>,
-    threads: Mutex<Vec<JoinHandle<()>>>,
-}
-
 /// An entry host, which answers requests while it leads and forwards them to the leader otherwise.
 #[derive(Debug)]
 pub struct EntryHost {
@@ -96,8 +75,8 @@
     seeds: Mutex<Vec<SocketAddr>>,
     external: ExternalServices,
     metrics: EntryMetrics,
-    replica: Option<ActiveReplica>,
-    deliverer: Arc<Deliverer>,
+    pub(crate) replica: Option<ActiveReplica>,
+    pub(crate) deliverer: Arc<Deliverer>,
     is_stopping: AtomicBool,
     stop: CancellationToken,
 }
@@ -196,7 +175,7 @@
     /// the next leader. The code `NoLeader` means that the request was not run; after
     /// `NotConfirmed` its effect is unknown.
     pub async fn call(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
-        let kind = kind_of(&request);
+        let kind = request.kind();
         let timer = self
             .metrics
             .request_time
@@ -275,7 +254,7 @@
 
     /// Answers a call of another host. A large configuration stays here: the other host's link may be
     /// slow, so its caller is sent to this host.
-    async fn answer_call(&self, request: Request) -> Outcome<Reply> {
+    pub(crate) async fn answer_call(&self, request: Request) -> Outcome<Reply> {
         match self.answer_here(request).await? {
             Reply::Configuration(text) if is_large_configuration(&text) => {
                 Ok(Reply::Redirect(self.cfg.heartbeat_address.clone()))
@@ -378,7 +357,7 @@
     }
 
     /// Passes the results that a delivering host reports on to the dispatcher.
-    fn receive_results(&self, host: &HostName, body: &[u8]) {
+    pub(crate) fn receive_results(&self, host: &HostName, body: &[u8]) {
         let Some(active) = &self.replica else { return };
         match mesh::decode::<ResultBatch>(body) {
             Ok(batch) => {
@@ -453,140 +432,6 @@
     }
 }
 
-/// Parts of the host that its replica uses.
-struct ReplicaContext<'a> {
-    cfg: &'a EntryConfig,
-    parts: &'a EntryParts,
-    clock: &'a Arc<dyn Clock>,
-    mesh: &'a Arc<Mesh>,
-    leader_hint: &'a Arc<LeaderHint>,
-    stop: &'a CancellationToken,
-}
-
-impl ReplicaContext<'_> {
-    fn start_replica(
-        &self,
-        store: FileStore,
-        recovered: Recovered,
-        seed: u64,
-    ) -> Outcome<ActiveReplica> {
-        let timing = &self.cfg.timing;
-        let workflow_state = Arc::new(WorkflowState::new(timing.ended_job_retention_ms()));
-        let state = Arc::new(WorkflowLog(Arc::clone(&workflow_state)));
-        let mut applied_index = LogIndex(0);
-        if let Some((meta, snapshot)) = &recovered.snapshot {
-            state.restore(snapshot)?;
-            applied_index = meta.index;
-        }
-        let saved = recovered.snapshot.clone();
-        let replica = Replica::new(timing.agreement_config(), recovered, seed);
-        let id = replica.id();
-        let event = Event::info("replica_recovered").index(replica.last_index());
-        let event = event.term(replica.term()).detail(format!("member {id}"));
-        self.parts.events.emit(&event);
-        let (tx, rx) = channel();
-        let dispatch = DispatchHandle::new(tx);
-        let replica_parts = ReplicaParts {
-            replica,
-            store: Box::new(store),
-            saved_snapshot: saved,
-            state,
-            clock: Arc::clone(self.clock),
-            links: Arc::clone(&self.mesh.links),
-            sink: Arc::new(DispatchSink(dispatch.clone())),
-            leader_hint: Arc::clone(self.leader_hint),
-            events: Arc::clone(&self.parts.events),
-            metrics: Arc::clone(&self.parts.replica_metrics),
-        };
-        for member in replica_parts.replica.members().by_id.values() {
-            self.mesh.connect(&member.host);
-        }
-        let (handle, replica_thread) = ReplicaDriver::start(replica_parts, applied_index);
-        let available_tasks = Arc::new(AvailableTasks::default());
-        let dispatch_parts = DispatchParts {
-            workflow_state: Arc::clone(&workflow_state),
-            available_tasks: Arc::clone(&available_tasks),
-            dispatcher: Dispatcher::new(timing.dispatch_config(), Arc::clone(&workflow_state)),
-            handle: dispatch.clone(),
-            replica: handle.clone(),
-            mesh: Arc::clone(self.mesh),
-            external: self.parts.external.clone(),
-            clock: Arc::clone(self.clock),
-            events: Arc::clone(&self.parts.events),
-            metrics: self.parts.metrics.clone(),
-            runtime: Handle::current(),
-            stop: self.stop.clone(),
-        };
-        let delivery = Delivery::new(
-            timing.delivery_limits(),
-            Arc::clone(self.mesh),
-            Arc::clone(&workflow_state),
-            Arc::clone(&self.parts.events),
-            self.parts.metrics.clone(),
-            seed,
-        );
-        let dispatch_thread = DispatchLoop::start(dispatch_parts, delivery, rx);
-        let voter_manager = Arc::new(VoterManager::new(
-            handle.clone(),
-            Arc::clone(&self.parts.events),
-            self.cfg.target_voters(),
-            timing.replace_after(),
-        ));
-        let leader_service = LeaderService {
-            workflow_state,
-            replica: handle.clone(),
-            dispatch,
-            clock: Arc::clone(self.clock),
-            leader_hint: Arc::clone(self.leader_hint),
-            events: Arc::clone(&self.parts.events),
-            voter_manager,
-            heartbeats: HeartbeatTracker::default(),
-            heartbeat_address: self.cfg.heartbeat_address.clone(),
-            commit_timeout: timing.call_attempt_timeout(),
-        };
-        Ok(ActiveReplica {
-            id,
-            handle,
-            leader_service,
-            available_tasks,
-            threads: Mutex::new(vec![dispatch_thread, replica_thread]),
-        })
-    }
-}
-
-/// Handles messages from other hosts.
-#[derive(Debug)]
-struct Inbound(Arc<EntryHost>);
-
-impl PeerSink for Inbound {
-    fn receive(&self, host: &HostName, event: PeerEvent) {
-        match event {
-            PeerEvent::Agreement { from, to, msg } => {
-                if let Some(active) = self.0.replica.as_ref().filter(|active| active.id == to) {
-                    self.0.mesh.connect(host);
-                    active.handle.receive(host.clone(), from, msg);
-                }
-            }
-            PeerEvent::Call { id, body } => {
-                let (host, caller) = (Arc::clone(&self.0), host.clone());
-                tokio::spawn(async move {
-                    let reply = match mesh::decode::<Request>(&body) {
-                        Ok(request) => host.answer_call(request).await,
-                        Err(failure) => Err(failure),
-                    };
-                    host.mesh.send_answer(&caller, id, &reply);
-                });
-            }
-            PeerEvent::Answer { id, body } => self.0.mesh.complete_call(id, body),
-            PeerEvent::Orders(body) => self.0.deliverer.deliver(host, &body),
-            PeerEvent::OrderResults(body) => self.0.receive_results(host, &body),
-            // An entry host calls its workers instead of exchanging these messages with them, and
-            // hosts send one another no load summaries.
-            PeerEvent::Report { .. } | PeerEvent::Order { .. } | PeerEvent::Load(_) => {}
-        }
-    }
-}
-
 fn is_large(request: &Request) -> bool {
     matches!(request, Request::PutConfiguration(c) if is_large_configuration(&c.text))
 }
@@ -598,19 +443,3 @@
         Code::NoLeader | Code::NotLeader | Code::HostUnreachable | Code::NotConfirmed
     )
 }
-
-fn kind_of(request: &Request) -> &'static str {
-    match request {
-        Request::Submit { .. } => "submit",
-        Request::ReadStatus { .. } => "look",
-        Request::Cancel { .. } => "cancel",
-        Request::PutConfiguration(_) => "put_configuration",
-        Request::ReadConfiguration => "read_configuration",
-        Request::Announce(_) => "announce",
-        Request::Leave(_) => "leave",
-        Request::StartWave { .. } => "start_wave",
-        Request::CheckWave(_) => "look_at_wave",
-        Request::Hello(_) => "hello",
-        Request::Advise(_) => "advise",
-    }
-}
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! on them. The hosts with a data folder hold replicas of the state. The traits [`WorkerCalls`],
 //! [`AdviceCalls`] and [`MachineCalls`] hide the interfaces of the platform.
 
+mod active_replica;
 mod available_tasks;
 mod budgeted_calls;
 mod deliverer;
@@ -20,6 +21,7 @@
 mod formation;
 mod heartbeat_tracker;
 mod host_directory;
+mod inbound;
 mod leader_service;
 mod link_monitor;
 mod mesh;
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -79,6 +79,25 @@
     Advise(AdviceRequest),
 }
 
+impl Request {
+    /// Label of the request in metrics.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit { .. } => "submit",
+            Self::ReadStatus { .. } => "look",
+            Self::Cancel { .. } => "cancel",
+            Self::PutConfiguration(_) => "put_configuration",
+            Self::ReadConfiguration => "read_configuration",
+            Self::Announce(_) => "announce",
+            Self::Leave(_) => "leave",
+            Self::StartWave { .. } => "start_wave",
+            Self::CheckWave(_) => "look_at_wave",
+            Self::Hello(_) => "hello",
+            Self::Advise(_) => "advise",
+        }
+    }
+}
+
 /// Returns whether a configuration takes long on the link of a small host, so that the operator had
 /// better exchange it with the leader directly.
 pub(crate) fn is_large_configuration(text: &Name) -> bool {
--- a/lib/names/src/millis.rs
+++ b/lib/names/src/millis.rs
@@ -54,21 +54,21 @@
 impl Add for Millis {
     type Output = Self;
 
-    fn add(self, other: Self) -> Self {
-        Self(self.0.saturating_add(other.0))
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
     }
 }
 
 impl AddAssign for Millis {
-    fn add_assign(&mut self, other: Self) {
-        *self = *self + other;
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
     }
 }
 
 impl Sub for Millis {
     type Output = Self;
 
-    fn sub(self, other: Self) -> Self {
-        self.since(other)
+    fn sub(self, rhs: Self) -> Self {
+        self.since(rhs)
     }
 }
--- a/lib/names/src/resources.rs
+++ b/lib/names/src/resources.rs
@@ -101,26 +101,26 @@
 impl Add for Resources {
     type Output = Self;
 
-    fn add(self, other: Self) -> Self {
+    fn add(self, rhs: Self) -> Self {
         Self {
-            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
-            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
-            accelerators: self.accelerators.saturating_add(other.accelerators),
+            cpu_milli: self.cpu_milli.saturating_add(rhs.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(rhs.memory_mb),
+            accelerators: self.accelerators.saturating_add(rhs.accelerators),
         }
     }
 }
 
 impl AddAssign for Resources {
-    fn add_assign(&mut self, other: Self) {
-        *self = *self + other;
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
     }
 }
 
 impl Sum for Resources {
-    fn sum<I>(amounts: I) -> Self
+    fn sum<I>(iter: I) -> Self
     where
         I: Iterator<Item = Self>,
     {
-        amounts.fold(Self::ZERO, Add::add)
+        iter.fold(Self::ZERO, Add::add)
     }
 }
--- a/lib/wire/src/frame_assembler.rs
+++ b/lib/wire/src/frame_assembler.rs
@@ -1,4 +1,4 @@
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use prost::Message;
 use tarragon_names::HostName;
 
@@ -28,7 +28,7 @@
         if !part.is_last {
             return Ok((HostName::from(frame.from), None));
         }
-        let whole: Bytes = self.parts.split().freeze();
+        let whole = self.parts.split().freeze();
         PeerFrame::decode_parts(&whole)
     }
 }
