entry: answer repeated heartbeats without the leader

Cause: 1,100 workers send some 730 heartbeats a second. Each host sent its workers on to the leader's address, which decoded and answered all of them; the tracker of their sequence numbers went through the whole table each time.

Change: a worker sends its heartbeats to the host that it called first. That host answers by itself when the leader of the current term has recorded the same state recently, and passes one on now and then (after half of the silence that removes a worker). A change, a leaving worker, another leader, or a host out of touch goes to the leader as before. The tracker keeps one entry for each worker.

Ruled out: not passing on any repetition; a worker that was removed by mistake would not come back.

--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -16,19 +16,19 @@
 };
 use tarragon_agreement::Recovered;
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_delivery::BudgetLimits;
-use tarragon_names::{HostName, MemberId, Name};
+use tarragon_delivery::{BudgetLimits, HeartbeatCache};
+use tarragon_names::{HostName, MemberId, Name, Term};
 use tarragon_replica::{
     Clock, LeaderHint, Links, PeerListener, PeerSink, SystemClock, process_seed,
 };
 use tarragon_storage::FileStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
-use tarragon_workflow::{Command, WaveKey};
+use tarragon_workflow::{Command, WaveKey, WorkerRecord};
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    EntryConfig, EntryMetrics, ExternalServices, Hello, Reply, Request,
+    EntryConfig, EntryMetrics, ExternalServices, Hello, Reply, Request, WorkerReport,
     active_replica::{ActiveReplica, ReplicaContext},
     budgeted_calls::BudgetedCalls,
     deliverer::Deliverer,
@@ -77,6 +77,8 @@
     metrics: EntryMetrics,
     pub(crate) replica: Option<ActiveReplica>,
     pub(crate) deliverer: Arc<Deliverer>,
+    heartbeats: Mutex<HeartbeatCache<WorkerRecord>>,
+    clock: Arc<dyn Clock>,
     is_stopping: AtomicBool,
     stop: CancellationToken,
 }
@@ -133,6 +135,8 @@
         );
         let host = Arc::new(Self {
             deliverer: Arc::new(deliverer),
+            heartbeats: Mutex::new(HeartbeatCache::new(cfg.timing.heartbeat_refresh())),
+            clock,
             seeds: Mutex::new(cfg.seeds.clone()),
             mesh,
             leader_hint,
@@ -181,7 +185,10 @@
             .request_time
             .with_label_values(&[kind])
             .start_timer();
-        let outcome = self.call_leader(request, timeout).await;
+        let outcome = match request {
+            Request::Announce(report) => self.announce(report, timeout).await,
+            request => self.call_leader(request, timeout).await,
+        };
         drop(timer);
         let code = outcome.as_ref().err().map_or(0, |f| f.code.number());
         self.metrics
@@ -191,6 +198,40 @@
         outcome
     }
 
+    /// Records the heartbeat of a worker, which goes on to send its heartbeats to this host.
+    ///
+    /// The leader need not see a heartbeat that repeats what it has recorded recently. A host that has
+    /// lost touch with the leader passes all of them on, so that the worker turns to another host.
+    async fn announce(&self, report: WorkerReport, timeout: Duration) -> Outcome<Reply> {
+        let worker = report.record.incarnation.worker.clone();
+        let is_recorded = self.term_in_touch().is_some_and(|term| {
+            let heartbeats = self.heartbeats.lock();
+            heartbeats.is_recorded(&worker, &report.record, term, self.clock.now())
+        });
+        if !is_recorded || report.leaves_in.is_some() {
+            self.heartbeats.lock().remove(&worker);
+            let record = report.record.clone();
+            self.call_leader(Request::Announce(report), timeout).await?;
+            if let Some(term) = self.term_in_touch() {
+                let now = self.clock.now();
+                self.heartbeats.lock().insert(worker, record, term, now);
+            }
+        }
+        Ok(Reply::Announced {
+            heartbeat_address: self.cfg.heartbeat_address.clone(),
+        })
+    }
+
+    /// Term of the leader if it answered this host recently.
+    fn term_in_touch(&self) -> Option<Term> {
+        let silence = self.directory.silence()?;
+        let is_in_touch = silence < self.cfg.timing.leader_silence_limit();
+        self.leader_hint
+            .with_term()
+            .filter(|_| is_in_touch)
+            .map(|(term, _)| term)
+    }
+
     async fn call_leader(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
         let started_at = Instant::now();
         let timing = &self.cfg.timing;
--- a/lib/entry/src/entry_timing.rs
+++ b/lib/entry/src/entry_timing.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Returns the time after which a host passes the heartbeat of a worker on to the leader although
+    /// nothing has changed: half of the silence after which the leader removes the worker.
+    pub fn heartbeat_refresh(&self) -> Millis {
+        Millis(self.dispatch_config().remove_after.0 / 2)
+    }
+
     /// Returns the silence after which a voter is replaced by a learner.
     pub fn replace_after(&self) -> Millis {
         Millis(self.bounds.recovery_time.0 * 3 / 4)
--- a/lib/entry/src/heartbeat_tracker.rs
+++ b/lib/entry/src/heartbeat_tracker.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 
 use parking_lot::Mutex;
+use tarragon_names::WorkerName;
 use tarragon_workflow::{Command, WorkerIncarnation, WorkerRecord, WorkflowState};
 
 use crate::WorkerReport;
@@ -19,9 +20,8 @@
 /// Compares heartbeats with the replicated state; they may arrive late and out of order.
 #[derive(Debug, Default)]
 pub(crate) struct HeartbeatTracker {
-    /// Highest sequence number received from each incarnation; only the latest incarnation of a
-    /// worker is kept.
-    sequences: Mutex<HashMap<WorkerIncarnation, u64>>,
+    /// Latest incarnation of each worker, with the highest sequence number received from it.
+    sequences: Mutex<HashMap<WorkerName, (WorkerIncarnation, u64)>>,
 }
 
 impl HeartbeatTracker {
@@ -77,13 +77,13 @@
     /// Returns false if a higher number was received from the same incarnation before.
     fn record_sequence(&self, report: &WorkerReport) -> bool {
         let mut sequences = self.sequences.lock();
-        let worker = &report.record.incarnation.worker;
-        sequences.retain(|incarnation, _| {
-            incarnation.worker != *worker || *incarnation == report.record.incarnation
-        });
-        let highest = sequences
-            .entry(report.record.incarnation.clone())
-            .or_insert(report.sequence);
+        let incarnation = &report.record.incarnation;
+        let (known, highest) = sequences
+            .entry(incarnation.worker.clone())
+            .or_insert_with(|| (incarnation.clone(), report.sequence));
+        if known != incarnation {
+            (*known, *highest) = (incarnation.clone(), report.sequence);
+        }
         let is_newest = *highest <= report.sequence;
         *highest = report.sequence.max(*highest);
         is_newest
