entry: log why a caller got no result

Cause: a refusal or an unknown outcome was counted by its code and left no line, so the way from the id of a refused request to its cause could not start from the id.

Change: the host that answered writes one line with the job's id, the code, the cause, the time that it waited, what the caller was told about a retry, and what it believed of the leader. The lines count against the lines of a second like all others.

--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -179,7 +179,8 @@
     /// the next leader. The code `NoLeader` means that the request was not run; after
     /// `NotConfirmed` its effect is unknown.
     pub async fn call(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
-        let kind = request.kind();
+        let (kind, job) = (request.kind(), request.job());
+        let started_at = Instant::now();
         let timer = self
             .metrics
             .request_time
@@ -190,6 +191,9 @@
             request => self.call_leader(request, timeout).await,
         };
         drop(timer);
+        if let (Err(failure), Some(job)) = (&outcome, job) {
+            self.explain_failure(kind, job, failure, started_at.elapsed());
+        }
         let code = outcome.as_ref().err().map_or(0, |f| f.code.number());
         self.metrics
             .requests
@@ -198,6 +202,22 @@
         outcome
     }
 
+    /// Logs why a caller got no result.
+    fn explain_failure(&self, kind: &str, job: Name, failure: &Failure, waited: Duration) {
+        let (term, leader) = self.leader_hint.with_term().unzip();
+        let silence = self.directory.silence().map(|silence| silence.as_millis());
+        let detail = format!(
+            "{kind}: {}; answered after {} ms, retry after {:?} ms, leader {leader:?} of {term:?}, \
+             which answered {silence:?} ms ago",
+            failure.cause,
+            waited.as_millis(),
+            failure.retry_after_ms,
+        );
+        let event = Event::info("request_failed").request(job);
+        self.events
+            .emit(&event.code(failure.code.number()).detail(detail));
+    }
+
     /// Records the heartbeat of a worker, which goes on to send its heartbeats to this host.
     ///
     /// The leader need not see a heartbeat that repeats what it has recorded recently. A host that has
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -80,6 +80,17 @@
 }
 
 impl Request {
+    /// Job that a caller's request is about, as its path names it.
+    pub(crate) fn job(&self) -> Option<Name> {
+        let (Self::Submit { path, .. } | Self::ReadStatus { path, .. } | Self::Cancel { path, .. }) =
+            self
+        else {
+            return None;
+        };
+        let job = path.rsplit('/').next().filter(|job| !job.is_empty())?;
+        Some(Name::from(job))
+    }
+
     /// Label of the request in metrics.
     pub(crate) fn kind(&self) -> &'static str {
         match self {
