entry: count jobs as waiting until one of their tasks has started

A job left the count as soon as one of its tasks was placed. On workers that are cut off the start is not answered, or no connection can be made and the task is placed again and again, so nothing has started.

Change: the dispatcher counts the jobs of which tasks were placed but none was certainly started, twice a second, and the answer adds them. A job counts as started once a worker has confirmed a run, or a task is done, has failed or has saved a checkpoint.

Ruled out: confirming each start in the log, which would be 1,400 records a second more on the large site for a figure that may be 2 s old.

Test: job_without_a_started_task_counts_as_unstarted.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -6,7 +6,8 @@
 use tarragon_health::{HealthConfig, HealthTable};
 use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{
-    Command, JobKey, RunEvent, StepKey, TaskKey, WorkerIncarnation, WorkerRecord, WorkflowState,
+    Command, JobKey, JobPhase, RunEvent, StepKey, TaskKey, WorkerIncarnation, WorkerRecord,
+    WorkflowState,
 };
 
 use crate::{
@@ -193,6 +194,37 @@
         available.map(|(task, _)| *task).collect()
     }
 
+    /// Counts the jobs of which tasks were placed but none was certainly started, by queue.
+    ///
+    /// The log knows only that the tasks were placed. Their workers may not have answered, or may not
+    /// have been reached.
+    pub fn unstarted_jobs(&self) -> BTreeMap<Name, u64> {
+        let mut started = BTreeSet::new();
+        let mut unstarted = BTreeSet::new();
+        for (_, state) in self.workers.iter() {
+            for (task, view) in &state.runs {
+                if view.is_listed || matches!(view.start, StartState::Present { .. }) {
+                    started.insert(task.step.job);
+                } else if !view.is_ended {
+                    unstarted.insert(task.step.job);
+                }
+            }
+        }
+        let waiting = self.plans.values().filter(|plan| !plan.waiting.is_empty());
+        unstarted.extend(waiting.map(|plan| plan.key.job));
+        let mut counts = BTreeMap::new();
+        for job in unstarted.difference(&started) {
+            let queue = self.workflow_state.with_job(*job, |job| {
+                let is_unstarted = job.phase == JobPhase::Running && !job.has_started();
+                is_unstarted.then(|| job.queue.clone())
+            });
+            if let Some(queue) = queue.flatten() {
+                *counts.entry(queue).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::BecameLeader { term } => self.start_leading(term),
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -376,3 +376,23 @@
     assert!((900..1_200).contains(&pauses[1]), "{pauses:?}");
     assert!((1_900..2_300).contains(&pauses[2]), "{pauses:?}");
 }
+
+/// Guards against jobs that wait but are not counted as waiting: their tasks were placed, but their
+/// workers do not answer or cannot be reached, so nothing has started.
+#[parameterized(
+    not_answered = { OrderOutcome::Unanswered, 1 },
+    not_sent = { OrderOutcome::NotSent, 1 },
+    not_reached = { OrderOutcome::Refused(Refusal::Unreachable), 1 },
+    started = { OrderOutcome::Accepted, 0 },
+)]
+fn job_without_a_started_task_counts_as_unstarted(outcome: OrderOutcome, expected: u64) {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    harness.submit(1, vec![step(2, 4)]);
+    for _ in 0..3 {
+        harness.answer_starts(outcome);
+        harness.advance(300);
+    }
+    assert_eq!(harness.phase(1), Some(JobPhase::Running));
+    let counts = harness.dispatcher.unstarted_jobs();
+    assert_eq!(counts.values().sum::<u64>(), expected, "{counts:?}");
+}
--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -27,6 +27,7 @@
     heartbeat_tracker::HeartbeatTracker,
     leader_service::LeaderService,
     mesh::Mesh,
+    unstarted_jobs::UnstartedJobs,
     voter_manager::VoterManager,
 };
 
@@ -91,9 +92,11 @@
         }
         let (handle, replica_thread) = ReplicaDriver::start(replica_parts, applied_index);
         let available_tasks = Arc::new(AvailableTasks::default());
+        let unstarted_jobs = Arc::new(UnstartedJobs::default());
         let dispatch_parts = DispatchParts {
             workflow_state: Arc::clone(&workflow_state),
             available_tasks: Arc::clone(&available_tasks),
+            unstarted_jobs: Arc::clone(&unstarted_jobs),
             dispatcher: Dispatcher::new(timing.dispatch_config(), Arc::clone(&workflow_state)),
             handle: dispatch.clone(),
             replica: handle.clone(),
@@ -128,6 +131,7 @@
             leader_hint: Arc::clone(self.leader_hint),
             events: Arc::clone(&self.parts.events),
             voter_manager,
+            unstarted_jobs,
             heartbeats: HeartbeatTracker::default(),
             heartbeat_address: self.cfg.heartbeat_address.clone(),
             commit_timeout: timing.call_attempt_timeout(),
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -22,12 +22,16 @@
     dispatch_handle::{DispatchEvent, DispatchHandle},
     entry_log,
     mesh::Mesh,
+    unstarted_jobs::UnstartedJobs,
     worker_order::{OrderKey, WorkerOrder},
 };
 
 /// Interval between two ticks of the dispatcher.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval between two counts of the jobs that have not started.
+const COUNT_INTERVAL: Millis = Millis(500);
+
 /// Maximum number of queued events that one step handles in addition to the first one.
 const MAX_BATCHED_EVENTS: usize = 1_024;
 
@@ -44,6 +48,7 @@
     pub(crate) replica: ReplicaHandle<WorkflowLog>,
     pub(crate) mesh: Arc<Mesh>,
     pub(crate) available_tasks: Arc<AvailableTasks>,
+    pub(crate) unstarted_jobs: Arc<UnstartedJobs>,
     pub(crate) external: ExternalServices,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) events: Arc<dyn EventSink>,
@@ -83,6 +88,7 @@
         // Links to delivering hosts are opened on this thread.
         let _entered = runtime.enter();
         let mut last_tick = self.parts.clock.now();
+        let mut next_count_at = last_tick;
         while !self.parts.stop.is_cancelled() {
             let mut events = Vec::new();
             match self.rx.recv_timeout(TICK_INTERVAL) {
@@ -104,6 +110,11 @@
                     self.parts.available_tasks.set(tasks);
                 }
             }
+            if now >= next_count_at {
+                next_count_at = now + COUNT_INTERVAL;
+                let counts = self.parts.dispatcher.unstarted_jobs();
+                self.parts.unstarted_jobs.set(counts);
+            }
             let timer = self.parts.metrics.dispatch_step.start_timer();
             let now_ms = self.parts.clock.wall_ms();
             let is_sole_leader = self.parts.handle.is_leader_at(now);
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -13,6 +13,7 @@
     Hello, Reply, Request, WorkerReport, WorkflowLog,
     dispatch_handle::DispatchHandle,
     heartbeat_tracker::{HeartbeatEffect, HeartbeatTracker},
+    unstarted_jobs::UnstartedJobs,
     voter_manager::VoterManager,
 };
 
@@ -33,6 +34,7 @@
     pub(crate) leader_hint: Arc<LeaderHint>,
     pub(crate) events: Arc<dyn EventSink>,
     pub(crate) voter_manager: Arc<VoterManager>,
+    pub(crate) unstarted_jobs: Arc<UnstartedJobs>,
     pub(crate) heartbeats: HeartbeatTracker,
     /// Address of this host for heartbeats, which is announced to workers.
     pub(crate) heartbeat_address: Name,
@@ -134,9 +136,9 @@
     fn read_status(&self, host: &str, path: &str) -> Outcome<Reply> {
         let (queue, job) = self.resolve(host, path)?;
         let Some(job) = job else {
-            return Ok(Reply::PendingCount(
-                self.workflow_state.pending_job_count(&queue.name),
-            ));
+            let unplaced = self.workflow_state.pending_job_count(&queue.name);
+            let unstarted = self.unstarted_jobs.count(&queue.name);
+            return Ok(Reply::PendingCount(unplaced + unstarted));
         };
         let phase = self.workflow_state.with_job(job, |job| job.phase);
         let phase = phase.ok_or_else(|| Failure::of(Code::NoSuchJob))?;
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -57,6 +57,19 @@
         step.tasks.get(key.index as usize)
     }
 
+    /// Returns whether a task of the job has certainly been started: it is done, has failed, or has
+    /// saved a checkpoint.
+    pub fn has_started(&self) -> bool {
+        let tasks = |occurrence: &Occurrence| {
+            let steps = occurrence.steps.iter();
+            steps
+                .flat_map(|step| &step.tasks)
+                .any(TaskProgress::has_started)
+        };
+        let mut occurrences = self.occurrences.values();
+        self.phase.is_final() || occurrences.any(|o| o.is_done || tasks(o))
+    }
+
     /// Returns whether the job has a task with this key.
     pub fn has_task(&self, key: &TaskKey) -> bool {
         let step = self.spec.steps.get(key.step.step as usize);
--- a/lib/workflow/src/task_progress.rs
+++ b/lib/workflow/src/task_progress.rs
@@ -40,6 +40,11 @@
 }
 
 impl TaskProgress {
+    /// Returns whether a run of the task has certainly been started.
+    pub fn has_started(&self) -> bool {
+        self.phase == TaskPhase::Done || self.failures > 0 || self.checkpoint.is_some()
+    }
+
     /// Returns the run that is placed on a worker, if there is one.
     pub fn placement(&self) -> Option<&Placement> {
         match &self.phase {
