dispatch: split the choice of the workers named in a request

workers_to_name had grown to 70 lines. The groups of workers, by the capacity that they have for the step, are a type of their own now. Constants of the budget get a comment each, and fields that nothing outside uses are private. No behaviour changes.

--- a/lib/delivery/src/budget_limits.rs
+++ b/lib/delivery/src/budget_limits.rs
@@ -7,9 +7,11 @@
 /// callers, heartbeats of workers and links to other hosts.
 const WORKER_PERCENT: usize = 50;
 
-/// Share of the open calls that orders of a kind and of all less urgent kinds may use, in percent,
-/// so that the more urgent kinds always find room.
+/// Share of the open calls that stops and less urgent orders may use, in percent; the rest is for
+/// polls.
 const STOP_PERCENT: usize = 75;
+
+/// Share of the open calls that starts and less urgent orders may use, in percent.
 const START_PERCENT: usize = 50;
 
 /// Calls to one worker that may be open at the same time, besides its poll.
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -10,6 +10,7 @@
     advice_relays::LONG_REQUEST,
     dispatcher::PendingRequest,
     dispatcher_place::{CandidateSet, Claims},
+    nameable_workers::NameableWorkers,
     packing::Candidate,
     step_plan::StepPlan,
 };
@@ -158,68 +159,57 @@
         };
         let need = plan.step().reserved();
         let is_early = request_duration(&terms, 0) >= EARLY_REQUEST;
-        let affordable = affordable_workers(&terms);
+        let affordable = affordable_workers(&terms).clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS);
         let least = if is_early {
             MIN_NAMED_WORKERS
         } else {
-            affordable.clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS)
+            affordable
         };
         let wanted = plan.waiting.len() as u64 * 1_000 * NAMED_WORKERS_PERCENT
             / 100
             / self.approval_rate(&plan.queue.name);
-        let mut named = Vec::new();
-        let mut asked_by_others = Vec::new();
-        let mut without_capacity = Vec::new();
-        let mut expected = 0;
+        let mut workers = self.nameable_workers(plan, claims, wanted, least);
+        workers.name_asked_by_others(&need, wanted, MAX_NAMED_WORKERS);
+        if workers.expected < wanted {
+            let rest = std::mem::take(&mut workers.without_capacity);
+            let rest = if is_early {
+                rest.into_iter().map(|candidate| candidate.worker).collect()
+            } else {
+                self.preemptible_workers(rest, &need, plan.queue.priority)
+            };
+            workers.name_up_to(affordable, rest);
+        }
+        workers.named
+    }
+
+    /// Looks for workers that are not judged yet, until `wanted` tasks fit on at least `least`.
+    fn nameable_workers(
+        &self,
+        plan: &StepPlan,
+        claims: &Claims,
+        wanted: u64,
+        least: usize,
+    ) -> NameableWorkers {
+        let need = plan.step().reserved();
+        let mut workers = NameableWorkers::default();
         for state in self.workers.most_available(&plan.queue.pool) {
-            let is_enough = expected >= wanted && named.len() >= least;
-            if is_enough || named.len() >= MAX_NAMED_WORKERS {
-                return named;
+            let named = workers.named.len();
+            if named >= MAX_NAMED_WORKERS || (workers.expected >= wanted && named >= least) {
+                break;
             }
             let available = state.available();
             let has_cpu = need.cpu_milli <= available.cpu_milli;
-            let others = asked_by_others.len() + without_capacity.len();
-            if !has_cpu && others >= MAX_UNFIT_WORKERS {
+            if !has_cpu && workers.unfit_count() >= MAX_UNFIT_WORKERS {
                 break;
             }
-            let worker = &state.incarnation().worker;
-            if plan.advice.is_judged(worker) {
+            if plan.advice.is_judged(&state.incarnation().worker) {
                 continue;
             }
-            let Some(candidate) = self.candidate(plan, state, claims) else {
-                continue;
-            };
-            let fits = Candidate {
-                free: available,
-                ..candidate.clone()
-            };
-            match u64::from(fits.fits(&need)) {
-                0 if candidate.fits(&need) > 0 => asked_by_others.push(candidate),
-                0 => without_capacity.push(candidate),
-                fits => {
-                    expected += fits;
-                    named.push(candidate.worker);
-                }
-            }
-        }
-        for candidate in asked_by_others {
-            if expected >= wanted || named.len() >= MAX_NAMED_WORKERS {
-                break;
+            if let Some(candidate) = self.candidate(plan, state, claims) {
+                workers.add(candidate, available, &need);
             }
-            expected += u64::from(candidate.fits(&need));
-            named.push(candidate.worker);
-        }
-        if expected < wanted {
-            let rest = if is_early {
-                without_capacity.into_iter().map(|c| c.worker).collect()
-            } else {
-                self.preemptible_workers(without_capacity, &need, plan.queue.priority)
-            };
-            let more = affordable.clamp(MIN_NAMED_WORKERS, MAX_NAMED_WORKERS);
-            let more = more.saturating_sub(named.len());
-            named.extend(rest.into_iter().take(more));
         }
-        named
+        workers
     }
 
     /// Returns the workers on which a task fits after preemption.
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatcher_throttle;
 mod headroom;
 mod input;
+mod nameable_workers;
 mod order;
 mod output;
 mod packing;
--- a/lib/entry/src/deliverer.rs
+++ b/lib/entry/src/deliverer.rs
@@ -19,10 +19,10 @@
 /// Carries out the orders that a leader sends to this host, and reports the results.
 #[derive(Debug)]
 pub(crate) struct Deliverer {
-    pub(crate) workers: Arc<dyn WorkerCalls>,
-    pub(crate) mesh: Arc<Mesh>,
-    pub(crate) metrics: EntryMetrics,
-    pub(crate) events: Arc<dyn EventSink>,
+    workers: Arc<dyn WorkerCalls>,
+    mesh: Arc<Mesh>,
+    metrics: EntryMetrics,
+    events: Arc<dyn EventSink>,
     /// Results that wait to be sent, by the host that gave the orders.
     results: Mutex<HashMap<HostName, Vec<(u64, OrderResult)>>>,
 }
--- a/lib/entry/src/delivery.rs
+++ b/lib/entry/src/delivery.rs
@@ -41,7 +41,7 @@
 /// Delivery of the leader's orders through other hosts.
 #[derive(Debug)]
 pub(crate) struct Delivery {
-    pub(crate) routes: DeliveryRoutes,
+    routes: DeliveryRoutes,
     mesh: Arc<Mesh>,
     workflow_state: Arc<WorkflowState>,
     events: Arc<dyn EventSink>,
