--- a/review/standin/executor.rs
+++ b/review/standin/executor.rs
@@ -280,6 +280,11 @@
         self.crash();
     }
 
+    /// Id of the present incarnation.
+    pub fn id(&self) -> Option<String> {
+        self.current.lock().expect("no panics").as_ref().map(|life| life.setup.id.clone())
+    }
+
     pub fn is_up(&self) -> bool {
         self.current.lock().expect("no panics").is_some()
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 
 mod case_cancel;
 mod case_late;
+mod case_token;
 mod case_upkeep;
 mod case_wave;
 mod cloud;
@@ -54,6 +55,7 @@
             "wave" => case_wave::play(recorder, has_trouble),
             "cancel" => case_cancel::play(recorder, has_trouble),
             "upkeep" => case_upkeep::play(recorder, has_trouble),
+            "token" => case_token::play(recorder, has_trouble),
             "hunt" => hunt::play(recorder, has_trouble),
             _ => Err("no such case".to_owned()),
         };
