review: case 5, two upkeeps of one wave end all tasks of a step (AVAIL)

Takes the place of the form with a crash for good; that one is kept with the stand-ins, as is a trial on tasks that last (LOST).

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/play ] && [ -x target/release/tarragon-entryd ] || exit 2
-target/review/play upkeep review/5/record.txt
+target/review/play young review/5/record.txt
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,9 +7,11 @@
 
 mod case_cancel;
 mod case_late;
+mod case_lost;
 mod case_token;
 mod case_upkeep;
 mod case_wave;
+mod case_young;
 mod cloud;
 mod executor;
 mod hosts;
@@ -54,6 +56,8 @@
             "late" => case_late::play(recorder, has_trouble),
             "wave" => case_wave::play(recorder, has_trouble),
             "cancel" => case_cancel::play(recorder, has_trouble),
+            "lost" => case_lost::play(recorder, has_trouble),
+            "young" => case_young::play(recorder, has_trouble),
             "upkeep" => case_upkeep::play(recorder, has_trouble),
             "token" => case_token::play(recorder, has_trouble),
             "hunt" => hunt::play(recorder, has_trouble),
