entry: take the term of a leader from its lease, not from a hint

Cause: the lease of a leader ends before its leadership. In between its announcement to itself is refused, which clears the leader hint on the leader and on the hosts whose calls it refuses. The answers to later announcements told the term of the empty hint, 0, which came back to the leader and was used for orders. The replica reports a leader only when it changes, so nothing replaced it.

Change: the thread of the replica hands out a `LeaderLease` with the term and the end of validity; no one else can make one. Orders for machines, answers to announcements, the cache of heartbeats and the search for the leader use it. `EntryHost` takes its clock from its parts, so that a test can let the process stand still. `tarragond` gets the same lease from its replica; its orders carried the right term already.

Ruled out: setting the hint again on each renewal of the lease. It would still be a hint, and a request between two renewals would find it cleared.

--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -14,6 +14,7 @@
 use tarragon_platform::{
     AdviceClient, HttpClient, MachineClient, PlatformSettings, WorkerClient, settings_path,
 };
+use tarragon_replica::SystemClock;
 use tarragon_settings::EntrySettings;
 use tarragon_telemetry::{Event, EventSink, JsonEventSink, LineBudget, Metrics};
 use tokio::{
@@ -124,6 +125,7 @@
     let metrics = EntryMetrics::new()?;
     let replica_metrics = Arc::new(Metrics::new());
     let parts = EntryParts {
+        clock: Arc::new(SystemClock::start()),
         events: Arc::clone(&events),
         metrics: metrics.clone(),
         replica_metrics: Arc::clone(&replica_metrics),
--- a/lib/entry/src/dispatch_handle.rs
+++ b/lib/entry/src/dispatch_handle.rs
@@ -1,11 +1,9 @@
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
-    mpsc::Sender,
-};
+use std::sync::{Arc, mpsc::Sender};
 
+use parking_lot::Mutex;
 use tarragon_dispatch::Input;
 use tarragon_names::{HostName, Millis};
+use tarragon_replica::LeaderLease;
 
 use crate::worker_order::OrderResult;
 
@@ -20,18 +18,18 @@
     },
 }
 
-/// Sends inputs to the thread of the dispatcher and shares the time until which this host leads.
+/// Sends inputs to the thread of the dispatcher and shares the lease of this host as the leader.
 #[derive(Clone, Debug)]
 pub(crate) struct DispatchHandle {
     tx: Sender<DispatchEvent>,
-    leader_until: Arc<AtomicU64>,
+    lease: Arc<Mutex<Option<LeaderLease>>>,
 }
 
 impl DispatchHandle {
     pub(crate) fn new(tx: Sender<DispatchEvent>) -> Self {
         Self {
             tx,
-            leader_until: Arc::default(),
+            lease: Arc::default(),
         }
     }
 
@@ -45,13 +43,13 @@
         let _stopped = self.tx.send(DispatchEvent::Results { host, results });
     }
 
-    /// Sets the time before which no other host can lead.
-    pub(crate) fn set_leader_until(&self, until: Millis) {
-        self.leader_until.store(until.0, Ordering::Release);
+    /// Replaces the lease; `None` if this host does not lead.
+    pub(crate) fn set_lease(&self, lease: Option<LeaderLease>) {
+        *self.lease.lock() = lease;
     }
 
-    /// Returns whether this host leads and no other host can lead at `now`.
-    pub(crate) fn is_leader_at(&self, now: Millis) -> bool {
-        now.0 < self.leader_until.load(Ordering::Acquire)
+    /// Returns the lease if this host leads and no other host can lead at `now`.
+    pub(crate) fn lease_at(&self, now: Millis) -> Option<LeaderLease> {
+        self.lease.lock().filter(|lease| lease.is_valid_at(now))
     }
 }
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -117,7 +117,7 @@
             }
             let timer = self.parts.metrics.dispatch_step.start_timer();
             let now_ms = self.parts.clock.wall_ms();
-            let is_sole_leader = self.parts.handle.is_leader_at(now);
+            let is_sole_leader = self.parts.handle.lease_at(now).is_some();
             let outputs = self
                 .parts
                 .dispatcher
--- a/lib/entry/src/dispatch_sink.rs
+++ b/lib/entry/src/dispatch_sink.rs
@@ -1,6 +1,6 @@
 use tarragon_dispatch::Input;
-use tarragon_names::{LogIndex, Millis, Term};
-use tarragon_replica::ApplySink;
+use tarragon_names::{LogIndex, Term};
+use tarragon_replica::{ApplySink, LeaderLease};
 use tarragon_workflow::{Answer, Command};
 
 use crate::{WorkflowLog, dispatch_handle::DispatchHandle};
@@ -19,7 +19,7 @@
     }
 
     fn lost_leadership(&self, _: Term) {
-        self.0.set_leader_until(Millis(0));
+        self.0.set_lease(None);
         self.0.send(Input::LostLeadership);
     }
 
@@ -27,7 +27,7 @@
         self.0.send(Input::NotProposed(commands));
     }
 
-    fn leader_until(&self, until: Millis) {
-        self.0.set_leader_until(until);
+    fn lease_updated(&self, lease: Option<LeaderLease>) {
+        self.0.set_lease(lease);
     }
 }
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -19,7 +19,7 @@
 use tarragon_delivery::{BudgetLimits, HeartbeatCache};
 use tarragon_names::{HostName, MemberId, Name, Term};
 use tarragon_replica::{
-    Clock, LeaderHint, Links, PeerListener, PeerSink, SystemClock, process_seed,
+    Clock, LeaderHint, LeaderLease, Links, PeerListener, PeerSink, process_seed,
 };
 use tarragon_storage::FileStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
@@ -54,6 +54,8 @@
 /// Interfaces and metrics that a host is started with, besides its settings.
 #[derive(Clone, Debug)]
 pub struct EntryParts {
+    /// Clock of the host, which also advances while the process is paused.
+    pub clock: Arc<dyn Clock>,
     /// Receives all log events of the host.
     pub events: Arc<dyn EventSink>,
     /// Metrics of requests, links and calls to external services.
@@ -91,7 +93,7 @@
         let workers = BudgetedCalls::new(workers, limits, parts.metrics.clone());
         parts.external.workers = Arc::new(workers);
         let mut rng = ChaCha12Rng::from_seed(process_seed());
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
+        let clock = Arc::clone(&parts.clock);
         let stop = CancellationToken::new();
         let link_monitor = Arc::new(LinkMonitor::new(&parts.metrics));
         let timing = cfg.timing.link_timing();
@@ -204,7 +206,7 @@
 
     /// Logs why a caller got no result.
     fn explain_failure(&self, kind: &str, job: Name, failure: &Failure, waited: Duration) {
-        let (term, leader) = self.leader_hint.with_term().unzip();
+        let (term, leader) = self.known_leader().unzip();
         let silence = self.directory.silence().map(|silence| silence.as_millis());
         let detail = format!(
             "{kind}: {}; answered after {} ms, retry after {:?} ms, leader {leader:?} of {term:?}, \
@@ -246,8 +248,7 @@
     fn term_in_touch(&self) -> Option<Term> {
         let silence = self.directory.silence()?;
         let is_in_touch = silence < self.cfg.timing.leader_silence_limit();
-        self.leader_hint
-            .with_term()
+        self.known_leader()
             .filter(|_| is_in_touch)
             .map(|(term, _)| term)
     }
@@ -258,7 +259,8 @@
         let mut is_outcome_unknown = false;
         loop {
             let remaining = timeout.saturating_sub(started_at.elapsed());
-            let reply = match self.leader_hint.get() {
+            let leader = self.known_leader().map(|(_, leader)| leader);
+            let reply = match leader {
                 None => Err(Failure::of(Code::NoLeader)),
                 Some(leader) if leader == self.cfg.host => self.answer_here(request.clone()).await,
                 Some(leader) if is_large(&request) => {
@@ -340,7 +342,7 @@
         match &self.replica {
             Some(active) => active.leader_service.answer(request).await,
             None => Ok(Reply::NotLeader {
-                leader: self.leader_hint.with_term(),
+                leader: self.known_leader(),
             }),
         }
     }
@@ -395,10 +397,20 @@
         &self.cfg.host
     }
 
-    /// Returns the term in which this host leads; `None` if this host does not lead.
-    pub(crate) fn leading_term(&self) -> Option<u64> {
-        let (term, leader) = self.leader_hint.with_term()?;
-        (self.is_leader() && leader == self.cfg.host).then_some(term.0)
+    /// Returns the lease of this host as the leader; `None` if another host may lead.
+    pub(crate) fn lease(&self) -> Option<LeaderLease> {
+        self.replica.as_ref()?.leader_service.lease()
+    }
+
+    /// Returns the leader and its term, as far as this host knows.
+    ///
+    /// The hint may be missing or out of date on the leader itself: its own announcement is refused
+    /// while its lease has lapsed, and clears the hint.
+    pub(crate) fn known_leader(&self) -> Option<(Term, HostName)> {
+        match self.lease() {
+            Some(lease) => Some((lease.term(), self.cfg.host.clone())),
+            None => self.leader_hint.with_term(),
+        }
     }
 
     /// Proposes a command and waits for the commit; a failure is logged and otherwise ignored.
@@ -434,9 +446,7 @@
     }
 
     fn is_leader(&self) -> bool {
-        self.replica
-            .as_ref()
-            .is_some_and(|active| active.leader_service.is_leader())
+        self.lease().is_some()
     }
 
     /// Begins a planned stop: the host is no longer ready and transfers the leadership.
--- a/lib/entry/src/host_directory.rs
+++ b/lib/entry/src/host_directory.rs
@@ -76,7 +76,7 @@
     let mut round = 0;
     let mut was_ready = false;
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
-        let leader = host.leader_hint.get();
+        let leader = host.known_leader().map(|(_, leader)| leader);
         let targets = match leader {
             Some(leader) if round % ROUNDS_PER_SEED_HELLO == 0 => {
                 let seeds = host.seeds().into_iter();
@@ -143,7 +143,7 @@
         }
         Ok(Reply::NotLeader { leader }) => {
             host.leader_hint.forget(to);
-            if host.leader_hint.get().is_some() {
+            if host.known_leader().is_some() {
                 return;
             }
             if let Some((term, leader)) = leader
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -2,8 +2,8 @@
 
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_dispatch::Input;
-use tarragon_names::{Name, Term, WorkerName};
-use tarragon_replica::{Clock, LeaderHint, ReplicaHandle};
+use tarragon_names::{Name, WorkerName};
+use tarragon_replica::{Clock, LeaderHint, LeaderLease, ReplicaHandle};
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_workflow::{
     Answer, Command, Configuration, JobKey, JobSpec, Queue, Wave, WaveKey, WorkflowState,
@@ -71,7 +71,12 @@
     }
 
     pub(crate) fn is_leader(&self) -> bool {
-        self.dispatch.is_leader_at(self.clock.now())
+        self.lease().is_some()
+    }
+
+    /// Returns the lease of this host; `None` if another host may lead.
+    pub(crate) fn lease(&self) -> Option<LeaderLease> {
+        self.dispatch.lease_at(self.clock.now())
     }
 
     /// Returns a result that was read from the local state, or [`Reply::NotLeader`] if another host
@@ -275,11 +280,13 @@
             }
         });
         let members = self.voter_manager.register_host(hello).await?;
-        let term = self
-            .leader_hint
-            .with_term()
-            .map_or(Term(0), |(term, _)| term);
-        Ok(Reply::Welcome { term, members })
+        let Some(lease) = self.lease() else {
+            return Ok(Reply::NotLeader { leader: None });
+        };
+        Ok(Reply::Welcome {
+            term: lease.term(),
+            members,
+        })
     }
 
     pub(crate) async fn propose(&self, command: Command) -> Outcome<Answer> {
--- a/lib/entry/src/upkeep_loop.rs
+++ b/lib/entry/src/upkeep_loop.rs
@@ -5,7 +5,7 @@
 };
 
 use tarragon_dispatch::Input;
-use tarragon_names::{Millis, Name, WorkerName};
+use tarragon_names::{Millis, Name, Term, WorkerName};
 use tarragon_replica::Clock;
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_upkeep::{
@@ -44,14 +44,14 @@
     pub(crate) recently_ordered: BTreeMap<Name, Instant>,
     /// Term in which this host leads and the time at which the loop saw it first. The list shows
     /// the orders of an earlier leader only after the settle time.
-    pub(crate) leader_since: Option<(u64, Instant)>,
+    pub(crate) leader_since: Option<(Term, Instant)>,
 }
 
 impl UpkeepLoop {
     pub(crate) async fn run(mut self, host: Arc<EntryHost>, stop: CancellationToken) {
         let mut ticks = interval(CHECK_INTERVAL);
         while stop.run_until_cancelled(ticks.tick()).await.is_some() {
-            let Some(term) = host.leading_term() else {
+            let Some(term) = host.lease().map(|lease| lease.term()) else {
                 self.leader_since = None;
                 continue;
             };
@@ -70,7 +70,7 @@
         Duration::from_millis(self.down_time.0) + LIST_LAG
     }
 
-    async fn check_waves(&mut self, host: &EntryHost, term: u64) {
+    async fn check_waves(&mut self, host: &EntryHost, term: Term) {
         let settle_time = self.settle_time();
         self.recently_ordered
             .retain(|_, at| at.elapsed() < settle_time);
@@ -78,7 +78,7 @@
             self.events.emit(&Event::warning("machines_not_listed"));
             return;
         };
-        let is_settled = |(_, since): (u64, Instant)| since.elapsed() >= settle_time;
+        let is_settled = |(_, since): (Term, Instant)| since.elapsed() >= settle_time;
         if !self.leader_since.is_some_and(is_settled) {
             return;
         }
@@ -115,7 +115,7 @@
     async fn begin_upkeep(
         &mut self,
         host: &EntryHost,
-        term: u64,
+        term: Term,
         wave: WaveKey,
         machine: Name,
         worker: Option<WorkerName>,
@@ -128,7 +128,7 @@
         let holder = Name::from(host.name().as_str());
         let outcome = self
             .machines
-            .begin_upkeep(machine.clone(), wave, holder, term, PLATFORM_CALL_TIMEOUT)
+            .begin_upkeep(machine.clone(), wave, holder, term.0, PLATFORM_CALL_TIMEOUT)
             .await;
         let event = Event::info("upkeep_ordered");
         self.events
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -1,28 +1,38 @@
 //! Runs entry hosts in one process, each on a loopback address of its own.
 
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
+
+mod platform;
+mod test_clock;
+mod workers;
+
 use std::{
     collections::BTreeMap,
     fs,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::Arc,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use futures::{FutureExt, future::BoxFuture, future::ready};
-use tarragon_dispatch::{
-    AdviceAnswer, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder, ThrottleOrder,
-};
+use tarragon_dispatch::AdviceAnswer;
 use tarragon_entry::{
     AdviceCalls, Bounds, EntryConfig, EntryHost, EntryMetrics, EntryParts, EntryTiming,
-    ExternalServices, MachineCalls, MachineOutcome, WorkerCalls,
+    ExternalServices, Reply, Request, WorkerReport,
 };
-use tarragon_names::{DomainName, HostName, Name, WorkerName};
+use tarragon_names::{DomainName, HostName, Millis, Name, PoolName, Resources, WorkerName};
 use tarragon_telemetry::{Metrics, NullSink};
-use tarragon_upkeep::Machine;
-use tarragon_workflow::{StepKey, WaveKey};
+use tarragon_workflow::{
+    Configuration, JobSpec, MachinePhase, Queue, StepKey, StepSpec, Wave, WaveKey,
+    WorkerIncarnation, WorkerPool, WorkerRecord,
+};
 use tokio::time::{Instant, sleep};
 
+pub use platform::{Platform, ReceivedOrder};
+pub use test_clock::TestClock;
+pub use workers::Workers;
+
 /// Port of all hosts, which differ in their addresses.
 const PORT: u16 = 7_411;
 
@@ -44,6 +54,18 @@
     }
 }
 
+/// Time for which a machine is down for upkeep. Short, because a leader waits for it first.
+pub const MACHINE_DOWN_TIME: Millis = Millis(300);
+
+/// Pool of all workers.
+const POOL: &str = "pool";
+
+/// Host name in the requests of callers.
+const QUEUE_HOST: &str = "h";
+
+/// Timeout of a request to a host.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Hosts of one cell, which tests refer to by their number in the cell.
 pub struct Cell {
     /// Third part of the hosts' addresses, which differs between concurrent tests.
@@ -51,6 +73,10 @@
     /// Folder with one data folder per host.
     disks: tempfile::TempDir,
     hosts: BTreeMap<u8, Arc<EntryHost>>,
+    clocks: BTreeMap<u8, Arc<TestClock>>,
+    pub platform: Arc<Platform>,
+    /// Recovery time in the settings of hosts that are started from now on.
+    pub recovery_time: Millis,
 }
 
 impl Cell {
@@ -59,6 +85,9 @@
             number,
             disks: tempfile::tempdir().expect("creates a folder for the disks"),
             hosts: BTreeMap::new(),
+            clocks: BTreeMap::new(),
+            platform: Arc::default(),
+            recovery_time: Bounds::default().recovery_time,
         }
     }
 
@@ -88,21 +117,28 @@
             tolerated_failures: 1,
             max_descriptors: 1_024,
             timing: EntryTiming {
-                bounds: Bounds::default(),
+                bounds: Bounds {
+                    machine_down_time: MACHINE_DOWN_TIME,
+                    recovery_time: self.recovery_time,
+                    ..Bounds::default()
+                },
             },
         };
+        let clock = Arc::new(TestClock::default());
         let parts = EntryParts {
+            clock: Arc::clone(&clock) as _,
             events: Arc::new(NullSink),
             metrics: EntryMetrics::new().expect("metrics"),
             replica_metrics: Arc::new(Metrics::new()),
             external: ExternalServices {
-                workers: Arc::new(UnreachableServices),
-                advice: Arc::new(UnreachableServices),
-                machines: Arc::new(UnreachableServices),
+                workers: Arc::clone(&self.platform.workers) as _,
+                advice: Arc::new(UnreachableAdvice),
+                machines: Arc::clone(&self.platform) as _,
             },
         };
         let started = EntryHost::start(cfg, parts).await;
         self.hosts.insert(host, started.expect("the host starts"));
+        self.clocks.insert(host, clock);
     }
 
     pub fn is_ready(&self, host: u8) -> bool {
@@ -126,6 +162,114 @@
         })
     }
 
+    /// Returns the number of the host that leads; `None` if no host holds the lease.
+    pub fn leader(&self) -> Option<u8> {
+        let mut hosts = self.hosts.iter();
+        let leading = hosts.find(|(_, host)| host.voters_if_leading().is_some());
+        leading.map(|(number, _)| *number)
+    }
+
+    pub fn clock(&self, host: u8) -> &TestClock {
+        &self.clocks[&host]
+    }
+
+    /// Sends a request to a host, which may pass it on to the leader.
+    pub async fn call(&self, host: u8, request: Request) -> Reply {
+        let answer = self.hosts[&host].call(request, CALL_TIMEOUT).await;
+        answer.expect("the request is answered")
+    }
+
+    /// Starts a worker on a machine and announces it to a host.
+    pub async fn start_worker(&self, host: u8, machine: &str, name: &str, label: &str) {
+        let incarnation = WorkerIncarnation {
+            worker: WorkerName::from(name),
+            started_ms: unix_ms(),
+        };
+        self.platform.workers.start(&incarnation);
+        self.platform.add_machine(machine, Some(name));
+        let record = WorkerRecord {
+            incarnation,
+            address: Name::from(format!("{name}:80")),
+            domain: DomainName::from("d0"),
+            pool: PoolName::from(POOL),
+            capacity: Resources::new(8_000, 8_000, 0),
+            labels: vec![Name::from(label)],
+            rack: None,
+            is_draining: false,
+            acknowledged: 0,
+        };
+        let report = WorkerReport {
+            record,
+            sequence: 1,
+            leaves_in: None,
+        };
+        self.call(host, Request::Announce(report)).await;
+    }
+
+    /// Puts a configuration into force with one queue, whose jobs have the path `/q/KEY`.
+    pub async fn configure(&self, host: u8) {
+        let queue = Queue {
+            name: Name::from("q"),
+            host: Name::from(QUEUE_HOST),
+            prefix: Name::from("/q/"),
+            pool: PoolName::from(POOL),
+            priority: 0,
+            max_attempts: 3,
+            stretch_permille: 2_000,
+            target_latency: Millis(500),
+            advice: None,
+        };
+        let pool = WorkerPool {
+            pool: PoolName::from(POOL),
+            enforces_capacity: false,
+            is_powered_off: false,
+        };
+        let configuration = Configuration {
+            version: 1,
+            text: Name::from("{}"),
+            queues: vec![queue],
+            pools: vec![pool],
+            max_body_bytes: 1_000_000,
+        };
+        let reply = self.call(host, Request::PutConfiguration(configuration));
+        assert_eq!(reply.await, Reply::Done);
+    }
+
+    /// Submits a job of one step.
+    pub async fn submit(&self, host: u8, job: &str, step: StepSpec) {
+        let spec = JobSpec {
+            payload: Name::from("work"),
+            steps: vec![step],
+            ..JobSpec::default()
+        };
+        let request = Request::Submit {
+            host: Name::from(QUEUE_HOST),
+            path: Name::from(format!("/q/{job}")),
+            spec,
+        };
+        assert_eq!(self.call(host, request).await, Reply::Done);
+    }
+
+    /// Starts a wave of machines that is due at once.
+    pub async fn start_wave(&self, host: u8, key: WaveKey, machines: &[&str], cap: u32) {
+        let machines = machines.iter();
+        let machines = machines.map(|name| (Name::from(*name), MachinePhase::Waiting));
+        let wave = Wave {
+            machines: machines.collect(),
+            due_ms: unix_ms(),
+            requested_ms: unix_ms(),
+            max_machines_down: cap,
+        };
+        let reply = self.call(host, Request::StartWave { key, wave }).await;
+        assert_eq!(reply, Reply::Done);
+    }
+
+    /// Returns whether a wave is completed; false while no leader answers.
+    pub async fn is_wave_completed(&self, host: u8, key: WaveKey) -> bool {
+        let call = self.hosts[&host].call(Request::CheckWave(key), CALL_TIMEOUT);
+        matches!(call.await, Ok(Reply::Wave { is_completed: true }))
+    }
+
     pub fn stop_host(&mut self, host: u8) {
         if let Some(host) = self.hosts.remove(&host) {
             host.stop();
@@ -153,29 +297,16 @@
     }
 }
 
-/// Workers, advice service and platform that never answer.
-#[derive(Debug)]
-struct UnreachableServices;
-
-impl WorkerCalls for UnreachableServices {
-    fn start(&self, _: StartOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
-        ready(OrderOutcome::Unanswered).boxed()
-    }
-
-    fn stop(&self, _: StopOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
-        ready(OrderOutcome::Unanswered).boxed()
-    }
-
-    fn throttle(&self, _: ThrottleOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
-        ready(OrderOutcome::Unanswered).boxed()
-    }
-
-    fn poll(&self, _: PollCall, _: Duration) -> BoxFuture<'static, PollOutcome> {
-        ready(PollOutcome::Unanswered).boxed()
-    }
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.expect("the clock is set").as_millis() as u64
 }
 
-impl AdviceCalls for UnreachableServices {
+/// Advice service that never answers.
+#[derive(Debug)]
+struct UnreachableAdvice;
+
+impl AdviceCalls for UnreachableAdvice {
     fn request_advice(
         &self,
         _: StepKey,
@@ -185,20 +316,3 @@
         ready(None).boxed()
     }
 }
-
-impl MachineCalls for UnreachableServices {
-    fn list(&self, _: Duration) -> BoxFuture<'static, Option<Vec<Machine>>> {
-        ready(None).boxed()
-    }
-
-    fn begin_upkeep(
-        &self,
-        _: Name,
-        _: WaveKey,
-        _: Name,
-        _: u64,
-        _: Duration,
-    ) -> BoxFuture<'static, MachineOutcome> {
-        ready(MachineOutcome::Unanswered).boxed()
-    }
-}
--- /dev/null
+++ b/lib/entry/tests/common/workers.rs
@@ -0,0 +1,134 @@
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use futures::{FutureExt, future::BoxFuture, future::ready};
+use parking_lot::Mutex;
+use tarragon_dispatch::{
+    FinishedRun, OrderOutcome, PollAnswer, PollCall, PollOutcome, Refusal, RunStatus, StartOrder,
+    StopOrder, ThrottleOrder,
+};
+use tarragon_entry::WorkerCalls;
+use tarragon_names::WorkerName;
+use tarragon_workflow::{RunEnd, TaskKey, WorkerIncarnation};
+use tokio::time::sleep;
+
+/// Time that a worker takes to answer a poll.
+const POLL_TIME: Duration = Duration::from_millis(100);
+
+#[derive(Debug)]
+struct FakeWorker {
+    started_ms: u64,
+    started_at: Instant,
+    runs: BTreeMap<TaskKey, u32>,
+    finished: Vec<FinishedRun>,
+}
+
+/// Workers that run every task until it is stopped, and that check for which incarnation an order
+/// is meant. A worker that is not listed answers nothing.
+#[derive(Debug, Default)]
+pub struct Workers(Mutex<BTreeMap<WorkerName, FakeWorker>>);
+
+impl Workers {
+    pub fn start(&self, incarnation: &WorkerIncarnation) {
+        let worker = FakeWorker {
+            started_ms: incarnation.started_ms,
+            started_at: Instant::now(),
+            runs: BTreeMap::new(),
+            finished: Vec::new(),
+        };
+        self.0.lock().insert(incarnation.worker.clone(), worker);
+    }
+
+    /// Ends a worker with all its runs.
+    pub fn end(&self, worker: &WorkerName) {
+        self.0.lock().remove(worker);
+    }
+
+    pub fn run_count(&self) -> usize {
+        self.0.lock().values().map(|worker| worker.runs.len()).sum()
+    }
+
+    fn order<F>(
+        &self,
+        incarnation: &WorkerIncarnation,
+        order: F,
+    ) -> BoxFuture<'static, OrderOutcome>
+    where
+        F: FnOnce(&mut FakeWorker),
+    {
+        let outcome = match self.0.lock().get_mut(&incarnation.worker) {
+            None => OrderOutcome::Unanswered,
+            Some(worker) if worker.started_ms != incarnation.started_ms => {
+                OrderOutcome::Refused(Refusal::OtherIncarnation)
+            }
+            Some(worker) => {
+                order(worker);
+                OrderOutcome::Accepted
+            }
+        };
+        ready(outcome).boxed()
+    }
+
+    fn status(&self, call: &PollCall) -> PollOutcome {
+        let mut workers = self.0.lock();
+        let Some(worker) = workers.get_mut(&call.incarnation.worker) else {
+            return PollOutcome::Unanswered;
+        };
+        if worker.started_ms != call.incarnation.started_ms {
+            return PollOutcome::OtherIncarnation;
+        }
+        worker.finished.retain(|end| end.number > call.acknowledged);
+        let running = worker.runs.iter().map(|(task, run)| RunStatus {
+            task: *task,
+            run: *run,
+            checkpoint: None,
+            percent: 100,
+            usage_or_tail_ms: None,
+        });
+        PollOutcome::Answered(PollAnswer {
+            started_ms: Some(worker.started_ms),
+            clock_ms: worker.started_at.elapsed().as_millis() as u64,
+            running: running.collect(),
+            finished: worker.finished.clone(),
+            is_truncated: false,
+        })
+    }
+}
+
+impl WorkerCalls for Workers {
+    fn start(&self, order: StartOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
+        self.order(&order.incarnation, |worker| {
+            worker.runs.insert(order.task, order.run);
+        })
+    }
+
+    fn stop(&self, order: StopOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
+        self.order(&order.incarnation, |worker| {
+            if worker.runs.remove(&order.task).is_some() {
+                let number = worker.finished.last().map_or(1, |end| end.number + 1);
+                worker.finished.push(FinishedRun {
+                    number,
+                    task: order.task,
+                    run: order.run,
+                    end: RunEnd::Stopped,
+                    checkpoint: None,
+                });
+            }
+        })
+    }
+
+    fn throttle(&self, order: ThrottleOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
+        self.order(&order.incarnation, |_| ())
+    }
+
+    fn poll(&self, call: PollCall, _: Duration) -> BoxFuture<'static, PollOutcome> {
+        let outcome = self.status(&call);
+        async move {
+            sleep(POLL_TIME).await;
+            outcome
+        }
+        .boxed()
+    }
+}
--- a/lib/host/src/leader_sink.rs
+++ b/lib/host/src/leader_sink.rs
@@ -1,12 +1,12 @@
 use std::sync::Arc;
 
 use tarragon_cell::{Answer, Cell, Command};
-use tarragon_names::{LogIndex, Millis, Term};
+use tarragon_names::{LogIndex, Term};
 use tarragon_scheduler::SchedEvent;
 use tarragon_telemetry::{Event, EventSink};
 
 use crate::{CellClock, CellStateMachine, PollTable, SchedulerHandle};
-use tarragon_replica::ApplySink;
+use tarragon_replica::{ApplySink, LeaderLease};
 
 /// Passes changes of the replicated state and of leadership on to the scheduler and the poll table.
 #[derive(Debug)]
@@ -68,8 +68,9 @@
             .send_blocking(SchedEvent::NotProposed(commands));
     }
 
-    fn leader_until(&self, until: Millis) {
-        self.scheduler.set_leads_until(until);
+    fn lease_updated(&self, lease: Option<LeaderLease>) {
+        let until = lease.map(|lease| lease.until());
+        self.scheduler.set_leads_until(until.unwrap_or_default());
     }
 }
 
--- a/lib/replica/src/apply_sink.rs
+++ b/lib/replica/src/apply_sink.rs
@@ -1,8 +1,8 @@
 use std::fmt::Debug;
 
-use tarragon_names::{LogIndex, Millis, Term};
+use tarragon_names::{LogIndex, Term};
 
-use crate::StateMachine;
+use crate::{LeaderLease, StateMachine};
 
 /// Observer of the commands that this host applies and of its leadership.
 ///
@@ -23,7 +23,7 @@
     /// Commands proposed for the scheduler were refused; they never take effect.
     fn not_proposed(&self, commands: Vec<S::Command>);
 
-    /// No other host can be elected before `until`, which is 0 if this host holds no lease. Called
-    /// after each batch of inputs.
-    fn leader_until(&self, until: Millis);
+    /// The lease of this host as the leader changed; `None` if it holds none. Called after each
+    /// batch of inputs.
+    fn lease_updated(&self, lease: Option<LeaderLease>);
 }
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -12,14 +12,14 @@
 use bytes::Bytes;
 use tarragon_agreement::{Action, Entry, Event, Payload, PeerMsg, Replica, SnapshotMeta};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
+use tarragon_names::{HostName, LogIndex, MemberId, Term};
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event as LogEvent, EventSink, Metrics};
 use tarragon_wire::{peer::PeerEvent, record::Record};
 
 use crate::{
-    AbortOnPanic, ApplySink, Clock, LeaderHint, Links, ReplicaHandle, StateMachine, input::Input,
-    waiters::Waiters,
+    AbortOnPanic, ApplySink, Clock, LeaderHint, LeaderLease, Links, ReplicaHandle, StateMachine,
+    input::Input, waiters::Waiters,
 };
 
 /// Inputs that may be queued for the replica's thread. Bounds memory use under overload.
@@ -167,13 +167,14 @@
         self.step(Event::Tick)?;
         self.sync()?;
         self.save_snapshot_if_due()?;
-        self.parts.sink.leader_until(self.leader_until());
+        self.parts.sink.lease_updated(self.leader_lease());
         Ok(true)
     }
 
-    fn leader_until(&self) -> Millis {
-        let now = self.parts.clock.now();
-        self.parts.replica.lease_until(now).unwrap_or_default()
+    fn leader_lease(&self) -> Option<LeaderLease> {
+        let replica = &self.parts.replica;
+        let until = replica.lease_until(self.parts.clock.now())?;
+        Some(LeaderLease::new(replica.term(), until))
     }
 
     fn handle_input(&mut self, input: Input<S>) -> Outcome<()> {
