dispatch: stop the runs of ended jobs after an election

The run went on for good, with its lease renewed by the new leader.

Cause: a new leader took over the runs of all jobs but decided what to stop only for jobs that had not ended. The stop that the earlier leader had begun was known to that leader alone.

Change: it looks at every job that has not ended or still has a run. The same held for jobs that had failed while another of their tasks was running.

Ruled out: a stop when the worker lists the run. The run is the one that the log names, so the listing cannot tell it from a run that should go on.

Measured: both cases of the new test failed on and pass now.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -292,10 +292,13 @@
         let mut jobs = Vec::new();
         let mut placements = Vec::new();
         self.workflow_state.for_each_job(|job| {
-            placements.extend(job.placements());
-            if !job.phase.is_final() {
+            let placed = job.placements();
+            // A job that was cancelled or has failed may still have runs. The earlier leader may not
+            // have reached their workers, so their stops are ordered again.
+            if !job.phase.is_final() || !placed.is_empty() {
                 jobs.push(job.key);
             }
+            placements.extend(placed);
         });
         for (task, placement) in placements {
             let spec = self.run_spec(&task);
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -4,6 +4,7 @@
 
 use common::{Harness, incarnation, step, task, worker};
 use tarragon_dispatch::{Input, OrderOutcome, PollOutcome, Refusal};
+use tarragon_names::Millis;
 use tarragon_workflow::{Command, JobKey, JobPhase, RunEnd, RunEvent, StepSpec};
 use yare::parameterized;
 
@@ -108,6 +109,40 @@
     assert!(harness.stops.iter().any(|order| order.task == b));
 }
 
+/// Guards against a run of a job that has ended, whose lease is renewed for good: the stop order of
+/// an earlier leader did not reach the worker, and the new leader looked only at open jobs.
+#[parameterized(
+    cancelled = { true },
+    failed = { false },
+)]
+fn new_leader_stops_the_runs_of_an_ended_job(is_cancelled: bool) {
+    let mut harness = Harness::new(&[worker("w1", 8), worker("w2", 8)]);
+    let long = StepSpec {
+        estimate: Millis(60_000),
+        ..step(2, 8)
+    };
+    harness.submit(1, vec![long]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    let (a, b) = (task(1, 0, 0), task(1, 0, 1));
+    if is_cancelled {
+        harness.commit(Command::Cancel { job: JobKey(1) });
+    } else {
+        let mut attempt = 1;
+        while harness.phase(1) != Some(JobPhase::Failed) {
+            harness.answer_poll("w1", &[], &[(attempt, a, attempt as u32, RunEnd::Failed)]);
+            harness.advance(5_000);
+            harness.answer_starts(OrderOutcome::Accepted);
+            attempt += 1;
+        }
+    }
+    assert_eq!(harness.answer_stops(OrderOutcome::Unanswered)[0].run, 1);
+    harness.elect_new_leader();
+    harness.answer_poll("w2", &[(b, 1)], &[]);
+    harness.advance(20);
+    let mut stopped = harness.stops.iter().map(|order| (order.task, order.fence));
+    assert!(stopped.any(|stop| stop == (b, 2)));
+}
+
 /// Guards against two runs of a task when a start order is carried out late.
 #[test]
 fn unanswered_start_is_stopped_before_the_task_runs_elsewhere() {
