entry: commit an upkeep order before it is sent, and check the lease at the send

Three machines were down with a cap of two, and a run that the next leader had placed was ended.

Cause: a round read the term once, and did not look again between its orders. A machine's fencing token protects it only once the next leader has ordered the same machine, and that leader did not know of orders without a confirmation.

Change: an order is committed as `MachinePhase::Ordered` before it is sent, and sent only under a valid lease. An order that is not confirmed counts as carried out, for the cap and for the bounds of steps, and is repeated by whoever leads, whose higher token shuts out the late one. It is withdrawn only after a refusal that rules out a later effect. Each order of a round is decided anew, from a list that is at most 2 s old by a clock that counts suspensions.

Ruled out: the check of the lease alone (a pause between the check and the send), a fencing token alone (it protects each machine by itself), and a longer wait of the next leader (a pause has no bound).

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -362,7 +362,10 @@
             Command::RunEvents(records) => self.orders_applied(records),
             Command::PutWorker(record) => self.worker_put(record),
             Command::RemoveWorker(incarnation) => self.worker_removed(incarnation),
-            Command::StartWave { .. } | Command::MachineDone { .. } => {}
+            Command::StartWave { .. }
+            | Command::MachineOrdered { .. }
+            | Command::MachineRefused { .. }
+            | Command::MachineDone { .. } => {}
         }
     }
 
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -23,7 +23,7 @@
 };
 use tarragon_storage::FileStore;
 use tarragon_telemetry::{Event, EventSink, Metrics};
-use tarragon_workflow::{Command, WaveKey, WorkerRecord};
+use tarragon_workflow::{Command, WorkerRecord};
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -413,20 +413,19 @@
         }
     }
 
-    /// Proposes a command and waits for the commit; a failure is logged and otherwise ignored.
+    /// Proposes a command and returns whether it is committed; a failure is logged.
     ///
-    /// Does nothing on a host without a replica.
-    pub(crate) async fn record(&self, command: Command) {
-        let Some(active) = &self.replica else { return };
-        if let Err(failure) = active.leader_service.propose(command).await {
+    /// A command that is not committed in time may still be committed later.
+    pub(crate) async fn record(&self, command: Command) -> bool {
+        let Some(active) = &self.replica else {
+            return false;
+        };
+        let recorded = active.leader_service.propose(command).await;
+        if let Err(failure) = &recorded {
             let event = Event::warning("not_recorded").code(failure.code.number());
-            self.events.emit(&event.detail(failure.cause));
+            self.events.emit(&event.detail(failure.cause.clone()));
         }
-    }
-
-    /// Records that the upkeep of a machine was ordered or is not needed.
-    pub(crate) async fn record_upkeep(&self, key: WaveKey, machine: Name) {
-        self.record(Command::MachineDone { key, machine }).await;
+        recorded.is_ok()
     }
 
     /// Passes the results that a delivering host reports on to the dispatcher.
--- a/lib/entry/src/external_services.rs
+++ b/lib/entry/src/external_services.rs
@@ -40,6 +40,11 @@
 pub enum MachineOutcome {
     /// The order was carried out, now or earlier.
     Done,
+    /// The platform did nothing, now or for a call that arrives later with a lower token: the
+    /// machine is not up.
+    Busy,
+    /// The platform did nothing, because another holder has used a higher token.
+    Fenced,
     /// The platform did nothing.
     Refused,
     /// No answer came; the order may still be carried out.
--- a/lib/entry/src/upkeep_loop.rs
+++ b/lib/entry/src/upkeep_loop.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use tarragon_dispatch::Input;
@@ -11,7 +11,7 @@
 use tarragon_upkeep::{
     BoundedTask, Machine, UpkeepInputs, UpkeepStep, ends_incarnation, next_steps,
 };
-use tarragon_workflow::{Command, WaveKey, WorkerRecord, WorkflowState};
+use tarragon_workflow::{Command, MachinePhase, WaveKey, WorkerIncarnation, WorkflowState};
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
@@ -27,9 +27,25 @@
 const PLATFORM_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Time for which the platform's list of machines may not show an order yet.
-const LIST_LAG: Duration = Duration::from_millis(1_000);
+const LIST_LAG: Millis = Millis(1_000);
+
+/// Age from which a list of machines is no longer used for orders. A pause of the process counts.
+const MAX_LIST_AGE: Millis = Millis(2_000);
+
+/// An order for a machine that the list may not show yet.
+#[derive(Clone, Debug)]
+pub(crate) struct RecentOrder {
+    /// Time of the order or of its answer.
+    at: Millis,
+    /// Worker on the machine when the order was decided.
+    worker: Option<WorkerName>,
+}
 
 /// Carries out waves of upkeep while this host leads.
+///
+/// Each order is committed as a [`MachinePhase::Ordered`] before it is sent, and sent only under a
+/// lease that is valid then. A leader that stood still in between is therefore followed by one that
+/// counts the machine as down and orders it again with its own, higher fencing token.
 pub(crate) struct UpkeepLoop {
     pub(crate) workflow_state: Arc<WorkflowState>,
     pub(crate) dispatch: DispatchHandle,
@@ -39,12 +55,11 @@
     pub(crate) available_tasks: Arc<AvailableTasks>,
     /// Time for which a machine is down during its upkeep.
     pub(crate) down_time: Millis,
-    /// Machines whose upkeep was ordered so recently that the list may not show it yet, each with
-    /// the time of the order.
-    pub(crate) recently_ordered: BTreeMap<Name, Instant>,
+    /// Orders of this leader that the list may not show yet, by machine.
+    pub(crate) recently_ordered: BTreeMap<Name, RecentOrder>,
     /// Term in which this host leads and the time at which the loop saw it first. The list shows
     /// the orders of an earlier leader only after the settle time.
-    pub(crate) leader_since: Option<(Term, Instant)>,
+    pub(crate) leader_since: Option<(Term, Millis)>,
 }
 
 impl UpkeepLoop {
@@ -56,58 +71,81 @@
                 continue;
             };
             if self.leader_since.is_none_or(|(known, _)| known != term) {
-                self.leader_since = Some((term, Instant::now()));
+                self.leader_since = Some((term, self.clock.now()));
                 self.recently_ordered.clear();
             }
             if self.workflow_state.has_open_wave() {
-                self.check_waves(&host, term).await;
+                stop.run_until_cancelled(self.check_waves(&host)).await;
             }
         }
     }
 
     /// Returns the time after which the list shows an order or its machine is up again.
-    fn settle_time(&self) -> Duration {
-        Duration::from_millis(self.down_time.0) + LIST_LAG
+    fn settle_time(&self) -> Millis {
+        self.down_time + LIST_LAG
     }
 
-    async fn check_waves(&mut self, host: &EntryHost, term: Term) {
-        let settle_time = self.settle_time();
-        self.recently_ordered
-            .retain(|_, at| at.elapsed() < settle_time);
+    async fn check_waves(&mut self, host: &EntryHost) {
+        let listed_at = self.clock.now();
         let Some(listed) = self.machines.list(PLATFORM_CALL_TIMEOUT).await else {
             self.events.emit(&Event::warning("machines_not_listed"));
             return;
         };
-        let is_settled = |(_, since): (Term, Instant)| since.elapsed() >= settle_time;
+        let settle_time = self.settle_time();
+        let is_settled = |(_, since): (Term, Millis)| listed_at.since(since) >= settle_time;
         if !self.leader_since.is_some_and(is_settled) {
             return;
         }
+        self.recently_ordered
+            .retain(|_, order| listed_at.since(order.at) < settle_time);
         let machines = listed
             .into_iter()
             .map(|machine| (machine.name.clone(), machine));
         let machines = machines.collect::<BTreeMap<Name, Machine>>();
-        let recently_ordered = self
-            .recently_ordered
-            .keys()
-            .cloned()
-            .collect::<BTreeSet<_>>();
+        // Each order takes a while, in which tasks may end. The next one is therefore decided anew.
+        let mut handled = BTreeSet::new();
+        while self.clock.now().since(listed_at) < MAX_LIST_AGE {
+            let steps = self.next_steps(&machines).into_iter();
+            let Some(step) = steps.into_iter().find(|step| !handled.contains(step)) else {
+                return;
+            };
+            handled.insert(step.clone());
+            self.carry_out(host, step).await;
+        }
+    }
+
+    fn next_steps(&self, machines: &BTreeMap<Name, Machine>) -> Vec<UpkeepStep> {
+        let ordered = self.recently_ordered.iter();
+        let ordered = ordered.map(|(machine, order)| (machine.clone(), order.worker.clone()));
         let inputs = UpkeepInputs {
-            machines: &machines,
-            recently_ordered: &recently_ordered,
+            machines,
+            recently_ordered: &ordered.collect(),
             runs: &self.run_counts(),
             bounded: &self.bounded_tasks(),
             now_ms: self.clock.wall_ms(),
             down_time: self.down_time,
         };
-        for step in next_steps(&self.workflow_state.waves(), &inputs) {
-            match step {
-                UpkeepStep::Drain { worker } => self.dispatch.send(Input::AvoidWorker(worker)),
-                UpkeepStep::Skip { wave, machine } => host.record_upkeep(wave, machine).await,
-                UpkeepStep::Begin {
-                    wave,
-                    machine,
-                    worker,
-                } => self.begin_upkeep(host, term, wave, machine, worker).await,
+        next_steps(&self.workflow_state.waves(), &inputs)
+    }
+
+    async fn carry_out(&mut self, host: &EntryHost, step: UpkeepStep) {
+        match step {
+            UpkeepStep::Drain { worker } => self.dispatch.send(Input::AvoidWorker(worker)),
+            UpkeepStep::Skip { wave: key, machine } => {
+                host.record(Command::MachineDone { key, machine }).await;
+            }
+            UpkeepStep::Begin {
+                wave,
+                machine,
+                worker,
+            } => self.begin_upkeep(host, wave, machine, worker).await,
+            UpkeepStep::Repeat { wave, machine } => {
+                let outcome = self.order_upkeep(host, wave, &machine).await;
+                // An order of an earlier leader may still arrive. The platform refuses it only if
+                // it has taken note of this leader's token.
+                if outcome == Some(MachineOutcome::Busy) {
+                    self.withdraw(host, wave, machine).await;
+                }
             }
         }
     }
@@ -115,40 +153,105 @@
     async fn begin_upkeep(
         &mut self,
         host: &EntryHost,
-        term: Term,
-        wave: WaveKey,
+        key: WaveKey,
         machine: Name,
         worker: Option<WorkerName>,
     ) {
-        // Recorded before the call, because the answer may be lost although the order is carried
-        // out.
-        self.recently_ordered
-            .insert(machine.clone(), Instant::now());
         let record = worker.and_then(|worker| self.workflow_state.worker(&worker));
+        let ordered = Command::MachineOrdered {
+            key,
+            machine: machine.clone(),
+            incarnation: record.map(|record| record.incarnation),
+        };
+        if !host.record(ordered).await {
+            return;
+        }
+        let outcome = self.order_upkeep(host, key, &machine).await;
+        // No other order for this machine and wave was ever sent.
+        if matches!(
+            outcome,
+            Some(MachineOutcome::Busy | MachineOutcome::Refused)
+        ) {
+            self.withdraw(host, key, machine).await;
+        }
+    }
+
+    /// Sends the order for a machine whose phase is [`MachinePhase::Ordered`], and records its
+    /// confirmation. Returns `None` if no order was sent.
+    async fn order_upkeep(
+        &mut self,
+        host: &EntryHost,
+        key: WaveKey,
+        machine: &Name,
+    ) -> Option<MachineOutcome> {
+        let Some(MachinePhase::Ordered { incarnation }) = self.phase(key, machine) else {
+            return None;
+        };
+        let Some(lease) = host.lease() else {
+            let event = Event::warning("upkeep_not_ordered");
+            let detail = format!("machine {machine}, wave {key}: the lease has lapsed");
+            self.events.emit(&event.detail(detail));
+            return None;
+        };
+        let worker = incarnation.as_ref().map(|ended| ended.worker.clone());
+        self.note_order(machine, worker.clone());
         let holder = Name::from(host.name().as_str());
         let outcome = self
             .machines
-            .begin_upkeep(machine.clone(), wave, holder, term.0, PLATFORM_CALL_TIMEOUT)
+            .begin_upkeep(
+                machine.clone(),
+                key,
+                holder,
+                lease.term().0,
+                PLATFORM_CALL_TIMEOUT,
+            )
             .await;
-        let event = Event::info("upkeep_ordered");
+        let event = Event::info("upkeep_ordered").term(lease.term());
         self.events
-            .emit(&event.detail(format!("machine {machine}, wave {wave}: {outcome:?}")));
-        match outcome {
-            MachineOutcome::Done => {
-                let current_wave = self.workflow_state.wave(wave);
-                let has_ended = |record: &WorkerRecord| {
-                    current_wave.is_some_and(|wave| ends_incarnation(&wave, &record.incarnation))
-                };
-                if let Some(record) = record.filter(has_ended) {
-                    host.record(Command::RemoveWorker(record.incarnation)).await;
-                }
-                host.record_upkeep(wave, machine).await;
-            }
-            MachineOutcome::Refused => {
-                self.recently_ordered.remove(&machine);
-            }
-            MachineOutcome::Unanswered => {}
+            .emit(&event.detail(format!("machine {machine}, wave {key}: {outcome:?}")));
+        if outcome == MachineOutcome::Done {
+            self.note_order(machine, worker);
+            self.confirm(host, key, machine, incarnation).await;
         }
+        Some(outcome)
+    }
+
+    fn note_order(&mut self, machine: &Name, worker: Option<WorkerName>) {
+        let at = self.clock.now();
+        let order = RecentOrder { at, worker };
+        self.recently_ordered.insert(machine.clone(), order);
+    }
+
+    /// Records that the upkeep of a machine has begun, which ended the worker there.
+    async fn confirm(
+        &self,
+        host: &EntryHost,
+        key: WaveKey,
+        machine: &Name,
+        incarnation: Option<WorkerIncarnation>,
+    ) {
+        let current_wave = self.workflow_state.wave(key);
+        let has_ended = |ended: &WorkerIncarnation| {
+            current_wave.is_some_and(|wave| ends_incarnation(&wave, ended))
+        };
+        if let Some(ended) = incarnation.filter(has_ended)
+            && !host.record(Command::RemoveWorker(ended)).await
+        {
+            return;
+        }
+        let machine = machine.clone();
+        host.record(Command::MachineDone { key, machine }).await;
+    }
+
+    /// Records that an order was certainly not carried out and never will be.
+    async fn withdraw(&mut self, host: &EntryHost, key: WaveKey, machine: Name) {
+        self.recently_ordered.remove(&machine);
+        host.record(Command::MachineRefused { key, machine }).await;
+    }
+
+    fn phase(&self, key: WaveKey, machine: &Name) -> Option<MachinePhase> {
+        let wave = self.workflow_state.wave(key)?;
+        wave.machines.get(machine).cloned()
     }
 
     /// Returns the tasks of steps with bounded unavailability.
--- a/lib/entry/tests/common/platform.rs
+++ b/lib/entry/tests/common/platform.rs
@@ -103,14 +103,14 @@
             return MachineOutcome::Refused;
         };
         if fence < record.fence {
-            return MachineOutcome::Refused;
+            return MachineOutcome::Fenced;
         }
         record.fence = fence;
         if record.waves.contains(&wave) {
             return MachineOutcome::Done;
         }
         if record.is_down() {
-            return MachineOutcome::Refused;
+            return MachineOutcome::Busy;
         }
         record.waves.insert(wave);
         if let Some(worker) = record.worker.take() {
--- a/lib/upkeep/src/next_steps.rs
+++ b/lib/upkeep/src/next_steps.rs
@@ -10,8 +10,9 @@
 pub struct UpkeepInputs<'a> {
     /// All machines by name; a machine that is not listed was removed for good.
     pub machines: &'a BTreeMap<Name, Machine>,
-    /// Machines whose upkeep was ordered so recently that the list may not show it yet.
-    pub recently_ordered: &'a BTreeSet<Name>,
+    /// Machines whose upkeep was ordered so recently that the list may not show it yet, each with
+    /// the worker that ran there.
+    pub recently_ordered: &'a BTreeMap<Name, Option<WorkerName>>,
     /// Number of runs by worker; a worker that is not listed has none.
     pub runs: &'a BTreeMap<WorkerName, usize>,
     /// Tasks of steps with bounded unavailability.
@@ -27,18 +28,41 @@
 /// Machines with the fewest runs go first, and the next ones in line get no new work. A machine
 /// goes down when nothing runs there, or when the wave would otherwise miss its due time. The
 /// number of machines that are down at once never exceeds the cap of the wave, and the number of
-/// unavailable tasks never exceeds the bound of their step.
+/// unavailable tasks never exceeds the bound of their step. An order that is not confirmed counts
+/// as carried out for both, and is repeated.
 pub fn next_steps(waves: &BTreeMap<WaveKey, Wave>, inputs: &UpkeepInputs<'_>) -> Vec<UpkeepStep> {
     let mut steps = Vec::new();
-    let ordered = inputs.recently_ordered.iter();
-    let ordered = ordered.filter_map(|name| inputs.machines.get(name)?.worker.clone());
-    let mut stopping = ordered.collect::<BTreeSet<_>>();
+    let mut stopping = stopping_workers(waves, inputs);
     for (key, wave) in waves.iter().filter(|(_, wave)| !wave.is_completed()) {
         wave_steps(*key, wave, inputs, &mut stopping, &mut steps);
     }
     steps
 }
 
+/// Workers on machines whose upkeep was ordered.
+///
+/// The list names no worker for a machine that is already down.
+fn stopping_workers(
+    waves: &BTreeMap<WaveKey, Wave>,
+    inputs: &UpkeepInputs<'_>,
+) -> BTreeSet<WorkerName> {
+    let mut stopping = BTreeSet::new();
+    for (machine, worker) in inputs.recently_ordered {
+        let listed = inputs.machines.get(machine);
+        stopping.extend(listed.and_then(|machine| machine.worker.clone()));
+        stopping.extend(worker.clone());
+    }
+    for phase in waves.values().flat_map(|wave| wave.machines.values()) {
+        if let MachinePhase::Ordered {
+            incarnation: Some(incarnation),
+        } = phase
+        {
+            stopping.insert(incarnation.worker.clone());
+        }
+    }
+    stopping
+}
+
 fn wave_steps(
     key: WaveKey,
     wave: &Wave,
@@ -48,7 +72,9 @@
 ) {
     let is_down = |name: &Name| {
         let state = inputs.machines.get(name).map(|machine| machine.state);
-        inputs.recently_ordered.contains(name) || state == Some(MachineState::Upkeep)
+        matches!(wave.machines.get(name), Some(MachinePhase::Ordered { .. }))
+            || inputs.recently_ordered.contains_key(name)
+            || state == Some(MachineState::Upkeep)
     };
     let down = wave.machines.keys().filter(|name| is_down(name)).count();
     let mut waiting = Vec::new();
@@ -61,6 +87,10 @@
                 wave: key,
                 machine: name.clone(),
             }),
+            Some(_) if *phase != MachinePhase::Waiting => steps.push(UpkeepStep::Repeat {
+                wave: key,
+                machine: name.clone(),
+            }),
             Some(machine) if machine.state == MachineState::Up && !is_down(name) => {
                 waiting.push(machine);
             }
--- a/lib/upkeep/tests/next_steps.rs
+++ b/lib/upkeep/tests/next_steps.rs
@@ -1,6 +1,6 @@
 //! Choice of the next machines of a wave of upkeep.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_upkeep::{
@@ -41,8 +41,8 @@
         machines: &machines.collect(),
         recently_ordered: &ordered
             .iter()
-            .map(|name| Name::from(*name))
-            .collect::<BTreeSet<_>>(),
+            .map(|name| (Name::from(*name), None))
+            .collect(),
         runs: &runs.collect(),
         bounded,
         now_ms,
@@ -54,6 +54,7 @@
         .map(|step| match step {
             UpkeepStep::Drain { worker } => format!("drain {worker}"),
             UpkeepStep::Begin { machine, .. } => format!("begin {machine}"),
+            UpkeepStep::Repeat { machine, .. } => format!("repeat {machine}"),
             UpkeepStep::Skip { machine, .. } => format!("skip {machine}"),
         });
     steps.collect()
@@ -142,3 +143,81 @@
     };
     assert_eq!(ends_incarnation(&wave, &incarnation), expected);
 }
+
+/// Steps for a late wave of the machines a, b and c in these phases, of which at most two may be
+/// down at once. A task of a step, of which one may be unavailable, runs on each of a and b.
+fn steps_in_phases(phases: [MachinePhase; 3], listed: &[(&str, MachineState)]) -> Vec<String> {
+    let machines = listed.iter().map(|(name, state)| {
+        let (key, mut machine) = machine(name, *state);
+        machine.worker = machine.worker.filter(|_| *state == Up);
+        (key, machine)
+    });
+    let bounded = ["w-a", "w-b"].map(|worker| BoundedTask {
+        step: StepKey {
+            job: JobKey(1),
+            occurrence: 0,
+            step: 0,
+        },
+        worker: Some(WorkerName::from(worker)),
+        is_available: true,
+        max_unavailable: 1,
+    });
+    let runs = ["w-a", "w-b"].map(|worker| (WorkerName::from(worker), 1));
+    let inputs = UpkeepInputs {
+        machines: &machines.collect(),
+        recently_ordered: &BTreeMap::new(),
+        runs: &BTreeMap::from(runs),
+        bounded: &bounded,
+        now_ms: 19_000,
+        down_time: Millis(2_000),
+    };
+    let names = ["a", "b", "c"].map(Name::from);
+    let wave = Wave {
+        machines: names.into_iter().zip(phases).collect(),
+        due_ms: 20_000,
+        max_machines_down: 2,
+        requested_ms: 0,
+    };
+    let steps = next_steps(&BTreeMap::from([(WaveKey(1), wave)]), &inputs);
+    let steps = steps.into_iter().map(|step| match step {
+        UpkeepStep::Drain { worker } => format!("drain {worker}"),
+        UpkeepStep::Begin { machine, .. } => format!("begin {machine}"),
+        UpkeepStep::Repeat { machine, .. } => format!("repeat {machine}"),
+        UpkeepStep::Skip { machine, .. } => format!("skip {machine}"),
+    });
+    steps.collect()
+}
+
+fn ordered(worker: &str) -> MachinePhase {
+    let worker = WorkerName::from(worker);
+    let started_ms = 1;
+    MachinePhase::Ordered {
+        incarnation: Some(WorkerIncarnation { worker, started_ms }),
+    }
+}
+
+use MachinePhase::{Done, Waiting};
+
+/// Guards against orders beyond the cap or the bound of a step while it is not known whether an
+/// earlier order, perhaps of an earlier leader, was carried out.
+#[parameterized(
+    counts_for_the_bound = {
+        [ordered("w-a"), Waiting, Waiting], &[("a", Up), ("b", Up), ("c", Up)], &["repeat a", "begin c"]
+    },
+    counts_for_the_bound_though_its_machine_names_no_worker = {
+        [ordered("w-a"), Waiting, Waiting], &[("a", InUpkeep), ("b", Up), ("c", Up)], &["repeat a", "begin c"]
+    },
+    counts_for_the_cap = {
+        [ordered("w-a"), Waiting, ordered("w-c")], &[("a", Up), ("b", Up), ("c", Down)], &["repeat a", "repeat c"]
+    },
+    is_not_repeated_for_a_machine_that_was_removed = {
+        [ordered("w-a"), Done, Done], &[("b", Up), ("c", Up)], &["skip a"]
+    },
+)]
+fn order_that_is_not_confirmed_counts_as_carried_out(
+    phases: [MachinePhase; 3],
+    listed: &[(&str, MachineState)],
+    expected: &[&str],
+) {
+    assert_eq!(steps_in_phases(phases, listed), expected);
+}
--- a/lib/workflow/src/command.rs
+++ b/lib/workflow/src/command.rs
@@ -38,11 +38,29 @@
         /// Machines and deadline.
         wave: Wave,
     },
-    /// Marks a machine of a wave whose upkeep was ordered, has begun, or is no longer needed.
+    /// Marks a machine of a wave whose upkeep has begun or is no longer needed.
     MachineDone {
         /// Wave that the machine belongs to.
         key: WaveKey,
         /// Name of the machine.
         machine: Name,
     },
+    /// Marks a machine whose upkeep is about to be ordered. It is committed before the order is
+    /// sent, so that a later leader knows of the order.
+    MachineOrdered {
+        /// Wave that the machine belongs to.
+        key: WaveKey,
+        /// Name of the machine.
+        machine: Name,
+        /// Incarnation of the worker on the machine; None if there is none.
+        incarnation: Option<WorkerIncarnation>,
+    },
+    /// Marks a machine as waiting again, because the platform certainly did not carry out the
+    /// order.
+    MachineRefused {
+        /// Wave that the machine belongs to.
+        key: WaveKey,
+        /// Name of the machine.
+        machine: Name,
+    },
 }
--- a/lib/workflow/src/wave.rs
+++ b/lib/workflow/src/wave.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::Name;
 
+use crate::WorkerIncarnation;
+
 /// Number of a wave of machine upkeep, chosen by the operator.
 #[derive(
     Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
@@ -11,12 +13,18 @@
 pub struct WaveKey(pub u64);
 
 /// Progress of the upkeep of one machine.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MachinePhase {
     /// The upkeep has not been ordered.
     Waiting,
-    /// The upkeep was ordered, has begun, or is no longer needed.
+    /// The platform confirmed the order, or the upkeep is no longer needed.
     Done,
+    /// The order may have been sent and carried out, but the platform has not confirmed it.
+    Ordered {
+        /// Incarnation of the worker on the machine when the order was decided. It has ended once
+        /// the order is confirmed.
+        incarnation: Option<WorkerIncarnation>,
+    },
 }
 
 /// A set of machines to be taken down for upkeep by a deadline, a limited number at once.
@@ -33,7 +41,7 @@
 }
 
 impl Wave {
-    /// Returns whether the upkeep of every machine was ordered, has begun, or is no longer needed.
+    /// Returns whether the upkeep of every machine has begun or is no longer needed.
     pub fn is_completed(&self) -> bool {
         self.machines
             .values()
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -78,12 +78,23 @@
                 Answer::Done
             }
             Command::MachineDone { key, machine } => {
-                if let Some(wave) = self.waves.lock().get_mut(key)
-                    && let Some(phase) = wave.machines.get_mut(machine)
-                {
-                    *phase = MachinePhase::Done;
-                }
-                Answer::Done
+                self.update_machine(*key, machine, |_| MachinePhase::Done)
+            }
+            Command::MachineOrdered {
+                key,
+                machine,
+                incarnation,
+            } => self.update_machine(*key, machine, |phase| match phase {
+                MachinePhase::Waiting => MachinePhase::Ordered {
+                    incarnation: incarnation.clone(),
+                },
+                phase => phase,
+            }),
+            Command::MachineRefused { key, machine } => {
+                self.update_machine(*key, machine, |phase| match phase {
+                    MachinePhase::Ordered { .. } => MachinePhase::Waiting,
+                    phase => phase,
+                })
             }
         }
     }
@@ -265,6 +276,18 @@
         }
     }
 
+    fn update_machine<F>(&self, key: WaveKey, machine: &Name, next: F) -> Answer
+    where
+        F: FnOnce(MachinePhase) -> MachinePhase,
+    {
+        if let Some(wave) = self.waves.lock().get_mut(&key)
+            && let Some(phase) = wave.machines.get_mut(machine)
+        {
+            *phase = next(phase.clone());
+        }
+        Answer::Done
+    }
+
     fn put_worker(&self, record: &WorkerRecord) -> Answer {
         let mut workers = self.workers.lock();
         let known = workers.get(&record.incarnation.worker);
--- a/lib/workflow/tests/workflow_state.rs
+++ b/lib/workflow/tests/workflow_state.rs
@@ -1,9 +1,12 @@
 //! Commands applied to the replicated state of jobs, configuration and workers.
 
+use std::collections::BTreeMap;
+
 use tarragon_names::{DomainName, Millis, Name, PoolName, Resources, WorkerName};
 use tarragon_workflow::{
-    Answer, Command, Configuration, JobKey, JobPhase, JobSpec, Queue, RunEnd, RunEvent, StepKey,
-    StepSpec, TaskKey, WorkerIncarnation, WorkerPool, WorkerRecord, WorkflowState,
+    Answer, Command, Configuration, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEnd,
+    RunEvent, StepKey, StepSpec, TaskKey, Wave, WaveKey, WorkerIncarnation, WorkerPool,
+    WorkerRecord, WorkflowState,
 };
 use yare::parameterized;
 
@@ -362,3 +365,54 @@
     (100..300).for_each(|key| submit_other(3 * RETENTION_MS, key));
     assert_eq!(phase(&state), None);
 }
+
+/// What the log records about the upkeep of a machine.
+#[derive(Clone, Copy)]
+enum MachineRecord {
+    Ordered,
+    Refused,
+    Done,
+}
+
+use MachineRecord::{Done, Ordered, Refused};
+
+/// Guards against an order that a later leader does not know of, and against a machine that is
+/// ordered down again because a record of an earlier order is committed late.
+#[parameterized(
+    ordered = { &[Ordered], MachinePhase::Ordered { incarnation: Some(incarnation()) } },
+    refused = { &[Ordered, Refused], MachinePhase::Waiting },
+    confirmed = { &[Ordered, Done], MachinePhase::Done },
+    late_order = { &[Ordered, Done, Ordered], MachinePhase::Done },
+    late_refusal = { &[Ordered, Done, Refused], MachinePhase::Done },
+    not_needed = { &[Done], MachinePhase::Done },
+)]
+fn machine_of_a_wave_takes_its_phase_from_the_log(
+    records: &[MachineRecord],
+    expected: MachinePhase,
+) {
+    let state = state();
+    let (key, machine) = (WaveKey(1), Name::from("m"));
+    let wave = Wave {
+        machines: BTreeMap::from([(machine.clone(), MachinePhase::Waiting)]),
+        due_ms: 1_000,
+        requested_ms: 0,
+        max_machines_down: 1,
+    };
+    state.apply(1, &Command::StartWave { key, wave });
+    for record in records {
+        let machine = machine.clone();
+        let command = match record {
+            Ordered => Command::MachineOrdered {
+                key,
+                machine,
+                incarnation: Some(incarnation()),
+            },
+            Refused => Command::MachineRefused { key, machine },
+            Done => Command::MachineDone { key, machine },
+        };
+        state.apply(2, &command);
+    }
+    let wave = state.wave(key).expect("the wave is known");
+    assert_eq!(wave.machines[&machine], expected);
+    assert_eq!(wave.is_completed(), expected == MachinePhase::Done);
+}
