upkeep: name the incarnation that an order ends in the committed order

The worker of the first task had started 2 s before the wave.

Cause: after a confirmed order a worker was taken for ended only if it had started 5 s or more before the wave was requested, since the platform also confirms orders that were carried out earlier. The tasks of a younger worker stayed available, and the list names no worker for a machine that is down.

Change: the committed order names the incarnation on the machine; once the order is confirmed, that incarnation has ended, whoever sent the order. `ends_incarnation` and its comparison of clocks are gone. If the removal of the incarnation is not committed, the order stays open.

Ruled out: a smaller allowance for the clocks (a worker that starts after the wave was requested would still be missed), and waiting until the platform lists a worker again (it may have lost the machine for good).

--- a/lib/entry/src/upkeep_loop.rs
+++ b/lib/entry/src/upkeep_loop.rs
@@ -8,9 +8,7 @@
 use tarragon_names::{Millis, Name, Term, WorkerName};
 use tarragon_replica::Clock;
 use tarragon_telemetry::{Event, EventSink};
-use tarragon_upkeep::{
-    BoundedTask, Machine, UpkeepInputs, UpkeepStep, ends_incarnation, next_steps,
-};
+use tarragon_upkeep::{BoundedTask, Machine, UpkeepInputs, UpkeepStep, next_steps};
 use tarragon_workflow::{Command, MachinePhase, WaveKey, WorkerIncarnation, WorkflowState};
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
@@ -230,11 +228,10 @@
         machine: &Name,
         incarnation: Option<WorkerIncarnation>,
     ) {
-        let current_wave = self.workflow_state.wave(key);
-        let has_ended = |ended: &WorkerIncarnation| {
-            current_wave.is_some_and(|wave| ends_incarnation(&wave, ended))
-        };
-        if let Some(ended) = incarnation.filter(has_ended)
+        // Without the time of its start, the incarnation cannot be told from one that started
+        // after the upkeep.
+        let ended = incarnation.filter(|ended| ended.started_ms > 0);
+        if let Some(ended) = ended
             && !host.record(Command::RemoveWorker(ended)).await
         {
             return;
--- a/lib/upkeep/src/lib.rs
+++ b/lib/upkeep/src/lib.rs
@@ -3,13 +3,11 @@
 //! The caller lists the machines, carries out the [`UpkeepStep`]s, and records their results.
 
 mod bounded_task;
-mod ends_incarnation;
 mod machine;
 mod next_steps;
 mod upkeep_step;
 
 pub use bounded_task::BoundedTask;
-pub use ends_incarnation::ends_incarnation;
 pub use machine::{Machine, MachineState};
 pub use next_steps::{UpkeepInputs, next_steps};
 pub use upkeep_step::UpkeepStep;
