dispatch: count the capacity of unexpected runs until their ends are listed

What was seen: in the users' own runs a worker was given more than it has room for, during changes of the leader; the run in use there was stopped afterwards.

Cause (shown by the test; that it is the cause in the users' run is only suspected): a run that the leader does not expect on a worker is stopped, but its capacity counted as free at once. A stop takes up to `stop_ms`, and what is placed meanwhile takes the worker over its room.

Change: the resources of listed runs that the leader does not expect, or has declared ended, count as used until a poll no longer lists them. A run of an unknown job counts as the whole worker.

Ruled out: placing nothing on such a worker until it is empty. One run of many would block it.

The harness answers polls as the incarnation that was polled, instead of a fixed one.

Measured: both cases of the new test failed before the change and pass now.

--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -3,14 +3,16 @@
 
 use std::collections::BTreeSet;
 
-use tarragon_names::{Millis, WorkerName};
-use tarragon_workflow::{JobKey, RunEnd, RunEvent, WorkerIncarnation};
+use tarragon_names::{Millis, Resources, WorkerName};
+use tarragon_workflow::{JobKey, RunEnd, RunEvent, StepSpec, WorkerIncarnation};
 
 use crate::{
-    DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, StopOrder,
+    DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
+    StopOrder,
     backoff::backoff,
     run_view::{StartState, StopState},
     worker_speed::WorkerSpeed,
+    worker_state::WorkerState,
 };
 
 /// Margin added to the time within which a stopped run ends.
@@ -151,6 +153,25 @@
         }
     }
 
+    /// Resources of the listed runs whose capacity the leader counts as free: runs that it does not
+    /// expect on the worker, and runs that it has declared ended. They occupy the worker until their
+    /// ends are listed. A run of an unknown job may occupy all of it.
+    fn unexpected_resources(&self, state: &WorkerState, running: &[RunStatus]) -> Resources {
+        let is_expected = |status: &&RunStatus| {
+            let view = state.runs.get(&status.task);
+            view.is_some_and(|view| view.run == status.run && !view.is_ended)
+        };
+        let unexpected = running.iter().filter(|status| !is_expected(status));
+        let needs = unexpected.map(|status| {
+            let need = self.workflow_state.with_job(status.task.step.job, |job| {
+                let step = job.spec.steps.get(status.task.step.step as usize);
+                step.map(StepSpec::reserved)
+            });
+            need.flatten().unwrap_or(state.record.capacity)
+        });
+        needs.sum()
+    }
+
     /// Compares the runs that a worker lists with those that the leader expects there: confirms
     /// the listed ones, stops unknown ones, and declares those lost that have certainly ended.
     fn reconcile_runs(
@@ -161,9 +182,14 @@
     ) {
         let now = self.now;
         let Some(term) = self.term else { return };
+        let Some(state) = self.workers.get(&incarnation.worker) else {
+            return;
+        };
+        let unexpected = self.unexpected_resources(state, &answer.running);
         let Some(state) = self.workers.get_mut(&incarnation.worker) else {
             return;
         };
+        state.unexpected = unexpected;
         let mut listed = BTreeSet::new();
         let mut unknown_runs = Vec::new();
         for status in &answer.running {
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -46,6 +46,8 @@
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Resources of the runs that have not ended.
     used: Resources,
+    /// Resources of the runs that the worker lists although the leader expects none there.
+    pub(crate) unexpected: Resources,
     /// Resources reserved for steps that wait for tickets or for preempted runs to end.
     pub(crate) reserved: BTreeMap<StepKey, Resources>,
     /// Resources that steps with an open request for advice may use here. Other requests name other
@@ -92,6 +94,7 @@
             last_proposed_end,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
+            unexpected: Resources::ZERO,
             reserved: BTreeMap::new(),
             asked: BTreeMap::new(),
             preemptible: BTreeMap::new(),
@@ -182,17 +185,20 @@
     pub(crate) fn free_for(&self, step: &StepKey) -> Resources {
         let reserved = self.reserved.iter().filter(|(key, _)| *key != step);
         let reserved = reserved.map(|(_, resources)| *resources).sum::<Resources>();
-        self.record
-            .capacity
-            .saturating_sub(&self.used)
-            .saturating_sub(&reserved)
+        self.unoccupied().saturating_sub(&reserved)
+    }
+
+    /// Capacity that no run uses, whether the leader expects it there or not.
+    fn unoccupied(&self) -> Resources {
+        let free = self.record.capacity.saturating_sub(&self.used);
+        free.saturating_sub(&self.unexpected)
     }
 
     /// Capacity that no run uses and no step has reserved or asked for.
     pub(crate) fn available(&self) -> Resources {
         let asked = self.asked.values().copied().sum::<Resources>();
         let reserved = self.reserved.values().copied().sum::<Resources>();
-        let free = self.record.capacity.saturating_sub(&self.used);
+        let free = self.unoccupied();
         free.saturating_sub(&asked).saturating_sub(&reserved)
     }
 
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -297,7 +297,7 @@
             .polls
             .remove(at.expect("a poll of the worker should be open"));
         let answer = PollAnswer {
-            started_ms: Some(EPOCH_MS),
+            started_ms: Some(call.incarnation.started_ms),
             clock_ms: self.now,
             running,
             finished: ends
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -431,3 +431,26 @@
     let counts = harness.dispatcher.unstarted_jobs();
     assert_eq!(counts.values().sum::<u64>(), expected, "{counts:?}");
 }
+
+/// Guards against more work on a worker than it holds while a run goes on there that the leader does
+/// not expect, for example one whose start order was carried out late.
+#[parameterized(
+    job_is_known = { 1, 0 },
+    job_is_not_known = { 77, 0 },
+)]
+fn unexpected_run_keeps_its_capacity_until_its_end_is_listed(job: u64, starts_meanwhile: usize) {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    harness.submit(1, vec![step(1, 6)]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    let done = (1, task(1, 0, 0), 1, RunEnd::Done);
+    harness.answer_poll("w1", &[(task(job, 0, 0), 2)], &[done]);
+    harness.submit(2, vec![step(1, 4)]);
+    harness.advance(100);
+    assert_eq!(harness.starts.len(), starts_meanwhile);
+    let stopped = harness.answer_stops(OrderOutcome::Accepted);
+    assert_eq!((stopped[0].task, stopped[0].run), (task(job, 0, 0), 2));
+    let stopped = (2, task(job, 0, 0), 2, RunEnd::Stopped);
+    harness.answer_poll("w1", &[], &[stopped]);
+    harness.advance(100);
+    assert_eq!(harness.starts.len(), 1);
+}
