dispatch: stop late start orders on the next incarnation of a worker

Cause: a new incarnation was told to refuse only runs that no poll had listed and that had not ended. Orders without an answer for listed, ended and inherited runs were forgotten, and a poll that met the new incarnation first removed the worker with all its runs.

Change: a run knows until when an order without an answer may arrive. A run that has not ended is stopped on the next incarnation before its task runs elsewhere; for one that has ended the order is kept in `LateOrders`. A poll that meets a later incarnation waits for its heartbeat.

Ruled out: stopping the run when a poll lists it (it has then run twice), and naming the start of the incarnation in orders (the platform's header takes the name alone).

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -15,7 +15,8 @@
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
-    run_view::{RunView, StartState, StopState},
+    late_orders::LateOrders,
+    run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
     step_plan::StepPlan,
     worker_speed::WorkerSpeed,
     worker_state::WorkerState,
@@ -74,6 +75,7 @@
     pub(crate) gang_claims: (u32, Claims),
     pub(crate) needs_placement: bool,
     pub(crate) headroom: Headroom,
+    pub(crate) late_orders: LateOrders,
     /// Number of stop orders that were not accepted within the timeout of an order.
     pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
@@ -127,6 +129,7 @@
             gang_claims: (u32::MAX, Claims::new()),
             needs_placement: false,
             headroom: Headroom::default(),
+            late_orders: LateOrders::default(),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
             sole_leader_since: Millis(0),
@@ -171,6 +174,7 @@
             if is_sole_leader {
                 let changed = self.workers.take_changed();
                 self.send_due_orders(&changed);
+                self.stop_late_orders();
                 self.send_due_polls(&changed);
             }
             self.flush_records();
@@ -306,6 +310,7 @@
             if let Some(state) = self.workers.get_mut(&placement.incarnation.worker) {
                 let mut view = RunView::new(placement.run, spec, self.now);
                 view.start = StartState::Inherited;
+                view.start_may_arrive_until = self.now + START_ORDER_LIFETIME;
                 if view.spec.is_best_effort {
                     view.ordered_rate = None;
                 }
@@ -340,6 +345,7 @@
         self.new_steps.clear();
         self.gang_claims = (u32::MAX, Claims::new());
         self.headroom = Headroom::default();
+        self.late_orders.clear();
         self.unaccepted_stops = 0;
         self.scheduled_jobs.clear();
         self.pending_requests.clear();
@@ -387,14 +393,14 @@
                 state.last_contact = self.now;
             }
             Some(state) => {
-                let unconfirmed = state.unconfirmed_runs();
-                for (task, _) in &unconfirmed {
-                    self.remove_run_view(task, &record.incarnation.worker);
+                let outstanding = state.outstanding_runs(self.now);
+                let previous = state.incarnation().clone();
+                for (task, _) in &outstanding {
+                    self.detach_run_view(task, &record.incarnation.worker);
                 }
                 self.remove_worker(&record.incarnation.worker);
-                let worker = record.incarnation.worker.clone();
                 self.add_worker(record);
-                self.transfer_unconfirmed_runs(&worker, unconfirmed);
+                self.transfer_outstanding_runs(&previous, outstanding);
             }
             None => self.add_worker(record),
         }
@@ -445,8 +451,11 @@
             )
             .worker(worker),
         );
-        for task in state.runs.keys() {
+        for (task, view) in &state.runs {
             self.placed.remove(&(*task, worker.clone()));
+            if view.has_outstanding_start(self.now) {
+                self.late_orders.insert(state.incarnation(), *task, view);
+            }
         }
         for (task, run, checkpoint) in lost {
             self.record_lost(task, run, checkpoint);
@@ -454,17 +463,18 @@
         }
     }
 
-    /// Stops unconfirmed runs on the next incarnation of their worker. Start orders for the
-    /// previous incarnation may still arrive; the stop makes the worker refuse them before the
-    /// tasks run elsewhere.
-    fn transfer_unconfirmed_runs(
+    /// Stops runs with outstanding start orders on the next incarnation of their worker. The orders
+    /// may still arrive; the stop makes the worker refuse them before the tasks run elsewhere.
+    fn transfer_outstanding_runs(
         &mut self,
-        worker: &WorkerName,
-        unconfirmed: Vec<(TaskKey, RunView)>,
+        previous: &WorkerIncarnation,
+        outstanding: Vec<(TaskKey, RunView)>,
     ) {
         let now = self.now;
-        for (task, mut view) in unconfirmed {
+        let worker = &previous.worker;
+        for (task, mut view) in outstanding {
             view.start = StartState::Inherited;
+            view.transferred_from = Some(previous.clone());
             view.stop = StopState::Requested { at: now };
             if let Some(state) = self.workers.get_mut(worker) {
                 state.insert_run(task, view);
@@ -516,7 +526,18 @@
         }
     }
 
+    /// Removes a run that has ended.
     pub(crate) fn remove_run_view(&mut self, task: &TaskKey, worker: &WorkerName) {
+        if let Some(state) = self.workers.get(worker)
+            && let Some(view) = state.runs.get(task)
+            && view.has_outstanding_start(self.now)
+        {
+            self.late_orders.insert(state.incarnation(), *task, view);
+        }
+        self.detach_run_view(task, worker);
+    }
+
+    fn detach_run_view(&mut self, task: &TaskKey, worker: &WorkerName) {
         if let Some(state) = self.workers.get_mut(worker) {
             state.remove_run(task);
         }
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -8,7 +8,7 @@
 use crate::{
     DecisionEvent, Dispatcher, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
     backoff::backoff,
-    run_view::{StartState, StopState},
+    run_view::{START_ORDER_LIFETIME, StartState, StopState},
 };
 
 /// Time without placements on a worker that refused a start as unhealthy or full.
@@ -82,6 +82,9 @@
             return;
         };
         let is_stale = !matches!(view.start, StartState::Sent);
+        if outcome != OrderOutcome::Unanswered && !view.has_unanswered_start {
+            view.start_may_arrive_until = Millis(0);
+        }
         let has_unanswered_start = view.has_unanswered_start;
         match outcome {
             OrderOutcome::Accepted => {
@@ -186,6 +189,9 @@
         if outcome == OrderOutcome::Refused(Refusal::Fence) {
             state.suspend_polls(now);
         }
+        if outcome == OrderOutcome::Accepted {
+            self.late_orders.stop_accepted(incarnation, (task, run));
+        }
         if let Some(view) = state.runs.get_mut(&task).filter(|view| view.run == run) {
             view.failed_stops += 1;
             view.stop = match outcome {
@@ -225,6 +231,36 @@
         }
     }
 
+    /// Tells the present incarnations of workers to refuse the start orders that may still arrive for
+    /// runs that have ended.
+    pub(crate) fn stop_late_orders(&mut self) {
+        let Some(fence) = self.term else { return };
+        let (now, cfg) = (self.now, self.cfg);
+        self.late_orders.expire(now);
+        let workers = self.late_orders.workers().cloned().collect::<Vec<_>>();
+        for worker in workers {
+            let Some(state) = self.workers.get(&worker) else {
+                continue;
+            };
+            if state.is_lease_expired {
+                continue;
+            }
+            let incarnation = state.incarnation();
+            let runs = self.late_orders.take_due(incarnation, now, &cfg);
+            let stops = runs.into_iter().map(|(task, run)| {
+                Output::Stop(StopOrder {
+                    incarnation: incarnation.clone(),
+                    address: state.record.address.clone(),
+                    task,
+                    run,
+                    fence,
+                    timeout: cfg.order_timeout,
+                })
+            });
+            self.outputs.extend(stops);
+        }
+    }
+
     /// Sends the orders that are due.
     pub(crate) fn send_due_orders(&mut self, changed: &BTreeSet<WorkerName>) {
         let Some(term) = self.term else { return };
@@ -263,6 +299,7 @@
                 {
                     view.start = StartState::Sent;
                     view.start_attempts += 1;
+                    view.start_may_arrive_until = now + START_ORDER_LIFETIME;
                     let timeout = if view.start_attempts == 1 {
                         cfg.first_start_timeout
                     } else {
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -76,7 +76,7 @@
             incarnation.started_ms != 0 && started != incarnation.started_ms
         });
         if is_restarted {
-            self.remove_incarnation(incarnation, "another incarnation answers");
+            self.worker_restarted(incarnation);
             return;
         }
         state.record_clock(answer.clock_ms, now, &cfg);
@@ -101,6 +101,25 @@
         self.throttle_best_effort(&incarnation.worker);
     }
 
+    /// Handles the answer of a later incarnation under the same name. Its heartbeat is awaited: until
+    /// then its capacity is not known, and it cannot be told to refuse the orders that may still
+    /// arrive.
+    fn worker_restarted(&mut self, incarnation: &WorkerIncarnation) {
+        let now = self.now;
+        let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
+            return;
+        };
+        let seen_at = *state.restart_seen_at.get_or_insert(now);
+        if now.since(seen_at) >= self.cfg.remove_after {
+            self.remove_incarnation(incarnation, "another incarnation answers");
+            return;
+        }
+        state.is_lease_expired = true;
+        state.suspend_polls(now);
+        let event = DecisionEvent::new("worker_restarted", String::new());
+        self.emit(event.worker(&incarnation.worker).warning());
+    }
+
     /// Proposes records for the listed ends that were not proposed yet.
     fn record_ends(&mut self, incarnation: &WorkerIncarnation, finished: &[FinishedRun]) {
         for finished_run in finished {
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatcher_throttle;
 mod headroom;
 mod input;
+mod late_orders;
 mod nameable_workers;
 mod order;
 mod output;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,10 +1,14 @@
 use tarragon_names::{Millis, Name};
+use tarragon_workflow::WorkerIncarnation;
 
 use crate::{dispatcher_throttle::FULL_RATE, run_progress::RunProgress, run_spec::RunSpec};
 
 /// Highest run number of a task that may be preempted, so that every task ends eventually.
 const MAX_PREEMPTED_RUN: u32 = 3;
 
+/// Time for which a start order without an answer may still be carried out.
+pub(crate) const START_ORDER_LIFETIME: Millis = Millis(30_000);
+
 /// Progress of the order to start a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StartState {
@@ -51,6 +55,11 @@
     pub(crate) stop_requested_at: Millis,
     /// Whether one of these start orders got no answer.
     pub(crate) has_unanswered_start: bool,
+    /// Time until which a start order that was sent and has no answer may arrive; 0 if there is none.
+    pub(crate) start_may_arrive_until: Millis,
+    /// Earlier incarnation of the worker on which the run was placed; `None` if it is the present
+    /// one.
+    pub(crate) transferred_from: Option<WorkerIncarnation>,
     /// Whether a poll has listed the run.
     pub(crate) is_listed: bool,
     pub(crate) ticket: Option<Name>,
@@ -80,6 +89,8 @@
             failed_stops: 0,
             stop_requested_at: Millis(0),
             has_unanswered_start: false,
+            start_may_arrive_until: Millis(0),
+            transferred_from: None,
             is_listed: false,
             ticket: None,
             placed_at: now,
@@ -98,6 +109,17 @@
         }
     }
 
+    /// Returns whether a start order for the run may still arrive at the worker: one was sent and has
+    /// no answer, or an earlier leader may have sent one.
+    pub(crate) fn has_outstanding_start(&self, now: Millis) -> bool {
+        now < self.start_may_arrive_until
+    }
+
+    /// Returns whether the worker refuses start orders for the run that arrive from now on.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.transferred_from.is_none() || matches!(self.stop, StopState::Accepted { .. })
+    }
+
     /// Returns whether the run may be stopped for a more urgent one.
     pub(crate) fn is_preemptible(&self) -> bool {
         self.spec.is_resumable
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -59,6 +59,8 @@
     pub(crate) indexed: Option<(PoolName, u64)>,
     /// Whether the worker changed since the last update of the index.
     pub(crate) is_unindexed: bool,
+    /// Time at which a later incarnation under the same name answered first.
+    pub(crate) restart_seen_at: Option<Millis>,
     /// Whether the lease has expired and all runs on the worker were declared lost.
     pub(crate) is_lease_expired: bool,
     /// Duration of runs on this worker, relative to their estimates.
@@ -100,6 +102,7 @@
             preemptible: BTreeMap::new(),
             indexed: None,
             is_unindexed: true,
+            restart_seen_at: None,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
             failures_in_a_row: 0,
@@ -156,12 +159,12 @@
         self.runs.remove(task);
     }
 
-    /// Runs with a start order that was sent and that no poll has confirmed.
-    pub(crate) fn unconfirmed_runs(&self) -> Vec<(TaskKey, RunView)> {
+    /// Runs that have not ended and whose start order may still arrive.
+    pub(crate) fn outstanding_runs(&self, now: Millis) -> Vec<(TaskKey, RunView)> {
         let runs = self.runs.iter();
-        let unconfirmed =
-            runs.filter(|(_, view)| !view.is_ended && !view.is_listed && view.start_attempts > 0);
-        unconfirmed
+        let outstanding =
+            runs.filter(|(_, view)| !view.is_ended && view.has_outstanding_start(now));
+        outstanding
             .map(|(task, view)| (*task, view.clone()))
             .collect()
     }
