storage: tell a folder in use from a damaged one

Cause: a data folder that another process has open, or whose lock file cannot be opened, was reported with the code of foreign data. `open_store` takes that for damage, so it set the live folder aside and joined with a new identity. A process that was killed while it waits for its disk holds the lock until the disk answers; its successor then lost its identity and state. Several hosts at once lose their quorum for good.

Change: a folder in use has the code 7105, and the process ends without touching it; the supervisor starts it again. A lock file or folder that cannot be opened counts as an unusable disk, which the host waits for. Only a missing folder, an unreadable identity or foreign files are foreign data.

Ruled out: waiting for the lock without end. Two hosts that share a folder by mistake would not show.

Measured: both cases of `folder_that_cannot_be_opened_is_left_alone` failed with the previous `folder.rs` and pass now.

--- a/lib/codes/src/code.rs
+++ b/lib/codes/src/code.rs
@@ -110,8 +110,10 @@
     DiskFull = 7102, 500, "Free space in the data folder and start the host again.";
     /// sync to disk failed
     SyncFailed = 7103, 500, "Check the disk; the host starts again from what the disk holds.";
-    /// data folder in use or owned by another host
+    /// data folder owned by another host
     ForeignData = 7104, 500, "Point data_dir to this host's own folder.";
+    /// data folder in use by another process
+    FolderInUse = 7105, 500, "Start the host again once the other process has ended.";
     /// internal error
     Internal = 9001, 500, "Report it with the log lines of the request.";
 }
--- a/lib/entry/tests/formation.rs
+++ b/lib/entry/tests/formation.rs
@@ -2,7 +2,13 @@
 
 mod common;
 
+use std::fs;
+
 use common::{Cell, wait_until};
+use tarragon_codes::Code;
+use tarragon_entry::open_store;
+use tarragon_names::MemberId;
+use tarragon_telemetry::NullSink;
 use yare::parameterized;
 
 /// Guards against bootstrap members that elect no leader, and against hosts that do not find it.
@@ -77,3 +83,38 @@
     wait_until("three voters, all on running hosts", || cell.has_voters(3)).await;
     cell.stop();
 }
+
+/// Why a data folder cannot be opened although its data is sound.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Obstacle {
+    OtherProcess,
+    UnusableLock,
+}
+
+/// Guards against a process that sets a sound data folder aside, and so loses its identity and its
+/// state: a folder that another process has open, or whose lock cannot be opened, is not damaged.
+#[parameterized(
+    other_process_has_it_open = { Obstacle::OtherProcess, Code::FolderInUse },
+    lock_cannot_be_opened = { Obstacle::UnusableLock, Code::DiskFull },
+)]
+fn folder_that_cannot_be_opened_is_left_alone(obstacle: Obstacle, expected: Code) {
+    let disk = tempfile::tempdir().expect("creates a folder for the disk");
+    let cell = Cell::new(1);
+    let cfg = cell.config(1, Some(disk.path().to_owned()), true, &[1]);
+    let open = || open_store(&cfg, disk.path(), MemberId(7), &NullSink);
+    let (store, recovered) = open().expect("creates the store");
+    let lock = disk.path().join("replica").join("lock");
+    if obstacle == Obstacle::UnusableLock {
+        drop(store);
+        fs::remove_file(&lock).expect("the lock exists");
+        fs::create_dir(&lock).expect("creates a folder in its place");
+        assert_eq!(open().expect_err("cannot be opened").code, expected);
+        fs::remove_dir(&lock).expect("removes the folder");
+    } else {
+        assert_eq!(open().expect_err("cannot be opened").code, expected);
+        drop(store);
+    }
+    let (_store, reopened) = open().expect("opens the store");
+    assert_eq!(reopened.id, recovered.id);
+    assert!(!disk.path().join("aside").exists());
+}
--- a/lib/storage/src/folder.rs
+++ b/lib/storage/src/folder.rs
@@ -1,5 +1,5 @@
 use std::{
-    fs::{self, File, OpenOptions},
+    fs::{self, File, OpenOptions, TryLockError},
     io::{self, ErrorKind, Write},
     path::{Path, PathBuf},
 };
@@ -25,14 +25,19 @@
 impl Folder {
     /// Opens and locks an existing folder.
     pub fn open(path: &Path) -> Outcome<Self> {
-        let to_failure = |e: io::Error| io_failure(Code::ForeignData, path, &e);
-        let dir = File::open(path).map_err(to_failure)?;
+        let dir = File::open(path).map_err(|e| io_failure(missing_or_unusable(&e), path, &e))?;
         let mut options = OpenOptions::new();
         options.create(true).truncate(false).write(true);
-        let lock = options.open(path.join(LOCK_FILE)).map_err(to_failure)?;
-        if lock.try_lock().is_err() {
-            let cause = format!("{} is in use by another process", path.display());
-            return Err(Failure::new(Code::ForeignData, cause));
+        let lock_path = path.join(LOCK_FILE);
+        let lock = options.open(&lock_path);
+        let lock = lock.map_err(|e| io_failure(Code::DiskFull, &lock_path, &e))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => {
+                let cause = format!("{} is in use by another process", path.display());
+                return Err(Failure::new(Code::FolderInUse, cause));
+            }
+            Err(TryLockError::Error(e)) => return Err(io_failure(Code::DiskFull, &lock_path, &e)),
         }
         Ok(Self {
             path: path.to_owned(),
@@ -144,6 +149,15 @@
     }
 }
 
+/// Code of a failure to open a folder: only a missing folder says something about its contents.
+fn missing_or_unusable(e: &io::Error) -> Code {
+    if e.kind() == ErrorKind::NotFound {
+        Code::ForeignData
+    } else {
+        Code::DiskFull
+    }
+}
+
 fn io_failure(code: Code, path: &Path, error: &io::Error) -> Failure {
     Failure::new(code, format!("{}: {error}", path.display()))
 }
