dispatch: count the tasks of a silent worker as away

Cause: a task counted as available until the lease of its worker had certainly ended.

Change: a task is available only if the last poll of its worker was answered and was sent at most two polls ago. The time of the send counts.

Ruled out: the time of the last contact. A heartbeat shows that the worker lives, not what runs on it, and a late answer says nothing about the time since the poll.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -182,12 +182,11 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// Returns the tasks with bounded unavailability whose runs do their full work.
-    pub fn available_bounded_tasks(&self) -> BTreeSet<TaskKey> {
-        let workers = self
-            .workers
-            .iter()
-            .filter(|(_, state)| !state.is_lease_expired);
+    /// Returns the tasks with bounded unavailability whose runs do their full work at `now`, as far as
+    /// their workers have confirmed recently.
+    pub fn available_bounded_tasks(&self, now: Millis) -> BTreeSet<TaskKey> {
+        let workers = self.workers.iter();
+        let workers = workers.filter(|(_, state)| state.is_confirmed(now, &self.cfg));
         let runs = workers.flat_map(|(_, state)| &state.runs);
         let available = runs.filter(|(_, view)| {
             view.spec.is_bounded
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -81,6 +81,7 @@
         }
         state.record_clock(answer.clock_ms, now, &cfg);
         state.last_contact = now;
+        state.confirmed_at = Some(sent_at);
         state.next_poll_at = now;
         let was_unresponsive = state.poll_failures > 0 || !state.is_synced;
         state.poll_failures = 0;
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -33,6 +33,8 @@
     lease_until_ms: u64,
     /// Time at which this host became the leader.
     leading_since: Millis,
+    /// Time at which the last answered poll was sent; `None` before the first answer.
+    pub(crate) confirmed_at: Option<Millis>,
     /// Time at which the open poll was sent.
     pub(crate) poll_sent_at: Option<Millis>,
     /// No poll is sent before this time.
@@ -89,6 +91,7 @@
             clock: None,
             lease_until_ms: 0,
             leading_since,
+            confirmed_at: None,
             poll_sent_at: None,
             next_poll_at: now,
             poll_failures: 0,
@@ -117,6 +120,16 @@
         &self.record.incarnation
     }
 
+    /// Returns whether the worker confirmed its runs recently: its last poll was answered, and sent
+    /// at most two polls ago.
+    pub(crate) fn is_confirmed(&self, now: Millis, cfg: &DispatchConfig) -> bool {
+        let max_age = cfg.poll_wait + cfg.poll_wait + cfg.order_timeout;
+        let is_recent = |at| now.since(at) <= max_age;
+        !self.is_lease_expired
+            && self.poll_failures == 0
+            && self.confirmed_at.is_some_and(is_recent)
+    }
+
     /// Records a reading of the worker's clock.
     pub(crate) fn record_clock(&mut self, clock_ms: u64, now: Millis, cfg: &DispatchConfig) {
         if self.clock.is_none() {
--- a/lib/dispatch/tests/throttling.rs
+++ b/lib/dispatch/tests/throttling.rs
@@ -139,11 +139,56 @@
     harness.answer_starts(OrderOutcome::Accepted);
     for (percent, is_available) in [(0, false), (60, false), (100, true)] {
         harness.answer_poll_with("w1", vec![run_status(task(1, 0, 0), percent, 0)], &[]);
-        let available = harness.dispatcher.available_bounded_tasks();
-        assert_eq!(
-            available.contains(&task(1, 0, 0)),
-            is_available,
-            "{percent}"
-        );
+        assert_eq!(is_task_available(&harness), is_available, "{percent}");
     }
 }
+
+fn is_task_available(harness: &Harness) -> bool {
+    let available = harness
+        .dispatcher
+        .available_bounded_tasks(Millis(harness.now));
+    available.contains(&task(1, 0, 0))
+}
+
+/// How a worker stops answering.
+#[derive(Clone, Copy)]
+enum Silence {
+    /// Its polls fail.
+    Failed,
+    /// Its poll stays open.
+    Open,
+}
+
+/// Guards against upkeep that ends the last task of a step while the worker of another one is silent:
+/// its task may have ended long before its lease does.
+#[parameterized(
+    poll_fails = { Silence::Failed, 50 },
+    poll_stays_open = { Silence::Open, 2_700 },
+)]
+fn task_of_a_silent_worker_is_not_available(silence: Silence, silent_for: u64) {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    let bounded = StepSpec {
+        long_running: true,
+        max_unavailable: Some(1),
+        ..step(1, 4)
+    };
+    harness.submit(1, vec![bounded]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    let at_work = || vec![run_status(task(1, 0, 0), 100, 0)];
+    harness.answer_poll_with("w1", at_work(), &[]);
+    harness.advance(1_000);
+    assert!(is_task_available(&harness), "a poll may take a second");
+    if matches!(silence, Silence::Failed) {
+        harness.time_out_poll("w1");
+    }
+    harness.advance(silent_for);
+    assert!(!is_task_available(&harness));
+    // The answer to a poll confirms the run at the time at which the poll was sent.
+    for _ in 0..2 {
+        while harness.polls.is_empty() {
+            harness.advance(20);
+        }
+        harness.answer_poll_with("w1", at_work(), &[]);
+    }
+    assert!(is_task_available(&harness));
+}
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -106,7 +106,7 @@
                 last_tick = now;
                 inputs.push(Input::Tick);
                 if self.parts.workflow_state.has_open_wave() {
-                    let tasks = self.parts.dispatcher.available_bounded_tasks();
+                    let tasks = self.parts.dispatcher.available_bounded_tasks(now);
                     self.parts.available_tasks.set(tasks);
                 }
             }
