dispatch: wait for the longest lease that a leader grants, not for the longest admitted one

Cause: a new leader waited for a lease of 10 s on a slow clock, although every leader grants 8 s. A lease could be a little longer than that on a slow clock, because it was counted from the leader's own time since the last reading.

Change: a lease is counted from the earliest reading that the worker's clock can show, so 8 s is the longest one, and the wait is 8.4 s. `longest_lease` is gone from the settings of the dispatcher.

Ruled out: recording each grant in the log, which would cost a commit for each poll.

--- a/lib/dispatch/src/config.rs
+++ b/lib/dispatch/src/config.rs
@@ -3,10 +3,8 @@
 /// Times and limits of the dispatcher.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DispatchConfig {
-    /// Lease granted with each poll and each start.
+    /// Lease granted with each poll and each start. No leader grants more.
     pub lease: Millis,
-    /// Longest lease that any leader may have granted, on the worker's clock.
-    pub longest_lease: Millis,
     /// Time for which a worker may delay the answer to a poll while no run ends.
     pub poll_wait: Millis,
     /// Time after which a failed poll is repeated.
@@ -42,7 +40,6 @@
     fn default() -> Self {
         Self {
             lease: Millis(8_000),
-            longest_lease: Millis(10_000),
             poll_wait: Millis(1_000),
             poll_retry: Millis(250),
             stop_time: Millis(900),
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -134,28 +134,38 @@
     pub(crate) fn record_clock(&mut self, clock_ms: u64, now: Millis, cfg: &DispatchConfig) {
         if self.clock.is_none() {
             // An earlier leader may have granted a lease up to this time.
-            let until = clock_ms.saturating_add(cfg.longest_lease.0);
+            let until = clock_ms.saturating_add(cfg.lease.0);
             self.lease_until_ms = self.lease_until_ms.max(until);
         }
         self.clock = Some((clock_ms, now));
     }
 
+    /// Earliest reading that the worker's clock can show at `now`; `None` before the first reading.
+    fn least_clock_ms(&self, now: Millis) -> Option<u64> {
+        let (clock_ms, at) = self.clock?;
+        let elapsed = now.since(at).0 * SLOWEST_CLOCK_PERCENT / 100;
+        Some(clock_ms.saturating_add(elapsed))
+    }
+
     /// Grants a lease from now on and returns its end on the worker's clock. Returns `None` before
     /// the first reading of the clock.
+    ///
+    /// The lease is counted from the earliest possible reading, so that no leader ever grants more
+    /// than `lease` from the time of the grant.
     pub(crate) fn grant_lease(&mut self, now: Millis, lease: Millis) -> Option<u64> {
-        let (clock_ms, at) = self.clock?;
-        let until = clock_ms.saturating_add((now.since(at) + lease).0);
+        let until = self.least_clock_ms(now)?.saturating_add(lease.0);
         self.lease_until_ms = self.lease_until_ms.max(until);
         Some(until)
     }
 
     /// Returns whether every lease that the worker may hold has certainly expired.
+    ///
+    /// An earlier leader granted its last lease before this host became the leader.
     pub(crate) fn has_lease_certainly_expired(&self, now: Millis, cfg: &DispatchConfig) -> bool {
-        let Some((clock_ms, at)) = self.clock else {
-            let longest = cfg.longest_lease.0 * 100 / SLOWEST_CLOCK_PERCENT + LEASE_MARGIN.0;
+        let Some(least) = self.least_clock_ms(now) else {
+            let longest = cfg.lease.0 * 100 / SLOWEST_CLOCK_PERCENT + LEASE_MARGIN.0;
             return now.since(self.leading_since).0 > longest;
         };
-        let least = clock_ms.saturating_add(now.since(at).0 * SLOWEST_CLOCK_PERCENT / 100);
         least > self.lease_until_ms.saturating_add(LEASE_MARGIN.0)
     }
 
--- a/lib/entry/src/entry_timing.rs
+++ b/lib/entry/src/entry_timing.rs
@@ -73,10 +73,8 @@
 
     /// Returns the settings of the dispatcher.
     pub fn dispatch_config(&self) -> DispatchConfig {
-        let max_lease = self.bounds.max_worker_lease;
         DispatchConfig {
-            lease: Millis(max_lease.0 * 8 / 10),
-            longest_lease: max_lease,
+            lease: Millis(self.bounds.max_worker_lease.0 * 8 / 10),
             stop_time: self.bounds.run_stop_time,
             remove_after: Millis(self.bounds.heartbeat_interval.0 * 6),
             relay_silence_limit: self.bounds.recovery_time,
