dispatch: let the lease of a worker run out after its next incarnation has answered

A poll that met the next incarnation marked the lease as expired, so that no more orders went out. If nothing more was heard of the worker, its runs were then never declared lost.

Change: a worker takes orders only while its lease holds and no later incarnation has answered; the two are kept apart, and the lease runs out as for any silent worker.

Ruled out: removing the worker at the first such answer, as before. Its outstanding start orders would find nothing that refuses them until the heartbeat.

Measured: the case of a worker that falls silent failed before the change and passes now.

--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -242,7 +242,7 @@
             let Some(state) = self.workers.get(&worker) else {
                 continue;
             };
-            if state.is_lease_expired {
+            if !state.takes_orders() {
                 continue;
             }
             let incarnation = state.incarnation();
@@ -269,7 +269,7 @@
         let mut stops = Vec::new();
         let mut unsent = Vec::new();
         self.workers.for_each_mut(changed, |worker, state| {
-            if state.is_lease_expired {
+            if !state.takes_orders() {
                 return;
             }
             let mut due = Vec::new();
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -115,7 +115,6 @@
             self.remove_incarnation(incarnation, "another incarnation answers");
             return;
         }
-        state.is_lease_expired = true;
         state.suspend_polls(now);
         let event = DecisionEvent::new("worker_restarted", String::new());
         self.emit(event.worker(&incarnation.worker).warning());
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -120,14 +120,17 @@
         &self.record.incarnation
     }
 
+    /// Returns whether the incarnation may still carry out orders.
+    pub(crate) fn takes_orders(&self) -> bool {
+        !self.is_lease_expired && self.restart_seen_at.is_none()
+    }
+
     /// Returns whether the worker confirmed its runs recently: its last poll was answered, and sent
     /// at most two polls ago.
     pub(crate) fn is_confirmed(&self, now: Millis, cfg: &DispatchConfig) -> bool {
         let max_age = cfg.poll_wait + cfg.poll_wait + cfg.order_timeout;
         let is_recent = |at| now.since(at) <= max_age;
-        !self.is_lease_expired
-            && self.poll_failures == 0
-            && self.confirmed_at.is_some_and(is_recent)
+        self.takes_orders() && self.poll_failures == 0 && self.confirmed_at.is_some_and(is_recent)
     }
 
     /// Records a reading of the worker's clock.
@@ -247,7 +250,7 @@
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
         self.is_synced
-            && !self.is_lease_expired
+            && self.takes_orders()
             && !self.record.is_draining
             && self.leaves_at.is_none()
             && self.poll_failures == 0
--- a/lib/dispatch/tests/restarts.rs
+++ b/lib/dispatch/tests/restarts.rs
@@ -40,19 +40,24 @@
     record
 }
 
+/// Lets the next incarnation answer the open poll of the previous one.
+fn answer_as_next_incarnation(harness: &mut Harness) {
+    while harness.polls.is_empty() {
+        harness.advance(20);
+    }
+    let answer = PollAnswer {
+        started_ms: Some(EPOCH_MS + 1),
+        clock_ms: 0,
+        running: Vec::new(),
+        finished: Vec::new(),
+        is_truncated: false,
+    };
+    harness.finish_poll(NAME, PollOutcome::Answered(answer));
+}
+
 fn restart(harness: &mut Harness, seen_by: SeenBy) {
     if seen_by == Poll {
-        while harness.polls.is_empty() {
-            harness.advance(20);
-        }
-        let answer = PollAnswer {
-            started_ms: Some(EPOCH_MS + 1),
-            clock_ms: 0,
-            running: Vec::new(),
-            finished: Vec::new(),
-            is_truncated: false,
-        };
-        harness.finish_poll(NAME, PollOutcome::Answered(answer));
+        answer_as_next_incarnation(harness);
         harness.advance(500);
     }
     harness.commit(Command::PutWorker(next_incarnation()));
@@ -112,34 +117,31 @@
     assert!(harness.stops.is_empty(), "the incarnation refuses the run");
 }
 
-/// Guards against work that waits for good, and against capacity that is not known, when a later
-/// incarnation answers polls but sends no heartbeat.
-#[test]
-fn worker_whose_next_incarnation_sends_no_heartbeat_is_removed() {
-    let mut harness = Harness::new(&[worker(NAME, 8), worker("w2", 8)]);
+/// Guards against work that waits for good after a poll met a later incarnation of which nothing more is
+/// heard.
+#[parameterized(
+    it_answers_polls = { true },
+    it_is_silent = { false },
+)]
+fn run_is_lost_when_the_next_incarnation_sends_no_heartbeat(answers_polls: bool) {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
     harness.submit(1, vec![step(1, 8)]);
-    let order = harness.answer_starts(OrderOutcome::Accepted).remove(0);
-    let name = order.incarnation.worker.to_string();
-    for _ in 0..4 {
-        while harness
-            .polls
-            .iter()
-            .all(|poll| poll.incarnation.worker != order.incarnation.worker)
-        {
-            harness.advance(20);
-            if harness.lost_runs() > 0 {
-                return;
+    harness.answer_starts(OrderOutcome::Accepted);
+    answer_as_next_incarnation(&mut harness);
+    let restarted_at = harness.now;
+    while harness.lost_runs() == 0 {
+        harness.advance(20);
+        assert!(harness.now < restarted_at + 20_000);
+        if !harness.polls.is_empty() {
+            if answers_polls {
+                answer_as_next_incarnation(&mut harness);
+            } else {
+                harness.time_out_poll(NAME);
             }
         }
-        let answer = PollAnswer {
-            started_ms: Some(EPOCH_MS + 1),
-            clock_ms: 0,
-            running: Vec::new(),
-            finished: Vec::new(),
-            is_truncated: false,
-        };
-        harness.finish_poll(&name, PollOutcome::Answered(answer));
-        harness.advance(20);
     }
-    assert_eq!(harness.lost_runs(), 1);
+    assert!(
+        harness.starts.is_empty(),
+        "no order is sent to the incarnation that ended"
+    );
 }
