upkeep: let the log decide between a placement and an upkeep order

Cause: between the decision of an upkeep and the arrival of its order the dispatcher placed a task on the worker. Besides, a task that was not confirmed as available did not hold back the upkeep of its own machine.

Change: a placement on an incarnation whose upkeep is ordered has no effect in the replicated state, and the dispatcher places nothing there. After its commit an order is decided once more and withdrawn if it would not be chosen again. Every placed task counts for the machine that it is on.

Ruled out: a pause of placement before the decision. A leader that stood still in between would not know whether the pause still holds.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -367,13 +367,22 @@
             Command::RunEvents(records) => self.orders_applied(records),
             Command::PutWorker(record) => self.worker_put(record),
             Command::RemoveWorker(incarnation) => self.worker_removed(incarnation),
-            Command::StartWave { .. }
-            | Command::MachineOrdered { .. }
+            Command::MachineOrdered { .. }
             | Command::MachineRefused { .. }
-            | Command::MachineDone { .. } => {}
+            | Command::MachineDone { .. } => self.update_going_down(),
+            Command::StartWave { .. } => {}
         }
     }
 
+    fn update_going_down(&mut self) {
+        let (workflow_state, now) = (&self.workflow_state, self.now);
+        for (_, state) in self.workers.iter_mut() {
+            let is_going_down = workflow_state.is_going_down(state.incarnation());
+            state.going_down_since = is_going_down.then_some(now);
+        }
+        self.needs_placement = true;
+    }
+
     fn read_priorities(&mut self) {
         let configuration = self.workflow_state.configuration();
         let priorities = configuration.queues.iter().map(|queue| queue.priority);
@@ -430,7 +439,9 @@
             .worker(&record.incarnation.worker),
         );
         self.health.add_worker(&record.incarnation.worker);
-        let state = WorkerState::new(record, self.now, self.leading_since);
+        let mut state = WorkerState::new(record, self.now, self.leading_since);
+        let is_going_down = self.workflow_state.is_going_down(state.incarnation());
+        state.going_down_since = is_going_down.then_some(self.now);
         self.workers
             .insert(state.incarnation().worker.clone(), state);
     }
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -61,6 +61,8 @@
     pub(crate) indexed: Option<(PoolName, u64)>,
     /// Whether the worker changed since the last update of the index.
     pub(crate) is_unindexed: bool,
+    /// Time at which the upkeep of the worker's machine was ordered; `None` if no order is open.
+    pub(crate) going_down_since: Option<Millis>,
     /// Time at which a later incarnation under the same name answered first.
     pub(crate) restart_seen_at: Option<Millis>,
     /// Whether the lease has expired and all runs on the worker were declared lost.
@@ -105,6 +107,7 @@
             preemptible: BTreeMap::new(),
             indexed: None,
             is_unindexed: true,
+            going_down_since: None,
             restart_seen_at: None,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
@@ -251,6 +254,7 @@
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
         self.is_synced
             && self.takes_orders()
+            && self.going_down_since.is_none()
             && !self.record.is_draining
             && self.leaves_at.is_none()
             && self.poll_failures == 0
--- a/lib/dispatch/tests/throttling.rs
+++ b/lib/dispatch/tests/throttling.rs
@@ -126,9 +126,8 @@
     assert_eq!(throttles[0].percent, 100);
 }
 
-/// Guards against upkeep that counts a task as available while it is still starting or throttled.
-#[test]
-fn task_is_available_only_at_full_work() {
+/// A worker with a task (job 1) of a step with bounded unavailability.
+fn harness_with_bounded_task() -> Harness {
     let mut harness = Harness::new(&[worker("w1", 8)]);
     let bounded = StepSpec {
         long_running: true,
@@ -137,6 +136,13 @@
     };
     harness.submit(1, vec![bounded]);
     harness.answer_starts(OrderOutcome::Accepted);
+    harness
+}
+
+/// Guards against upkeep that counts a task as available while it is still starting or throttled.
+#[test]
+fn task_is_available_only_at_full_work() {
+    let mut harness = harness_with_bounded_task();
     for (percent, is_available) in [(0, false), (60, false), (100, true)] {
         harness.answer_poll_with("w1", vec![run_status(task(1, 0, 0), percent, 0)], &[]);
         assert_eq!(is_task_available(&harness), is_available, "{percent}");
@@ -166,14 +172,7 @@
     poll_stays_open = { Silence::Open, 2_700 },
 )]
 fn task_of_a_silent_worker_is_not_available(silence: Silence, silent_for: u64) {
-    let mut harness = Harness::new(&[worker("w1", 8)]);
-    let bounded = StepSpec {
-        long_running: true,
-        max_unavailable: Some(1),
-        ..step(1, 4)
-    };
-    harness.submit(1, vec![bounded]);
-    harness.answer_starts(OrderOutcome::Accepted);
+    let mut harness = harness_with_bounded_task();
     let at_work = || vec![run_status(task(1, 0, 0), 100, 0)];
     harness.answer_poll_with("w1", at_work(), &[]);
     harness.advance(1_000);
--- a/lib/entry/src/upkeep_loop.rs
+++ b/lib/entry/src/upkeep_loop.rs
@@ -9,7 +9,7 @@
 use tarragon_replica::Clock;
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_upkeep::{BoundedTask, Machine, UpkeepInputs, UpkeepStep, next_steps};
-use tarragon_workflow::{Command, MachinePhase, WaveKey, WorkerIncarnation, WorkflowState};
+use tarragon_workflow::{Command, MachinePhase, Wave, WaveKey, WorkerIncarnation, WorkflowState};
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
@@ -103,16 +103,37 @@
         // Each order takes a while, in which tasks may end. The next one is therefore decided anew.
         let mut handled = BTreeSet::new();
         while self.clock.now().since(listed_at) < MAX_LIST_AGE {
-            let steps = self.next_steps(&machines).into_iter();
-            let Some(step) = steps.into_iter().find(|step| !handled.contains(step)) else {
+            let waves = self.workflow_state.waves();
+            let mut steps = self.next_steps(&waves, &machines).into_iter();
+            let Some(step) = steps.find(|step| !handled.contains(step)) else {
                 return;
             };
             handled.insert(step.clone());
-            self.carry_out(host, step).await;
+            self.carry_out(host, &machines, step).await;
         }
     }
 
-    fn next_steps(&self, machines: &BTreeMap<Name, Machine>) -> Vec<UpkeepStep> {
+    /// Returns whether a step whose order was just committed would be chosen again.
+    fn is_still_due(
+        &self,
+        machines: &BTreeMap<Name, Machine>,
+        key: WaveKey,
+        begin: &UpkeepStep,
+    ) -> bool {
+        let mut waves = self.workflow_state.waves();
+        if let UpkeepStep::Begin { machine, .. } = begin
+            && let Some(wave) = waves.get_mut(&key)
+        {
+            wave.machines.insert(machine.clone(), MachinePhase::Waiting);
+        }
+        self.next_steps(&waves, machines).contains(begin)
+    }
+
+    fn next_steps(
+        &self,
+        waves: &BTreeMap<WaveKey, Wave>,
+        machines: &BTreeMap<Name, Machine>,
+    ) -> Vec<UpkeepStep> {
         let ordered = self.recently_ordered.iter();
         let ordered = ordered.map(|(machine, order)| (machine.clone(), order.worker.clone()));
         let inputs = UpkeepInputs {
@@ -123,10 +144,15 @@
             now_ms: self.clock.wall_ms(),
             down_time: self.down_time,
         };
-        next_steps(&self.workflow_state.waves(), &inputs)
+        next_steps(waves, &inputs)
     }
 
-    async fn carry_out(&mut self, host: &EntryHost, step: UpkeepStep) {
+    async fn carry_out(
+        &mut self,
+        host: &EntryHost,
+        machines: &BTreeMap<Name, Machine>,
+        step: UpkeepStep,
+    ) {
         match step {
             UpkeepStep::Drain { worker } => self.dispatch.send(Input::AvoidWorker(worker)),
             UpkeepStep::Skip { wave: key, machine } => {
@@ -136,7 +162,10 @@
                 wave,
                 machine,
                 worker,
-            } => self.begin_upkeep(host, wave, machine, worker).await,
+            } => {
+                self.begin_upkeep(host, machines, wave, machine, worker)
+                    .await;
+            }
             UpkeepStep::Repeat { wave, machine } => {
                 let outcome = self.order_upkeep(host, wave, &machine).await;
                 // An order of an earlier leader may still arrive. The platform refuses it only if
@@ -151,11 +180,13 @@
     async fn begin_upkeep(
         &mut self,
         host: &EntryHost,
+        machines: &BTreeMap<Name, Machine>,
         key: WaveKey,
         machine: Name,
         worker: Option<WorkerName>,
     ) {
-        let record = worker.and_then(|worker| self.workflow_state.worker(&worker));
+        let record = worker.as_ref();
+        let record = record.and_then(|worker| self.workflow_state.worker(worker));
         let ordered = Command::MachineOrdered {
             key,
             machine: machine.clone(),
@@ -164,8 +195,18 @@
         if !host.record(ordered).await {
             return;
         }
-        let outcome = self.order_upkeep(host, key, &machine).await;
-        // No other order for this machine and wave was ever sent.
+        // From the commit on nothing is placed on the machine, but something may have been before.
+        let begin = UpkeepStep::Begin {
+            wave: key,
+            machine: machine.clone(),
+            worker,
+        };
+        let outcome = if self.is_still_due(machines, key, &begin) {
+            self.order_upkeep(host, key, &machine).await
+        } else {
+            Some(MachineOutcome::Refused)
+        };
+        // No earlier order for this machine and wave can still be carried out.
         if matches!(
             outcome,
             Some(MachineOutcome::Busy | MachineOutcome::Refused)
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -8,7 +8,7 @@
 
 use std::{
     collections::BTreeMap,
-    fs,
+    env, fs,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::Arc,
@@ -34,7 +34,7 @@
 
 pub use platform::{Platform, ReceivedOrder};
 pub use test_clock::TestClock;
-pub use workers::Workers;
+pub use workers::{Cause, Workers};
 
 /// Port of all hosts, which differ in their addresses.
 const PORT: u16 = 7_411;
@@ -69,6 +69,16 @@
 /// Timeout of a request to a host.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Seeds of a random search: those in `TARRAGON_SEEDS=FROM..TO`, or else `default`.
+pub fn seeds_or(default: &[u64]) -> Vec<u64> {
+    let Ok(seeds) = env::var("TARRAGON_SEEDS") else {
+        return default.to_vec();
+    };
+    let (from, to) = seeds.split_once("..").expect("FROM..TO");
+    let (from, to) = (from.parse::<u64>(), to.parse::<u64>());
+    (from.expect("a number")..to.expect("a number")).collect()
+}
+
 /// Hosts of one cell, which tests refer to by their number in the cell.
 pub struct Cell {
     /// Third part of the hosts' addresses, which differs between concurrent tests.
@@ -229,6 +239,12 @@
 
     /// Starts a worker on a machine and announces it to a host.
     pub async fn start_worker(&self, host: u8, machine: &str, name: &str, label: &str) {
+        let report = self.place_worker(machine, name, label);
+        self.call(host, Request::Announce(report)).await;
+    }
+
+    /// Starts a worker on a machine and returns its heartbeat.
+    pub fn place_worker(&self, machine: &str, name: &str, label: &str) -> WorkerReport {
         let incarnation = WorkerIncarnation {
             worker: WorkerName::from(name),
             started_ms: unix_ms(),
@@ -246,12 +262,17 @@
             is_draining: false,
             acknowledged: 0,
         };
-        let report = WorkerReport {
+        WorkerReport {
             record,
             sequence: 1,
             leaves_in: None,
-        };
-        self.call(host, Request::Announce(report)).await;
+        }
+    }
+
+    /// Sends a request to a host; `None` if no leader answers in time.
+    pub async fn try_call(&self, host: u8, request: Request) -> Option<Reply> {
+        let answer = self.hosts[&host].call(request, CALL_TIMEOUT).await;
+        answer.ok()
     }
 
     /// Puts a configuration into force with one queue, whose jobs have the path `/q/KEY`.
--- a/lib/entry/tests/common/platform.rs
+++ b/lib/entry/tests/common/platform.rs
@@ -12,7 +12,7 @@
 use tarragon_workflow::WaveKey;
 use tokio::sync::Semaphore;
 
-use super::{MACHINE_DOWN_TIME, Workers};
+use super::{Cause, MACHINE_DOWN_TIME, Workers};
 
 /// An order for the upkeep of a machine, as the platform received it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -21,10 +21,17 @@
     pub holder: Name,
     pub fence: u64,
     pub outcome: MachineOutcome,
+    /// Whether the order took the machine down.
+    pub has_begun: bool,
     /// Number of other machines that were down for upkeep when the order arrived.
     pub others_down: usize,
     /// Number of runs on all workers when the order arrived.
     pub runs: usize,
+    /// Number of runs that the upkeep ended.
+    pub ended_runs: usize,
+    /// Number of tasks that an earlier upkeep had ended, or that had been away for long for another
+    /// cause, when the order arrived.
+    pub tasks_away: usize,
 }
 
 #[derive(Debug, Default)]
@@ -70,6 +77,22 @@
 }
 
 impl Platform {
+    /// Machines that are up and have no worker.
+    pub fn machines_without_worker(&self) -> Vec<Name> {
+        let state = self.state.lock();
+        let machines = state.machines.iter();
+        let machines = machines.filter(|(_, record)| record.worker.is_none() && !record.is_down());
+        machines.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Ends the worker of a machine, which stays up.
+    pub fn crash_worker(&self, machine: &str) -> Option<WorkerName> {
+        let mut state = self.state.lock();
+        let worker = state.machines.get_mut(machine)?.worker.take()?;
+        self.workers.end(&worker, Cause::Crash);
+        Some(worker)
+    }
+
     /// Adds a machine, or a worker on a machine that has none.
     pub fn add_machine(&self, name: &str, worker: Option<&str>) {
         let mut state = self.state.lock();
@@ -114,7 +137,7 @@
         }
         record.waves.insert(wave);
         if let Some(worker) = record.worker.take() {
-            workers.end(&worker);
+            workers.end(&worker, Cause::Upkeep);
         }
         record.down_until = Some(Instant::now() + Duration::from_millis(MACHINE_DOWN_TIME.0));
         MachineOutcome::Done
@@ -155,15 +178,26 @@
                 let mut state = state.lock();
                 let down = state.machines.iter().filter(|(_, record)| record.is_down());
                 let others_down = down.filter(|(name, _)| **name != machine).count();
-                let runs = workers.run_count();
+                let (runs, tasks_away) = (workers.run_count(), workers.tasks_away());
+                let was_down = state
+                    .machines
+                    .get(&machine)
+                    .is_none_or(MachineRecord::is_down);
                 let outcome = state.begin_upkeep(&machine, wave, fence, &workers);
+                let is_down = state
+                    .machines
+                    .get(&machine)
+                    .is_some_and(MachineRecord::is_down);
                 state.orders.push(ReceivedOrder {
                     machine,
                     holder,
                     fence,
                     outcome,
+                    has_begun: is_down && !was_down,
                     others_down,
                     runs,
+                    ended_runs: runs.saturating_sub(workers.run_count()),
+                    tasks_away,
                 });
                 outcome
             };
--- a/lib/entry/tests/common/workers.rs
+++ b/lib/entry/tests/common/workers.rs
@@ -32,8 +32,20 @@
 pub struct Workers {
     by_name: Mutex<BTreeMap<WorkerName, FakeWorker>>,
     start_count: AtomicUsize,
+    /// Tasks that are not running, with the cause and the time of their end.
+    away: Mutex<BTreeMap<TaskKey, (Cause, Instant)>>,
 }
 
+/// Why a worker ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    Upkeep,
+    Crash,
+}
+
+/// Time after which a task counts as away that was not ended by an order.
+const NOTICE_TIME: Duration = Duration::from_millis(4_500);
+
 impl Workers {
     pub fn start(&self, incarnation: &WorkerIncarnation) {
         let worker = FakeWorker {
@@ -48,8 +60,23 @@
     }
 
     /// Ends a worker with all its runs.
-    pub fn end(&self, worker: &WorkerName) {
-        self.by_name.lock().remove(worker);
+    pub fn end(&self, worker: &WorkerName, cause: Cause) {
+        let Some(ended) = self.by_name.lock().remove(worker) else {
+            return;
+        };
+        let tasks = ended.runs.into_keys();
+        let now = Instant::now();
+        self.away
+            .lock()
+            .extend(tasks.map(|task| (task, (cause, now))));
+    }
+
+    /// Number of tasks that an upkeep ended, or that have been away for long, and do not run again.
+    pub fn tasks_away(&self) -> usize {
+        let away = self.away.lock();
+        let away = away.values();
+        let away = away.filter(|(cause, at)| *cause == Cause::Upkeep || at.elapsed() > NOTICE_TIME);
+        away.count()
     }
 
     pub fn run_count(&self) -> usize {
@@ -116,6 +143,7 @@
     fn start(&self, order: StartOrder, _: Duration) -> BoxFuture<'static, OrderOutcome> {
         self.order(&order.incarnation, |worker| {
             self.start_count.fetch_add(1, Ordering::Relaxed);
+            self.away.lock().remove(&order.task);
             worker.runs.insert(order.task, order.run);
         })
     }
--- a/lib/upkeep/src/bounded_task.rs
+++ b/lib/upkeep/src/bounded_task.rs
@@ -32,7 +32,8 @@
         if is_on_worker || stops_anyway || !task.is_available {
             *unavailable.entry(task.step).or_default() += 1;
         }
-        if is_on_worker && task.is_available {
+        // A task that is not known to be available may be at work all the same.
+        if is_on_worker {
             affected_steps.insert(task.step);
         }
     }
--- a/lib/upkeep/tests/next_steps.rs
+++ b/lib/upkeep/tests/next_steps.rs
@@ -91,6 +91,7 @@
 #[parameterized(
     one_may_be_unavailable = { &[("a", true), ("b", true)], 1, &["begin c", "begin a"] },
     one_is_unavailable_already = { &[("a", true), ("b", false)], 1, &["begin c", "begin b"] },
+    two_are_not_known_to_be_available = { &[("a", false), ("b", false)], 1, &["begin c"] },
     two_may_be_unavailable = { &[("a", true), ("b", true)], 2, &["begin c", "begin a", "begin b"] },
     two_tasks_on_one_machine = { &[("a", true), ("a", true)], 1, &["begin b", "begin c"] },
     task_without_a_worker_is_unavailable = { &[("a", true), ("", false)], 1, &["begin b", "begin c"] },
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -23,7 +23,7 @@
 
 /// Replicated state of the jobs, the configuration, the workers and the waves of upkeep.
 ///
-/// Lock order: configuration, queues, jobs, workers, waves. Each lock is held only for one
+/// Lock order: configuration, queues, jobs, workers, waves, incarnations going down. Each lock is held only for one
 /// operation.
 #[derive(Debug)]
 pub struct WorkflowState {
@@ -35,6 +35,8 @@
     jobs: Sharded<BTreeMap<JobKey, Job>>,
     workers: Mutex<BTreeMap<WorkerName, WorkerRecord>>,
     waves: Mutex<BTreeMap<WaveKey, Wave>>,
+    /// Incarnations on machines whose upkeep is ordered and not confirmed; follows from the waves.
+    going_down: Mutex<BTreeSet<WorkerIncarnation>>,
     now_ms: AtomicU64,
 }
 
@@ -48,6 +50,7 @@
             jobs: Sharded::new(JOB_SHARDS, |_| BTreeMap::new()),
             workers: Mutex::default(),
             waves: Mutex::default(),
+            going_down: Mutex::default(),
             now_ms: AtomicU64::new(0),
         }
     }
@@ -167,6 +170,12 @@
         self.waves.lock().get(&key).cloned()
     }
 
+    /// Returns whether the upkeep of the machine of an incarnation is ordered and not confirmed.
+    /// Nothing can be placed there.
+    pub fn is_going_down(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.going_down.lock().contains(incarnation)
+    }
+
     /// Copies the whole state.
     ///
     /// Must be called on the thread that applies commands, because the parts are copied one after
@@ -203,6 +212,7 @@
         }
         *self.workers.lock() = snapshot.workers;
         *self.waves.lock() = snapshot.waves;
+        self.update_going_down();
         self.now_ms.store(snapshot.now_ms, Ordering::Relaxed);
     }
 
@@ -256,6 +266,13 @@
         | RunEvent::Ended { task, .. }
         | RunEvent::Lost { task, .. }) = event;
         let key = task.step.job;
+        // A run that starts beside an upkeep order would be ended by it. The log decides which of the
+        // two came first.
+        if let RunEvent::Placed { incarnation, .. } = event
+            && self.is_going_down(incarnation)
+        {
+            return;
+        }
         let queue = self.with_job(key, |job| job.queue.clone());
         let queue = queue.and_then(|name| self.queue(&name));
         let max_attempts = queue.map_or(FALLBACK_MAX_ATTEMPTS, |queue| queue.max_attempts);
@@ -285,9 +302,25 @@
         {
             *phase = next(phase.clone());
         }
+        self.update_going_down();
         Answer::Done
     }
 
+    fn update_going_down(&self) {
+        let mut going_down = BTreeSet::new();
+        for phase in self
+            .waves
+            .lock()
+            .values()
+            .flat_map(|wave| wave.machines.values())
+        {
+            if let MachinePhase::Ordered { incarnation } = phase {
+                going_down.extend(incarnation.clone());
+            }
+        }
+        *self.going_down.lock() = going_down;
+    }
+
     fn put_worker(&self, record: &WorkerRecord) -> Answer {
         let mut workers = self.workers.lock();
         let known = workers.get(&record.incarnation.worker);
--- a/lib/workflow/tests/workflow_state.rs
+++ b/lib/workflow/tests/workflow_state.rs
@@ -376,21 +376,8 @@
 
 use MachineRecord::{Done, Ordered, Refused};
 
-/// Guards against an order that a later leader does not know of, and against a machine that is
-/// ordered down again because a record of an earlier order is committed late.
-#[parameterized(
-    ordered = { &[Ordered], MachinePhase::Ordered { incarnation: Some(incarnation()) } },
-    refused = { &[Ordered, Refused], MachinePhase::Waiting },
-    confirmed = { &[Ordered, Done], MachinePhase::Done },
-    late_order = { &[Ordered, Done, Ordered], MachinePhase::Done },
-    late_refusal = { &[Ordered, Done, Refused], MachinePhase::Done },
-    not_needed = { &[Done], MachinePhase::Done },
-)]
-fn machine_of_a_wave_takes_its_phase_from_the_log(
-    records: &[MachineRecord],
-    expected: MachinePhase,
-) {
-    let state = state();
+/// Applies these records about the only machine of a wave.
+fn record_machine(state: &WorkflowState, records: &[MachineRecord]) -> (WaveKey, Name) {
     let (key, machine) = (WaveKey(1), Name::from("m"));
     let wave = Wave {
         machines: BTreeMap::from([(machine.clone(), MachinePhase::Waiting)]),
@@ -412,7 +399,42 @@
         };
         state.apply(2, &command);
     }
+    (key, machine)
+}
+
+/// Guards against an order that a later leader does not know of, and against a machine that is
+/// ordered down again because a record of an earlier order is committed late.
+#[parameterized(
+    ordered = { &[Ordered], MachinePhase::Ordered { incarnation: Some(incarnation()) } },
+    refused = { &[Ordered, Refused], MachinePhase::Waiting },
+    confirmed = { &[Ordered, Done], MachinePhase::Done },
+    late_order = { &[Ordered, Done, Ordered], MachinePhase::Done },
+    late_refusal = { &[Ordered, Done, Refused], MachinePhase::Done },
+    not_needed = { &[Done], MachinePhase::Done },
+)]
+fn machine_of_a_wave_takes_its_phase_from_the_log(
+    records: &[MachineRecord],
+    expected: MachinePhase,
+) {
+    let state = state();
+    let (key, machine) = record_machine(&state, records);
     let wave = state.wave(key).expect("the wave is known");
     assert_eq!(wave.machines[&machine], expected);
     assert_eq!(wave.is_completed(), expected == MachinePhase::Done);
 }
+
+/// Guards against a run that is placed beside an upkeep order and ended by it.
+#[parameterized(
+    order_is_open = { &[Ordered], false },
+    order_was_refused = { &[Ordered, Refused], true },
+    order_comes_later = { &[], true },
+)]
+fn nothing_is_placed_beside_an_upkeep_order(records: &[MachineRecord], is_placed: bool) {
+    let state = state();
+    submit_steps(&state, vec![step(1)]);
+    state.apply(1, &Command::PutWorker(worker(1)));
+    record_machine(&state, records);
+    apply_events(&state, vec![placed(task(0, 0), 1)]);
+    let placements = state.with_job(JobKey(1), |job| job.placements().len());
+    assert_eq!(placements, Some(usize::from(is_placed)));
+}
