--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -4,6 +4,7 @@
 //! writes one JSON file.
 
 mod bench_entry_host;
+mod class_outcome;
 mod commits;
 mod control;
 mod decisions;
@@ -19,6 +20,7 @@
 mod memory;
 mod options;
 mod packing;
+mod policy;
 mod queue;
 mod report;
 mod request_load;
--- a/cli/src/bench/waiting.rs
+++ b/cli/src/bench/waiting.rs
@@ -7,8 +7,9 @@
 use super::{
     job_mix::{DeclarationErrors, JobMix},
     options::Options,
+    policy::Policy,
     report::{Report, row},
-    waiting_simulation::{CHECKPOINT_DELAY, Policy, STOP_DELAY, WaitingSimulation},
+    waiting_simulation::{CHECKPOINT_DELAY, STOP_DELAY, WaitingSimulation},
 };
 
 /// Virtual time of one case; the first quarter is warm-up and not measured.
--- a/cli/src/bench/waiting_simulation.rs
+++ b/cli/src/bench/waiting_simulation.rs
@@ -16,7 +16,9 @@
 use tarragon_sizing::{Estimator, Usage};
 
 use super::{
+    class_outcome::ClassOutcome,
     job_mix::{DeclarationErrors, JobMix, JobProfile, JobShape},
+    policy::Policy,
     seeded_rng::SeededRng,
 };
 
@@ -39,35 +41,6 @@
 /// Longer waits are recorded as one day.
 const DAY_MS: u64 = 24 * 3_600_000;
 
-/// Scheduling policy under test.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Policy {
-    /// Queue, indexed placer, estimator, reservation for the head job, backfill and preemption.
-    Product,
-    /// First come, first served with first fit and declared sizes.
-    Baseline,
-}
-
-impl Policy {
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::Product => "product",
-            Self::Baseline => "baseline",
-        }
-    }
-}
-
-/// Results of the jobs of one class.
-#[derive(Debug)]
-pub(crate) struct Outcome {
-    /// Milliseconds from acceptance to the first start of each task.
-    pub(crate) waits: Histogram<u64>,
-    pub(crate) deadlines: u64,
-    pub(crate) met: u64,
-    /// Tasks that had not started at the end; `waits` includes their wait so far.
-    pub(crate) not_started: u64,
-}
-
 /// Discrete-event simulation of the scheduling decisions alone: without messages, failures or
 /// control latency.
 pub(crate) struct WaitingSimulation<'a> {
@@ -98,7 +71,7 @@
     running: BTreeMap<TaskId, Running>,
     /// Used shares of CPU and memory, integrated over milliseconds.
     used_share_ms: [f64; 2],
-    pub(crate) outcomes: [Outcome; Class::ALL.len()],
+    pub(crate) outcomes: [ClassOutcome; Class::ALL.len()],
     pub(crate) preempted: u64,
     /// Tasks stopped because their worker could not raise the reservation to the actual size.
     pub(crate) stopped: u64,
@@ -183,7 +156,7 @@
             jobs: HashMap::new(),
             running: BTreeMap::new(),
             used_share_ms: [0.0; 2],
-            outcomes: Class::ALL.map(|_| Outcome {
+            outcomes: Class::ALL.map(|_| ClassOutcome {
                 waits: Histogram::new_with_bounds(1, DAY_MS, 3).expect("the bounds are valid"),
                 deadlines: 0,
                 met: 0,
