--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -16,6 +16,7 @@
 };
 use tarragon_replica::SystemClock;
 use tarragon_settings::EntrySettings;
+use tarragon_storage::LocalDisk;
 use tarragon_telemetry::{Event, EventSink, JsonEventSink, LineBudget, Metrics};
 use tokio::{
     runtime::Builder,
@@ -134,6 +135,7 @@
             advice: Arc::new(AdviceClient::new(http.clone(), platform.advice)),
             machines: Arc::new(MachineClient::new(http, platform.machines)),
         },
+        disk: Arc::new(LocalDisk),
     };
     let host = EntryHost::start(platform.entry.clone(), parts).await?;
     let listeners =
--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -11,7 +11,7 @@
 use tarragon_replica::{
     Clock, LeaderHint, ReplicaDriver, ReplicaHandle, ReplicaParts, StateMachine,
 };
-use tarragon_storage::FileStore;
+use tarragon_storage::{FileStore, LogStore};
 use tarragon_telemetry::Event;
 use tarragon_workflow::WorkflowState;
 use tokio::runtime::Handle;
@@ -71,7 +71,11 @@
         let replica = Replica::new(timing.agreement_config(), recovered, seed);
         let id = replica.id();
         let event = Event::info("replica_recovered").index(replica.last_index());
-        let event = event.term(replica.term()).detail(format!("member {id}"));
+        let sizes = store.sizes();
+        let event = event.term(replica.term()).detail(format!(
+            "member {id}, log {} bytes, snapshot {} bytes",
+            sizes.log_bytes, sizes.snapshot_bytes
+        ));
         self.parts.events.emit(&event);
         let (tx, rx) = channel();
         let dispatch = DispatchHandle::new(tx);
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -21,7 +21,7 @@
 use tarragon_replica::{
     Clock, LeaderHint, LeaderLease, Links, PeerListener, PeerSink, process_seed,
 };
-use tarragon_storage::FileStore;
+use tarragon_storage::{Disk, DiskUsage, FileStore};
 use tarragon_telemetry::{Event, EventSink, Metrics};
 use tarragon_workflow::{Command, WorkerRecord};
 use tokio::{net::TcpListener, time::sleep};
@@ -64,6 +64,8 @@
     pub replica_metrics: Arc<Metrics>,
     /// Workers, advice service and platform.
     pub external: ExternalServices,
+    /// Disk that holds the data folder.
+    pub disk: Arc<dyn Disk>,
 }
 
 /// An entry host, which answers requests while it leads and forwards them to the leader otherwise.
@@ -481,20 +483,22 @@
     new_id: MemberId,
     parts: &EntryParts,
 ) -> Outcome<(FileStore, Recovered)> {
+    let (disk, events) = (parts.disk.as_ref(), parts.events.as_ref());
     let mut is_reported = false;
     loop {
-        match open_store(cfg, dir, new_id, parts.events.as_ref()) {
+        match open_store(cfg, dir, new_id, disk, events) {
             Err(failure) if failure.code == Code::DiskFull => {
                 if !is_reported {
                     let event = Event::error("disk_lost").code(failure.code.number());
-                    parts.events.emit(&event.detail(failure.cause));
+                    let detail = format!("{}; data folder: {}", failure.cause, DiskUsage::of(dir));
+                    events.emit(&event.detail(detail));
                 }
                 is_reported = true;
                 sleep(DISK_RETRY_DELAY).await;
             }
             result => {
                 if is_reported {
-                    parts.events.emit(&Event::info("disk_regained"));
+                    events.emit(&Event::info("disk_regained"));
                 }
                 return result;
             }
--- a/lib/entry/src/formation.rs
+++ b/lib/entry/src/formation.rs
@@ -13,7 +13,7 @@
 use tarragon_agreement::{Member, Members, Recovered, Role, SnapshotMeta};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, LogIndex, MemberId, Term};
-use tarragon_storage::{FileStore, LogStore};
+use tarragon_storage::{Disk, FileStore, LogStore};
 use tarragon_telemetry::{Event, EventSink};
 
 use crate::EntryConfig;
@@ -54,11 +54,12 @@
     cfg: &EntryConfig,
     data_dir: &Path,
     new_id: MemberId,
+    disk: &dyn Disk,
     events: &dyn EventSink,
 ) -> Outcome<(FileStore, Recovered)> {
     let dir = data_dir.join(REPLICA_FOLDER);
     if FileStore::exists(&dir) {
-        match open_existing(&dir) {
+        match open_existing(disk, &dir) {
             Ok(opened) => return Ok(opened),
             Err(failure) if is_damaged_data(&failure) => {
                 let event = Event::error("data_set_aside").code(failure.code.number());
@@ -75,7 +76,7 @@
         new_id
     };
     create_dir(&dir)?;
-    let mut store = FileStore::create(&dir, id)?;
+    let mut store = FileStore::create_with(disk.create(&dir)?, id)?;
     store.recover()?;
     if is_bootstrap_member {
         let meta = SnapshotMeta {
@@ -91,8 +92,8 @@
     Ok((store, recovered))
 }
 
-fn open_existing(dir: &Path) -> Outcome<(FileStore, Recovered)> {
-    let mut store = FileStore::open(dir)?;
+fn open_existing(disk: &dyn Disk, dir: &Path) -> Outcome<(FileStore, Recovered)> {
+    let mut store = FileStore::open_with(disk.open(dir)?)?;
     let recovered = store.recover()?;
     Ok((store, recovered))
 }
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
 mod platform;
+mod small_disk;
 mod test_clock;
 mod workers;
 
@@ -22,6 +23,7 @@
     ExternalServices, Reply, Request, WorkerReport,
 };
 use tarragon_names::{DomainName, HostName, Millis, Name, PoolName, Resources, WorkerName};
+use tarragon_storage::{Disk, LocalDisk};
 use tarragon_telemetry::{Metrics, NullSink};
 use tarragon_workflow::{
     Configuration, JobSpec, MachinePhase, Queue, StepKey, StepSpec, Wave, WaveKey,
@@ -33,6 +35,7 @@
 };
 
 pub use platform::{Platform, ReceivedOrder};
+pub use small_disk::SmallDisk;
 pub use test_clock::TestClock;
 pub use workers::{Cause, Workers};
 
@@ -90,6 +93,8 @@
     pub platform: Arc<Platform>,
     /// Recovery time in the settings of hosts that are started from now on.
     pub recovery_time: Millis,
+    /// Size of the disks of hosts that are started from now on, in bytes; `None` if it is not limited.
+    pub disk_bytes: Option<u64>,
 }
 
 impl Cell {
@@ -101,6 +106,7 @@
             clocks: BTreeMap::new(),
             platform: Arc::default(),
             recovery_time: Bounds::default().recovery_time,
+            disk_bytes: None,
         }
     }
 
@@ -165,11 +171,19 @@
                 advice: Arc::new(UnreachableAdvice),
                 machines: Arc::clone(&self.platform) as _,
             },
+            disk: self.limited_disk(),
         };
         self.clocks.insert(host, clock);
         (cfg, parts)
     }
 
+    fn limited_disk(&self) -> Arc<dyn Disk> {
+        match self.disk_bytes {
+            Some(capacity) => Arc::new(SmallDisk { capacity }),
+            None => Arc::new(LocalDisk),
+        }
+    }
+
     /// Settings of a host.
     pub fn config(
         &self,
@@ -277,6 +291,11 @@
 
     /// Puts a configuration into force with one queue, whose jobs have the path `/q/KEY`.
     pub async fn configure(&self, host: u8) {
+        self.put_configuration(host, 1, "{}").await;
+    }
+
+    /// Puts a version of the configuration of [`Self::configure`] with another text into force.
+    pub async fn put_configuration(&self, host: u8, version: u64, text: &str) {
         let queue = Queue {
             name: Name::from("q"),
             host: Name::from(QUEUE_HOST),
@@ -294,8 +313,8 @@
             is_powered_off: false,
         };
         let configuration = Configuration {
-            version: 1,
-            text: Name::from("{}"),
+            version,
+            text: Name::from(text),
             queues: vec![queue],
             pools: vec![pool],
             max_body_bytes: 1_000_000,
--- a/lib/entry/tests/formation.rs
+++ b/lib/entry/tests/formation.rs
@@ -8,6 +8,7 @@
 use tarragon_codes::Code;
 use tarragon_entry::open_store;
 use tarragon_names::MemberId;
+use tarragon_storage::LocalDisk;
 use tarragon_telemetry::NullSink;
 use yare::parameterized;
 
@@ -101,7 +102,7 @@
     let disk = tempfile::tempdir().expect("creates a folder for the disk");
     let cell = Cell::new(1);
     let cfg = cell.config(1, Some(disk.path().to_owned()), true, &[1]);
-    let open = || open_store(&cfg, disk.path(), MemberId(7), &NullSink);
+    let open = || open_store(&cfg, disk.path(), MemberId(7), &LocalDisk, &NullSink);
     let (store, recovered) = open().expect("creates the store");
     let lock = disk.path().join("replica").join("lock");
     if obstacle == Obstacle::UnusableLock {
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -167,6 +167,7 @@
         self.step(Event::Tick)?;
         self.sync()?;
         self.save_snapshot_if_due()?;
+        self.update_size_metrics();
         self.parts.sink.lease_updated(self.leader_lease());
         Ok(true)
     }
@@ -363,14 +364,28 @@
         let Some(meta) = self.parts.replica.snapshot_meta(self.applied_index) else {
             return Ok(());
         };
+        let timer = self.parts.metrics.snapshot_time.start_timer();
         let state = self.parts.state.snapshot()?;
         self.parts.store.save_snapshot(&meta, &state)?;
+        timer.observe_duration();
         self.parts.saved_snapshot = Some((meta.clone(), state));
         self.snapshot_index = self.applied_index;
-        self.emit(&LogEvent::info("snapshot_saved").index(meta.index));
+        let sizes = self.parts.store.sizes();
+        let event = LogEvent::info("snapshot_saved").index(meta.index);
+        self.emit(&event.detail(format!(
+            "log {} bytes, snapshot {} bytes",
+            sizes.log_bytes, sizes.snapshot_bytes
+        )));
         self.step(Event::SnapshotSaved { meta })
     }
 
+    fn update_size_metrics(&self) {
+        let sizes = self.parts.store.sizes();
+        let metrics = &self.parts.metrics;
+        metrics.log_bytes.set(sizes.log_bytes as i64);
+        metrics.snapshot_bytes.set(sizes.snapshot_bytes as i64);
+    }
+
     fn emit(&self, event: &LogEvent) {
         self.parts.events.emit(event);
     }
--- a/lib/storage/src/file_store.rs
+++ b/lib/storage/src/file_store.rs
@@ -6,7 +6,7 @@
 use tarragon_names::{LogIndex, MemberId, Term};
 
 use crate::{
-    Files, Folder, LogStore, frame,
+    Files, Folder, LogStore, StoreSizes, frame,
     record::{self, Record},
 };
 
@@ -30,6 +30,8 @@
     log_len: u64,
     /// Length of the synced part of the log file, in bytes.
     synced_log_len: u64,
+    /// Length of the snapshot file, in bytes.
+    snapshot_len: u64,
     /// First failed sync; every later operation returns the same failure.
     sync_failure: Option<Failure>,
 }
@@ -87,6 +89,7 @@
             id,
             log_len: 0,
             synced_log_len: 0,
+            snapshot_len: 0,
             sync_failure: None,
         })
     }
@@ -97,10 +100,11 @@
         contents.ok_or_else(missing)
     }
 
-    fn read_snapshot(&self) -> Outcome<Option<(SnapshotMeta, Bytes)>> {
+    fn read_snapshot(&mut self) -> Outcome<Option<(SnapshotMeta, Bytes)>> {
         let Some(file) = self.files.read(SNAPSHOT_FILE)? else {
             return Ok(None);
         };
+        self.snapshot_len = file.len() as u64;
         let payload = frame::parse_single(SNAPSHOT_FILE, &file)?;
         let snapshot = record::decode(payload).ok_or_else(|| frame::corrupt(SNAPSHOT_FILE, 0))?;
         Ok(Some(snapshot))
@@ -166,6 +170,7 @@
         let mut file = Vec::new();
         frame::push(&mut file, 0, &record::encode(&(meta, state))?)?;
         self.files.replace(SNAPSHOT_FILE, &file)?;
+        self.snapshot_len = file.len() as u64;
         let mut entries = record::replay(LOG_FILE, &self.read(LOG_FILE)?)?;
         record::drop_covered(&mut entries, meta);
         self.rewrite(entries)
@@ -222,6 +227,13 @@
             Ok(())
         })
     }
+
+    fn sizes(&self) -> StoreSizes {
+        StoreSizes {
+            log_bytes: self.log_len,
+            snapshot_bytes: self.snapshot_len,
+        }
+    }
 }
 
 /// Returns the contents of the vote file.
--- a/lib/storage/src/folder.rs
+++ b/lib/storage/src/folder.rs
@@ -106,7 +106,10 @@
             file.write_all(contents)?;
             Ok(file)
         });
-        let file = written.map_err(|e| io_failure(Code::DiskFull, &temp, &e))?;
+        let file = written.map_err(|e| {
+            let cause = format!("{}: {e}, writing {} bytes", temp.display(), contents.len());
+            Failure::new(Code::DiskFull, cause)
+        })?;
         file.sync_all()
             .map_err(|e| io_failure(Code::SyncFailed, &temp, &e))?;
         let path = self.path.join(name);
--- a/lib/storage/src/lib.rs
+++ b/lib/storage/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`FileStore`] stores them in a data folder, [`MemStore`] in memory. A data folder belongs to one
 //! member identity. A host whose data folder has no identity must join as a new member.
 
+mod disk;
+mod disk_usage;
 mod file_store;
 mod files;
 mod folder;
@@ -10,9 +12,13 @@
 mod log_store;
 mod mem_store;
 mod record;
+mod store_sizes;
 
+pub use disk::{Disk, LocalDisk};
+pub use disk_usage::DiskUsage;
 pub use file_store::FileStore;
 pub use files::Files;
 pub use folder::Folder;
 pub use log_store::LogStore;
 pub use mem_store::MemStore;
+pub use store_sizes::StoreSizes;
--- a/lib/storage/src/log_store.rs
+++ b/lib/storage/src/log_store.rs
@@ -5,6 +5,8 @@
 use tarragon_codes::Outcome;
 use tarragon_names::{LogIndex, MemberId, Term};
 
+use crate::StoreSizes;
+
 /// Durable state of one replica.
 ///
 /// After an error with code 7103 (a failed sync) every further call fails: the contents of the disk
@@ -33,4 +35,7 @@
 
     /// Makes all appended entries and truncations durable.
     fn sync(&mut self) -> Outcome<()>;
+
+    /// Returns the sizes of the log and of the latest snapshot.
+    fn sizes(&self) -> StoreSizes;
 }
--- a/lib/storage/src/mem_store.rs
+++ b/lib/storage/src/mem_store.rs
@@ -1,9 +1,9 @@
 use bytes::Bytes;
-use tarragon_agreement::{Entry, Recovered, SnapshotMeta};
+use tarragon_agreement::{Entry, Payload, Recovered, SnapshotMeta};
 use tarragon_codes::Outcome;
 use tarragon_names::{LogIndex, MemberId, Term};
 
-use crate::{LogStore, record};
+use crate::{LogStore, StoreSizes, record};
 
 /// Store in memory, which never fails.
 #[derive(Clone, Debug)]
@@ -56,4 +56,16 @@
     fn sync(&mut self) -> Outcome<()> {
         Ok(())
     }
+
+    fn sizes(&self) -> StoreSizes {
+        let records = self.state.entries.iter().map(|e| match &e.payload {
+            Payload::Record(record) => record.len() as u64,
+            _ => 0,
+        });
+        let snapshot = self.state.snapshot.as_ref();
+        StoreSizes {
+            log_bytes: records.sum(),
+            snapshot_bytes: snapshot.map_or(0, |(_, state)| state.len() as u64),
+        }
+    }
 }
--- a/lib/telemetry/src/metrics.rs
+++ b/lib/telemetry/src/metrics.rs
@@ -92,6 +92,12 @@
     commit_time: Histogram = histogram("tarragon_commit_seconds", STEP_BUCKETS_S);
     /// Time of a sync to disk.
     sync_time: Histogram = histogram("tarragon_sync_seconds", STEP_BUCKETS_S);
+    /// Bytes of the replicated log on the disk of this replica.
+    log_bytes: IntGauge = gauge("tarragon_log_bytes");
+    /// Bytes of the latest snapshot on the disk of this replica.
+    snapshot_bytes: IntGauge = gauge("tarragon_snapshot_bytes");
+    /// Time of making and saving a snapshot.
+    snapshot_time: Histogram = histogram("tarragon_snapshot_seconds", STEP_BUCKETS_S);
 }
 
 impl Metrics {
