storage: start without room for a second log

What callers saw: after a common restart no host found a leader again, the configuration was answered with an error and accepted jobs had nothing running.

Cause: recovery wrote the whole log into replacement.tmp beside the old one. From half of the disk on no start succeeds, nothing makes room, and all voters hold the same log, so all of them are lost at the first common restart.

Recovery now reads the log in parts, cuts off a torn tail, and writes what no frame states as synced in its place, byte by byte the same. That makes bytes durable that a failed sync may have left in the page cache alone, needs no room, and a crash in between changes nothing. Only the vote file of some forty bytes is written anew, so that a disk that takes no writes is found before the first vote. A partial replacement.tmp is removed when its write fails and at the next start.

--- a/lib/entry/tests/common/small_disk.rs
+++ b/lib/entry/tests/common/small_disk.rs
@@ -61,6 +61,18 @@
         self.folder.read(name)
     }
 
+    fn len(&self, name: &str) -> Outcome<Option<u64>> {
+        self.folder.len(name)
+    }
+
+    fn read_range(&self, name: &str, offset: u64, len: usize) -> Outcome<Vec<u8>> {
+        self.folder.read_range(name, offset, len)
+    }
+
+    fn overwrite_from(&mut self, name: &str, offset: u64, contents: &[u8]) -> Outcome<()> {
+        self.folder.overwrite_from(name, offset, contents)
+    }
+
     fn replace(&mut self, name: &str, contents: &[u8]) -> Outcome<()> {
         self.reserve(contents.len())?;
         self.folder.replace(name, contents)
--- a/lib/storage/src/file_store.rs
+++ b/lib/storage/src/file_store.rs
@@ -7,6 +7,8 @@
 
 use crate::{
     Files, Folder, LogStore, StoreSizes, frame,
+    log_map::LogMap,
+    log_reader::{self, LogContents},
     record::{self, Record},
 };
 
@@ -18,6 +20,9 @@
 /// Program and format version of a data folder, at the start of the payload of its identity file.
 const FORMAT: &str = "tarragonstall replica 1";
 
+/// Room for what a snapshot file holds beside the state. Only saves a copy while the file is made.
+const SNAPSHOT_HEAD_BYTES: usize = 4_096;
+
 /// Store in a data folder.
 ///
 /// Recovery cuts off the log at a bad record if no later record states that the bad one was synced:
@@ -26,6 +31,8 @@
 pub struct FileStore {
     files: Box<dyn Files>,
     id: MemberId,
+    /// Positions of the entries in the log file.
+    log_map: LogMap,
     /// Length of the log file, in bytes.
     log_len: u64,
     /// Length of the synced part of the log file, in bytes.
@@ -64,11 +71,10 @@
             }
         }
         files.remove(SNAPSHOT_FILE)?;
-        files.replace(LOG_FILE, &[])?;
+        files.replace(LOG_FILE, &empty_log()?)?;
         files.replace(VOTE_FILE, &vote_file(Term(0), None)?)?;
         // The identity is written last: until then, the other files are ignored.
-        let mut identity = Vec::new();
-        frame::push(&mut identity, 0, &record::encode(&(FORMAT, id))?)?;
+        let identity = frame::push(Vec::new(), 0, &(FORMAT, id))?;
         files.replace(IDENTITY_FILE, &identity)?;
         Self::open_with(files)
     }
@@ -87,6 +93,7 @@
         Ok(Self {
             files,
             id,
+            log_map: LogMap::default(),
             log_len: 0,
             synced_log_len: 0,
             snapshot_len: 0,
@@ -111,28 +118,43 @@
     }
 
     /// Replaces the log file with one that holds only these entries.
-    fn rewrite(&mut self, entries: Vec<Entry>) -> Outcome<()> {
+    fn rewrite(&mut self, entries: &[Entry]) -> Outcome<()> {
         let mut buf = Vec::new();
+        let mut map = LogMap::default();
         for entry in entries {
             // `replace` syncs the whole file before it becomes the log, so each frame may state
             // that everything before it is synced.
-            let synced = buf.len() as u64;
-            frame::push(&mut buf, synced, &record::encode(&Record::Entry(entry))?)?;
+            let offset = buf.len() as u64;
+            buf = frame::push(buf, offset, &Record::Entry(entry.clone()))?;
+            map.push(entry, offset);
         }
         let synced = buf.len() as u64;
-        frame::push(&mut buf, synced, &[])?;
+        frame::push_empty(&mut buf, synced)?;
         self.files.replace(LOG_FILE, &buf)?;
+        self.log_map = map;
         self.log_len = buf.len() as u64;
         self.synced_log_len = self.log_len;
         Ok(())
     }
 
+    /// Deletes all entries, which a durable snapshot covers or replaces. Needs no room on the disk.
+    ///
+    /// After a crash in between, the log may still hold these entries, which a start deletes then.
+    fn clear_log(&mut self) -> Outcome<()> {
+        self.files.overwrite_from(LOG_FILE, 0, &[])?;
+        self.log_map.clear();
+        self.log_len = 0;
+        self.synced_log_len = 0;
+        Ok(())
+    }
+
     fn recover_all(&mut self) -> Outcome<Recovered> {
         let vote = self.read(VOTE_FILE)?;
         let vote = record::decode(frame::parse_single(VOTE_FILE, &vote)?);
         let (term, voted_for) = vote.ok_or_else(|| frame::corrupt(VOTE_FILE, 0))?;
         let snapshot = self.read_snapshot()?;
-        let mut entries = record::replay(LOG_FILE, &self.read(LOG_FILE)?)?;
+        let mut log = log_reader::read_log(self.files.as_ref(), LOG_FILE, 0)?;
+        let mut entries = std::mem::take(&mut log.entries);
         let covered = snapshot
             .as_ref()
             .map_or(LogIndex(0), |(meta, _)| meta.index);
@@ -140,13 +162,17 @@
             let cause = format!("entries after {covered} are missing in the log");
             return Err(Failure::new(Code::CorruptRecord, cause));
         }
+        self.make_durable(log)?;
+        // A disk that takes no writes is found here, where the host waits for it, and not at the first
+        // vote, which ends the process.
+        self.files
+            .replace(VOTE_FILE, &vote_file(term, voted_for)?)?;
         if let Some((meta, _)) = &snapshot {
             record::drop_covered(&mut entries, meta);
+            if entries.is_empty() {
+                self.clear_log()?;
+            }
         }
-        // The previous process may have ended before a sync or after a failed one, so the data read
-        // here may exist only in the page cache. Rewriting the log makes it durable and cuts off a
-        // torn tail.
-        self.rewrite(entries.clone())?;
         Ok(Recovered {
             id: self.id,
             term,
@@ -156,24 +182,52 @@
         })
     }
 
+    /// Makes the log durable and cuts off a torn tail.
+    ///
+    /// The previous process may have ended before a sync or after a failed one, so what no record
+    /// states as synced may exist only in the page cache. Writing the same bytes in the same place
+    /// makes them durable without room for a second log, and a crash in between changes nothing.
+    fn make_durable(&mut self, log: LogContents) -> Outcome<()> {
+        if log.synced_len < log.file_len {
+            let tail_len = (log.intact_len - log.synced_len) as usize;
+            let tail = self.files.read_range(LOG_FILE, log.synced_len, tail_len)?;
+            self.files.overwrite_from(LOG_FILE, log.synced_len, &tail)?;
+        }
+        self.log_map = log.map;
+        self.log_len = log.intact_len;
+        self.synced_log_len = log.intact_len;
+        Ok(())
+    }
+
     fn append_records(&mut self, records: Vec<Record>) -> Outcome<()> {
         let mut buf = Vec::new();
-        for record in records {
-            frame::push(&mut buf, self.synced_log_len, &record::encode(&record)?)?;
+        let mut offsets = Vec::new();
+        for record in &records {
+            offsets.push(self.log_len + buf.len() as u64);
+            buf = frame::push(buf, self.synced_log_len, record)?;
         }
         self.files.append(LOG_FILE, &buf)?;
         self.log_len += buf.len() as u64;
+        for (record, offset) in records.iter().zip(offsets) {
+            match record {
+                Record::Entry(entry) => self.log_map.push(entry, offset),
+                Record::Truncate(index) => self.log_map.truncate_from(*index),
+            }
+        }
         Ok(())
     }
 
     fn save_snapshot_file(&mut self, meta: &SnapshotMeta, state: &Bytes) -> Outcome<()> {
-        let mut file = Vec::new();
-        frame::push(&mut file, 0, &record::encode(&(meta, state))?)?;
+        let buf = Vec::with_capacity(state.len() + SNAPSHOT_HEAD_BYTES);
+        let file = frame::push(buf, 0, &(meta, state))?;
         self.files.replace(SNAPSHOT_FILE, &file)?;
         self.snapshot_len = file.len() as u64;
-        let mut entries = record::replay(LOG_FILE, &self.read(LOG_FILE)?)?;
-        record::drop_covered(&mut entries, meta);
-        self.rewrite(entries)
+        drop(file);
+        let Some(offset) = self.log_map.first_kept_offset(meta) else {
+            return self.clear_log();
+        };
+        let kept = log_reader::read_log(self.files.as_ref(), LOG_FILE, offset)?;
+        self.rewrite(&kept.entries)
     }
 
     /// Runs an operation, unless a sync failed earlier: the state of the disk is then unknown.
@@ -238,7 +292,12 @@
 
 /// Returns the contents of the vote file.
 fn vote_file(term: Term, voted_for: Option<MemberId>) -> Outcome<Vec<u8>> {
+    frame::push(Vec::new(), 0, &(term, voted_for))
+}
+
+/// Returns the contents of a log file without entries.
+fn empty_log() -> Outcome<Vec<u8>> {
     let mut file = Vec::new();
-    frame::push(&mut file, 0, &record::encode(&(term, voted_for))?)?;
+    frame::push_empty(&mut file, 0)?;
     Ok(file)
 }
--- a/lib/storage/src/folder.rs
+++ b/lib/storage/src/folder.rs
@@ -1,6 +1,6 @@
 use std::{
     fs::{self, File, OpenOptions, TryLockError},
-    io::{self, ErrorKind, Write},
+    io::{self, ErrorKind, Read, Seek, SeekFrom, Write},
     path::{Path, PathBuf},
 };
 
@@ -39,6 +39,8 @@
             }
             Err(TryLockError::Error(e)) => return Err(io_failure(Code::DiskFull, &lock_path, &e)),
         }
+        // What a process that ended within a replacement left behind takes up room.
+        let _removed = fs::remove_file(path.join(TEMP_FILE));
         Ok(Self {
             path: path.to_owned(),
             dir,
@@ -100,6 +102,26 @@
         }
     }
 
+    fn len(&self, name: &str) -> Outcome<Option<u64>> {
+        let path = self.path.join(name);
+        match fs::metadata(&path) {
+            Ok(metadata) => Ok(Some(metadata.len())),
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(io_failure(Code::CorruptRecord, &path, &e)),
+        }
+    }
+
+    fn read_range(&self, name: &str, offset: u64, len: usize) -> Outcome<Vec<u8>> {
+        let path = self.path.join(name);
+        let read = File::open(&path).and_then(|mut file| {
+            let mut contents = Vec::new();
+            file.seek(SeekFrom::Start(offset))?;
+            file.take(len as u64).read_to_end(&mut contents)?;
+            Ok(contents)
+        });
+        read.map_err(|e| io_failure(Code::CorruptRecord, &path, &e))
+    }
+
     fn replace(&mut self, name: &str, contents: &[u8]) -> Outcome<()> {
         let temp = self.path.join(TEMP_FILE);
         let written = File::create(&temp).and_then(|mut file| {
@@ -107,6 +129,8 @@
             Ok(file)
         });
         let file = written.map_err(|e| {
+            // A partial file would take up the room that other writes need.
+            let _removed = fs::remove_file(&temp);
             let cause = format!("{}: {e}, writing {} bytes", temp.display(), contents.len());
             Failure::new(Code::DiskFull, cause)
         })?;
@@ -145,6 +169,20 @@
         Err(io_failure(Code::DiskFull, &path, &error))
     }
 
+    fn overwrite_from(&mut self, name: &str, offset: u64, contents: &[u8]) -> Outcome<()> {
+        let path = self.path.join(name);
+        let written = OpenOptions::new().write(true).open(&path);
+        let written = written.and_then(|mut file| {
+            file.seek(SeekFrom::Start(offset))?;
+            file.write_all(contents)?;
+            file.set_len(offset + contents.len() as u64)?;
+            Ok(file)
+        });
+        let file = written.map_err(|e| io_failure(Code::DiskFull, &path, &e))?;
+        let synced = file.sync_all();
+        synced.map_err(|e| io_failure(Code::SyncFailed, &path, &e))
+    }
+
     fn sync(&mut self, name: &str) -> Outcome<()> {
         let path = self.path.join(name);
         let synced = self.open_append_file(name)?.sync_data();
--- a/lib/storage/src/lib.rs
+++ b/lib/storage/src/lib.rs
@@ -9,6 +9,8 @@
 mod files;
 mod folder;
 mod frame;
+mod log_map;
+mod log_reader;
 mod log_store;
 mod mem_store;
 mod record;
--- a/lib/storage/src/record.rs
+++ b/lib/storage/src/record.rs
@@ -1,10 +1,7 @@
 use serde::{Deserialize, Serialize};
 use tarragon_agreement::{Entry, SnapshotMeta};
-use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::LogIndex;
 
-use crate::frame;
-
 /// Record of the log file. Records are only appended and never overwritten in place, so a crash
 /// cannot mix the bytes of an old and a new record.
 #[derive(Debug, Deserialize, Serialize)]
@@ -15,31 +12,6 @@
     Truncate(LogIndex),
 }
 
-/// Returns the log entries that result from all records of a log file.
-pub(crate) fn replay(name: &str, file: &[u8]) -> Outcome<Vec<Entry>> {
-    let mut entries: Vec<Entry> = Vec::new();
-    for range in frame::scan(name, file)? {
-        let offset = range.start;
-        // A frame without a payload only states the synced length.
-        if range.is_empty() {
-            continue;
-        }
-        match decode(&file[range]).ok_or_else(|| frame::corrupt(name, offset))? {
-            Record::Truncate(index) => truncate(&mut entries, index),
-            Record::Entry(entry) => {
-                if entries
-                    .last()
-                    .is_some_and(|e| e.index.next() != entry.index)
-                {
-                    return Err(frame::corrupt(name, offset));
-                }
-                entries.push(entry);
-            }
-        }
-    }
-    Ok(entries)
-}
-
 pub(crate) fn truncate(entries: &mut Vec<Entry>, index: LogIndex) {
     let keep = entries.partition_point(|e| e.index < index);
     entries.truncate(keep);
@@ -61,13 +33,6 @@
     }
 }
 
-pub(crate) fn encode<T>(value: &T) -> Outcome<Vec<u8>>
-where
-    T: Serialize,
-{
-    postcard::to_allocvec(value).map_err(|e| Failure::new(Code::Internal, e.to_string()))
-}
-
 pub(crate) fn decode<'a, T>(payload: &'a [u8]) -> Option<T>
 where
     T: Deserialize<'a>,
