agreement: bound the entries in memory by bytes

keep_bytes (4 MiB) and max_uncommitted_bytes (8 MiB) are new beside the counts. A batch passes at any size if nothing else is uncommitted, so that no batch is refused for good.

--- a/lib/agreement/src/config.rs
+++ b/lib/agreement/src/config.rs
@@ -24,9 +24,14 @@
     pub max_in_flight_messages: usize,
     /// Number of uncommitted entries above which proposals are refused.
     pub max_uncommitted_entries: u64,
+    /// Total size of the records of uncommitted entries above which proposals are refused, in bytes. A
+    /// batch is accepted at any size if no other entry is uncommitted.
+    pub max_uncommitted_bytes: usize,
     /// Number of entries kept before the index of a snapshot, so that a slightly slow follower does
     /// not need the snapshot.
     pub keep_entries: u64,
+    /// Total size of the records of these entries, in bytes.
+    pub keep_bytes: usize,
     /// Time after which an unanswered snapshot is sent again.
     pub snapshot_retry: Millis,
     /// Time for a learner to reach the commit index before its promotion is refused.
@@ -44,7 +49,9 @@
             max_batch_bytes: 256 * 1_024,
             max_in_flight_messages: 8,
             max_uncommitted_entries: 65_536,
+            max_uncommitted_bytes: 8 << 20,
             keep_entries: 1_000,
+            keep_bytes: 4 << 20,
             snapshot_retry: Millis(10_000),
             catch_up_timeout: Millis(30_000),
         }
--- a/lib/agreement/src/entry.rs
+++ b/lib/agreement/src/entry.rs
@@ -13,3 +13,13 @@
     /// Record, member list or no-op.
     pub payload: Payload,
 }
+
+impl Entry {
+    /// Size of the record of the entry in bytes; zero for the few other entries, which are small.
+    pub(crate) fn record_len(&self) -> usize {
+        match &self.payload {
+            Payload::Record(record) => record.len(),
+            _ => 0,
+        }
+    }
+}
--- a/lib/agreement/src/leader.rs
+++ b/lib/agreement/src/leader.rs
@@ -102,8 +102,13 @@
 
     pub(crate) fn propose(&mut self, core: &mut Core, token: Token, records: Vec<Bytes>) {
         let uncommitted = core.log.last_index().0 - core.commit.0;
+        let uncommitted_bytes = core.log.record_bytes_from(core.commit.next());
+        let new_bytes = records.iter().map(Bytes::len).sum::<usize>();
+        let has_many_bytes =
+            uncommitted_bytes > 0 && uncommitted_bytes + new_bytes > core.cfg.max_uncommitted_bytes;
         if records.is_empty()
             || self.transfer.is_some()
+            || has_many_bytes
             || uncommitted + records.len() as u64 > core.cfg.max_uncommitted_entries
         {
             core.refuse(token, Some(core.id));
--- a/lib/agreement/src/log.rs
+++ b/lib/agreement/src/log.rs
@@ -90,9 +90,7 @@
             .take(count)
             .take_while(|e| {
                 let fits = size < bytes;
-                if let Payload::Record(record) = &e.payload {
-                    size += record.len();
-                }
+                size += e.record_len();
                 fits
             })
             .cloned()
@@ -132,10 +130,28 @@
         true
     }
 
-    /// Drops entries that a synced snapshot covers, except for the last `keep`.
-    pub(crate) fn compact(&mut self, snapshot: LogIndex, keep: u64) {
+    /// Returns the total size of the records from `from` on, in bytes.
+    pub(crate) fn record_bytes_from(&self, from: LogIndex) -> usize {
+        let start = from.0.saturating_sub(self.base.index.0 + 1) as usize;
+        let entries = self.entries.range(start.min(self.entries.len())..);
+        entries.map(Entry::record_len).sum()
+    }
+
+    /// Drops entries that a synced snapshot covers, except for the last `count`, or fewer if their
+    /// records are larger than `bytes` together.
+    pub(crate) fn compact(&mut self, snapshot: LogIndex, count: u64, bytes: usize) {
         self.synced = self.synced.max(snapshot.min(self.last_index()));
-        let to = LogIndex(snapshot.0.saturating_sub(keep));
+        let mut to = snapshot;
+        let mut kept_bytes = 0;
+        while snapshot.0 - to.0 < count
+            && let Some(entry) = self.get(to)
+        {
+            kept_bytes += entry.record_len();
+            if kept_bytes > bytes {
+                break;
+            }
+            to = LogIndex(to.0 - 1);
+        }
         let Some(term) = self.term_at(to).filter(|_| to > self.base.index) else {
             return;
         };
--- a/lib/agreement/src/replica.rs
+++ b/lib/agreement/src/replica.rs
@@ -510,8 +510,9 @@
         if meta.index > self.core.commit {
             return;
         }
-        let keep = self.core.cfg.keep_entries;
-        self.core.log.compact(meta.index, keep);
+        let cfg = &self.core.cfg;
+        let (count, bytes) = (cfg.keep_entries, cfg.keep_bytes);
+        self.core.log.compact(meta.index, count, bytes);
         self.on_sync_progress();
     }
 
