--- a/lib/codes/src/code.rs
+++ b/lib/codes/src/code.rs
@@ -76,6 +76,8 @@
     KeyTableFull = 3106, 503, "Try again after the time in Retry-After.";
     /// too many connections or requests from this caller
     TooManyRequests = 3107, 429, "Send fewer requests, and try again after the time in Retry-After.";
+    /// replicated state full
+    StateFull = 3108, 503, "Try again after the time in Retry-After; see 'state near its limit' in docs/OPERATIONS.md.";
     /// outcome not known; the request was not and will not be sent again
     OutcomeUnknown = 4201, 502, "Check the effect at the backend server before you decide to repeat it.";
     /// request with this key is still in progress
--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -82,6 +82,7 @@
         let replica_parts = ReplicaParts {
             replica,
             store: Box::new(store),
+            limits: self.cfg.state_limits,
             saved_snapshot: saved,
             state,
             clock: Arc::clone(self.clock),
--- a/lib/entry/src/entry_config.rs
+++ b/lib/entry/src/entry_config.rs
@@ -1,6 +1,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use tarragon_names::{DomainName, HostName, Name};
+use tarragon_replica::StateLimits;
 
 use crate::EntryTiming;
 
@@ -26,6 +27,8 @@
     pub tolerated_failures: usize,
     /// Number of files and connections that the process may have open.
     pub max_descriptors: usize,
+    /// Limits of the replicated state, derived from the disk and the memory of the host.
+    pub state_limits: StateLimits,
     /// Intervals and timeouts, derived from the bounds of the platform.
     pub timing: EntryTiming,
 }
--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -15,6 +15,13 @@
     type Command = Command;
     type Answer = Answer;
 
+    fn enlarges_state(command: &Command) -> bool {
+        matches!(
+            command,
+            Command::PutConfiguration(_) | Command::Submit { .. } | Command::StartWave { .. }
+        )
+    }
+
     fn apply(&self, _: LogIndex, at_ms: u64, command: &Command) -> Answer {
         self.0.apply(at_ms, command)
     }
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -17,12 +17,14 @@
 };
 
 use futures::{FutureExt, future::BoxFuture, future::ready};
+use tarragon_codes::Outcome;
 use tarragon_dispatch::AdviceAnswer;
 use tarragon_entry::{
     AdviceCalls, Bounds, EntryConfig, EntryHost, EntryMetrics, EntryParts, EntryTiming,
     ExternalServices, Reply, Request, WorkerReport,
 };
 use tarragon_names::{DomainName, HostName, Millis, Name, PoolName, Resources, WorkerName};
+use tarragon_replica::StateLimits;
 use tarragon_storage::{Disk, LocalDisk};
 use tarragon_telemetry::{Metrics, NullSink};
 use tarragon_workflow::{
@@ -39,6 +41,9 @@
 pub use test_clock::TestClock;
 pub use workers::{Cause, Workers};
 
+/// Disk and memory of hosts without a limit.
+const UNLIMITED_BYTES: u64 = 1 << 30;
+
 /// Port of all hosts, which differ in their addresses.
 const PORT: u16 = 7_411;
 
@@ -184,6 +189,11 @@
         }
     }
 
+    fn state_limits(&self) -> StateLimits {
+        let disk_bytes = self.disk_bytes.unwrap_or(UNLIMITED_BYTES);
+        StateLimits::new(disk_bytes, UNLIMITED_BYTES)
+    }
+
     /// Settings of a host.
     pub fn config(
         &self,
@@ -203,6 +213,7 @@
             is_first_start,
             tolerated_failures: 1,
             max_descriptors: 1_024,
+            state_limits: self.state_limits(),
             timing: EntryTiming {
                 bounds: Bounds {
                     machine_down_time: MACHINE_DOWN_TIME,
@@ -325,17 +336,30 @@
 
     /// Submits a job of one step.
     pub async fn submit(&self, host: u8, job: &str, step: StepSpec) {
-        let spec = JobSpec {
-            payload: Name::from("work"),
-            steps: vec![step],
-            ..JobSpec::default()
+        let request = submission(job, "work", step);
+        assert_eq!(self.call(host, request).await, Reply::Done);
+    }
+
+    /// Request that submits a job of one task.
+    pub fn submission(&self, job: &str, payload: &str) -> Request {
+        let step = StepSpec {
+            count: 1,
+            ..StepSpec::default()
         };
-        let request = Request::Submit {
+        submission(job, payload, step)
+    }
+
+    /// Request that cancels a job.
+    pub fn cancellation(&self, job: &str) -> Request {
+        Request::Cancel {
             host: Name::from(QUEUE_HOST),
-            path: Name::from(format!("/q/{job}")),
-            spec,
-        };
-        assert_eq!(self.call(host, request).await, Reply::Done);
+            path: job_path(job),
+        }
+    }
+
+    /// Sends a request to a host and returns its answer or its refusal.
+    pub async fn call_once(&self, host: u8, request: Request) -> Outcome<Reply> {
+        self.hosts[&host].call(request, CALL_TIMEOUT).await
     }
 
     /// Starts a wave of machines that is due at once.
@@ -385,6 +409,23 @@
     }
 }
 
+fn job_path(job: &str) -> Name {
+    Name::from(format!("/q/{job}"))
+}
+
+fn submission(job: &str, payload: &str, step: StepSpec) -> Request {
+    let spec = JobSpec {
+        payload: Name::from(payload),
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    Request::Submit {
+        host: Name::from(QUEUE_HOST),
+        path: job_path(job),
+        spec,
+    }
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.expect("the clock is set").as_millis() as u64
--- a/lib/host/src/cell_state_machine.rs
+++ b/lib/host/src/cell_state_machine.rs
@@ -15,6 +15,16 @@
     type Command = Command;
     type Answer = Answer;
 
+    fn enlarges_state(command: &Command) -> bool {
+        matches!(
+            command,
+            Command::PutEntry { .. }
+                | Command::PutQuota { .. }
+                | Command::AcceptJob { .. }
+                | Command::ClaimKey { .. }
+        )
+    }
+
     fn apply(&self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
         self.0.apply(index, at_ms, command)
     }
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -16,7 +16,9 @@
     CellClock, CellStateMachine, HostCore, LeaderSink, LocalLeader, OrderRoutes, PollTable,
     ReplicaEndpoint, SchedulerHandle, SchedulerLoop, SchedulerParts, replica_disk::open_replica,
 };
-use tarragon_replica::{Clock, LeaderHint, Links, ReplicaDriver, ReplicaParts, StateMachine};
+use tarragon_replica::{
+    Clock, LeaderHint, Links, ReplicaDriver, ReplicaParts, StateLimits, StateMachine,
+};
 
 /// Interval between checks that this replica is a member; also the timeout of a check's calls.
 const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(2_000);
@@ -76,6 +78,7 @@
         let parts = ReplicaParts {
             replica,
             store: Box::new(store),
+            limits: state_limits(deps.cfg),
             saved_snapshot: saved,
             state: Arc::new(CellStateMachine(Arc::clone(&cell))),
             clock: Arc::clone(deps.clock),
@@ -177,6 +180,11 @@
     }
 }
 
+fn state_limits(cfg: &HostSettings) -> StateLimits {
+    let bytes = |mb: u32| u64::from(mb) << 20;
+    StateLimits::new(bytes(cfg.limits.disk_mb), bytes(cfg.limits.memory_mb))
+}
+
 fn new_scheduler(cfg: &HostSettings, cell: Arc<Cell>) -> Scheduler {
     let weights = PolicyWeights {
         wait: u32::from(cfg.policy.wait),
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -12,14 +12,14 @@
 use bytes::Bytes;
 use tarragon_agreement::{Action, Entry, Event, Payload, PeerMsg, Replica, SnapshotMeta};
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_names::{HostName, LogIndex, MemberId, Term};
+use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event as LogEvent, EventSink, Metrics};
 use tarragon_wire::{peer::PeerEvent, record::Record};
 
 use crate::{
-    AbortOnPanic, ApplySink, Clock, LeaderHint, LeaderLease, Links, ReplicaHandle, StateMachine,
-    input::Input, waiters::Waiters,
+    AbortOnPanic, ApplySink, Clock, LeaderHint, LeaderLease, Links, ReplicaHandle, StateLimits,
+    StateMachine, input::Input, waiters::Waiters,
 };
 
 /// Inputs that may be queued for the replica's thread. Bounds memory use under overload.
@@ -32,9 +32,17 @@
 /// the delay of a heartbeat.
 const MAX_BATCH_INPUTS: usize = 2_048;
 
-/// Applied entries after which a snapshot is saved and the log is truncated.
+/// Applied entries after which a snapshot is saved and the log is truncated, even if the log is
+/// small. Bounds the time that a start needs to apply the log.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 20_000;
 
+/// Time between two snapshots that are made for want of room, and from a snapshot that found the disk
+/// full to the next attempt. Each holds up the replica.
+const SNAPSHOT_PAUSE: Millis = Millis(1_000);
+
+/// Retry delay returned to callers whose proposal the state has no room for, in milliseconds.
+const STATE_FULL_RETRY_MS: u64 = 1_000;
+
 /// Components that the replica's thread uses.
 #[derive(Debug)]
 pub struct ReplicaParts<S>
@@ -45,6 +53,8 @@
     pub replica: Replica,
     /// Durable log, vote and snapshot of the replica.
     pub store: Box<dyn LogStore>,
+    /// Limits of the log and the snapshot in `store`.
+    pub limits: StateLimits,
     /// Latest saved snapshot, sent to members that need entries already deleted from the log.
     pub saved_snapshot: Option<(SnapshotMeta, Bytes)>,
     /// State to which committed commands are applied.
@@ -77,6 +87,12 @@
     is_leader: bool,
     applied_index: LogIndex,
     snapshot_index: LogIndex,
+    /// Time before which no snapshot is made, because the last attempt found the disk full.
+    snapshot_retry_at: Millis,
+    /// Time before which no snapshot is made for want of room alone.
+    room_snapshot_at: Millis,
+    /// Whether a proposal was refused for want of room since the latest snapshot, which may free some.
+    is_room_wanted: bool,
     /// Last entry appended since the last sync.
     unsynced_entry: Option<(LogIndex, Term)>,
     /// Vote that is saved and synced but not yet reported to the replica.
@@ -103,6 +119,9 @@
             is_leader: false,
             applied_index,
             snapshot_index: applied_index,
+            snapshot_retry_at: Millis(0),
+            room_snapshot_at: Millis(0),
+            is_room_wanted: false,
             unsynced_entry: None,
             unreported_vote: None,
         };
@@ -150,9 +169,23 @@
 
         let mut records = Vec::new();
         let mut waiters = Vec::new();
+        let mut room = self.parts.limits.room(self.parts.store.sizes());
         for input in inputs {
             match input {
-                Input::Propose { record, waiter } => {
+                Input::Propose {
+                    record,
+                    enlarges_state,
+                    waiter,
+                } => {
+                    if enlarges_state {
+                        if let Err(failure) = self.check_room(room, record.len() as u64) {
+                            self.parts.metrics.count_refusal(failure.code.number());
+                            self.is_room_wanted |= failure.code == Code::StateFull;
+                            waiter.refuse(failure);
+                            continue;
+                        }
+                        room -= record.len() as u64;
+                    }
                     records.push(record);
                     waiters.push(waiter);
                 }
@@ -172,6 +205,21 @@
         Ok(true)
     }
 
+    /// Checks whether the log and the next snapshot have `room` for a record.
+    fn check_room(&self, room: u64, len: u64) -> Outcome<()> {
+        let limits = self.parts.limits;
+        if len > limits.max_record_bytes() {
+            let cause = format!("{len} bytes, at most {}", limits.max_record_bytes());
+            return Err(Failure::new(Code::TooLarge, cause));
+        }
+        if len > room {
+            let cause = format!("{len} bytes, {room} of {} are free", limits.max_bytes());
+            let failure = Failure::new(Code::StateFull, cause);
+            return Err(failure.retry_after(STATE_FULL_RETRY_MS));
+        }
+        Ok(())
+    }
+
     fn leader_lease(&self) -> Option<LeaderLease> {
         let replica = &self.parts.replica;
         let until = replica.lease_until(self.parts.clock.now())?;
@@ -358,25 +406,49 @@
     }
 
     fn save_snapshot_if_due(&mut self) -> Outcome<()> {
-        if self.applied_index.0 < self.snapshot_index.0 + SNAPSHOT_INTERVAL_ENTRIES {
+        let now = self.parts.clock.now();
+        let entries = self.applied_index.0 - self.snapshot_index.0;
+        let is_due = entries >= SNAPSHOT_INTERVAL_ENTRIES
+            || self.parts.limits.is_snapshot_due(self.parts.store.sizes())
+            || (self.is_room_wanted && now >= self.room_snapshot_at);
+        if entries == 0 || !is_due || now < self.snapshot_retry_at {
             return Ok(());
         }
         let Some(meta) = self.parts.replica.snapshot_meta(self.applied_index) else {
             return Ok(());
         };
+        match self.save_snapshot(&meta) {
+            // The log stays as it is. It is cut once there is room, and until then it takes no more
+            // than the limit.
+            Err(failure) if failure.code == Code::DiskFull => {
+                self.snapshot_retry_at = now + SNAPSHOT_PAUSE;
+                let event = LogEvent::error("snapshot_failed").code(failure.code.number());
+                self.emit(&event.index(meta.index).detail(failure.cause));
+                Ok(())
+            }
+            Err(failure) => Err(failure),
+            Ok(()) => {
+                self.snapshot_index = meta.index;
+                self.room_snapshot_at = now + SNAPSHOT_PAUSE;
+                self.is_room_wanted = false;
+                self.step(Event::SnapshotSaved { meta })
+            }
+        }
+    }
+
+    fn save_snapshot(&mut self, meta: &SnapshotMeta) -> Outcome<()> {
         let timer = self.parts.metrics.snapshot_time.start_timer();
         let state = self.parts.state.snapshot()?;
-        self.parts.store.save_snapshot(&meta, &state)?;
-        timer.observe_duration();
+        self.parts.store.save_snapshot(meta, &state)?;
+        let seconds = timer.stop_and_record();
         self.parts.saved_snapshot = Some((meta.clone(), state));
-        self.snapshot_index = self.applied_index;
         let sizes = self.parts.store.sizes();
         let event = LogEvent::info("snapshot_saved").index(meta.index);
         self.emit(&event.detail(format!(
-            "log {} bytes, snapshot {} bytes",
+            "log {} bytes, snapshot {} bytes, {seconds:.3} s",
             sizes.log_bytes, sizes.snapshot_bytes
         )));
-        self.step(Event::SnapshotSaved { meta })
+        Ok(())
     }
 
     fn update_size_metrics(&self) {
--- a/lib/replica/src/handle.rs
+++ b/lib/replica/src/handle.rs
@@ -52,8 +52,11 @@
     /// Proposes a command for the scheduler, which observes the result through the `ApplySink`.
     pub fn propose_for_scheduler(&self, at_ms: u64, command: S::Command) -> Outcome<()> {
         let record = encode::<S::Command>(at_ms, command.clone())?;
-        let waiter = ProposalWaiter::Scheduler(Box::new(command));
-        self.send(Input::Propose { record, waiter })
+        self.send(Input::Propose {
+            record,
+            enlarges_state: false,
+            waiter: ProposalWaiter::Scheduler(Box::new(command)),
+        })
     }
 
     /// Proposes a command and waits for the result of applying it.
@@ -66,8 +69,10 @@
         call_timeout: Duration,
     ) -> Outcome<S::Answer> {
         let (tx, rx) = oneshot::channel();
+        let enlarges_state = S::enlarges_state(&command);
         self.send(Input::Propose {
             record: encode::<S::Command>(at_ms, command)?,
+            enlarges_state,
             waiter: ProposalWaiter::Call(tx),
         })?;
         match timeout(call_timeout, rx).await {
--- a/lib/replica/src/input.rs
+++ b/lib/replica/src/input.rs
@@ -26,6 +26,8 @@
     /// Proposes a record for the log.
     Propose {
         record: Bytes,
+        /// Whether the record is refused once the state has no room for it.
+        enlarges_state: bool,
         waiter: ProposalWaiter<S>,
     },
     /// Requests a linearizable read.
--- /dev/null
+++ b/lib/replica/src/state_limits.rs
@@ -0,0 +1,56 @@
+use tarragon_storage::StoreSizes;
+
+/// Limits in bytes of the log and the snapshot of a replica.
+///
+/// Each bound is in bytes, because a few large entries take up as much as many small ones. All
+/// replicas hold the same entries and so reach a limit together; it must leave each of them the room
+/// and the memory to start again and to make the next snapshot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StateLimits {
+    max_bytes: u64,
+}
+
+impl StateLimits {
+    /// Derives the limits from the size of the disk and from the memory limit of the process.
+    ///
+    /// The old and the new snapshot and the log stand beside one another while a snapshot is saved:
+    /// twice the limit at most, three quarters of the disk. Making a snapshot holds the state, its
+    /// copy, its encoding and the file in memory, up to eight times its size.
+    pub fn new(disk_bytes: u64, memory_bytes: u64) -> Self {
+        let of_disk = disk_bytes / 8 * 3;
+        let of_memory = memory_bytes / 8;
+        Self {
+            max_bytes: of_disk.min(of_memory),
+        }
+    }
+
+    /// Size of log and snapshot together at which entries that enlarge the state are refused.
+    pub fn max_bytes(self) -> u64 {
+        self.max_bytes
+    }
+
+    /// Size of a record that is never accepted, since a few of its kind would fill the log.
+    pub fn max_record_bytes(self) -> u64 {
+        self.max_bytes / 8
+    }
+
+    /// Size of damaged data that may be kept beside the state; it needs the rest of the disk that
+    /// log and snapshots leave.
+    pub fn max_aside_bytes(self) -> u64 {
+        self.max_bytes / 3
+    }
+
+    /// Bytes that entries which enlarge the state may still add.
+    pub fn room(self, sizes: StoreSizes) -> u64 {
+        self.max_bytes.saturating_sub(sizes.total_bytes())
+    }
+
+    /// Returns whether the log has grown enough for a snapshot.
+    ///
+    /// A large snapshot leaves less room for the log, but the log must reach a sixteenth of the limit,
+    /// so that snapshots do not follow one another without a pause.
+    pub fn is_snapshot_due(self, sizes: StoreSizes) -> bool {
+        let of_half = (self.max_bytes / 2).saturating_sub(sizes.snapshot_bytes);
+        sizes.log_bytes >= of_half.max(self.max_bytes / 16)
+    }
+}
--- a/lib/replica/src/state_machine.rs
+++ b/lib/replica/src/state_machine.rs
@@ -15,6 +15,10 @@
     /// Result of applying a command.
     type Answer: Debug + Send + 'static;
 
+    /// Returns whether a command may enlarge the state. Such a command is refused while the state has
+    /// no room; cancellations and ends always pass, since they make room.
+    fn enlarges_state(command: &Self::Command) -> bool;
+
     /// Applies a committed command. `at_ms` is the time that the leader recorded.
     fn apply(&self, index: LogIndex, at_ms: u64, command: &Self::Command) -> Self::Answer;
 
--- a/lib/replica/src/waiters.rs
+++ b/lib/replica/src/waiters.rs
@@ -23,6 +23,16 @@
     Scheduler(Box<S::Command>),
 }
 
+impl<S> ProposalWaiter<S>
+where
+    S: StateMachine,
+{
+    /// Reports that the proposal was not appended and has no effect.
+    pub(crate) fn refuse(self, failure: Failure) {
+        answer(self, Err(failure));
+    }
+}
+
 /// Channel to a caller that waits until a read is safe or until a member change is done.
 pub(crate) type CompletionWaiter = oneshot::Sender<Outcome<()>>;
 
--- a/lib/settings/src/limit_settings.rs
+++ b/lib/settings/src/limit_settings.rs
@@ -7,6 +7,10 @@
     pub max_body_bytes: u64,
     /// Maximum number of open connections, of callers and of workers each.
     pub max_connections: u32,
+    /// Space for the data folder, in MiB.
+    pub disk_mb: u32,
+    /// Memory that the process may use, in MiB.
+    pub memory_mb: u32,
     /// Number of threads of the async runtime, which serve the connections.
     pub worker_threads: u32,
 }
@@ -16,6 +20,8 @@
         Self {
             max_body_bytes: 1 << 20,
             max_connections: 4_096,
+            disk_mb: 4_096,
+            memory_mb: 4_096,
             worker_threads: 4,
         }
     }
@@ -35,6 +41,12 @@
                 default.max_connections,
                 parse::number(16, 65_536),
             ),
+            disk_mb: section.or_default("disk_mb", default.disk_mb, parse::number(64, 1 << 20)),
+            memory_mb: section.or_default(
+                "memory_mb",
+                default.memory_mb,
+                parse::number(64, 1 << 20),
+            ),
             worker_threads: section.or_default(
                 "worker_threads",
                 default.worker_threads,
