entry: delete damaged data that was set aside and is large

Same class of fault, read in the code and not seen in a run: data that cannot be read is moved aside whole. With a large log it took up to half of the disk from the new member, which then holds the same log as all others and finds its disk full first.

--- a/lib/entry/src/formation.rs
+++ b/lib/entry/src/formation.rs
@@ -13,7 +13,7 @@
 use tarragon_agreement::{Member, Members, Recovered, Role, SnapshotMeta};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{HostName, LogIndex, MemberId, Term};
-use tarragon_storage::{Disk, FileStore, LogStore};
+use tarragon_storage::{Disk, DiskUsage, FileStore, LogStore};
 use tarragon_telemetry::{Event, EventSink};
 
 use crate::EntryConfig;
@@ -21,8 +21,8 @@
 /// Folder of the replica inside the data folder.
 const REPLICA_FOLDER: &str = "replica";
 
-/// Folder to which unreadable data is moved. It holds only the latest such data, since the disk is
-/// small.
+/// Folder to which unreadable data is moved. It holds only the latest such data, and none if that is
+/// large, since the disk is small.
 const SET_ASIDE_FOLDER: &str = "aside";
 
 /// Returns the identity of a bootstrap member; every host computes the same one for the same name.
@@ -58,6 +58,8 @@
     events: &dyn EventSink,
 ) -> Outcome<(FileStore, Recovered)> {
     let dir = data_dir.join(REPLICA_FOLDER);
+    let max_aside_bytes = cfg.state_limits.max_aside_bytes();
+    drop_large_aside(data_dir, max_aside_bytes, events)?;
     if FileStore::exists(&dir) {
         match open_existing(disk, &dir) {
             Ok(opened) => return Ok(opened),
@@ -65,6 +67,7 @@
                 let event = Event::error("data_set_aside").code(failure.code.number());
                 events.emit(&event.detail(failure.cause));
                 set_aside(data_dir, &dir)?;
+                drop_large_aside(data_dir, max_aside_bytes, events)?;
             }
             Err(failure) => return Err(failure),
         }
@@ -115,6 +118,18 @@
         .map_err(|e| disk_failure(data_dir, &e))
 }
 
+/// Deletes data that was set aside if it takes up room that the replica may need.
+fn drop_large_aside(data_dir: &Path, max_bytes: u64, events: &dyn EventSink) -> Outcome<()> {
+    let aside = data_dir.join(SET_ASIDE_FOLDER);
+    let usage = DiskUsage::of(&aside);
+    if usage.total_bytes() <= max_bytes {
+        return Ok(());
+    }
+    let event = Event::warning("aside_deleted");
+    events.emit(&event.detail(format!("{usage}; at most {max_bytes} bytes are kept")));
+    fs::remove_dir_all(&aside).map_err(|e| disk_failure(&aside, &e))
+}
+
 fn create_dir(dir: &Path) -> Outcome<()> {
     fs::create_dir_all(dir).map_err(|e| disk_failure(dir, &e))?;
     if let Some(parent) = dir.parent() {
