entry: acknowledge a configuration that changes nothing without an entry

A version that is not above the one in force is answered from the state under the lease of the leader, as a resent job already is. The answer is the same as before.

--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -172,6 +172,10 @@
 
     async fn put_configuration(&self, configuration: Configuration) -> Outcome<Reply> {
         let version = configuration.version;
+        // A configuration that changes nothing does not take up room in the log.
+        if version <= self.workflow_state.configuration().version {
+            return self.if_still_leader(Ok(Reply::Done));
+        }
         let answer = self
             .propose(Command::PutConfiguration(configuration))
             .await?;
