--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -68,7 +68,8 @@
             applied_index = meta.index;
         }
         let saved = recovered.snapshot.clone();
-        let replica = Replica::new(timing.agreement_config(), recovered, seed);
+        let agreement = self.cfg.state_limits.bound(timing.agreement_config());
+        let replica = Replica::new(agreement, recovered, seed);
         let id = replica.id();
         let event = Event::info("replica_recovered").index(replica.last_index());
         let sizes = store.sizes();
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -56,7 +56,9 @@
             applied = meta.index;
         }
         let saved = recovered.snapshot.clone();
-        let replica = Replica::new(agreement_config(deps.cfg), recovered, seed);
+        let limits = state_limits(deps.cfg);
+        let agreement = limits.bound(agreement_config(deps.cfg));
+        let replica = Replica::new(agreement, recovered, seed);
         let member_id = replica.id();
         deps.events.emit(
             &Event::info("replica_recovered")
@@ -78,7 +80,7 @@
         let parts = ReplicaParts {
             replica,
             store: Box::new(store),
-            limits: state_limits(deps.cfg),
+            limits,
             saved_snapshot: saved,
             state: Arc::new(CellStateMachine(Arc::clone(&cell))),
             clock: Arc::clone(deps.clock),
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -87,6 +87,8 @@
     is_leader: bool,
     applied_index: LogIndex,
     snapshot_index: LogIndex,
+    /// Size that the latest snapshot left in the log, in bytes.
+    kept_log_bytes: u64,
     /// Time before which no snapshot is made, because the last attempt found the disk full.
     snapshot_retry_at: Millis,
     /// Time before which no snapshot is made for want of room alone.
@@ -119,6 +121,7 @@
             is_leader: false,
             applied_index,
             snapshot_index: applied_index,
+            kept_log_bytes: 0,
             snapshot_retry_at: Millis(0),
             room_snapshot_at: Millis(0),
             is_room_wanted: false,
@@ -394,6 +397,7 @@
         self.parts.saved_snapshot = Some((meta.clone(), state));
         self.applied_index = meta.index;
         self.snapshot_index = meta.index;
+        self.kept_log_bytes = self.parts.store.sizes().log_bytes;
         self.waiters.fail_unapplied();
         self.emit(&LogEvent::info("snapshot_installed").index(meta.index));
         self.step(Event::SnapshotSaved { meta: meta.clone() })
@@ -408,8 +412,9 @@
     fn save_snapshot_if_due(&mut self) -> Outcome<()> {
         let now = self.parts.clock.now();
         let entries = self.applied_index.0 - self.snapshot_index.0;
+        let (limits, sizes) = (self.parts.limits, self.parts.store.sizes());
         let is_due = entries >= SNAPSHOT_INTERVAL_ENTRIES
-            || self.parts.limits.is_snapshot_due(self.parts.store.sizes())
+            || limits.is_snapshot_due(sizes, self.kept_log_bytes)
             || (self.is_room_wanted && now >= self.room_snapshot_at);
         if entries == 0 || !is_due || now < self.snapshot_retry_at {
             return Ok(());
@@ -429,6 +434,7 @@
             Err(failure) => Err(failure),
             Ok(()) => {
                 self.snapshot_index = meta.index;
+                self.kept_log_bytes = self.parts.store.sizes().log_bytes;
                 self.room_snapshot_at = now + SNAPSHOT_PAUSE;
                 self.is_room_wanted = false;
                 self.step(Event::SnapshotSaved { meta })
--- a/lib/replica/src/state_limits.rs
+++ b/lib/replica/src/state_limits.rs
@@ -1,3 +1,4 @@
+use tarragon_agreement::Config;
 use tarragon_storage::StoreSizes;
 
 /// Limits in bytes of the log and the snapshot of a replica.
@@ -45,12 +46,27 @@
         self.max_bytes.saturating_sub(sizes.total_bytes())
     }
 
-    /// Returns whether the log has grown enough for a snapshot.
+    /// Returns whether the log has grown enough for a snapshot. `kept_log_bytes` is the size that the
+    /// latest snapshot left in the log.
     ///
-    /// A large snapshot leaves less room for the log, but the log must reach a sixteenth of the limit,
-    /// so that snapshots do not follow one another without a pause.
-    pub fn is_snapshot_due(self, sizes: StoreSizes) -> bool {
+    /// A large snapshot leaves less room for the log, but the log must grow by a sixteenth of the
+    /// limit, so that snapshots do not follow one another without a pause.
+    pub fn is_snapshot_due(self, sizes: StoreSizes, kept_log_bytes: u64) -> bool {
         let of_half = (self.max_bytes / 2).saturating_sub(sizes.snapshot_bytes);
-        sizes.log_bytes >= of_half.max(self.max_bytes / 16)
+        let grown = sizes.log_bytes.saturating_sub(kept_log_bytes);
+        sizes.log_bytes >= of_half && grown >= self.max_bytes / 16
+    }
+
+    /// Returns the settings of the agreement with its bounds in bytes.
+    ///
+    /// Two of the largest records may be uncommitted at a time, so that one does not wait until
+    /// nothing else is.
+    pub fn bound(self, cfg: Config) -> Config {
+        let bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+        Config {
+            max_uncommitted_bytes: bytes(2 * self.max_record_bytes()),
+            keep_bytes: bytes(self.max_bytes / 8),
+            ..cfg
+        }
     }
 }
--- a/lib/replica/tests/state_limits.rs
+++ b/lib/replica/tests/state_limits.rs
@@ -1,5 +1,6 @@
 //! Limits of log and snapshot in bytes.
 
+use tarragon_agreement::Config;
 use tarragon_replica::StateLimits;
 use tarragon_storage::StoreSizes;
 use yare::parameterized;
@@ -33,22 +34,30 @@
 }
 
 /// Guards against a log of large entries that grows until the disk is full, and against snapshots
-/// that follow one another without a pause.
+/// that follow one another without a pause, as when a snapshot leaves many uncommitted entries.
 #[parameterized(
-    small_log = { 15, 0, false },
-    half_of_the_limit = { 16, 0, true },
-    large_snapshot_leaves_less = { 9, 7, true },
-    large_snapshot_and_small_log = { 8, 7, false },
-    snapshot_above_half = { 2, 30, true },
-    pause_after_a_large_snapshot = { 1, 30, false },
-    snapshot_above_the_limit = { 1, 40, false },
+    small_log = { 15, 0, 0, false },
+    half_of_the_limit = { 16, 0, 0, true },
+    large_snapshot_leaves_less = { 9, 7, 0, true },
+    large_snapshot_and_small_log = { 8, 7, 0, false },
+    snapshot_above_half = { 2, 30, 0, true },
+    pause_after_a_large_snapshot = { 1, 30, 0, false },
+    snapshot_above_the_limit = { 1, 40, 0, false },
+    little_after_the_latest_snapshot = { 17, 0, 16, false },
+    enough_after_the_latest_snapshot = { 18, 0, 16, true },
 )]
-fn snapshot_is_due_by_bytes(log_mib: u64, snapshot_mib: u64, expected: bool) {
+fn snapshot_is_due_by_bytes(log_mib: u64, snapshot_mib: u64, kept_log_mib: u64, expected: bool) {
     let limits = StateLimits::new(1_024 * MIB, 256 * MIB);
-    assert_eq!(
-        limits.is_snapshot_due(sizes(log_mib, snapshot_mib)),
-        expected
-    );
+    let is_due = limits.is_snapshot_due(sizes(log_mib, snapshot_mib), kept_log_mib * MIB);
+    assert_eq!(is_due, expected);
+}
+
+/// Guards against a largest record that is refused for as long as anything else is uncommitted.
+#[test]
+fn largest_record_fits_beside_others() {
+    let limits = StateLimits::new(1_024 * MIB, 256 * MIB);
+    let cfg = limits.bound(Config::default());
+    assert!(cfg.max_uncommitted_bytes as u64 > limits.max_record_bytes());
 }
 
 /// Guards against growth that is accepted although log and next snapshot have no room for it.
