--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -68,7 +68,7 @@
             applied_index = meta.index;
         }
         let saved = recovered.snapshot.clone();
-        let agreement = self.cfg.state_limits.bound(timing.agreement_config());
+        let agreement = self.cfg.state_limits.bound(&timing.agreement_config());
         let replica = Replica::new(agreement, recovered, seed);
         let id = replica.id();
         let event = Event::info("replica_recovered").index(replica.last_index());
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -341,7 +341,7 @@
     }
 
     /// Request that submits a job of one task.
-    pub fn submission(&self, job: &str, payload: &str) -> Request {
+    pub fn submission(job: &str, payload: &str) -> Request {
         let step = StepSpec {
             count: 1,
             ..StepSpec::default()
@@ -350,7 +350,7 @@
     }
 
     /// Request that cancels a job.
-    pub fn cancellation(&self, job: &str) -> Request {
+    pub fn cancellation(job: &str) -> Request {
         Request::Cancel {
             host: Name::from(QUEUE_HOST),
             path: job_path(job),
--- a/lib/entry/tests/small_disk.rs
+++ b/lib/entry/tests/small_disk.rs
@@ -68,7 +68,7 @@
     let mut accepted = Vec::new();
     let refusal = loop {
         let job = format!("{:016x}", accepted.len());
-        let request = cell.submission(&job, &"x".repeat(JOB_BYTES));
+        let request = Cell::submission(&job, &"x".repeat(JOB_BYTES));
         match cell.call_once(4, request).await {
             Ok(_) => accepted.push(job),
             Err(failure) => break failure,
@@ -78,11 +78,11 @@
     assert_eq!(refusal.code, Code::StateFull);
     assert!(refusal.retry_after_ms.is_some());
     for job in &accepted {
-        assert_eq!(cell.call(4, cell.cancellation(job)).await, Reply::Done);
+        assert_eq!(cell.call(4, Cell::cancellation(job)).await, Reply::Done);
     }
     // Cancelled jobs take up no room in the next snapshot.
     let mut attempts = 0;
-    let request = cell.submission("00000000000000ff", &"x".repeat(JOB_BYTES));
+    let request = Cell::submission("00000000000000ff", &"x".repeat(JOB_BYTES));
     while cell.call_once(4, request.clone()).await.is_err() {
         attempts += 1;
         assert!(
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -57,7 +57,7 @@
         }
         let saved = recovered.snapshot.clone();
         let limits = state_limits(deps.cfg);
-        let agreement = limits.bound(agreement_config(deps.cfg));
+        let agreement = limits.bound(&agreement_config(deps.cfg));
         let replica = Replica::new(agreement, recovered, seed);
         let member_id = replica.id();
         deps.events.emit(
--- a/lib/replica/src/state_limits.rs
+++ b/lib/replica/src/state_limits.rs
@@ -61,12 +61,12 @@
     ///
     /// Two of the largest records may be uncommitted at a time, so that one does not wait until
     /// nothing else is.
-    pub fn bound(self, cfg: Config) -> Config {
+    pub fn bound(self, cfg: &Config) -> Config {
         let bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
         Config {
             max_uncommitted_bytes: bytes(2 * self.max_record_bytes()),
             keep_bytes: bytes(self.max_bytes / 8),
-            ..cfg
+            ..cfg.clone()
         }
     }
 }
--- a/lib/replica/tests/state_limits.rs
+++ b/lib/replica/tests/state_limits.rs
@@ -56,7 +56,7 @@
 #[test]
 fn largest_record_fits_beside_others() {
     let limits = StateLimits::new(1_024 * MIB, 256 * MIB);
-    let cfg = limits.bound(Config::default());
+    let cfg = limits.bound(&Config::default());
     assert!(cfg.max_uncommitted_bytes as u64 > limits.max_record_bytes());
 }
 
--- a/lib/storage/src/file_store.rs
+++ b/lib/storage/src/file_store.rs
@@ -199,10 +199,10 @@
         Ok(())
     }
 
-    fn append_records(&mut self, records: Vec<Record>) -> Outcome<()> {
+    fn append_records(&mut self, records: &[Record]) -> Outcome<()> {
         let mut buf = Vec::new();
         let mut offsets = Vec::new();
-        for record in &records {
+        for record in records {
             offsets.push(self.log_len + buf.len() as u64);
             buf = frame::push(buf, self.synced_log_len, record)?;
         }
@@ -258,12 +258,16 @@
     }
 
     fn append(&mut self, entries: &[Entry]) -> Outcome<()> {
-        let records = entries.iter().cloned().map(Record::Entry).collect();
-        self.run_operation(|store| store.append_records(records))
+        let records = entries
+            .iter()
+            .cloned()
+            .map(Record::Entry)
+            .collect::<Vec<_>>();
+        self.run_operation(|store| store.append_records(&records))
     }
 
     fn truncate_from(&mut self, index: LogIndex) -> Outcome<()> {
-        self.run_operation(|store| store.append_records(vec![Record::Truncate(index)]))
+        self.run_operation(|store| store.append_records(&[Record::Truncate(index)]))
     }
 
     fn save_vote(&mut self, term: Term, voted_for: Option<MemberId>) -> Outcome<()> {
