--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -462,6 +462,8 @@
         let metrics = &self.parts.metrics;
         metrics.log_bytes.set(sizes.log_bytes as i64);
         metrics.snapshot_bytes.set(sizes.snapshot_bytes as i64);
+        let limit = self.parts.limits.max_bytes();
+        metrics.state_limit_bytes.set(limit as i64);
     }
 
     fn emit(&self, event: &LogEvent) {
