--- a/lib/storage/src/file_store.rs
+++ b/lib/storage/src/file_store.rs
@@ -164,7 +164,8 @@
         }
         self.make_durable(log)?;
         // A disk that takes no writes is found here, where the host waits for it, and not at the first
-        // vote, which ends the process.
+        // vote, which ends the process. The replacement also syncs the folder, without which the
+        // snapshot that the log is cut for below may be lost with the power.
         self.files
             .replace(VOTE_FILE, &vote_file(term, voted_for)?)?;
         if let Some((meta, _)) = &snapshot {
@@ -196,6 +197,25 @@
         self.log_map = log.map;
         self.log_len = log.intact_len;
         self.synced_log_len = log.intact_len;
+        // A tail of this length is the frame that an earlier start appended.
+        if log.synced_len + (frame::HEADER_LEN as u64) < log.intact_len {
+            self.state_synced_len()?;
+        }
+        Ok(())
+    }
+
+    /// Appends a frame that states the whole log as synced, so that later damage in its last records
+    /// is not taken for a torn write. A full disk does without.
+    fn state_synced_len(&mut self) -> Outcome<()> {
+        let mut frame = Vec::new();
+        frame::push_empty(&mut frame, self.synced_log_len)?;
+        match self.files.append(LOG_FILE, &frame) {
+            Ok(()) => self.log_len += frame.len() as u64,
+            Err(failure) if failure.code == Code::DiskFull => return Ok(()),
+            Err(failure) => return Err(failure),
+        }
+        self.files.sync(LOG_FILE)?;
+        self.synced_log_len = self.log_len;
         Ok(())
     }
 
@@ -227,6 +247,9 @@
             return self.clear_log();
         };
         let kept = log_reader::read_log(self.files.as_ref(), LOG_FILE, offset)?;
+        if kept.intact_len != self.log_len {
+            return Err(frame::corrupt(LOG_FILE, kept.intact_len));
+        }
         self.rewrite(&kept.entries)
     }
 
--- a/lib/storage/src/record.rs
+++ b/lib/storage/src/record.rs
@@ -2,8 +2,9 @@
 use tarragon_agreement::{Entry, SnapshotMeta};
 use tarragon_names::LogIndex;
 
-/// Record of the log file. Records are only appended and never overwritten in place, so a crash
-/// cannot mix the bytes of an old and a new record.
+/// Record of the log file. Records are only appended and never overwritten in place by others, so a
+/// crash cannot mix the bytes of an old and a new record. A start writes the last records again in
+/// their place, with the same bytes.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) enum Record {
     /// Appends an entry to the log.
