replica: refuse growth without refusing ends, resends and configurations

Found by the review of this change, all by reading:

- A batch of up to 2,048 proposals was refused as a whole by the bound of uncommitted bytes, cancellations and ends included.
What enlarges the state is now a batch of its own and stays below three quarters of that bound.
- Small jobs took each byte that became free at the limit, so that no configuration got through.
Work now leaves room for one largest record.
- A resend that asks for an earlier result (keyed jobs and claims, writes with a request id, a known wave) could be refused with 3108, which says that it was not run.
Such commands are not refused for want of room; a known wave is acknowledged.
- A host that does not lead answered 3108 instead of naming the leader.
- The defaults of tarragond were above what a disk under 4 GB holds.

--- a/lib/agreement/src/replica.rs
+++ b/lib/agreement/src/replica.rs
@@ -132,6 +132,11 @@
         self.core.log.last_index()
     }
 
+    /// Total size of the records that are not known to be committed, in bytes.
+    pub fn uncommitted_bytes(&self) -> usize {
+        self.core.log.record_bytes_from(self.core.commit.next())
+    }
+
     /// Last index synced on the local disk.
     pub fn synced_index(&self) -> LogIndex {
         self.core.log.synced()
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -253,6 +253,10 @@
     }
 
     async fn start_wave(&self, key: WaveKey, wave: Wave) -> Outcome<Reply> {
+        // The operator resent a wave that is already known.
+        if self.workflow_state.wave(key).is_some() {
+            return self.if_still_leader(Ok(Reply::Done));
+        }
         let event = Event::info("wave_started");
         let detail = format!(
             "wave {key}, {} machines, {} at once",
--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::LogIndex;
-use tarragon_replica::StateMachine;
+use tarragon_replica::{Growth, StateMachine};
 use tarragon_wire::record;
 use tarragon_workflow::{Answer, Command, WorkflowSnapshot, WorkflowState};
 
@@ -15,11 +15,12 @@
     type Command = Command;
     type Answer = Answer;
 
-    fn enlarges_state(command: &Command) -> bool {
-        matches!(
-            command,
-            Command::PutConfiguration(_) | Command::Submit { .. } | Command::StartWave { .. }
-        )
+    fn growth(command: &Command) -> Growth {
+        match command {
+            Command::Submit { .. } => Growth::Work,
+            Command::PutConfiguration(_) | Command::StartWave { .. } => Growth::Settings,
+            _ => Growth::None,
+        }
     }
 
     fn apply(&self, _: LogIndex, at_ms: u64, command: &Command) -> Answer {
--- a/lib/host/src/cell_state_machine.rs
+++ b/lib/host/src/cell_state_machine.rs
@@ -4,7 +4,7 @@
 use tarragon_cell::{Answer, Cell, CellState, Command};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::LogIndex;
-use tarragon_replica::StateMachine;
+use tarragon_replica::{Growth, StateMachine};
 use tarragon_wire::record;
 
 /// State machine of the replicated log, which applies its commands to the state of the cell.
@@ -15,14 +15,13 @@
     type Command = Command;
     type Answer = Answer;
 
-    fn enlarges_state(command: &Command) -> bool {
-        matches!(
-            command,
-            Command::PutEntry { .. }
-                | Command::PutQuota { .. }
-                | Command::AcceptJob { .. }
-                | Command::ClaimKey { .. }
-        )
+    fn growth(command: &Command) -> Growth {
+        match command {
+            // With a key or a request id, the command may ask for the result of an earlier one, and a
+            // refusal would say that it was not run.
+            Command::AcceptJob { key: None, .. } => Growth::Work,
+            _ => Growth::None,
+        }
     }
 
     fn apply(&self, index: LogIndex, at_ms: u64, command: &Command) -> Answer {
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -18,8 +18,9 @@
 use tarragon_wire::{peer::PeerEvent, record::Record};
 
 use crate::{
-    AbortOnPanic, ApplySink, Clock, LeaderHint, LeaderLease, Links, ReplicaHandle, StateLimits,
-    StateMachine, input::Input, waiters::Waiters,
+    AbortOnPanic, ApplySink, Clock, Growth, GrowthRoom, LeaderHint, LeaderLease, Links,
+    ReplicaHandle, StateLimits, StateMachine, input::Input, proposal_batch::ProposalBatch,
+    waiters::Waiters,
 };
 
 /// Inputs that may be queued for the replica's thread. Bounds memory use under overload.
@@ -40,9 +41,6 @@
 /// full to the next attempt. Each holds up the replica.
 const SNAPSHOT_PAUSE: Millis = Millis(1_000);
 
-/// Retry delay returned to callers whose proposal the state has no room for, in milliseconds.
-const STATE_FULL_RETRY_MS: u64 = 1_000;
-
 /// Components that the replica's thread uses.
 #[derive(Debug)]
 pub struct ReplicaParts<S>
@@ -170,36 +168,34 @@
         }
         inputs.extend(self.rx.try_iter().take(MAX_BATCH_INPUTS));
 
-        let mut records = Vec::new();
-        let mut waiters = Vec::new();
-        let mut room = self.parts.limits.room(self.parts.store.sizes());
+        let mut batch = ProposalBatch::default();
+        let mut growing_batch = ProposalBatch::default();
+        let mut room = self.growth_room();
         for input in inputs {
             match input {
                 Input::Propose {
                     record,
-                    enlarges_state,
+                    growth,
                     waiter,
                 } => {
-                    if enlarges_state {
-                        if let Err(failure) = self.check_room(room, record.len() as u64) {
-                            self.parts.metrics.count_refusal(failure.code.number());
-                            self.is_room_wanted |= failure.code == Code::StateFull;
-                            waiter.refuse(failure);
-                            continue;
-                        }
-                        room -= record.len() as u64;
+                    // Another host refuses all proposals, as one that does not lead.
+                    if !self.is_leader || growth == Growth::None {
+                        batch.push(record, waiter);
+                    } else if let Err(failure) = room.take(growth, record.len() as u64) {
+                        self.parts.metrics.count_refusal(failure.code.number());
+                        self.is_room_wanted |= failure.code == Code::StateFull;
+                        waiter.refuse(failure);
+                    } else {
+                        growing_batch.push(record, waiter);
                     }
-                    records.push(record);
-                    waiters.push(waiter);
                 }
                 Input::Stop => return Ok(false),
                 other => self.handle_input(other)?,
             }
         }
-        if !records.is_empty() {
-            let token = self.waiters.add_batch(waiters);
-            self.step(Event::Propose { token, records })?;
-        }
+        // In a batch of their own, so that they are not refused together with those that grow.
+        self.propose(batch)?;
+        self.propose(growing_batch)?;
         self.step(Event::Tick)?;
         self.sync()?;
         self.save_snapshot_if_due()?;
@@ -208,19 +204,18 @@
         Ok(true)
     }
 
-    /// Checks whether the log and the next snapshot have `room` for a record.
-    fn check_room(&self, room: u64, len: u64) -> Outcome<()> {
-        let limits = self.parts.limits;
-        if len > limits.max_record_bytes() {
-            let cause = format!("{len} bytes, at most {}", limits.max_record_bytes());
-            return Err(Failure::new(Code::TooLarge, cause));
-        }
-        if len > room {
-            let cause = format!("{len} bytes, {room} of {} are free", limits.max_bytes());
-            let failure = Failure::new(Code::StateFull, cause);
-            return Err(failure.retry_after(STATE_FULL_RETRY_MS));
+    fn propose(&mut self, batch: ProposalBatch<S>) -> Outcome<()> {
+        if batch.records.is_empty() {
+            return Ok(());
         }
-        Ok(())
+        let token = self.waiters.add_batch(batch.waiters);
+        let records = batch.records;
+        self.step(Event::Propose { token, records })
+    }
+
+    fn growth_room(&self) -> GrowthRoom {
+        let uncommitted = self.parts.replica.uncommitted_bytes() as u64;
+        GrowthRoom::new(self.parts.limits, self.parts.store.sizes(), uncommitted)
     }
 
     fn leader_lease(&self) -> Option<LeaderLease> {
@@ -426,7 +421,7 @@
             // The log stays as it is. It is cut once there is room, and until then it takes no more
             // than the limit.
             Err(failure) if failure.code == Code::DiskFull => {
-                self.snapshot_retry_at = now + SNAPSHOT_PAUSE;
+                self.snapshot_retry_at = self.parts.clock.now() + SNAPSHOT_PAUSE;
                 let event = LogEvent::error("snapshot_failed").code(failure.code.number());
                 self.emit(&event.index(meta.index).detail(failure.cause));
                 Ok(())
@@ -435,7 +430,8 @@
             Ok(()) => {
                 self.snapshot_index = meta.index;
                 self.kept_log_bytes = self.parts.store.sizes().log_bytes;
-                self.room_snapshot_at = now + SNAPSHOT_PAUSE;
+                // Counted from the end, since a snapshot on a slow disk takes longer than the pause.
+                self.room_snapshot_at = self.parts.clock.now() + SNAPSHOT_PAUSE;
                 self.is_room_wanted = false;
                 self.step(Event::SnapshotSaved { meta })
             }
--- a/lib/replica/src/handle.rs
+++ b/lib/replica/src/handle.rs
@@ -11,7 +11,7 @@
 use tarragon_wire::record::Record;
 use tokio::{sync::oneshot, time::timeout};
 
-use crate::{ReplicaStatus, StateMachine, input::Input, waiters::ProposalWaiter};
+use crate::{Growth, ReplicaStatus, StateMachine, input::Input, waiters::ProposalWaiter};
 
 /// Retry delay returned to callers when the input queue of the replica is full, in milliseconds.
 const QUEUE_FULL_RETRY_MS: u64 = 500;
@@ -54,7 +54,7 @@
         let record = encode::<S::Command>(at_ms, command.clone())?;
         self.send(Input::Propose {
             record,
-            enlarges_state: false,
+            growth: Growth::None,
             waiter: ProposalWaiter::Scheduler(Box::new(command)),
         })
     }
@@ -69,10 +69,10 @@
         call_timeout: Duration,
     ) -> Outcome<S::Answer> {
         let (tx, rx) = oneshot::channel();
-        let enlarges_state = S::enlarges_state(&command);
+        let growth = S::growth(&command);
         self.send(Input::Propose {
             record: encode::<S::Command>(at_ms, command)?,
-            enlarges_state,
+            growth,
             waiter: ProposalWaiter::Call(tx),
         })?;
         match timeout(call_timeout, rx).await {
--- a/lib/replica/src/input.rs
+++ b/lib/replica/src/input.rs
@@ -3,7 +3,7 @@
 use tarragon_names::{HostName, MemberId, Millis};
 
 use crate::{
-    StateMachine,
+    Growth, StateMachine,
     waiters::{CompletionWaiter, ProposalWaiter},
 };
 
@@ -26,8 +26,7 @@
     /// Proposes a record for the log.
     Propose {
         record: Bytes,
-        /// Whether the record is refused once the state has no room for it.
-        enlarges_state: bool,
+        growth: Growth,
         waiter: ProposalWaiter<S>,
     },
     /// Requests a linearizable read.
--- a/lib/replica/src/state_limits.rs
+++ b/lib/replica/src/state_limits.rs
@@ -1,5 +1,9 @@
 use tarragon_agreement::Config;
 use tarragon_storage::StoreSizes;
+use tarragon_wire::MAX_PEER_FRAME_BYTES;
+
+/// Upper limit of log and snapshot together, so that a snapshot fits into one frame between hosts.
+const MAX_BYTES: u64 = MAX_PEER_FRAME_BYTES as u64 / 2;
 
 /// Limits in bytes of the log and the snapshot of a replica.
 ///
@@ -21,7 +25,7 @@
         let of_disk = disk_bytes / 8 * 3;
         let of_memory = memory_bytes / 8;
         Self {
-            max_bytes: of_disk.min(of_memory),
+            max_bytes: of_disk.min(of_memory).min(MAX_BYTES),
         }
     }
 
@@ -57,10 +61,13 @@
         sizes.log_bytes >= of_half && grown >= self.max_bytes / 16
     }
 
+    /// Size of uncommitted records above which none that enlarges the state is added. It holds one
+    /// largest record beside others, and leaves a part of the bound of the agreement to the rest.
+    pub fn max_uncommitted_growth(self) -> u64 {
+        self.max_record_bytes() / 2 * 3
+    }
+
     /// Returns the settings of the agreement with its bounds in bytes.
-    ///
-    /// Two of the largest records may be uncommitted at a time, so that one does not wait until
-    /// nothing else is.
     pub fn bound(self, cfg: &Config) -> Config {
         let bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
         Config {
--- a/lib/replica/src/state_machine.rs
+++ b/lib/replica/src/state_machine.rs
@@ -5,6 +5,8 @@
 use tarragon_codes::Outcome;
 use tarragon_names::LogIndex;
 
+use crate::Growth;
+
 /// State built by applying the committed records of a replicated log in order.
 ///
 /// Applying a command must be deterministic, because each replica applies it independently: it may
@@ -15,9 +17,9 @@
     /// Result of applying a command.
     type Answer: Debug + Send + 'static;
 
-    /// Returns whether a command may enlarge the state. Such a command is refused while the state has
-    /// no room; cancellations and ends always pass, since they make room.
-    fn enlarges_state(command: &Self::Command) -> bool;
+    /// Returns what a command may add to the state. A command that adds something is refused while
+    /// the state has no room, so it must not be one whose earlier result a caller asks for.
+    fn growth(command: &Self::Command) -> Growth;
 
     /// Applies a committed command. `at_ms` is the time that the leader recorded.
     fn apply(&self, index: LogIndex, at_ms: u64, command: &Self::Command) -> Self::Answer;
--- a/lib/settings/src/limit_settings.rs
+++ b/lib/settings/src/limit_settings.rs
@@ -20,8 +20,8 @@
         Self {
             max_body_bytes: 1 << 20,
             max_connections: 4_096,
-            disk_mb: 4_096,
-            memory_mb: 4_096,
+            disk_mb: 1_024,
+            memory_mb: 1_024,
             worker_threads: 4,
         }
     }
