front: bound the request bodies in memory in bytes, over all connections

Callers would have seen a host that is killed; bodies were bounded one by one and by their count only.

Bytes count from their arrival to the drop of the last clone of the body, so announced bytes that do not come take nothing. A body without room is refused at once with 3101 and Retry-After, by its announced length or by the chunk that does not fit; nothing waits for room, so nothing can deadlock. A body that is alone always passes. Chunks are copied into one buffer, since a slice of one byte kept the read buffer of its connection.

--- a/cli/src/entryd/listeners.rs
+++ b/cli/src/entryd/listeners.rs
@@ -2,7 +2,7 @@
 
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_entry::{EntryHost, EntryMetrics};
-use tarragon_front::{FrontLimits, HttpHandler, serve_http};
+use tarragon_front::{BodyBudget, FrontLimits, HttpHandler, serve_http};
 use tarragon_platform::{
     CallerInterface, ControlInterface, MetricsInterface, PlatformSettings, ReadyInterface,
 };
@@ -40,6 +40,7 @@
         let limits = FrontLimits {
             max_connections: CONNECTIONS,
             max_body_bytes: BODY_BYTES,
+            body_budget: Arc::new(BodyBudget::of_memory(platform.memory_bytes)),
             head_timeout: IDLE,
             drain_timeout: platform.entry.timing.max_request_drain_time(),
             ..FrontLimits::default()
@@ -48,17 +49,21 @@
             tasks: JoinSet::new(),
             stop: CancellationToken::new(),
         };
-        let control = ControlInterface::new(Arc::clone(host), limits);
+        let control = ControlInterface::new(Arc::clone(host), limits.clone());
         listeners
-            .add(platform.control, limits, Arc::new(control))
+            .add(platform.control, limits.clone(), Arc::new(control))
             .await?;
         if let Some(address) = platform.front {
-            let callers = CallerInterface::new(Arc::clone(host), limits);
-            listeners.add(address, limits, Arc::new(callers)).await?;
+            let callers = CallerInterface::new(Arc::clone(host), limits.clone());
+            listeners
+                .add(address, limits.clone(), Arc::new(callers))
+                .await?;
         }
         if let Some(address) = platform.readiness {
             let ready = ReadyInterface(Arc::clone(host));
-            listeners.add(address, limits, Arc::new(ready)).await?;
+            listeners
+                .add(address, limits.clone(), Arc::new(ready))
+                .await?;
         }
         let render = move || {
             metrics.log_dropped.set(logs.dropped() as i64);
--- a/lib/front/src/front_limits.rs
+++ b/lib/front/src/front_limits.rs
@@ -1,7 +1,12 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
+
+use crate::BodyBudget;
+
+/// Bound on the request bodies in memory without a memory limit to derive it from, in bytes.
+const DEFAULT_BODY_BUDGET_BYTES: usize = 64 << 20;
 
 /// Limits of the HTTP interface on connections, sizes and times.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct FrontLimits {
     /// Maximum number of open connections; a further one is answered with code 3107 and closed.
     pub max_connections: usize,
@@ -11,6 +16,9 @@
     pub max_headers: usize,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Bound in bytes on the bodies of all requests together; a further one is refused with code
+    /// 3101. Clones share it.
+    pub body_budget: Arc<BodyBudget>,
     /// Time within which a request head must arrive. It also closes idle connections, because an idle
     /// connection waits for its next request head.
     pub head_timeout: Duration,
@@ -31,6 +39,7 @@
             max_head_bytes: 16 * 1_024,
             max_headers: 64,
             max_body_bytes: 1_024 * 1_024,
+            body_budget: Arc::new(BodyBudget::new(DEFAULT_BODY_BUDGET_BYTES)),
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
             write_stall_timeout: Duration::from_secs(10),
--- a/lib/front/src/http_server.rs
+++ b/lib/front/src/http_server.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
@@ -18,7 +18,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{FrontLimits, stall_limit::StallLimit};
+use crate::{FrontLimits, body_buffer::BodyBuffer, stall_limit::StallLimit};
 
 /// Request handler of one HTTP interface.
 pub trait HttpHandler: Debug + Send + Sync {
@@ -62,7 +62,12 @@
             let _sent = stream.try_write(TOO_MANY_CONNECTIONS);
             continue;
         };
-        let conn = serve_connection(stream, Arc::clone(&handler), limits, shutdown.clone());
+        let conn = serve_connection(
+            stream,
+            Arc::clone(&handler),
+            limits.clone(),
+            shutdown.clone(),
+        );
         let cancel_connections = cancel_connections.clone();
         tracker.spawn(async move {
             tokio::select! {
@@ -111,18 +116,40 @@
     };
 }
 
-/// Reads the whole body of a request within its limits on size and time.
+/// Reads the whole body of a request within its limits on size and time, and within the budget that
+/// all requests share. The result counts in the budget until its last clone is dropped.
 pub async fn read_body(body: Incoming, limits: &FrontLimits) -> Outcome<Bytes> {
-    let limit = limits.max_body_bytes;
-    let too_large = || Failure::new(Code::TooLarge, format!("body: at most {limit} bytes"));
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > limits.max_body_bytes {
+        return Err(too_large(limits));
     }
-    let whole_body = Limited::new(body, limit).collect();
-    match timeout(limits.body_timeout, whole_body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(e)) => Err(Failure::new(Code::Malformed, format!("body: {e}"))),
+    let buf = BodyBuffer::new(Arc::clone(&limits.body_budget), announced)?;
+    match timeout(limits.body_timeout, read_into(buf, body, limits)).await {
+        Ok(read) => read.map(BodyBuffer::into_bytes),
         Err(_) => Err(Failure::of(Code::SlowRequest)),
     }
 }
+
+async fn read_into(
+    mut buf: BodyBuffer,
+    mut body: Incoming,
+    limits: &FrontLimits,
+) -> Outcome<BodyBuffer> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| Failure::new(Code::Malformed, format!("body: {e}")))?;
+        // Trailers carry nothing that a call uses.
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if chunk.len() > limits.max_body_bytes - buf.len() {
+            return Err(too_large(limits));
+        }
+        buf.push(&chunk)?;
+    }
+    Ok(buf)
+}
+
+fn too_large(limits: &FrontLimits) -> Failure {
+    let limit = limits.max_body_bytes;
+    Failure::new(Code::TooLarge, format!("body: at most {limit} bytes"))
+}
--- a/lib/front/src/lib.rs
+++ b/lib/front/src/lib.rs
@@ -4,6 +4,8 @@
 //! (`calls`), which uses the rest of the host through [`HostApi`].
 
 mod access;
+mod body_budget;
+mod body_buffer;
 mod calls;
 mod front_config;
 mod front_limits;
@@ -20,6 +22,7 @@
 mod service_reply;
 mod stall_limit;
 
+pub use body_budget::BodyBudget;
 pub use front_config::{FrontConfig, LogLevelSetter, MetricsRenderer};
 pub use front_limits::FrontLimits;
 pub use host_api::{BoxOutcome, HostApi};
--- a/lib/front/src/server.rs
+++ b/lib/front/src/server.rs
@@ -25,7 +25,7 @@
     cfg: FrontConfig,
     shutdown: CancellationToken,
 ) {
-    let limits = cfg.limits;
+    let limits = cfg.limits.clone();
     let handler = CallHandler {
         host_api,
         cfg: Arc::new(cfg),
--- a/lib/front/tests/limits.rs
+++ b/lib/front/tests/limits.rs
@@ -2,13 +2,13 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use common::{SOCKET_TIMEOUT, TestServer, read_to_end};
-use tarragon_front::FrontLimits;
+use tarragon_front::{BodyBudget, FrontLimits};
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     time::{sleep, timeout},
 };
 use yare::parameterized;
@@ -178,3 +178,118 @@
         sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Limits with bodies of 1,000 bytes at most, and `budget_bytes` for all of them together.
+fn limits_with_budget(budget_bytes: usize) -> FrontLimits {
+    FrontLimits {
+        max_body_bytes: 1_000,
+        body_budget: Arc::new(BodyBudget::new(budget_bytes)),
+        ..FrontLimits::default()
+    }
+}
+
+/// A service request with the given end of its head and its body.
+fn request(rest: &str) -> String {
+    format!("POST /v1/requests/a HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{rest}")
+}
+
+fn with_length(bytes: usize) -> String {
+    request(&format!(
+        "content-length: {bytes}\r\n\r\n{}",
+        "a".repeat(bytes)
+    ))
+}
+
+fn in_chunks(chunks: usize) -> String {
+    let chunk = format!("64\r\n{}\r\n", "a".repeat(100));
+    let chunks = chunk.repeat(chunks);
+    request(&format!(
+        "transfer-encoding: chunked\r\n\r\n{chunks}0\r\n\r\n"
+    ))
+}
+
+/// Guards against bodies that are allowed one by one and together exceed the memory of the host, on
+/// one interface or on several.
+#[parameterized(
+    content_length = { with_length(501) },
+    chunks = { in_chunks(6) },
+)]
+#[test_macro(tokio::test)]
+async fn bodies_in_flight_are_bounded_in_bytes(second: String) {
+    let limits = limits_with_budget(1_500);
+    let first_server = TestServer::start(limits.clone()).await;
+    let second_server = TestServer::start(limits).await;
+    first_server.host_api.close_gate();
+    let mut first = first_server.connect().await;
+    first
+        .write_all(with_length(1_000).as_bytes())
+        .await
+        .unwrap();
+    let _arrived = timeout(SOCKET_TIMEOUT, first_server.host_api.arrived.acquire())
+        .await
+        .unwrap();
+
+    let answer = second_server.exchange(second.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("x-tarragon-code: 3101"), "{answer}");
+    assert!(answer.contains("retry-after: 1"), "{answer}");
+    assert!(second_server.host_api.served.lock().is_empty());
+    let answer = second_server.exchange(with_length(500).as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+
+    first_server.host_api.gate.add_permits(1);
+    let answer = read_to_end(&mut first).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    // The fake hosts keep the bodies of the calls that they served.
+    first_server.host_api.served.lock().clear();
+    second_server.host_api.served.lock().clear();
+    let answer = second_server.exchange(second.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against a budget below the limit of one body, which would refuse it forever.
+#[parameterized(
+    content_length = { with_length(1_000) },
+    chunks = { in_chunks(10) },
+)]
+#[test_macro(tokio::test)]
+async fn body_passes_alone_whatever_the_budget(request: String) {
+    let server = TestServer::start(limits_with_budget(10)).await;
+    let answer = server.exchange(request.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against a caller that uses up the budget with bytes that it announces and doesn't send.
+#[tokio::test]
+async fn announced_bytes_take_no_room() {
+    let server = TestServer::start(limits_with_budget(1_000)).await;
+    let mut silent = server.connect().await;
+    silent
+        .write_all(request("expect: 100-continue\r\ncontent-length: 1000\r\n\r\n").as_bytes())
+        .await
+        .unwrap();
+    // The server sends this when it begins to read the body.
+    let mut status = [0; 12];
+    timeout(SOCKET_TIMEOUT, silent.read_exact(&mut status))
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(&status, b"HTTP/1.1 100");
+    let answer = server.exchange(with_length(1_000).as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against bytes of an unfinished body that stay counted after it was cut off.
+#[tokio::test]
+async fn bytes_of_a_body_that_is_cut_off_are_released() {
+    let server = TestServer::start(FrontLimits {
+        body_timeout: SHORT_TIMEOUT,
+        ..limits_with_budget(1_000)
+    })
+    .await;
+    let half = format!("content-length: 1000\r\n\r\n{}", "a".repeat(600));
+    let answer = server.exchange(request(&half).as_bytes()).await;
+    assert!(answer.contains("1008"), "{answer}");
+    let answer = server.exchange(with_length(1_000).as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -12,7 +12,7 @@
     rand_core::{Rng, SeedableRng},
 };
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_front::{FrontConfig, FrontLimits, LogLevelSetter};
+use tarragon_front::{BodyBudget, FrontConfig, FrontLimits, LogLevelSetter};
 use tarragon_leases::WorkerOrder;
 use tarragon_names::{HostName, Millis};
 use tarragon_proxy::{Proxy, ProxyConfig};
@@ -263,12 +263,14 @@
     fn front_config(&self) -> FrontConfig {
         let cfg = &self.core.cfg;
         let (core, proxy) = (Arc::clone(&self.core), Arc::clone(&self.proxy));
+        let memory_bytes = u64::from(cfg.limits.memory_mb) << 20;
         FrontConfig {
             token: Some(Arc::from(cfg.token.reveal())),
             announce_token: None,
             limits: FrontLimits {
                 max_connections: cfg.limits.max_connections as usize,
                 max_body_bytes: cfg.limits.max_body_bytes as usize,
+                body_budget: Arc::new(BodyBudget::of_memory(memory_bytes)),
                 propose_timeout: Duration::from_millis(cfg.timing.propose_timeout.0),
                 drain_timeout: Duration::from_millis(cfg.timing.drain_max.0),
                 ..FrontLimits::default()
