replica: bound the queue of a link in bytes, besides its messages

Read in the code, not seen in a run: the queue of a link took 4,096 messages whatever their size. An append has up to 256 KB or one larger entry, so a host with a slow link of 2 Mbit/s could queue 1 GB for one other host; callers would have seen it killed for its memory.

What does not fit is dropped and reported as before; senders send it again.

Three of the four tests in tests/links.rs fail on the queue before (no message of 10 or 13 MiB was dropped). No run over a link that is slow in fact.

--- a/lib/replica/src/lib.rs
+++ b/lib/replica/src/lib.rs
@@ -13,6 +13,7 @@
 mod leader_hint;
 mod leader_lease;
 mod link_observer;
+mod link_queue;
 mod link_timing;
 mod links;
 mod peer_listener;
--- a/lib/replica/src/links.rs
+++ b/lib/replica/src/links.rs
@@ -20,11 +20,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{LinkObserver, LinkTiming};
-
-/// Messages that may be queued for a link. Further ones are dropped; every protocol on the links
-/// resends lost messages.
-const MAX_QUEUED_MESSAGES: usize = 4_096;
+use crate::{
+    LinkObserver, LinkTiming,
+    link_queue::{LinkQueue, QueuedEvent},
+};
 
 /// Delay before the next attempt to connect.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
@@ -38,7 +37,7 @@
 pub struct Links {
     own_host: HostName,
     timing: LinkTiming,
-    queues: RwLock<HashMap<HostName, mpsc::Sender<PeerEvent>>>,
+    queues: RwLock<HashMap<HostName, LinkQueue>>,
     observer: Arc<dyn LinkObserver>,
     stop: CancellationToken,
 }
@@ -65,8 +64,8 @@
         if *host == self.own_host || self.queues.read().contains_key(host) {
             return;
         }
-        let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        if self.queues.write().insert(host.clone(), tx).is_some() {
+        let (queue, rx) = LinkQueue::new();
+        if self.queues.write().insert(host.clone(), queue).is_some() {
             return;
         }
         let link = Link {
@@ -81,13 +80,14 @@
         tokio::spawn(async move { stop.run_until_cancelled(link.run()).await });
     }
 
-    /// Queues a message for a host; delivery is not guaranteed.
+    /// Queues a message for a host. It is dropped if the queue is full; every protocol on the links
+    /// resends lost messages.
     pub fn send(&self, to: &HostName, event: PeerEvent) {
         let queues = self.queues.read();
         let Some(queue) = queues.get(to) else {
             return;
         };
-        if queue.try_send(event).is_err() {
+        if !queue.push(event) {
             self.observer.dropped(to);
         }
     }
@@ -112,7 +112,7 @@
     address: SocketAddr,
     timing: LinkTiming,
     observer: Arc<dyn LinkObserver>,
-    rx: mpsc::Receiver<PeerEvent>,
+    rx: mpsc::Receiver<QueuedEvent>,
 }
 
 impl Link {
@@ -150,7 +150,7 @@
         loop {
             tokio::select! {
                 event = self.rx.recv(), if outgoing.is_empty() => match event {
-                    Some(event) => {
+                    Some((event, _room)) => {
                         outgoing = PeerFrame::encoded_parts(&self.own_host, Some(&event));
                     }
                     None => return false,
--- a/lib/wire/src/peer.rs
+++ b/lib/wire/src/peer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use prost::Message;
-use tarragon_agreement::PeerMsg;
+use tarragon_agreement::{Payload, PeerMsg};
 use tarragon_leases::{WorkerOrder, WorkerReport};
 use tarragon_names::{HostName, MemberId, WorkerName};
 use tarragon_routing::{LoadSummary, PoolLoad};
@@ -17,6 +17,9 @@
 /// Largest frame that is sent in one piece, in bytes.
 const MAX_PART_BYTES: usize = 16 << 10;
 
+/// Size of a message or an entry without the bytes that it carries.
+const FIXED_BYTES: usize = 128;
+
 /// Frame on the link between two entry hosts.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerFrame {
@@ -191,6 +194,38 @@
     OrderResults(Bytes),
 }
 
+impl PeerEvent {
+    /// Size of the message in memory and on a link, without the fields that are always small.
+    pub fn approximate_bytes(&self) -> usize {
+        let carried = match self {
+            Self::Agreement { msg, .. } => agreement_bytes(msg),
+            Self::Report { report, .. } => convert::report_to_msg(report).encoded_len(),
+            Self::Order { order, .. } => convert::order_to_msg(order).encoded_len(),
+            Self::Load(load) => load.pools.len() * FIXED_BYTES,
+            Self::Call { body, .. }
+            | Self::Answer { body, .. }
+            | Self::Orders(body)
+            | Self::OrderResults(body) => body.len(),
+        };
+        FIXED_BYTES + carried
+    }
+}
+
+fn agreement_bytes(msg: &PeerMsg) -> usize {
+    match msg {
+        PeerMsg::Append { entries, .. } => {
+            let sizes = entries.iter().map(|entry| match &entry.payload {
+                Payload::Record(record) => FIXED_BYTES + record.len(),
+                Payload::Members(members) => FIXED_BYTES * (1 + members.by_id.len()),
+                Payload::Noop => FIXED_BYTES,
+            });
+            sizes.sum()
+        }
+        PeerMsg::Snapshot { state, .. } => state.len(),
+        _ => 0,
+    }
+}
+
 impl PeerFrame {
     /// Creates a frame from the host `from` with a message, or a heartbeat for `None`.
     pub fn new(from: &HostName, event: Option<&PeerEvent>) -> Self {
