wire, replica: derive the largest message on a link from the limits of the state

Read in the code, not seen in a run: a host put parts of up to 256 MiB together for each link, and took a frame of that size, where its process may have 260 MB. Callers would have seen it killed.

A larger message closes the link.

message_size_follows_from_the_memory fails with the bound of 256 MiB.

--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -154,7 +154,8 @@
             cfg,
         });
         let sink: Arc<dyn PeerSink> = Arc::new(Inbound(Arc::clone(&host)));
-        let listener = PeerListener::new(listener, host.cfg.host.clone(), timing, link_monitor);
+        let listener = PeerListener::new(listener, host.cfg.host.clone(), timing, link_monitor)
+            .with_state_limits(host.cfg.state_limits);
         tokio::spawn(listener.run(sink, stop.clone()));
         tokio::spawn(host_directory::announce(Arc::clone(&host), stop.clone()));
         if let Some(active) = &host.replica {
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -28,7 +28,7 @@
     HostCore, InboundRouter, LeaderClient, LinkMeter, OrderRoutes, ReplicatedKeyLog, WorkerGateway,
     member_repair::repair_members,
     metrics_page,
-    replica_runtime::{ReplicaDependencies, ReplicaRuntime, keep_membership},
+    replica_runtime::{ReplicaDependencies, ReplicaRuntime, keep_membership, state_limits},
 };
 use tarragon_replica::{
     Clock, LeaderHint, LinkTiming, Links, PeerListener, PeerSink, SystemClock, process_seed,
@@ -187,7 +187,8 @@
         let sink: Arc<dyn PeerSink> = Arc::clone(&inbound_router) as _;
         let listener = bind("peer", cfg.peer).await?;
         let meter = Arc::clone(&self.core.link_meter) as _;
-        let listener = PeerListener::new(listener, cfg.name.clone(), link_timing(cfg), meter);
+        let listener = PeerListener::new(listener, cfg.name.clone(), link_timing(cfg), meter)
+            .with_state_limits(state_limits(cfg));
         tasks.spawn(listener.run(sink, stop.clone()));
 
         let control = ControlServer::new(Arc::clone(&self.core), Arc::clone(&self.proxy));
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -182,7 +182,7 @@
     }
 }
 
-fn state_limits(cfg: &HostSettings) -> StateLimits {
+pub(crate) fn state_limits(cfg: &HostSettings) -> StateLimits {
     let bytes = |mb: u32| u64::from(mb) << 20;
     StateLimits::new(bytes(cfg.limits.disk_mb), bytes(cfg.limits.memory_mb))
 }
--- a/lib/replica/src/peer_listener.rs
+++ b/lib/replica/src/peer_listener.rs
@@ -3,7 +3,7 @@
 use futures::{SinkExt, StreamExt};
 use tarragon_names::HostName;
 use tarragon_wire::{
-    FrameAssembler, MAX_PEER_FRAME_BYTES,
+    DEFAULT_MESSAGE_BYTES, FrameAssembler,
     peer::{PeerEvent, PeerFrame},
 };
 use tokio::{
@@ -12,7 +12,11 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{LinkObserver, LinkTiming};
+use crate::{LinkObserver, LinkTiming, StateLimits};
+
+/// Message size that every host takes, in bytes; records and calls of a host with more disk and memory
+/// have to fit.
+const MIN_MESSAGE_BYTES: u64 = 16 << 20;
 
 /// Receiver of the messages on the links that other hosts open.
 pub trait PeerSink: Debug + Send + Sync {
@@ -27,6 +31,7 @@
     own_host: HostName,
     timing: LinkTiming,
     observer: Arc<dyn LinkObserver>,
+    max_message_bytes: usize,
 }
 
 impl PeerListener {
@@ -42,9 +47,20 @@
             own_host,
             timing,
             observer,
+            max_message_bytes: DEFAULT_MESSAGE_BYTES,
         }
     }
 
+    /// Sets the size of the largest message by the limits of the state, whose snapshot is one message.
+    ///
+    /// Ends of jobs enlarge a state at its limit, so a snapshot may be above it.
+    #[must_use]
+    pub fn with_state_limits(mut self, limits: StateLimits) -> Self {
+        let bytes = (2 * limits.max_bytes()).max(MIN_MESSAGE_BYTES);
+        self.max_message_bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        self
+    }
+
     /// Accepts links until `stop` is cancelled; each link runs in its own task.
     pub async fn run(self, sink: Arc<dyn PeerSink>, stop: CancellationToken) {
         while let Some(accepted) = stop.run_until_cancelled(self.listener.accept()).await {
@@ -55,6 +71,7 @@
                 observer: Arc::clone(&self.observer),
                 answer_interval: self.timing.heartbeat_interval / 2,
                 silence_timeout: self.timing.silence_timeout,
+                max_message_bytes: self.max_message_bytes,
             };
             let stop = stop.clone();
             tokio::spawn(async move { stop.run_until_cancelled(inbound.receive(stream)).await });
@@ -69,6 +86,7 @@
     /// Minimum time between two answers; frames in between are not answered.
     answer_interval: Duration,
     silence_timeout: Duration,
+    max_message_bytes: usize,
 }
 
 impl InboundLink {
@@ -77,10 +95,11 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let mut frames = tarragon_wire::frames(stream, MAX_PEER_FRAME_BYTES);
+        // Hosts of earlier versions send a large message in one frame.
+        let mut frames = tarragon_wire::frames(stream, self.max_message_bytes);
         let heartbeat = PeerFrame::new(&self.own_host, None).encoded();
         let mut last_answer_at = None::<Instant>;
-        let mut assembler = FrameAssembler::default();
+        let mut assembler = FrameAssembler::new(self.max_message_bytes);
         while let Ok(Some(Ok(buf))) = timeout(self.silence_timeout, frames.next()).await {
             self.observer.inbound_frame(buf.len());
             let Ok((from, event)) = assembler.accept(&buf) else {
--- a/lib/replica/tests/links.rs
+++ b/lib/replica/tests/links.rs
@@ -12,12 +12,12 @@
 use bytes::Bytes;
 use tarragon_agreement::{Entry, Payload, PeerMsg};
 use tarragon_names::{HostName, LogIndex, MemberId, Term};
-use tarragon_replica::{LinkObserver, LinkTiming, Links, PeerListener, PeerSink};
+use tarragon_replica::{LinkObserver, LinkTiming, Links, PeerListener, PeerSink, StateLimits};
 use tarragon_wire::peer::PeerEvent;
 use tokio::{
     net::TcpListener,
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 use yare::parameterized;
@@ -72,12 +72,17 @@
 
 impl TestLink {
     async fn start() -> Self {
+        Self::to_host_with(StateLimits::new(u64::MAX, 256 * MIB as u64)).await
+    }
+
+    async fn to_host_with(limits: StateLimits) -> Self {
         let drops = Arc::<DropCount>::default();
         let observer = Arc::clone(&drops) as Arc<dyn LinkObserver>;
         let (stop, to) = (CancellationToken::new(), HostName::from("h2"));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address: SocketAddr = listener.local_addr().unwrap();
-        let listener = PeerListener::new(listener, to.clone(), TIMING, Arc::clone(&observer));
+        let listener = PeerListener::new(listener, to.clone(), TIMING, Arc::clone(&observer))
+            .with_state_limits(limits);
         let (tx, arrivals) = unbounded_channel();
         tokio::spawn(listener.run(Arc::new(Arrivals(tx)), stop.clone()));
         let links = Links::new(HostName::from("h1"), TIMING, observer, stop);
@@ -160,3 +165,27 @@
     assert_eq!(link.send([call(8)]), 0);
     assert_eq!(link.next().await, call(8));
 }
+
+/// Guards against a host that collects a message which it has no memory for, and against one that
+/// cannot receive its own snapshot.
+#[parameterized(
+    smallest_host = { 0, 15, 17 },
+    host_of_256_mib = { 256, 63, 65 },
+)]
+#[test_macro(tokio::test)]
+async fn message_size_follows_from_the_memory(memory_mib: u64, taken: usize, refused: usize) {
+    let limits = StateLimits::new(u64::MAX, memory_mib * MIB as u64);
+    let mut link = TestLink::to_host_with(limits).await;
+    link.send([call(taken * MIB)]);
+    assert_eq!(link.next().await, call(taken * MIB));
+    link.send([call(refused * MIB)]);
+    // The receiver closes the link; messages are lost until it is connected again.
+    let arrived = loop {
+        sleep(Duration::from_millis(20)).await;
+        link.send([call(8)]);
+        if let Ok(event) = link.arrivals.try_recv() {
+            break event;
+        }
+    };
+    assert_eq!(arrived, call(8));
+}
--- a/lib/wire/src/framing.rs
+++ b/lib/wire/src/framing.rs
@@ -7,8 +7,12 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Maximum size of a frame between entry hosts, in bytes. A snapshot has to fit into one frame.
-pub const MAX_PEER_FRAME_BYTES: usize = 256 << 20;
+/// Maximum size of a frame that an entry host sends to another, in bytes. Larger messages are sent in
+/// parts.
+pub const MAX_PEER_FRAME_BYTES: usize = 1 << 20;
+
+/// Maximum size of a message between entry hosts for a receiver that states none, in bytes.
+pub const DEFAULT_MESSAGE_BYTES: usize = 64 << 20;
 
 /// Maximum size of a frame between a worker and its gateway, in bytes.
 pub const MAX_WORKER_FRAME_BYTES: usize = 4 << 20;
--- a/lib/wire/src/lib.rs
+++ b/lib/wire/src/lib.rs
@@ -17,5 +17,6 @@
 
 pub use frame_assembler::FrameAssembler;
 pub use framing::{
-    Frames, MAX_PEER_FRAME_BYTES, MAX_WORKER_FRAME_BYTES, WireError, frames, read, write,
+    DEFAULT_MESSAGE_BYTES, Frames, MAX_PEER_FRAME_BYTES, MAX_WORKER_FRAME_BYTES, WireError, frames,
+    read, write,
 };
--- a/lib/wire/tests/frame_parts.rs
+++ b/lib/wire/tests/frame_parts.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tarragon_names::HostName;
 use tarragon_wire::{
-    FrameAssembler,
+    FrameAssembler, MAX_PEER_FRAME_BYTES,
     peer::{PeerEvent, PeerFrame},
 };
 use yare::parameterized;
@@ -55,3 +55,25 @@
     let expected = [message(40_000), message(10), message(90_000)];
     assert_eq!(events.collect::<Vec<_>>(), expected);
 }
+
+/// Guards against a host that collects parts until its memory is used up, and against a snapshot that
+/// is refused although it is within the limit of its receiver.
+#[parameterized(
+    below = { 500_000, true },
+    above = { 700_000, false },
+)]
+fn collected_parts_are_bounded(bytes: usize, arrives: bool) {
+    let from = HostName::from("10.0.0.1:1");
+    let sent = PeerFrame::encoded_parts(&from, Some(&message(bytes)));
+    let mut assembler = FrameAssembler::new(600_000);
+    let received = sent.iter().map(|part| assembler.accept(part));
+    assert_eq!(received.collect::<Result<Vec<_>, _>>().is_ok(), arrives);
+}
+
+/// Guards against a part that the limit of frames refuses.
+#[test]
+fn parts_fit_into_frames() {
+    let from = HostName::from("h".repeat(1_000).as_str());
+    let sent = PeerFrame::encoded_parts(&from, Some(&message(3 * MAX_PEER_FRAME_BYTES)));
+    assert!(sent.iter().all(|part| part.len() <= MAX_PEER_FRAME_BYTES));
+}
