--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -12,7 +12,7 @@
     rand_core::{Rng, SeedableRng},
 };
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_front::{FrontConfig, FrontLimits, LogLevelSetter};
+use tarragon_front::{BodyBudget, FrontConfig, FrontLimits, LogLevelSetter};
 use tarragon_leases::WorkerOrder;
 use tarragon_names::{HostName, Millis};
 use tarragon_proxy::{Proxy, ProxyConfig};
@@ -28,7 +28,7 @@
     HostCore, InboundRouter, LeaderClient, LinkMeter, OrderRoutes, ReplicatedKeyLog, WorkerGateway,
     member_repair::repair_members,
     metrics_page,
-    replica_runtime::{ReplicaDependencies, ReplicaRuntime, keep_membership},
+    replica_runtime::{ReplicaDependencies, ReplicaRuntime, keep_membership, state_limits},
 };
 use tarragon_replica::{
     Clock, LeaderHint, LinkTiming, Links, PeerListener, PeerSink, SystemClock, process_seed,
@@ -187,7 +187,8 @@
         let sink: Arc<dyn PeerSink> = Arc::clone(&inbound_router) as _;
         let listener = bind("peer", cfg.peer).await?;
         let meter = Arc::clone(&self.core.link_meter) as _;
-        let listener = PeerListener::new(listener, cfg.name.clone(), link_timing(cfg), meter);
+        let listener = PeerListener::new(listener, cfg.name.clone(), link_timing(cfg), meter)
+            .with_state_limits(state_limits(cfg));
         tasks.spawn(listener.run(sink, stop.clone()));
 
         let control = ControlServer::new(Arc::clone(&self.core), Arc::clone(&self.proxy));
@@ -263,12 +264,14 @@
     fn front_config(&self) -> FrontConfig {
         let cfg = &self.core.cfg;
         let (core, proxy) = (Arc::clone(&self.core), Arc::clone(&self.proxy));
+        let memory_bytes = u64::from(cfg.limits.memory_mb) << 20;
         FrontConfig {
             token: Some(Arc::from(cfg.token.reveal())),
             announce_token: None,
             limits: FrontLimits {
                 max_connections: cfg.limits.max_connections as usize,
                 max_body_bytes: cfg.limits.max_body_bytes as usize,
+                body_budget: Arc::new(BodyBudget::of_memory(memory_bytes)),
                 propose_timeout: Duration::from_millis(cfg.timing.propose_timeout.0),
                 drain_timeout: Duration::from_millis(cfg.timing.drain_max.0),
                 ..FrontLimits::default()
