--- a/lib/replica/src/state_limits.rs
+++ b/lib/replica/src/state_limits.rs
@@ -1,9 +1,9 @@
 use tarragon_agreement::Config;
 use tarragon_storage::StoreSizes;
-use tarragon_wire::MAX_PEER_FRAME_BYTES;
 
-/// Upper limit of log and snapshot together, so that a snapshot fits into one frame between hosts.
-const MAX_BYTES: u64 = MAX_PEER_FRAME_BYTES as u64 / 2;
+/// Upper limit of log and snapshot together. The snapshot is one record of its file, whose length has
+/// 32 bits.
+const MAX_BYTES: u64 = 1 << 30;
 
 /// Limits in bytes of the log and the snapshot of a replica.
 ///
