agreement: test the bounds in bytes of kept and uncommitted entries

`keep_bytes` and `max_uncommitted_bytes` had no test of their own, so callers could have met a leader that fills its memory, or one that stays closed, without a failing check.

The random runs draw small bounds from a generator of their own, so the faults of each seed stay as they are.

--- a/lib/agreement/tests/group/main.rs
+++ b/lib/agreement/tests/group/main.rs
@@ -1,5 +1,6 @@
 //! Tests of replica groups with fakes for network, disk and clock.
 
+mod byte_bounds;
 mod fakes;
 mod follower;
 mod random;
--- a/lib/agreement/tests/group/random.rs
+++ b/lib/agreement/tests/group/random.rs
@@ -14,6 +14,12 @@
 /// Number of faults in one run.
 const FAULTS_PER_RUN: u64 = 60;
 
+/// Upper end of the bound on the records that are kept, in bytes; a record has up to five.
+const MAX_KEEP_BYTES: usize = 25;
+
+/// Upper end of the bound on uncommitted records, in bytes.
+const MAX_UNCOMMITTED_BYTES: usize = 50;
+
 /// Environment variable with the number of further seeds to run; a failure prints its seed.
 const EXTRA_RUNS_VARIABLE: &str = "TARRAGON_RANDOM_RUNS";
 
@@ -33,11 +39,18 @@
         cluster.network.loss_percent = 2;
         cluster.network.duplicate_percent = 2;
         cluster.network.delay_ms = (1, 30);
+        // A generator of its own leaves the faults of each seed as they are.
+        let mut bounds = ChaCha8Rng::seed_from_u64(seed ^ 0xb17e5);
+        let mut draw = |n: usize| bounds.next_u64() as usize % n;
+        let (keep_bytes, max_uncommitted_bytes) =
+            (draw(MAX_KEEP_BYTES), 1 + draw(MAX_UNCOMMITTED_BYTES));
         for (host, rate) in cluster.hosts.iter_mut().zip([100, 101, 100, 101, 100, 101]) {
             host.clock_rate_percent = rate;
             // Few entries are kept, so a host that was down for a short time needs a snapshot.
             host.snapshot_interval_entries = 15;
             host.cfg.keep_entries = 5;
+            host.cfg.keep_bytes = keep_bytes;
+            host.cfg.max_uncommitted_bytes = max_uncommitted_bytes;
             host.start(seed ^ rate);
         }
         let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
