workflow: drop removed queues that no job belongs to

A new configuration now drops the queues that it does not name and that no job in the state belongs to, once the removed ones take up 256 KB. The bound is in bytes, because one route may be large. Below it, no job is read.

A job whose entry follows the configuration that removed its queue would have no queue and would never be placed. It is refused with NoEntry when it is applied, as one that arrives later is; a known job is still acknowledged.

--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -130,7 +130,9 @@
             queue: queue.name.clone(),
             spec,
         };
-        self.propose(command).await?;
+        if self.propose(command).await? == Answer::NoSuchQueue {
+            return Err(Failure::of(Code::NoEntry));
+        }
         let event = Event::info("job_accepted").request(Name::from(job.to_string()));
         let version = self.workflow_state.configuration().version;
         let detail = format!("queue {}, configuration {version}, {spec_text}", queue.name);
--- a/lib/workflow/src/answer.rs
+++ b/lib/workflow/src/answer.rs
@@ -18,6 +18,9 @@
     /// The job is unknown or is no longer retained.
     #[display("no such job")]
     NoSuchJob,
+    /// The queue of the job was dropped before the job was submitted; nothing was changed.
+    #[display("no such queue")]
+    NoSuchQueue,
     /// The job ended before it could be cancelled.
     #[display("ended before as {_0}")]
     EndedBefore(JobPhase),
--- a/lib/workflow/src/queue.rs
+++ b/lib/workflow/src/queue.rs
@@ -3,6 +3,9 @@
 
 use crate::AdviceTerms;
 
+/// Size of a queue in the state apart from its strings, in bytes.
+const QUEUE_BYTES: usize = 128;
+
 /// A queue of jobs, with the route that leads to it and its scheduling policy.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Queue {
@@ -26,3 +29,12 @@
     /// Present if an advice service decides which workers may run a step.
     pub advice: Option<AdviceTerms>,
 }
+
+impl Queue {
+    /// Size of the queue in the state, in bytes; the same on every replica.
+    pub(crate) fn state_bytes(&self) -> usize {
+        // The name is also the key in the state, and the same string.
+        let strings = [self.name.len(), self.host.len(), self.prefix.len()];
+        QUEUE_BYTES + strings.iter().sum::<usize>() + self.pool.len()
+    }
+}
--- a/lib/workflow/src/workflow_snapshot.rs
+++ b/lib/workflow/src/workflow_snapshot.rs
@@ -10,7 +10,7 @@
 pub struct WorkflowSnapshot {
     /// Configuration in force at the time of the snapshot.
     pub configuration: Configuration,
-    /// Every queue ever configured, because jobs may still belong to one that was removed.
+    /// Queues of the configuration in force, and removed ones, because jobs may still belong to them.
     pub queues: BTreeMap<Name, Queue>,
     /// Jobs that have not ended, and ended jobs that are still retained.
     pub jobs: Vec<Job>,
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -18,6 +18,10 @@
 /// Number of shards of the job table.
 const JOB_SHARDS: usize = 16;
 
+/// Size of the removed queues above which those without jobs are dropped, in bytes. Dropping them
+/// reads every job, so small ones stay until there are enough of them.
+const MAX_REMOVED_QUEUE_BYTES: usize = 256 << 10;
+
 /// Maximum attempts for a job whose queue is unknown. Such a job exists only if the log is damaged.
 const FALLBACK_MAX_ATTEMPTS: u32 = 1;
 
@@ -107,7 +111,8 @@
         Arc::clone(&self.configuration.read())
     }
 
-    /// Returns a queue by its name, even if it was removed from the configuration.
+    /// Returns a queue by its name, even if it was removed from the configuration and jobs still
+    /// belong to it.
     pub fn queue(&self, name: &Name) -> Option<Arc<Queue>> {
         self.queues.read().get(name).cloned()
     }
@@ -229,24 +234,55 @@
             queues.insert(queue.name.clone(), Arc::new(queue.clone()));
         }
         *current = Arc::new(configuration.clone());
+        drop(queues);
+        drop(current);
+        self.drop_unused_queues(configuration);
         Answer::Done
     }
 
+    /// Drops the queues that neither the configuration in force names nor any job belongs to, if the
+    /// removed ones are large together.
+    fn drop_unused_queues(&self, configuration: &Configuration) {
+        let configured = configuration.queues.iter().map(|queue| &queue.name);
+        let configured: BTreeSet<_> = configured.collect();
+        let queues = self.queues.read().clone();
+        let removed = queues
+            .values()
+            .filter(|queue| !configured.contains(&queue.name));
+        let removed_bytes = removed.map(|queue| queue.state_bytes()).sum::<usize>();
+        if removed_bytes <= MAX_REMOVED_QUEUE_BYTES {
+            return;
+        }
+        let mut used = BTreeSet::new();
+        self.for_each_job(|job| {
+            if !used.contains(&job.queue) {
+                used.insert(job.queue.clone());
+            }
+        });
+        let mut queues = self.queues.write();
+        queues.retain(|name, _| configured.contains(name) || used.contains(name));
+    }
+
     fn submit(&self, key: JobKey, queue: &Name, spec: &JobSpec, now_ms: u64) -> Answer {
+        let is_queue_known = self.queues.read().contains_key(queue);
         let new = Job::new(key, queue.clone(), spec.clone(), now_ms);
         let oldest_retained_ms = now_ms.saturating_sub(self.retention_ms);
         self.jobs.with(&key, |jobs| {
             // The caller resent a job that is already known.
             if jobs.contains_key(&key) {
-                return;
+                return Answer::Done;
+            }
+            // A configuration that was committed before the job removed its queue.
+            if !is_queue_known {
+                return Answer::NoSuchQueue;
             }
             jobs.retain(|_, job| {
                 let is_over = job.phase.is_final() && job.occurrences.is_empty();
                 !is_over || job.ended_ms >= oldest_retained_ms
             });
             jobs.insert(key, new);
-        });
-        Answer::Done
+            Answer::Done
+        })
     }
 
     fn cancel(&self, key: JobKey, now_ms: u64) -> Answer {
