workflow, entry: bound the tasks of all jobs together

Callers could submit jobs of 300 bytes with 100,000 tasks each, which only the number of jobs bounded.

The jobs of each shard now carry a count of the tasks whose progress they hold or will hold. The leader refuses a job with StateFull and a time to come back if the count and the tasks of jobs in flight exceed the limit of the state divided by 64 bytes, the size of a task's progress; a job that never fits is refused as TooLarge.

--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -27,6 +27,7 @@
     heartbeat_tracker::HeartbeatTracker,
     leader_service::LeaderService,
     mesh::Mesh,
+    task_admission::TaskAdmission,
     unstarted_jobs::UnstartedJobs,
     voter_manager::VoterManager,
 };
@@ -138,6 +139,7 @@
             events: Arc::clone(&self.parts.events),
             voter_manager,
             unstarted_jobs,
+            task_admission: TaskAdmission::new(self.cfg.state_limits),
             heartbeats: HeartbeatTracker::default(),
             heartbeat_address: self.cfg.heartbeat_address.clone(),
             commit_timeout: timing.call_attempt_timeout(),
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -13,6 +13,7 @@
     Hello, Reply, Request, WorkerReport, WorkflowLog,
     dispatch_handle::DispatchHandle,
     heartbeat_tracker::{HeartbeatEffect, HeartbeatTracker},
+    task_admission::TaskAdmission,
     unstarted_jobs::UnstartedJobs,
     voter_manager::VoterManager,
 };
@@ -35,6 +36,7 @@
     pub(crate) events: Arc<dyn EventSink>,
     pub(crate) voter_manager: Arc<VoterManager>,
     pub(crate) unstarted_jobs: Arc<UnstartedJobs>,
+    pub(crate) task_admission: TaskAdmission,
     pub(crate) heartbeats: HeartbeatTracker,
     /// Address of this host for heartbeats, which is announced to workers.
     pub(crate) heartbeat_address: Name,
@@ -124,6 +126,11 @@
                 Failure::of(Code::TooManyRequests).retry_after(RETRY_AFTER_MS)
             ));
         }
+        let tasks = spec.tasks();
+        let _reservation = match self.task_admission.reserve(&self.workflow_state, tasks) {
+            Ok(reservation) => reservation,
+            Err(failure) => return self.if_still_leader(Err(failure)),
+        };
         let spec_text = spec.to_string();
         let command = Command::Submit {
             job,
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod order_batch;
 mod reply;
 mod request;
+mod task_admission;
 mod unstarted_jobs;
 mod upkeep_loop;
 mod voter_manager;
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -70,6 +70,13 @@
         self.phase.is_final() || occurrences.any(|o| o.is_done || tasks(o))
     }
 
+    /// Number of tasks whose progress the job holds, or will hold once its first task is placed; 0
+    /// after its details were dropped.
+    pub fn held_tasks(&self) -> u64 {
+        let open = self.occurrences.values().filter(|o| !o.is_done).count() as u64;
+        self.spec.tasks() * open.max(1)
+    }
+
     /// Returns whether the job has a task with this key.
     pub fn has_task(&self, key: &TaskKey) -> bool {
         let step = self.spec.steps.get(key.step.step as usize);
--- a/lib/workflow/src/job_spec.rs
+++ b/lib/workflow/src/job_spec.rs
@@ -34,8 +34,7 @@
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return malformed(format!("a job must have 1 to {MAX_STEPS} steps"));
         }
-        let tasks = self.steps.iter().map(|step| u64::from(step.count));
-        if tasks.sum::<u64>() > MAX_TASKS {
+        if self.tasks() > MAX_TASKS {
             return malformed(format!("a job may have at most {MAX_TASKS} tasks"));
         }
         for (i, step) in self.steps.iter().enumerate() {
@@ -49,6 +48,11 @@
         Ok(())
     }
 
+    /// Number of tasks in all steps.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Number of times that all steps run; at least 1.
     pub fn occurrences(&self) -> u32 {
         self.repeat_count.max(1)
--- a/lib/workflow/src/lib.rs
+++ b/lib/workflow/src/lib.rs
@@ -12,6 +12,7 @@
 mod job_key;
 mod job_phase;
 mod job_spec;
+mod job_table;
 mod occurrence;
 mod queue;
 mod run_end;
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     Answer, Command, Configuration, Job, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEvent,
-    Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot,
+    Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot, job_table::JobTable,
 };
 
 /// Number of shards of the job table.
@@ -36,7 +36,7 @@
     retention_ms: u64,
     configuration: RwLock<Arc<Configuration>>,
     queues: RwLock<BTreeMap<Name, Arc<Queue>>>,
-    jobs: Sharded<BTreeMap<JobKey, Job>>,
+    jobs: Sharded<JobTable>,
     workers: Mutex<BTreeMap<WorkerName, WorkerRecord>>,
     waves: Mutex<BTreeMap<WaveKey, Wave>>,
     /// Incarnations on machines whose upkeep is ordered and not confirmed; follows from the waves.
@@ -51,7 +51,7 @@
             retention_ms,
             configuration: RwLock::default(),
             queues: RwLock::default(),
-            jobs: Sharded::new(JOB_SHARDS, |_| BTreeMap::new()),
+            jobs: Sharded::new(JOB_SHARDS, |_| JobTable::default()),
             workers: Mutex::default(),
             waves: Mutex::default(),
             going_down: Mutex::default(),
@@ -122,7 +122,7 @@
     where
         F: FnOnce(&Job) -> R,
     {
-        self.jobs.with(&key, |jobs| jobs.get(&key).map(f))
+        self.jobs.with(&key, |jobs| jobs.get(key).map(f))
     }
 
     /// Calls `f` on every job, locking one shard at a time.
@@ -130,7 +130,7 @@
     where
         F: FnMut(&Job),
     {
-        self.jobs.for_each(|jobs| jobs.values().for_each(&mut f));
+        self.jobs.for_each(|jobs| jobs.iter().for_each(&mut f));
     }
 
     /// Number of jobs in the state, including ended ones that are retained.
@@ -140,6 +140,13 @@
         count
     }
 
+    /// Number of tasks whose progress the jobs hold, or will hold once their first tasks are placed.
+    pub fn held_tasks(&self) -> u64 {
+        let mut count = 0;
+        self.jobs.for_each(|jobs| count += jobs.held_tasks());
+        count
+    }
+
     /// Number of jobs in a queue that have not ended and of which no task has been placed.
     pub fn pending_job_count(&self, queue: &Name) -> u64 {
         let mut count = 0;
@@ -210,10 +217,10 @@
             .into_iter()
             .map(|(name, queue)| (name, Arc::new(queue)))
             .collect();
-        self.jobs.for_each(BTreeMap::clear);
+        self.jobs.for_each(JobTable::clear);
         for job in snapshot.jobs {
-            self.jobs
-                .with(&job.key, |jobs| jobs.insert(job.key, job.clone()));
+            let key = job.key;
+            self.jobs.with(&key, |jobs| jobs.insert(job));
         }
         *self.workers.lock() = snapshot.workers;
         *self.waves.lock() = snapshot.waves;
@@ -269,32 +276,34 @@
         let oldest_retained_ms = now_ms.saturating_sub(self.retention_ms);
         self.jobs.with(&key, |jobs| {
             // The caller resent a job that is already known.
-            if jobs.contains_key(&key) {
+            if jobs.contains(key) {
                 return Answer::Done;
             }
             // A configuration that was committed before the job removed its queue.
             if !is_queue_known {
                 return Answer::NoSuchQueue;
             }
-            jobs.retain(|_, job| {
+            jobs.retain(|job| {
                 let is_over = job.phase.is_final() && job.occurrences.is_empty();
                 !is_over || job.ended_ms >= oldest_retained_ms
             });
-            jobs.insert(key, new);
+            jobs.insert(new);
             Answer::Done
         })
     }
 
     fn cancel(&self, key: JobKey, now_ms: u64) -> Answer {
-        self.jobs.with(&key, |jobs| match jobs.get_mut(&key) {
-            None => Answer::NoSuchJob,
-            Some(job) if job.phase == JobPhase::Cancelled => Answer::Done,
-            Some(job) if job.phase.is_final() => Answer::EndedBefore(job.phase),
-            Some(job) => {
-                job.cancel(now_ms);
-                Answer::Done
-            }
-        })
+        let answer = self.jobs.with(&key, |jobs| {
+            jobs.update(key, |job| match job.phase {
+                JobPhase::Cancelled => Answer::Done,
+                phase if phase.is_final() => Answer::EndedBefore(phase),
+                _ => {
+                    job.cancel(now_ms);
+                    Answer::Done
+                }
+            })
+        });
+        answer.unwrap_or(Answer::NoSuchJob)
     }
 
     fn apply_event(&self, event: &RunEvent, now_ms: u64) {
@@ -313,9 +322,7 @@
         let queue = queue.and_then(|name| self.queue(&name));
         let max_attempts = queue.map_or(FALLBACK_MAX_ATTEMPTS, |queue| queue.max_attempts);
         self.jobs.with(&key, |jobs| {
-            if let Some(job) = jobs.get_mut(&key) {
-                job.apply_event(event, max_attempts, now_ms);
-            }
+            jobs.update(key, |job| job.apply_event(event, max_attempts, now_ms));
         });
         if let RunEvent::Ended {
             incarnation,
