--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -12,12 +12,16 @@
 
 use crate::{
     Answer, Command, Configuration, Job, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEvent,
-    Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot,
+    Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot, job_table::JobTable,
 };
 
 /// Number of shards of the job table.
 const JOB_SHARDS: usize = 16;
 
+/// Size of the removed queues above which those without jobs are dropped, in bytes. Dropping them
+/// reads every job, so small ones stay until there are enough of them.
+const MAX_REMOVED_QUEUE_BYTES: usize = 256 << 10;
+
 /// Maximum attempts for a job whose queue is unknown. Such a job exists only if the log is damaged.
 const FALLBACK_MAX_ATTEMPTS: u32 = 1;
 
@@ -32,7 +36,7 @@
     retention_ms: u64,
     configuration: RwLock<Arc<Configuration>>,
     queues: RwLock<BTreeMap<Name, Arc<Queue>>>,
-    jobs: Sharded<BTreeMap<JobKey, Job>>,
+    jobs: Sharded<JobTable>,
     workers: Mutex<BTreeMap<WorkerName, WorkerRecord>>,
     waves: Mutex<BTreeMap<WaveKey, Wave>>,
     /// Incarnations on machines whose upkeep is ordered and not confirmed; follows from the waves.
@@ -47,7 +51,7 @@
             retention_ms,
             configuration: RwLock::default(),
             queues: RwLock::default(),
-            jobs: Sharded::new(JOB_SHARDS, |_| BTreeMap::new()),
+            jobs: Sharded::new(JOB_SHARDS, |_| JobTable::default()),
             workers: Mutex::default(),
             waves: Mutex::default(),
             going_down: Mutex::default(),
@@ -107,7 +111,8 @@
         Arc::clone(&self.configuration.read())
     }
 
-    /// Returns a queue by its name, even if it was removed from the configuration.
+    /// Returns a queue by its name, even if it was removed from the configuration and jobs still
+    /// belong to it.
     pub fn queue(&self, name: &Name) -> Option<Arc<Queue>> {
         self.queues.read().get(name).cloned()
     }
@@ -117,7 +122,7 @@
     where
         F: FnOnce(&Job) -> R,
     {
-        self.jobs.with(&key, |jobs| jobs.get(&key).map(f))
+        self.jobs.with(&key, |jobs| jobs.get(key).map(f))
     }
 
     /// Calls `f` on every job, locking one shard at a time.
@@ -125,7 +130,7 @@
     where
         F: FnMut(&Job),
     {
-        self.jobs.for_each(|jobs| jobs.values().for_each(&mut f));
+        self.jobs.for_each(|jobs| jobs.iter().for_each(&mut f));
     }
 
     /// Number of jobs in the state, including ended ones that are retained.
@@ -135,6 +140,13 @@
         count
     }
 
+    /// Number of tasks whose progress the jobs hold, or will hold once their first tasks are placed.
+    pub fn held_tasks(&self) -> u64 {
+        let mut count = 0;
+        self.jobs.for_each(|jobs| count += jobs.held_tasks());
+        count
+    }
+
     /// Number of jobs in a queue that have not ended and of which no task has been placed.
     pub fn pending_job_count(&self, queue: &Name) -> u64 {
         let mut count = 0;
@@ -205,10 +217,10 @@
             .into_iter()
             .map(|(name, queue)| (name, Arc::new(queue)))
             .collect();
-        self.jobs.for_each(BTreeMap::clear);
+        self.jobs.for_each(JobTable::clear);
         for job in snapshot.jobs {
-            self.jobs
-                .with(&job.key, |jobs| jobs.insert(job.key, job.clone()));
+            let key = job.key;
+            self.jobs.with(&key, |jobs| jobs.insert(job));
         }
         *self.workers.lock() = snapshot.workers;
         *self.waves.lock() = snapshot.waves;
@@ -229,36 +241,69 @@
             queues.insert(queue.name.clone(), Arc::new(queue.clone()));
         }
         *current = Arc::new(configuration.clone());
+        drop(queues);
+        drop(current);
+        self.drop_unused_queues(configuration);
         Answer::Done
     }
 
+    /// Drops the queues that neither the configuration in force names nor any job belongs to, if the
+    /// removed ones are large together.
+    fn drop_unused_queues(&self, configuration: &Configuration) {
+        let configured = configuration.queues.iter().map(|queue| &queue.name);
+        let configured: BTreeSet<_> = configured.collect();
+        let queues = self.queues.read().clone();
+        let removed = queues
+            .values()
+            .filter(|queue| !configured.contains(&queue.name));
+        let removed_bytes = removed.map(|queue| queue.state_bytes()).sum::<usize>();
+        if removed_bytes <= MAX_REMOVED_QUEUE_BYTES {
+            return;
+        }
+        let mut used = BTreeSet::new();
+        self.for_each_job(|job| {
+            if !used.contains(&job.queue) {
+                used.insert(job.queue.clone());
+            }
+        });
+        let mut queues = self.queues.write();
+        queues.retain(|name, _| configured.contains(name) || used.contains(name));
+    }
+
     fn submit(&self, key: JobKey, queue: &Name, spec: &JobSpec, now_ms: u64) -> Answer {
+        let is_queue_known = self.queues.read().contains_key(queue);
         let new = Job::new(key, queue.clone(), spec.clone(), now_ms);
         let oldest_retained_ms = now_ms.saturating_sub(self.retention_ms);
         self.jobs.with(&key, |jobs| {
             // The caller resent a job that is already known.
-            if jobs.contains_key(&key) {
-                return;
+            if jobs.contains(key) {
+                return Answer::Done;
+            }
+            // A configuration that was committed before the job removed its queue.
+            if !is_queue_known {
+                return Answer::NoSuchQueue;
             }
-            jobs.retain(|_, job| {
+            jobs.retain(|job| {
                 let is_over = job.phase.is_final() && job.occurrences.is_empty();
                 !is_over || job.ended_ms >= oldest_retained_ms
             });
-            jobs.insert(key, new);
-        });
-        Answer::Done
+            jobs.insert(new);
+            Answer::Done
+        })
     }
 
     fn cancel(&self, key: JobKey, now_ms: u64) -> Answer {
-        self.jobs.with(&key, |jobs| match jobs.get_mut(&key) {
-            None => Answer::NoSuchJob,
-            Some(job) if job.phase == JobPhase::Cancelled => Answer::Done,
-            Some(job) if job.phase.is_final() => Answer::EndedBefore(job.phase),
-            Some(job) => {
-                job.cancel(now_ms);
-                Answer::Done
-            }
-        })
+        let answer = self.jobs.with(&key, |jobs| {
+            jobs.update(key, |job| match job.phase {
+                JobPhase::Cancelled => Answer::Done,
+                phase if phase.is_final() => Answer::EndedBefore(phase),
+                _ => {
+                    job.cancel(now_ms);
+                    Answer::Done
+                }
+            })
+        });
+        answer.unwrap_or(Answer::NoSuchJob)
     }
 
     fn apply_event(&self, event: &RunEvent, now_ms: u64) {
@@ -277,9 +322,7 @@
         let queue = queue.and_then(|name| self.queue(&name));
         let max_attempts = queue.map_or(FALLBACK_MAX_ATTEMPTS, |queue| queue.max_attempts);
         self.jobs.with(&key, |jobs| {
-            if let Some(job) = jobs.get_mut(&key) {
-                job.apply_event(event, max_attempts, now_ms);
-            }
+            jobs.update(key, |job| job.apply_event(event, max_attempts, now_ms));
         });
         if let RunEvent::Ended {
             incarnation,
