workflow: drop the machines of completed waves of upkeep

A new wave now drops the machines of completed waves whose request and due time are longer ago than ended jobs are retained. The wave itself stays, as a few numbers, so it is still reported as completed and a resent request does not take its machines down again. Nothing reads the machines of a completed wave: the steps skip it, none of its machines is ordered, and a late record of one has no effect.

--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -77,13 +77,7 @@
             }
             Command::PutWorker(record) => self.put_worker(record),
             Command::RemoveWorker(incarnation) => self.remove_worker(incarnation),
-            Command::StartWave { key, wave } => {
-                self.waves
-                    .lock()
-                    .entry(*key)
-                    .or_insert_with(|| wave.clone());
-                Answer::Done
-            }
+            Command::StartWave { key, wave } => self.start_wave(*key, wave, now_ms),
             Command::MachineDone { key, machine } => {
                 self.update_machine(*key, machine, |_| MachinePhase::Done)
             }
@@ -166,7 +160,7 @@
         self.workers.lock().get(name).cloned()
     }
 
-    /// Returns all waves of upkeep, including completed ones.
+    /// Returns all waves of upkeep, including completed ones, whose machines may be dropped.
     pub fn waves(&self) -> BTreeMap<WaveKey, Wave> {
         self.waves.lock().clone()
     }
@@ -336,6 +330,21 @@
         }
     }
 
+    /// Adds a wave. The machines of completed waves are dropped after the time for which ended jobs are
+    /// retained; the waves stay, so that a resent request does not start one again.
+    fn start_wave(&self, key: WaveKey, wave: &Wave, now_ms: u64) -> Answer {
+        let oldest_retained_ms = now_ms.saturating_sub(self.retention_ms);
+        let mut waves = self.waves.lock();
+        for known in waves.values_mut() {
+            let last_ms = known.requested_ms.max(known.due_ms);
+            if last_ms < oldest_retained_ms && known.is_completed() {
+                known.machines.clear();
+            }
+        }
+        waves.entry(key).or_insert_with(|| wave.clone());
+        Answer::Done
+    }
+
     fn update_machine<F>(&self, key: WaveKey, machine: &Name, next: F) -> Answer
     where
         F: FnOnce(MachinePhase) -> MachinePhase,
