--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
+mod caller;
+mod disk_faults;
+mod host_events;
 mod platform;
 mod small_disk;
 mod test_clock;
@@ -17,6 +20,7 @@
 };
 
 use futures::{FutureExt, future::BoxFuture, future::ready};
+use parking_lot::Mutex;
 use tarragon_codes::Outcome;
 use tarragon_dispatch::AdviceAnswer;
 use tarragon_entry::{
@@ -25,8 +29,8 @@
 };
 use tarragon_names::{DomainName, HostName, Millis, Name, PoolName, Resources, WorkerName};
 use tarragon_replica::StateLimits;
-use tarragon_storage::{Disk, LocalDisk};
-use tarragon_telemetry::{Metrics, NullSink};
+use tarragon_storage::{Disk, DiskUsage, LocalDisk};
+use tarragon_telemetry::Metrics;
 use tarragon_workflow::{
     Configuration, JobSpec, MachinePhase, Queue, StepKey, StepSpec, Wave, WaveKey,
     WorkerIncarnation, WorkerPool, WorkerRecord,
@@ -36,6 +40,9 @@
     time::{Instant, sleep},
 };
 
+pub use caller::Caller;
+pub use disk_faults::{DISK_FAULT_KINDS, DISKLESS, DiskFaults, FAULT_KINDS};
+pub use host_events::HostEvents;
 pub use platform::{Platform, ReceivedOrder};
 pub use small_disk::SmallDisk;
 pub use test_clock::TestClock;
@@ -87,14 +94,19 @@
     (from.expect("a number")..to.expect("a number")).collect()
 }
 
+/// Running hosts by their number in the cell.
+type RunningHosts = Arc<Mutex<BTreeMap<u8, Arc<EntryHost>>>>;
+
 /// Hosts of one cell, which tests refer to by their number in the cell.
 pub struct Cell {
     /// Third part of the hosts' addresses, which differs between concurrent tests.
     number: u8,
     /// Folder with one data folder per host.
     disks: tempfile::TempDir,
-    hosts: BTreeMap<u8, Arc<EntryHost>>,
+    hosts: RunningHosts,
     clocks: BTreeMap<u8, Arc<TestClock>>,
+    /// Events of each host since its first start.
+    events: BTreeMap<u8, Arc<HostEvents>>,
     pub platform: Arc<Platform>,
     /// Recovery time in the settings of hosts that are started from now on.
     pub recovery_time: Millis,
@@ -107,8 +119,9 @@
         Self {
             number,
             disks: tempfile::tempdir().expect("creates a folder for the disks"),
-            hosts: BTreeMap::new(),
+            hosts: RunningHosts::default(),
             clocks: BTreeMap::new(),
+            events: BTreeMap::new(),
             platform: Arc::default(),
             recovery_time: Bounds::default().recovery_time,
             disk_bytes: None,
@@ -127,7 +140,9 @@
     pub async fn start(&mut self, host: u8, has_disk: bool, is_first_start: bool, seeds: &[u8]) {
         let (cfg, parts) = self.prepare(host, has_disk, is_first_start, seeds);
         let started = EntryHost::start(cfg, parts).await;
-        self.hosts.insert(host, started.expect("the host starts"));
+        self.hosts
+            .lock()
+            .insert(host, started.expect("the host starts"));
     }
 
     /// Starts a host whose disk takes no bytes until [`Self::free_disk`] is called.
@@ -146,7 +161,7 @@
     pub async fn free_disk(&mut self, host: u8, starting: JoinHandle<Arc<EntryHost>>) {
         fs::remove_dir(self.blocker(host)).expect("removes the folder");
         let started = starting.await.expect("the host starts");
-        self.hosts.insert(host, started);
+        self.hosts.lock().insert(host, started);
     }
 
     fn blocker(&self, host: u8) -> PathBuf {
@@ -166,9 +181,12 @@
         }
         let cfg = self.config(host, data_dir, is_first_start, seeds);
         let clock = Arc::new(TestClock::default());
+        let events = self.events.entry(host);
+        let events = events.or_insert_with(|| Arc::new(HostEvents::new(host)));
+        let events = Arc::clone(events);
         let parts = EntryParts {
             clock: Arc::clone(&clock) as _,
-            events: Arc::new(NullSink),
+            events,
             metrics: EntryMetrics::new().expect("metrics"),
             replica_metrics: Arc::new(Metrics::new()),
             external: ExternalServices {
@@ -224,22 +242,43 @@
         }
     }
 
+    /// Returns a caller that sends its requests to `host`, also while hosts are stopped and started.
+    pub fn caller(&self, host: u8) -> Caller {
+        Caller::new(host, Arc::clone(&self.hosts))
+    }
+
+    /// Returns a running host.
+    fn host(&self, host: u8) -> Arc<EntryHost> {
+        Arc::clone(&self.hosts.lock()[&host])
+    }
+
+    /// Numbers of the hosts that have been started, with their events since then.
+    pub fn events(&self) -> &BTreeMap<u8, Arc<HostEvents>> {
+        &self.events
+    }
+
+    /// Files on the disk of a host.
+    pub fn disk_usage(&self, host: u8) -> DiskUsage {
+        DiskUsage::of(&self.disk(host))
+    }
+
     pub fn is_ready(&self, host: u8) -> bool {
-        self.hosts.get(&host).is_some_and(|host| host.is_ready())
+        self.hosts
+            .lock()
+            .get(&host)
+            .is_some_and(|host| host.is_ready())
     }
 
     pub fn all_ready(&self) -> bool {
-        self.hosts.values().all(|host| host.is_ready())
+        self.hosts.lock().values().all(|host| host.is_ready())
     }
 
     /// Returns whether the group has `count` voters, all of them on running hosts.
     pub fn has_voters(&self, count: usize) -> bool {
-        let voters = self
-            .hosts
-            .values()
-            .find_map(|host| host.voters_if_leading());
+        let hosts = self.hosts.lock();
+        let voters = hosts.values().find_map(|host| host.voters_if_leading());
         voters.is_some_and(|voters| {
-            let running = self.hosts.values().filter_map(|host| host.member());
+            let running = hosts.values().filter_map(|host| host.member());
             let running = running.collect::<Vec<_>>();
             voters.len() == count && voters.iter().all(|voter| running.contains(voter))
         })
@@ -247,8 +286,10 @@
 
     /// Returns the number of the host that leads; `None` if no host holds the lease.
     pub fn leader(&self) -> Option<u8> {
-        let mut hosts = self.hosts.iter();
-        let leading = hosts.find(|(_, host)| host.voters_if_leading().is_some());
+        let hosts = self.hosts.lock();
+        let leading = hosts
+            .iter()
+            .find(|(_, host)| host.voters_if_leading().is_some());
         leading.map(|(number, _)| *number)
     }
 
@@ -258,7 +299,7 @@
 
     /// Sends a request to a host, which may pass it on to the leader.
     pub async fn call(&self, host: u8, request: Request) -> Reply {
-        let answer = self.hosts[&host].call(request, CALL_TIMEOUT).await;
+        let answer = self.host(host).call(request, CALL_TIMEOUT).await;
         answer.expect("the request is answered")
     }
 
@@ -296,7 +337,7 @@
 
     /// Sends a request to a host; `None` if no leader answers in time.
     pub async fn try_call(&self, host: u8, request: Request) -> Option<Reply> {
-        let answer = self.hosts[&host].call(request, CALL_TIMEOUT).await;
+        let answer = self.host(host).call(request, CALL_TIMEOUT).await;
         answer.ok()
     }
 
@@ -307,6 +348,12 @@
 
     /// Puts a version of the configuration of [`Self::configure`] with another text into force.
     pub async fn put_configuration(&self, host: u8, version: u64, text: &str) {
+        let reply = self.call(host, Self::configuration(version, text));
+        assert_eq!(reply.await, Reply::Done);
+    }
+
+    /// Request that puts a version of the configuration of [`Self::configure`] into force.
+    pub fn configuration(version: u64, text: &str) -> Request {
         let queue = Queue {
             name: Name::from("q"),
             host: Name::from(QUEUE_HOST),
@@ -323,15 +370,13 @@
             enforces_capacity: false,
             is_powered_off: false,
         };
-        let configuration = Configuration {
+        Request::PutConfiguration(Configuration {
             version,
             text: Name::from(text),
             queues: vec![queue],
             pools: vec![pool],
             max_body_bytes: 1_000_000,
-        };
-        let reply = self.call(host, Request::PutConfiguration(configuration));
-        assert_eq!(reply.await, Reply::Done);
+        })
     }
 
     /// Submits a job of one step.
@@ -349,6 +394,14 @@
         submission(job, payload, step)
     }
 
+    /// Request that reads the state of a job.
+    pub fn status(job: &str) -> Request {
+        Request::ReadStatus {
+            host: Name::from(QUEUE_HOST),
+            path: job_path(job),
+        }
+    }
+
     /// Request that cancels a job.
     pub fn cancellation(job: &str) -> Request {
         Request::Cancel {
@@ -359,7 +412,7 @@
 
     /// Sends a request to a host and returns its answer or its refusal.
     pub async fn call_once(&self, host: u8, request: Request) -> Outcome<Reply> {
-        self.hosts[&host].call(request, CALL_TIMEOUT).await
+        self.host(host).call(request, CALL_TIMEOUT).await
     }
 
     /// Starts a wave of machines that is due at once.
@@ -378,19 +431,22 @@
 
     /// Returns whether a wave is completed; false while no leader answers.
     pub async fn is_wave_completed(&self, host: u8, key: WaveKey) -> bool {
-        let call = self.hosts[&host].call(Request::CheckWave(key), CALL_TIMEOUT);
+        let host = self.host(host);
+        let call = host.call(Request::CheckWave(key), CALL_TIMEOUT);
         matches!(call.await, Ok(Reply::Wave { is_completed: true }))
     }
 
     pub fn stop_host(&mut self, host: u8) {
-        if let Some(host) = self.hosts.remove(&host) {
+        let host = self.hosts.lock().remove(&host);
+        if let Some(host) = host {
             host.stop();
         }
     }
 
     /// Stops all hosts and keeps their disks.
     pub fn stop(&mut self) {
-        for host in std::mem::take(&mut self.hosts).into_values() {
+        let hosts = std::mem::take(&mut *self.hosts.lock());
+        for host in hosts.into_values() {
             host.stop();
         }
     }
