entry: bound the state that the search of small disks writes

Long runs of small_disk_soak were refused up to 2,595 times with 3108 (state full). Jobs whose submission or cancellation had no known outcome stayed in the state, and the number of the others was a random walk, so the writer itself filled the disks and hardly cut the logs meanwhile.

The writer now cancels such jobs, and the oldest one while there are more than twelve; configuration and jobs take up 0.9 MB of the 1.5 MB at most. So a cell that has recovered must take one more configuration of the largest size, which the end of each run checks.

--- a/lib/entry/tests/small_disk_soak.rs
+++ b/lib/entry/tests/small_disk_soak.rs
@@ -39,8 +39,8 @@
 /// Number of faults in one run unless `TARRAGON_FAULTS` is set.
 const FAULTS: usize = 5;
 
-/// Time within which a read is answered once the cell has recovered.
-const MAX_READ_TIME: Duration = Duration::from_secs(20);
+/// Time within which a read or a configuration is answered once the cell has recovered.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(20);
 
 /// What the writer sent and what was acknowledged.
 #[derive(Debug, Default)]
@@ -51,6 +51,8 @@
     newest: u64,
     /// Jobs that were accepted and that no cancellation was sent for.
     jobs: BTreeSet<String>,
+    /// Jobs whose submission or cancellation has an unknown outcome; they may take up room.
+    doubtful: BTreeSet<String>,
     accepted: usize,
     cancelled: usize,
     /// Number of refusals by code.
@@ -58,6 +60,13 @@
 }
 
 impl Written {
+    /// Takes out the next job to be cancelled, so that the jobs leave room in the state.
+    fn pop_surplus(&mut self) -> Option<String> {
+        let is_crowded = self.jobs.len() > MAX_JOBS;
+        let doubtful = self.doubtful.pop_first();
+        doubtful.or_else(|| is_crowded.then(|| self.jobs.pop_first()).flatten())
+    }
+
     fn refuse(&mut self, code: Code) {
         *self.refusals.entry(format!("{code:?}")).or_default() += 1;
     }
@@ -67,6 +76,16 @@
     format!("{version} {}", "x".repeat(len))
 }
 
+/// Returns whether a request failed because no leader answered it; its outcome may be unknown.
+fn is_unanswered(outcome: &Outcome<Reply>) -> bool {
+    outcome.as_ref().is_err_and(|failure| {
+        matches!(
+            failure.code,
+            Code::NoLeader | Code::NotLeader | Code::HostUnreachable | Code::NotConfirmed
+        )
+    })
+}
+
 /// Sends configurations and jobs through the host without a disk, which is never restarted.
 struct Writer {
     caller: Caller,
@@ -92,10 +111,11 @@
         let mut number = 0_u64;
         while !self.is_stopped.load(Ordering::Relaxed) {
             number += 1;
-            match self.between((0, 4)) {
-                0 => self.submit(number).await,
-                1 => self.cancel_oldest().await,
-                _ => self.put(number).await,
+            let surplus = self.written.lock().pop_surplus();
+            match (surplus, self.between((0, 3))) {
+                (Some(job), _) => self.cancel(job).await,
+                (None, 0) => self.submit(number).await,
+                (None, _) => self.put(number).await,
             }
         }
     }
@@ -112,24 +132,23 @@
     async fn submit(&mut self, number: u64) {
         let job = format!("{number:016x}");
         let payload = "x".repeat(self.between(JOB_BYTES));
-        if self.call(Cell::submission(&job, &payload)).await == Ok(Reply::Done) {
-            let mut written = self.written.lock();
+        let outcome = self.call(Cell::submission(&job, &payload)).await;
+        let mut written = self.written.lock();
+        if outcome == Ok(Reply::Done) {
             written.jobs.insert(job);
             written.accepted += 1;
+        } else if is_unanswered(&outcome) {
+            written.doubtful.insert(job);
         }
     }
 
-    async fn cancel_oldest(&mut self) {
-        let job = {
-            let mut written = self.written.lock();
-            if written.jobs.len() <= MAX_JOBS {
-                return;
-            }
-            written.jobs.pop_first()
-        };
-        let Some(job) = job else { return };
-        if self.call(Cell::cancellation(&job)).await == Ok(Reply::Done) {
-            self.written.lock().cancelled += 1;
+    async fn cancel(&mut self, job: String) {
+        let outcome = self.call(Cell::cancellation(&job)).await;
+        let mut written = self.written.lock();
+        if is_unanswered(&outcome) {
+            written.doubtful.insert(job);
+        } else if outcome.is_ok() {
+            written.cancelled += 1;
         }
     }
 }
@@ -146,11 +165,7 @@
         let started_at = Instant::now();
         loop {
             let outcome = self.caller.call(request.clone()).await;
-            let is_unanswered = matches!(&outcome, Err(failure) if matches!(
-                failure.code,
-                Code::NoLeader | Code::NotLeader | Code::HostUnreachable | Code::NotConfirmed
-            ));
-            if !is_unanswered || started_at.elapsed() > MAX_READ_TIME {
+            if !is_unanswered(&outcome) || started_at.elapsed() > MAX_ANSWER_TIME {
                 return outcome;
             }
             sleep(Duration::from_millis(50)).await;
@@ -189,6 +204,33 @@
         }
     }
 
+    /// Checks that a calm cell has room, since the configuration and the jobs take up half of it.
+    async fn check_room(&self) {
+        let newest = self
+            .written
+            .lock()
+            .sent
+            .last_key_value()
+            .map(|sent| *sent.0);
+        let version = newest.unwrap_or_default() + 1;
+        let len = CONFIGURATION_BYTES.1;
+        self.written.lock().sent.insert(version, len);
+        let request = Cell::configuration(version, &text(version, len));
+        let started_at = Instant::now();
+        loop {
+            let outcome = self.caller.call(request.clone()).await;
+            if outcome == Ok(Reply::Done) {
+                break;
+            }
+            assert!(
+                started_at.elapsed() < MAX_ANSWER_TIME,
+                "no room after {MAX_ANSWER_TIME:?}: {outcome:?}"
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+        self.written.lock().newest = version;
+    }
+
     async fn check(&self) {
         self.check_configuration().await;
         self.check_jobs().await;
@@ -257,11 +299,10 @@
     is_stopped.store(true, Ordering::Relaxed);
     writing.await.expect("the writer ends");
     run.recover(true).await;
+    checks.check_room().await;
     checks.check().await;
     check_disks(&run.cell);
     print_summary(seed, &run.cell, &written.lock());
-    let sent = written.lock().newest;
-    assert!(sent > 0, "no configuration was acknowledged");
     run.cell.stop();
 }
 
