--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -15,6 +15,7 @@
     env, fs,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
+    process,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -51,8 +52,17 @@
 /// Disk and memory of hosts without a limit.
 const UNLIMITED_BYTES: u64 = 1 << 30;
 
-/// Port of all hosts, which differ in their addresses.
-const PORT: u16 = 7_411;
+/// First of the ports of which each test process uses one, below the range that the system hands out.
+const FIRST_PORT: u16 = 10_000;
+
+/// Number of these ports.
+const PORTS: u16 = 20_000;
+
+/// Port of all hosts of this process, which differ in their addresses. Another test process, which may
+/// run at the same time, has another one.
+fn port() -> u16 {
+    FIRST_PORT + (process::id() % u32::from(PORTS)) as u16
+}
 
 /// Time after which a wait fails; far longer than expected, so that a busy machine fails no test.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -129,7 +139,7 @@
     }
 
     fn address(&self, host: u8) -> SocketAddr {
-        SocketAddr::from((Ipv4Addr::new(127, 88, self.number, host), PORT))
+        SocketAddr::from((Ipv4Addr::new(127, 88, self.number, host), port()))
     }
 
     fn disk(&self, host: u8) -> PathBuf {
