--- a/lib/replica/src/leader_hint.rs
+++ b/lib/discovery/src/leader_hint.rs
@@ -18,6 +18,16 @@
         self.0.load().as_deref().cloned()
     }
 
+    /// Records the leader that the replica of this host follows.
+    pub fn follow(&self, term: Term, leader: &HostName) {
+        self.set(term, leader);
+    }
+
+    /// Records that the replica of this host no longer follows a leader.
+    pub fn unfollow(&self) {
+        self.0.store(None);
+    }
+
     /// Records a leader, unless the leader of a later term is already known.
     pub fn set(&self, term: Term, leader: &HostName) {
         self.0.rcu(|known| match known {
@@ -26,16 +36,13 @@
         });
     }
 
-    /// Clears the hint; called when the replica no longer receives messages from the leader.
-    pub fn clear(&self) {
-        self.0.store(None);
-    }
-
-    /// Clears the hint if it still names `host`; called after a failed call to that host.
-    pub fn forget(&self, host: &HostName) {
-        self.0.rcu(|known| match known {
+    /// Clears the hint if it still names `host`, and returns whether it did; called after a failed call
+    /// to that host.
+    pub fn forget(&self, host: &HostName) -> bool {
+        let known = self.0.rcu(|known| match known {
             Some(known) if known.1 != *host => Some(Arc::clone(known)),
             _ => None,
         });
+        known.is_some_and(|known| known.1 == *host)
     }
 }
--- /dev/null
+++ b/lib/discovery/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions about how a host finds the leader.
+//!
+//! [`LeaderHint`] holds what a host knows of the leader and [`HostTable`] chooses the hosts that it
+//! asks.
+
+mod host_table;
+mod leader_answer;
+mod leader_hint;
+
+pub use host_table::HostTable;
+pub use leader_answer::LeaderAnswer;
+pub use leader_hint::LeaderHint;
--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -6,11 +6,10 @@
 use parking_lot::Mutex;
 use tarragon_agreement::{Recovered, Replica};
 use tarragon_codes::Outcome;
+use tarragon_discovery::LeaderHint;
 use tarragon_dispatch::Dispatcher;
 use tarragon_names::{LogIndex, MemberId};
-use tarragon_replica::{
-    Clock, LeaderHint, ReplicaDriver, ReplicaHandle, ReplicaParts, StateMachine,
-};
+use tarragon_replica::{Clock, ReplicaDriver, ReplicaHandle, ReplicaParts, StateMachine};
 use tarragon_storage::{FileStore, LogStore};
 use tarragon_telemetry::Event;
 use tarragon_workflow::WorkflowState;
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -17,10 +17,9 @@
 use tarragon_agreement::Recovered;
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_delivery::{BudgetLimits, HeartbeatCache};
+use tarragon_discovery::LeaderHint;
 use tarragon_names::{HostName, MemberId, Name, Term};
-use tarragon_replica::{
-    Clock, LeaderHint, LeaderLease, Links, PeerListener, PeerSink, process_seed,
-};
+use tarragon_replica::{Clock, LeaderLease, Links, PeerListener, PeerSink, process_seed};
 use tarragon_storage::{Disk, DiskUsage, FileStore};
 use tarragon_telemetry::{Event, EventSink, Metrics};
 use tarragon_workflow::{Command, WorkerRecord};
@@ -78,7 +77,7 @@
     pub(crate) events: Arc<dyn EventSink>,
     seeds: Mutex<Vec<SocketAddr>>,
     external: ExternalServices,
-    metrics: EntryMetrics,
+    pub(crate) metrics: EntryMetrics,
     pub(crate) replica: Option<ActiveReplica>,
     pub(crate) deliverer: Arc<Deliverer>,
     heartbeats: Mutex<HeartbeatCache<WorkerRecord>>,
@@ -272,8 +271,11 @@
                 Some(leader) => {
                     let call_timeout = remaining.min(timing.call_attempt_timeout());
                     let reply = self.mesh.call(&leader, &request, call_timeout).await;
-                    if reply.as_ref().is_err_and(|f| is_retried(f.code)) {
-                        self.leader_hint.forget(&leader);
+                    if let Err(failure) = &reply
+                        && is_retried(failure.code)
+                        && self.leader_hint.forget(&leader)
+                    {
+                        self.log_forgotten_leader(&leader, request.kind(), failure.code);
                     }
                     if let Ok(Reply::NotLeader { leader: next }) = &reply {
                         self.leader_hint.forget(&leader);
@@ -308,6 +310,15 @@
         }
     }
 
+    /// Counts and logs that this host forgot its leader because of the outcome of a call.
+    pub(crate) fn log_forgotten_leader(&self, leader: &HostName, kind: &str, code: Code) {
+        self.metrics.leader_forgotten.inc();
+        let event = Event::info("leader_forgotten").peer(leader.clone());
+        let known = self.known_leader().map(|(_, leader)| leader);
+        let detail = format!("{kind}; now known: {known:?}");
+        self.events.emit(&event.code(code.number()).detail(detail));
+    }
+
     /// Sends the caller to the control address of the leader. All hosts have the same ports.
     fn redirect_to(&self, leader: &HostName) -> Outcome<Reply> {
         let unusable = |_e| Failure::of(Code::NoLeader).retry_after(RETRY_AFTER_MS);
@@ -340,7 +351,7 @@
             return Ok(Reply::Advice(answer.await));
         }
         if let Request::Hello(hello) = &request {
-            self.directory.add_announced_host(&hello.host);
+            self.directory.add_announced_host(hello);
         }
         match &self.replica {
             Some(active) => active.leader_service.answer(request).await,
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -46,6 +46,11 @@
     pub open_worker_calls: IntGauge,
     /// Calls to workers that wait on this host until others end.
     pub waiting_worker_calls: IntGauge,
+    /// Calls after which this host no longer knew a leader.
+    pub leader_forgotten: IntCounter,
+    /// Seconds for which this host had no answer of a leader, for silences after which it was not
+    /// ready.
+    pub leader_search_time: Histogram,
     /// 1 while this host reports itself ready, otherwise 0.
     pub ready: IntGauge,
     /// Log lines that were dropped because the writer did not keep up.
@@ -119,6 +124,21 @@
                 "tarragon_entry_link_silent_total",
                 "Links closed after silence",
             )?,
+            leader_forgotten: counter(
+                &registry,
+                "tarragon_entry_leader_forgotten_total",
+                "Calls after which no leader was known",
+            )?,
+            leader_search_time: register(
+                &registry,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "tarragon_entry_leader_search_seconds",
+                        "Time without an answer of a leader",
+                    )
+                    .buckets(BUCKETS_S.to_vec()),
+                ),
+            )?,
             delivered_workers: gauge(
                 &registry,
                 "tarragon_entry_delivered_workers",
--- a/lib/entry/src/host_directory.rs
+++ b/lib/entry/src/host_directory.rs
@@ -5,65 +5,55 @@
 };
 
 use parking_lot::Mutex;
+use tarragon_codes::Code;
+use tarragon_discovery::{HostTable, LeaderAnswer};
 use tarragon_names::HostName;
 use tarragon_telemetry::Event;
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
-use crate::{Reply, Request, entry_host::EntryHost};
+use crate::{Hello, Reply, Request, entry_host::EntryHost};
 
 /// Timeout of an announcement.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Number of hosts that are called in one round while no leader is known.
-const HELLOS_PER_ROUND: usize = 4;
-
-/// Number of announcements to the leader per announcement to the seeds.
-const ROUNDS_PER_SEED_HELLO: usize = 4;
-
-/// Maximum number of hosts that are remembered because they announced themselves; more than any
-/// deployment has.
-const MAX_ANNOUNCED_HOSTS: usize = 1_000;
-
 /// Other hosts that a host knows, and the time of the last answer of the leader.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct HostDirectory {
-    /// Hosts that hold a replica, as the leader last listed them.
-    members: Mutex<BTreeSet<HostName>>,
-    /// Hosts that announced themselves to this host.
-    announced: Mutex<BTreeSet<HostName>>,
+    created_at: Instant,
+    hosts: Mutex<HostTable>,
     /// Time of the last answer of the leader; `None` before the first one.
     last_contact: Mutex<Option<Instant>>,
 }
 
+impl Default for HostDirectory {
+    fn default() -> Self {
+        Self {
+            created_at: Instant::now(),
+            hosts: Mutex::default(),
+            last_contact: Mutex::default(),
+        }
+    }
+}
+
 impl HostDirectory {
     /// Returns the time since the last answer of the leader; `None` before the first one.
     pub(crate) fn silence(&self) -> Option<Duration> {
         self.last_contact.lock().map(|at| at.elapsed())
     }
 
-    /// Records an answer of the leader and returns whether it is the first one.
-    fn record_welcome(&self, members: BTreeSet<HostName>) -> bool {
-        *self.members.lock() = members;
+    /// Records an answer of the leader. Returns whether it is the first one, and the time since the one
+    /// before or since the start.
+    fn record_welcome(&self, members: BTreeSet<HostName>) -> (bool, Duration) {
+        self.hosts.lock().set_members(members);
         let previous = self.last_contact.lock().replace(Instant::now());
-        previous.is_none()
+        let silence = previous.unwrap_or(self.created_at).elapsed();
+        (previous.is_none(), silence)
     }
 
     /// Remembers a host that announced itself to this host.
-    ///
-    /// A restarted seed without a replica knows no member of the group, so it can find the leader
-    /// only through the hosts that call it.
-    pub(crate) fn add_announced_host(&self, host: &HostName) {
-        let mut announced = self.announced.lock();
-        if announced.len() < MAX_ANNOUNCED_HOSTS {
-            announced.insert(host.clone());
-        }
-    }
-
-    fn known_hosts(&self) -> BTreeSet<HostName> {
-        let mut hosts = self.members.lock().clone();
-        hosts.extend(self.announced.lock().iter().cloned());
-        hosts
+    pub(crate) fn add_announced_host(&self, hello: &Hello) {
+        self.hosts.lock().add_announced(&hello.host);
     }
 }
 
@@ -77,14 +67,9 @@
     let mut was_ready = false;
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
         let leader = host.known_leader().map(|(_, leader)| leader);
-        let targets = match leader {
-            Some(leader) if round % ROUNDS_PER_SEED_HELLO == 0 => {
-                let seeds = host.seeds().into_iter();
-                let others = seeds.filter(|seed| *seed != leader && *seed != host.cfg.host);
-                others.chain([leader.clone()]).collect()
-            }
-            Some(leader) => vec![leader],
-            None => leader_candidates(&host, round),
+        let targets = {
+            let hosts = host.directory.hosts.lock();
+            hosts.targets(&host.cfg.host, &host.seeds(), leader.as_ref(), round)
         };
         round += 1;
         for target in targets {
@@ -106,20 +91,6 @@
     }
 }
 
-/// Returns up to [`HELLOS_PER_ROUND`] hosts that may know the leader; successive rounds return
-/// different ones.
-fn leader_candidates(host: &EntryHost, round: usize) -> Vec<HostName> {
-    let seeds = host.seeds();
-    let mut all = host.directory.known_hosts();
-    all.extend(seeds);
-    all.remove(&host.cfg.host);
-    let all = all.into_iter().collect::<Vec<_>>();
-    let count = all.len();
-    (0..count.min(HELLOS_PER_ROUND))
-        .map(|i| all[(round * HELLOS_PER_ROUND + i) % count].clone())
-        .collect()
-}
-
 /// Announces the host to `to` and updates the leader hint from the answer.
 async fn send_hello(host: &EntryHost, to: &HostName) {
     let request = Request::Hello(host.hello());
@@ -128,35 +99,36 @@
     } else {
         host.mesh.call(to, &request, HELLO_TIMEOUT).await
     };
-    match reply {
+    let code = reply.as_ref().err().map(|failure| failure.code);
+    let answer = match reply {
         Ok(Reply::Welcome { term, members }) => {
-            host.leader_hint.set(term, to);
             let members = members.into_iter().map(|member| member.host);
             let members = members.collect::<BTreeSet<_>>();
             for member in &members {
                 host.mesh.connect(member);
             }
-            if host.directory.record_welcome(members) {
-                let event = Event::info("leader_found").peer(to.clone()).term(term);
-                host.events.emit(&event);
+            let (is_first, silence) = host.directory.record_welcome(members);
+            if is_first || silence >= host.cfg.timing.leader_silence_limit() {
+                host.metrics
+                    .leader_search_time
+                    .observe(silence.as_secs_f64());
             }
-        }
-        Ok(Reply::NotLeader { leader }) => {
-            host.leader_hint.forget(to);
-            if host.known_leader().is_some() {
-                return;
-            }
-            if let Some((term, leader)) = leader
-                && leader != *to
-            {
-                host.leader_hint.set(term, &leader);
+            if is_first {
+                let event = Event::info("leader_found").peer(to.clone()).term(term);
+                let detail = format!("after {} ms", silence.as_millis());
+                host.events.emit(&event.detail(detail));
             }
+            LeaderAnswer::Leads(term)
         }
-        Ok(_) => {}
+        Ok(Reply::NotLeader { leader }) => LeaderAnswer::Knows(leader),
+        Ok(_) => return,
         Err(failure) => {
-            host.leader_hint.forget(to);
             let event = Event::debug("hello_failed").peer(to.clone());
             host.events.emit(&event.code(failure.code.number()));
+            LeaderAnswer::Missing
         }
+    };
+    if answer.apply(to, &host.leader_hint) {
+        host.log_forgotten_leader(to, "hello", code.unwrap_or(Code::NotLeader));
     }
 }
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -1,9 +1,10 @@
 use std::{sync::Arc, time::Duration};
 
 use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_discovery::LeaderHint;
 use tarragon_dispatch::Input;
 use tarragon_names::{Name, WorkerName};
-use tarragon_replica::{Clock, LeaderHint, LeaderLease, ReplicaHandle};
+use tarragon_replica::{Clock, LeaderLease, ReplicaHandle};
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_workflow::{
     Answer, Command, Configuration, JobKey, JobSpec, Queue, Wave, WaveKey, WorkflowState,
--- a/lib/host/src/daemon.rs
+++ b/lib/host/src/daemon.rs
@@ -12,6 +12,7 @@
     rand_core::{Rng, SeedableRng},
 };
 use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_discovery::LeaderHint;
 use tarragon_front::{BodyBudget, FrontConfig, FrontLimits, LogLevelSetter};
 use tarragon_leases::WorkerOrder;
 use tarragon_names::{HostName, Millis};
@@ -31,7 +32,7 @@
     replica_runtime::{ReplicaDependencies, ReplicaRuntime, keep_membership, state_limits},
 };
 use tarragon_replica::{
-    Clock, LeaderHint, LinkTiming, Links, PeerListener, PeerSink, SystemClock, process_seed,
+    Clock, LinkTiming, Links, PeerListener, PeerSink, SystemClock, process_seed,
 };
 
 /// Number of heartbeat intervals without a message after which a worker's connection is closed.
--- a/lib/host/src/host_core.rs
+++ b/lib/host/src/host_core.rs
@@ -12,6 +12,7 @@
 };
 use tarragon_cell::{Answer, Command};
 use tarragon_codes::{Code, Outcome};
+use tarragon_discovery::LeaderHint;
 use tarragon_names::{HostName, MemberId};
 use tarragon_settings::HostSettings;
 use tarragon_telemetry::{EventSink, Metrics};
@@ -20,7 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{CatalogueView, ControlClients, LeaderClient, LinkMeter, LocalLeader, WorkerGateway};
-use tarragon_replica::{Clock, LeaderHint, Links};
+use tarragon_replica::{Clock, Links};
 
 /// State shared by the parts of an entry host.
 #[derive(Debug)]
--- a/lib/host/src/inbound_router.rs
+++ b/lib/host/src/inbound_router.rs
@@ -1,12 +1,13 @@
 use std::sync::Arc;
 
+use tarragon_discovery::LeaderHint;
 use tarragon_leases::WorkerReport;
 use tarragon_names::{HostName, MemberId, WorkerName};
 use tarragon_proxy::Proxy;
 use tarragon_wire::peer::PeerEvent;
 
 use crate::{CellStateMachine, OrderRoutes, ReportSink, SchedulerHandle, WorkerGateway};
-use tarragon_replica::{LeaderHint, Links, PeerSink, ReplicaHandle};
+use tarragon_replica::{Links, PeerSink, ReplicaHandle};
 
 /// Handles through which incoming messages reach the replica and the scheduler of a host.
 #[derive(Clone, Debug)]
--- a/lib/host/src/leader_client.rs
+++ b/lib/host/src/leader_client.rs
@@ -3,12 +3,12 @@
 use futures::future::BoxFuture;
 use tarpc::{client::RpcError, context::Context};
 use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_discovery::LeaderHint;
 use tarragon_names::{HostName, Term};
 use tarragon_wire::control::ControlClient;
 use tokio::time::{Instant, sleep};
 
 use crate::{CallFailure, ControlClients};
-use tarragon_replica::LeaderHint;
 
 /// Timeout of one attempt, so that an unresponsive leader leaves time for a call to its successor.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -3,6 +3,7 @@
 use tarragon_agreement::{Config, Replica};
 use tarragon_cell::Cell;
 use tarragon_codes::Outcome;
+use tarragon_discovery::LeaderHint;
 use tarragon_names::{LogIndex, MemberId};
 use tarragon_placement::{IndexedPlacer, PolicyWeights};
 use tarragon_scheduler::{Scheduler, SchedulerConfig};
@@ -16,9 +17,7 @@
     CellClock, CellStateMachine, HostCore, LeaderSink, LocalLeader, OrderRoutes, PollTable,
     ReplicaEndpoint, SchedulerHandle, SchedulerLoop, SchedulerParts, replica_disk::open_replica,
 };
-use tarragon_replica::{
-    Clock, LeaderHint, Links, ReplicaDriver, ReplicaParts, StateLimits, StateMachine,
-};
+use tarragon_replica::{Clock, Links, ReplicaDriver, ReplicaParts, StateLimits, StateMachine};
 
 /// Interval between checks that this replica is a member; also the timeout of a check's calls.
 const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(2_000);
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -12,15 +12,15 @@
 use bytes::Bytes;
 use tarragon_agreement::{Action, Entry, Event, Payload, PeerMsg, Replica, SnapshotMeta};
 use tarragon_codes::{Code, Failure, Outcome};
+use tarragon_discovery::LeaderHint;
 use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event as LogEvent, EventSink, Metrics};
 use tarragon_wire::{peer::PeerEvent, record::Record};
 
 use crate::{
-    AbortOnPanic, ApplySink, Clock, Growth, GrowthRoom, LeaderHint, LeaderLease, Links,
-    ReplicaHandle, StateLimits, StateMachine, input::Input, proposal_batch::ProposalBatch,
-    waiters::Waiters,
+    AbortOnPanic, ApplySink, Clock, Growth, GrowthRoom, LeaderLease, Links, ReplicaHandle,
+    StateLimits, StateMachine, input::Input, proposal_batch::ProposalBatch, waiters::Waiters,
 };
 
 /// Inputs that may be queued for the replica's thread. Bounds memory use under overload.
@@ -327,9 +327,9 @@
                         .term(term)
                         .peer(leader.clone()),
                 );
-                self.parts.leader_hint.set(term, &leader);
+                self.parts.leader_hint.follow(term, &leader);
             }
-            Action::LeaderChanged { leader: None, .. } => self.parts.leader_hint.clear(),
+            Action::LeaderChanged { leader: None, .. } => self.parts.leader_hint.unfollow(),
         }
         Ok(())
     }
