--- /dev/null
+++ b/lib/discovery/tests/common/mod.rs
@@ -0,0 +1,109 @@
+//! Hosts that call one another in rounds.
+
+use tarragon_discovery::{HostTable, LeaderAnswer, LeaderHint};
+use tarragon_names::{HostName, Term};
+
+/// Number of seeds in the settings of all hosts.
+const SEEDS: usize = 3;
+
+/// Term of the elected leader.
+const TERM: Term = Term(3);
+
+struct Host {
+    name: HostName,
+    table: HostTable,
+    hint: LeaderHint,
+}
+
+/// Hosts of one cell. The first ones hold a replica, and the last ones are the seeds.
+pub struct Hosts {
+    all: Vec<Host>,
+    replicas: usize,
+    /// Whether the first host leads.
+    is_elected: bool,
+    round: usize,
+}
+
+impl Hosts {
+    /// Hosts that were all started at once and know nothing but their seeds.
+    pub fn restarted(count: usize, replicas: usize) -> Self {
+        let host = |i| Host {
+            name: HostName::from(format!("10.0.0.{i}:7000")),
+            table: HostTable::default(),
+            hint: LeaderHint::default(),
+        };
+        Self {
+            all: (0..count).map(host).collect(),
+            replicas,
+            is_elected: false,
+            round: 0,
+        }
+    }
+
+    /// Elects the first host, which the other replicas follow from now on.
+    pub fn elect(&mut self) {
+        self.is_elected = true;
+        let leader = self.all[0].name.clone();
+        for host in &self.all[..self.replicas] {
+            host.hint.follow(TERM, &leader);
+        }
+    }
+
+    /// Fails a call of each follower to the leader.
+    pub fn fail_calls_of_followers(&self) {
+        for host in &self.all[1..self.replicas] {
+            host.hint.forget(&self.all[0].name);
+        }
+    }
+
+    /// Plays rounds in which each host calls its targets. Answers tell what a host knew before the
+    /// round.
+    pub fn play_rounds(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            let calls = self.calls();
+            let answers = calls.iter().map(|(_, to)| self.answer(*to));
+            let answers = answers.collect::<Vec<_>>();
+            for ((from, to), answer) in calls.into_iter().zip(answers) {
+                let name = self.all[from].name.clone();
+                self.all[to].table.add_announced(&name);
+                answer.apply(&self.all[to].name, &self.all[from].hint);
+            }
+            self.round += 1;
+        }
+    }
+
+    /// Number of hosts that do not know the leader.
+    pub fn without_leader(&self) -> usize {
+        let leader = &self.all[0].name;
+        let hosts = self.all.iter();
+        hosts
+            .filter(|host| host.hint.get().as_ref() != Some(leader))
+            .count()
+    }
+
+    /// Calls of this round, by the numbers of the caller and of the called host.
+    fn calls(&self) -> Vec<(usize, usize)> {
+        let seeds = self.all.iter().rev().take(SEEDS);
+        let seeds = seeds.map(|seed| seed.name.clone()).collect::<Vec<_>>();
+        let mut calls = Vec::new();
+        for (from, host) in self.all.iter().enumerate() {
+            let leader = host.hint.get();
+            let targets = host
+                .table
+                .targets(&host.name, &seeds, leader.as_ref(), self.round);
+            for target in targets {
+                let to = self.all.iter().position(|host| host.name == target);
+                calls.extend(to.map(|to| (from, to)));
+            }
+        }
+        calls
+    }
+
+    fn answer(&self, to: usize) -> LeaderAnswer {
+        if to == 0 && self.is_elected {
+            LeaderAnswer::Leads(TERM)
+        } else {
+            LeaderAnswer::Knows(self.all[to].hint.with_term())
+        }
+    }
+}
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -425,6 +425,16 @@
         self.host(host).call(request, CALL_TIMEOUT).await
     }
 
+    /// Sends a request to a host, which has to be answered within `timeout`.
+    pub async fn call_within(
+        &self,
+        host: u8,
+        request: Request,
+        timeout: Duration,
+    ) -> Outcome<Reply> {
+        self.host(host).call(request, timeout).await
+    }
+
     /// Starts a wave of machines that is due at once.
     pub async fn start_wave(&self, host: u8, key: WaveKey, machines: &[&str], cap: u32) {
         let machines = machines.iter();
--- /dev/null
+++ b/lib/entry/tests/leader_search.rs
@@ -0,0 +1,32 @@
+//! Starts entry hosts on loopback addresses and checks that they keep to the leader that they know.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Cell, wait_until};
+use tarragon_entry::Request;
+use tarragon_names::Millis;
+
+/// Recovery time of a host that announces itself only every 7.5 s, so that its requests alone tell
+/// whether it knows the leader.
+const RARE_ANNOUNCEMENTS: Millis = Millis(60_000);
+
+/// Guards against a host that forgets the leader that its replica follows because one call was not
+/// answered in time. After a restart of the whole cell, no other host can then tell who leads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn follower_knows_the_leader_after_an_unanswered_call() {
+    let mut cell = Cell::new(150);
+    cell.start(1, true, true, &[1, 2, 3]).await;
+    cell.start(2, true, true, &[1, 2, 3]).await;
+    cell.recovery_time = RARE_ANNOUNCEMENTS;
+    cell.start(3, true, true, &[1, 2, 3]).await;
+    wait_until("a leader is elected", || cell.leader().is_some()).await;
+    let read = |timeout| cell.call_within(3, Request::ReadConfiguration, timeout);
+    while read(Duration::from_secs(1)).await.is_err() {}
+    let unanswered = read(Duration::ZERO).await;
+    assert!(unanswered.is_err(), "no answer can arrive in no time");
+    let answered = read(Duration::from_secs(1)).await;
+    assert!(answered.is_ok(), "{answered:?}");
+    cell.stop();
+}
