discovery: ask the hosts with a replica and the seeds in each round

Callers saw an outage that grew with the number of hosts: 16.5 s with 150 hosts, after a restart of all of them.

Cause: a host without a leader asked four of the hosts that it knew in each round. After a common restart a seed knows the 149 hosts that asked it, so it came to the leader by chance, after up to 37 rounds of 625 ms. A host also kept to a leader that no longer answered without asking anybody else, and an answer of an elected host that had not committed its first entry made it forget that host.

Why this works: an announcement tells whether its sender holds a replica, and the few hosts that do follow the leader themselves. They and the seeds are asked in each round, so the number of rounds does not depend on the number of hosts. While the leader is silent they are asked as well, and a later term goes before an earlier one.

--- a/lib/discovery/src/leader_answer.rs
+++ b/lib/discovery/src/leader_answer.rs
@@ -22,15 +22,17 @@
                 hint.set(*term, from);
                 false
             }
+            // A host that names itself is elected and has not committed its first entry yet.
+            Self::Knows(Some((term, leader))) if leader == from => {
+                hint.set(*term, leader);
+                false
+            }
             Self::Knows(leader) => {
                 let is_forgotten = hint.forget(from);
-                if let Some((term, leader)) = leader
-                    && leader != from
-                    && hint.get().is_none()
-                {
+                if let Some((term, leader)) = leader {
                     hint.set(*term, leader);
                 }
-                is_forgotten
+                is_forgotten && leader.is_none()
             }
             Self::Missing => hint.forget(from),
         }
--- a/lib/discovery/tests/common/mod.rs
+++ b/lib/discovery/tests/common/mod.rs
@@ -13,6 +13,8 @@
     name: HostName,
     table: HostTable,
     hint: LeaderHint,
+    /// Whether the leader answered in the last round.
+    is_in_touch: bool,
 }
 
 /// Hosts of one cell. The first ones hold a replica, and the last ones are the seeds.
@@ -31,6 +33,7 @@
             name: HostName::from(format!("10.0.0.{i}:7000")),
             table: HostTable::default(),
             hint: LeaderHint::default(),
+            is_in_touch: false,
         };
         Self {
             all: (0..count).map(host).collect(),
@@ -63,9 +66,14 @@
             let calls = self.calls();
             let answers = calls.iter().map(|(_, to)| self.answer(*to));
             let answers = answers.collect::<Vec<_>>();
+            for host in &mut self.all {
+                host.is_in_touch = false;
+            }
             for ((from, to), answer) in calls.into_iter().zip(answers) {
                 let name = self.all[from].name.clone();
-                self.all[to].table.add_announced(&name);
+                let has_replica = from < self.replicas;
+                self.all[to].table.add_announced(&name, has_replica);
+                self.all[from].is_in_touch |= matches!(answer, LeaderAnswer::Leads(_));
                 answer.apply(&self.all[to].name, &self.all[from].hint);
             }
             self.round += 1;
@@ -88,9 +96,10 @@
         let mut calls = Vec::new();
         for (from, host) in self.all.iter().enumerate() {
             let leader = host.hint.get();
+            let (leader, is_in_touch) = (leader.as_ref(), host.is_in_touch);
             let targets = host
                 .table
-                .targets(&host.name, &seeds, leader.as_ref(), self.round);
+                .targets(&host.name, &seeds, leader, is_in_touch, self.round);
             for target in targets {
                 let to = self.all.iter().position(|host| host.name == target);
                 calls.extend(to.map(|to| (from, to)));
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -248,13 +248,18 @@
 
     /// Term of the leader if it answered this host recently.
     fn term_in_touch(&self) -> Option<Term> {
-        let silence = self.directory.silence()?;
-        let is_in_touch = silence < self.cfg.timing.leader_silence_limit();
+        let is_in_touch = self.is_in_touch();
         self.known_leader()
             .filter(|_| is_in_touch)
             .map(|(term, _)| term)
     }
 
+    /// Returns whether a leader answered this host recently.
+    pub(crate) fn is_in_touch(&self) -> bool {
+        let silence = self.directory.silence();
+        silence.is_some_and(|silence| silence < self.cfg.timing.leader_silence_limit())
+    }
+
     async fn call_leader(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
         let started_at = Instant::now();
         let timing = &self.cfg.timing;
@@ -365,11 +370,7 @@
     ///
     /// Also updates the metric that reports readiness.
     pub fn is_ready(&self) -> bool {
-        let is_leader_answering = self
-            .directory
-            .silence()
-            .is_some_and(|silence| silence < self.cfg.timing.leader_silence_limit());
-        let is_ready = is_leader_answering && !self.is_stopping.load(Ordering::Acquire);
+        let is_ready = self.is_in_touch() && !self.is_stopping.load(Ordering::Acquire);
         self.metrics.ready.set(i64::from(is_ready));
         is_ready
     }
--- a/lib/entry/src/host_directory.rs
+++ b/lib/entry/src/host_directory.rs
@@ -53,7 +53,8 @@
 
     /// Remembers a host that announced itself to this host.
     pub(crate) fn add_announced_host(&self, hello: &Hello) {
-        self.hosts.lock().add_announced(&hello.host);
+        let has_replica = hello.member.is_some();
+        self.hosts.lock().add_announced(&hello.host, has_replica);
     }
 }
 
@@ -69,7 +70,8 @@
         let leader = host.known_leader().map(|(_, leader)| leader);
         let targets = {
             let hosts = host.directory.hosts.lock();
-            hosts.targets(&host.cfg.host, &host.seeds(), leader.as_ref(), round)
+            let (leader, is_in_touch) = (leader.as_ref(), host.is_in_touch());
+            hosts.targets(&host.cfg.host, &host.seeds(), leader, is_in_touch, round)
         };
         round += 1;
         for target in targets {
