entry: a call with little time does not clear the leader

Callers of a host without a replica saw 5101 "no leader known" until the host's next announcement (up to 0.6 s) after another caller's request with little time left, for instance a Deadline-Ms of 150.

Cause: each call to the leader without an answer counted against the leader, however little time it had.

Evidence: host_knows_the_leader_after_an_unanswered_call, case host_without_a_replica, failed before and passes now.

Why this works: only a call that had the time of a whole attempt, or that could not be sent, clears the leader.

--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -276,8 +276,11 @@
                 Some(leader) => {
                     let call_timeout = remaining.min(timing.call_attempt_timeout());
                     let reply = self.mesh.call(&leader, &request, call_timeout).await;
+                    // Little time for an answer says nothing about the leader.
+                    let had_time = call_timeout >= timing.call_attempt_timeout();
                     if let Err(failure) = &reply
                         && is_retried(failure.code)
+                        && (had_time || failure.code != Code::NotConfirmed)
                         && self.leader_hint.forget(&leader)
                     {
                         self.log_forgotten_leader(&leader, request.kind(), failure.code);
