agreement: end the lease before the message that lets another replica be elected

Nobody reported this; it was found by reading, in the search for ways in which a configuration can come back older.

In that time the next leader could commit a change that this host did not show.

Evidence: lease_ends_before_another_replica_may_be_elected failed before and passes now.

Why this works: the replica says that its lease is over before it sends the message, and the thread passes that on at once.

--- a/lib/agreement/src/action.rs
+++ b/lib/agreement/src/action.rs
@@ -92,6 +92,9 @@
         /// Term of the leadership that ended.
         term: Term,
     },
+    /// The lease of this replica is over: the message that follows lets another replica be elected at
+    /// any time.
+    LeaseEnded,
     /// The leader known to this replica changed, or the leader's host became known.
     LeaderChanged {
         /// Current term.
--- a/lib/agreement/src/leader.rs
+++ b/lib/agreement/src/leader.rs
@@ -346,6 +346,7 @@
         let matched = self.peers.get(&transfer.target).map(|p| p.match_index);
         if !transfer.is_timeout_now_sent && matched == Some(core.log.last_index()) {
             transfer.is_timeout_now_sent = true;
+            core.actions.push(Action::LeaseEnded);
             let term = core.term();
             core.send(transfer.target, PeerMsg::TimeoutNow { term });
         }
--- a/lib/agreement/tests/group/fakes/host.rs
+++ b/lib/agreement/tests/group/fakes/host.rs
@@ -150,7 +150,7 @@
                     "a leadership ended that was not announced for this term"
                 );
             }
-            Action::Proposed { .. } | Action::LeaderChanged { .. } => {}
+            Action::Proposed { .. } | Action::LeaseEnded | Action::LeaderChanged { .. } => {}
         }
         None
     }
--- a/lib/agreement/tests/group/main.rs
+++ b/lib/agreement/tests/group/main.rs
@@ -7,3 +7,4 @@
 mod replication;
 mod scenarios;
 mod script;
+mod transfer;
--- a/lib/replica/src/apply_sink.rs
+++ b/lib/replica/src/apply_sink.rs
@@ -24,6 +24,6 @@
     fn not_proposed(&self, commands: Vec<S::Command>);
 
     /// The lease of this host as the leader changed; `None` if it holds none. Called after each
-    /// batch of inputs.
+    /// batch of inputs, and before another host may be elected.
     fn lease_updated(&self, lease: Option<LeaderLease>);
 }
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -318,6 +318,8 @@
                 self.emit(&LogEvent::info("lost_leadership").term(term));
                 self.parts.sink.lost_leadership(term);
             }
+            // The rest of the batch may take long: it syncs the log and may save a snapshot.
+            Action::LeaseEnded => self.parts.sink.lease_updated(None),
             Action::LeaderChanged {
                 term,
                 leader: Some(leader),
