--- a/lib/discovery/tests/common/mod.rs
+++ b/lib/discovery/tests/common/mod.rs
@@ -1,5 +1,9 @@
 //! Hosts that call one another in rounds.
 
+use rand_chacha::{
+    ChaCha12Rng,
+    rand_core::{Rng, SeedableRng},
+};
 use tarragon_discovery::{HostTable, LeaderAnswer, LeaderHint};
 use tarragon_names::{HostName, Term};
 
@@ -17,18 +21,38 @@
     is_in_touch: bool,
 }
 
-/// Hosts of one cell. The first ones hold a replica, and the last ones are the seeds.
+/// Hosts of one cell, of which the first ones hold a replica.
 pub struct Hosts {
     all: Vec<Host>,
     replicas: usize,
+    /// Numbers of the seeds in the settings of all hosts.
+    seeds: Vec<usize>,
+    /// Calls that are not answered, in percent.
+    pub lost_percent: u32,
+    rng: ChaCha12Rng,
     /// Whether the first host leads.
     is_elected: bool,
     round: usize,
 }
 
 impl Hosts {
-    /// Hosts that were all started at once and know nothing but their seeds.
+    /// Hosts that were all started at once and know nothing but their seeds, which hold no replica.
     pub fn restarted(count: usize, replicas: usize) -> Self {
+        Self::with_seeds(count, replicas, (count - SEEDS..count).collect(), 0)
+    }
+
+    /// Hosts of a random cell.
+    pub fn random(seed: u64) -> Self {
+        let mut rng = ChaCha12Rng::seed_from_u64(seed);
+        let replicas = 3 + 2 * rng.next_u32() as usize % 4;
+        let count = replicas + 6 + rng.next_u32() as usize % 200;
+        let seeds = (0..SEEDS).map(|_| rng.next_u32() as usize % count);
+        let mut hosts = Self::with_seeds(count, replicas, seeds.collect(), seed);
+        hosts.lost_percent = rng.next_u32() % 60;
+        hosts
+    }
+
+    fn with_seeds(count: usize, replicas: usize, seeds: Vec<usize>, seed: u64) -> Self {
         let host = |i| Host {
             name: HostName::from(format!("10.0.0.{i}:7000")),
             table: HostTable::default(),
@@ -38,6 +62,9 @@
         Self {
             all: (0..count).map(host).collect(),
             replicas,
+            seeds,
+            lost_percent: 0,
+            rng: ChaCha12Rng::seed_from_u64(seed),
             is_elected: false,
             round: 0,
         }
@@ -63,7 +90,8 @@
     /// round.
     pub fn play_rounds(&mut self, rounds: usize) {
         for _ in 0..rounds {
-            let calls = self.calls();
+            let mut calls = self.calls();
+            calls.retain(|_| self.rng.next_u32() % 100 >= self.lost_percent);
             let answers = calls.iter().map(|(_, to)| self.answer(*to));
             let answers = answers.collect::<Vec<_>>();
             for host in &mut self.all {
@@ -91,8 +119,8 @@
 
     /// Calls of this round, by the numbers of the caller and of the called host.
     fn calls(&self) -> Vec<(usize, usize)> {
-        let seeds = self.all.iter().rev().take(SEEDS);
-        let seeds = seeds.map(|seed| seed.name.clone()).collect::<Vec<_>>();
+        let seeds = self.seeds.iter().map(|seed| self.all[*seed].name.clone());
+        let seeds = seeds.collect::<Vec<_>>();
         let mut calls = Vec::new();
         for (from, host) in self.all.iter().enumerate() {
             let leader = host.hint.get();
--- a/lib/discovery/tests/search.rs
+++ b/lib/discovery/tests/search.rs
@@ -28,3 +28,23 @@
         "hosts that do not know the leader"
     );
 }
+
+/// Guards against cells in which the search ends only by chance: any hosts as seeds, any number of
+/// hosts, and a part of the calls lost until some rounds after the election.
+#[test]
+fn random_cells_find_their_leader_once_calls_are_answered() {
+    for seed in 0..300 {
+        let mut hosts = Hosts::random(seed);
+        hosts.play_rounds(3);
+        hosts.elect();
+        hosts.fail_calls_of_followers();
+        hosts.play_rounds(2);
+        hosts.lost_percent = 0;
+        hosts.play_rounds(MAX_ROUNDS);
+        assert_eq!(
+            hosts.without_leader(),
+            0,
+            "hosts without a leader, seed {seed}"
+        );
+    }
+}
