--- a/lib/entry/src/host_directory.rs
+++ b/lib/entry/src/host_directory.rs
@@ -130,6 +130,11 @@
             LeaderAnswer::Missing
         }
     };
+    // What this host answered itself may be out of date by now.
+    let is_own = *to == host.cfg.host;
+    if is_own && !matches!(answer, LeaderAnswer::Leads(_)) {
+        return;
+    }
     if answer.apply(to, &host.leader_hint) {
         host.log_forgotten_leader(to, "hello", code.unwrap_or(Code::NotLeader));
     }
