scheduler: split the model of the leases from its state and its messages

Cause: one file held the model, its state with the log, and the messages.

Change: lease_state.rs holds the state with the log, lease_message.rs the messages and reports; the conversion of an end becomes a From, and the bounds of the search say what they bound. No bound, check or fault differs.

--- a/lib/scheduler/tests/model/lease_model.rs
+++ b/lib/scheduler/tests/model/lease_model.rs
@@ -1,30 +1,35 @@
 use std::collections::BTreeSet;
 
-use tarragon_catalogue::{CatalogueEntry, Limits};
-use tarragon_cell::{AttemptEnd, Cell, Command, JobRecord, JobSpec, JobState};
+use tarragon_cell::{JobRecord, JobState};
 use tarragon_explore::Model;
 use tarragon_leases::{
-    GuardAction, GuardConfig, GuardEvent, HeartbeatOutcome, LeaseGuard, RunningTask, TaskEnd,
-    TaskSpec, WorkerLeases, WorkerOrder, WorkerReport,
+    GuardConfig, GuardEvent, HeartbeatOutcome, LeaseGuard, TaskEnd, WorkerLeases, WorkerOrder,
 };
-use tarragon_names::{
-    Attempt, Class, Fence, JobId, LogIndex, Millis, Resources, Revision, Session, TaskId, Term,
-    WorkerName, Workload,
+use tarragon_names::{Attempt, Fence, Millis, Resources, Term};
+
+use super::{
+    lease_message::{EndKind, Message, Order, Report},
+    lease_state::{Outcome, Record, State, TASK, ended, name, spec},
 };
 
-/// True time advances in steps of this length; the lease is two steps.
-const TIME_STEP_MS: u64 = 1_000;
+/// Lease of a worker, two time steps.
 const LEASE: Millis = Millis(2_000);
+
 /// Lease whose end with clock drift and margin equals `LEASE`, so that a leader with this lease
 /// counts `LEASE` without them.
 const LEASE_WITHOUT_DRIFT: Millis = Millis(1_782);
+
+/// Bound on the time steps of a run.
 const MAX_TIME_STEPS: u64 = 4;
+
+/// Bound on the messages in flight.
 const MAX_IN_FLIGHT: usize = 3;
+
+/// Bound on the attempts of the task.
 const MAX_ATTEMPTS: u32 = 2;
-const MAX_REPEATS: u8 = 1;
 
-const JOB: JobId = JobId(2);
-const TASK: TaskId = TaskId { job: JOB, index: 0 };
+/// Bound on the messages that are delivered twice in a run.
+const MAX_REPEATS: u8 = 1;
 
 /// A fault injected to verify that the check detects it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,64 +57,6 @@
     fault: Option<LeaseFault>,
 }
 
-/// `WorkerReport` reduced to what the model needs.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum Report {
-    Register(Millis),
-    Heartbeat(Session, Millis, Option<Attempt>),
-    Ended(Attempt, EndKind),
-}
-
-/// `TaskEnd` with a total order, so that messages can be kept in a set.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum EndKind {
-    Exited,
-    Stopped,
-    NeverBegan,
-}
-
-/// `WorkerOrder` reduced to what the model needs.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum Order {
-    Welcome(Term, Session, Millis),
-    HeartbeatReply(Term, Session, Millis),
-    UnknownSession(Term),
-    Start(Fence, Attempt),
-    Stop(Fence, Attempt),
-    EndRecorded(Attempt),
-}
-
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum Message {
-    ToLeader(usize, Report),
-    ToWorker(usize, Order),
-}
-
-/// A record of the replicated log.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Record {
-    Assign(Attempt, usize),
-    End(Attempt, Outcome),
-    Cancel,
-}
-
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Outcome {
-    Reported(EndKind),
-    LeaseEnded,
-}
-
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct State {
-    time: u64,
-    log: Vec<Record>,
-    leaders: Vec<WorkerLeases>,
-    guards: Vec<LeaseGuard>,
-    in_flight: BTreeSet<Message>,
-    repeats: u8,
-    has_begun: bool,
-}
-
 #[derive(Clone, Debug)]
 pub enum Step {
     PassTime,
@@ -286,130 +233,6 @@
     }
 }
 
-impl State {
-    fn now(&self) -> Millis {
-        Millis(self.time * TIME_STEP_MS)
-    }
-
-    /// Clock of a worker. The first worker's clock is 1% slow, the second's 1% fast.
-    fn clock(&self, worker: usize) -> Millis {
-        let rate = if worker == 0 { 990 } else { 1_010 };
-        Millis(100_000 + self.time * rate)
-    }
-
-    /// Fencing token of the current leader. Its sequence number is zero, since it does not affect
-    /// whether an order is accepted and would only multiply the states.
-    fn fence(&self, worker: usize) -> Option<Fence> {
-        let fence = self.leaders.last()?.clone().fence(&name(worker))?;
-        Some(Fence { seq: 0, ..fence })
-    }
-
-    fn send(&mut self, message: Message) {
-        self.in_flight.insert(message);
-    }
-
-    fn step_guard(&mut self, worker: usize, event: GuardEvent) {
-        let clock = self.clock(worker);
-        for action in self.guards[worker].step(clock, event) {
-            match action {
-                GuardAction::Start { .. } => self.has_begun = true,
-                GuardAction::Stop { attempt, .. } => {
-                    let end = TaskEnd::Stopped;
-                    self.step_guard(worker, ended(attempt, end));
-                }
-                GuardAction::Send(report) => {
-                    let report = match report {
-                        WorkerReport::Register { clock, ended, .. } => {
-                            for (_, attempt, end) in ended {
-                                self.send(Message::ToLeader(
-                                    worker,
-                                    Report::Ended(attempt, end_kind(end)),
-                                ));
-                            }
-                            Report::Register(clock)
-                        }
-                        WorkerReport::Heartbeat {
-                            session,
-                            clock,
-                            running,
-                        } => Report::Heartbeat(session, clock, attempt_of(&running)),
-                        WorkerReport::TaskEnded { attempt, end, .. } => {
-                            Report::Ended(attempt, end_kind(end))
-                        }
-                        WorkerReport::Leaving { .. } => continue,
-                    };
-                    self.send(Message::ToLeader(worker, report));
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Cell that results from applying the log.
-    fn cell(&self) -> Cell {
-        let cell = Cell::default();
-        let mut commands = vec![
-            Command::PutEntry {
-                request_id: "r".into(),
-                expected: Revision(0),
-                entry: entry(),
-            },
-            Command::AcceptJob {
-                key: None,
-                spec: job_spec(),
-            },
-        ];
-        commands.extend(self.log.iter().map(|record| match *record {
-            Record::Assign(attempt, worker) => Command::Assign {
-                tasks: vec![(TASK, attempt, name(worker))],
-            },
-            Record::End(attempt, outcome) => Command::End {
-                task: TASK,
-                attempt,
-                ended: match outcome {
-                    Outcome::Reported(EndKind::Exited) => AttemptEnd::Exited(0),
-                    Outcome::Reported(EndKind::Stopped) => AttemptEnd::Stopped,
-                    Outcome::Reported(EndKind::NeverBegan) => AttemptEnd::NeverBegan,
-                    Outcome::LeaseEnded => AttemptEnd::LeaseEnded,
-                },
-            },
-            Record::Cancel => Command::Cancel { job: JOB },
-        }));
-        for (index, command) in commands.iter().enumerate() {
-            cell.apply(LogIndex(index as u64 + 1), 0, command);
-        }
-        cell
-    }
-
-    fn job<R>(&self, read: fn(&JobRecord) -> R) -> R {
-        self.cell().with_job(JOB, read).unwrap()
-    }
-
-    fn assigned(&self) -> Option<(Attempt, usize)> {
-        self.job(|job| {
-            let (_, attempt, worker) = job.assigned_tasks().next()?;
-            Some((attempt, usize::from(worker.as_str() == "w1")))
-        })
-    }
-
-    /// Appends an end unless the log contains it, so that repeated reports create no new states.
-    fn append_end(&mut self, attempt: Attempt, outcome: Outcome) {
-        let record = Record::End(attempt, outcome);
-        if !self.log.contains(&record) {
-            self.log.push(record);
-        }
-    }
-
-    /// Attempts that run on workers with a valid lease, with those workers.
-    fn running_attempts(&self) -> Vec<(Attempt, usize)> {
-        let runs = |(worker, guard): (usize, &LeaseGuard)| {
-            let (_, attempt) = guard.running().next()?;
-            (self.clock(worker) < guard.lease_until()).then_some((attempt, worker))
-        };
-        self.guards.iter().enumerate().filter_map(runs).collect()
-    }
-}
-
 impl Model for LeaseModel {
     type State = State;
     type Step = Step;
@@ -544,65 +367,3 @@
         Ok(())
     }
 }
-
-fn name(worker: usize) -> WorkerName {
-    if worker == 0 {
-        "w0".into()
-    } else {
-        "w1".into()
-    }
-}
-
-fn end_kind(end: TaskEnd) -> EndKind {
-    match end {
-        TaskEnd::Exited(_) => EndKind::Exited,
-        TaskEnd::Stopped | TaskEnd::Checkpointed => EndKind::Stopped,
-        TaskEnd::NeverBegan => EndKind::NeverBegan,
-    }
-}
-
-fn ended(attempt: Attempt, end: TaskEnd) -> GuardEvent {
-    GuardEvent::Ended {
-        task: TASK,
-        attempt,
-        end,
-    }
-}
-
-fn attempt_of(running: &[RunningTask]) -> Option<Attempt> {
-    running.first().map(|task| task.attempt)
-}
-
-fn spec() -> TaskSpec {
-    TaskSpec {
-        name: "a".into(),
-        workload: Workload::Batch,
-        resources: Resources::ZERO,
-        run_ms: 0,
-        payload: [].into(),
-    }
-}
-
-fn job_spec() -> JobSpec {
-    JobSpec {
-        name: "a".into(),
-        kind: Workload::Batch,
-        tasks: 1,
-        resources: Resources::new(1, 1, 0),
-        run_ms: 1,
-        deadline_ms: None,
-        payload: "".into(),
-    }
-}
-
-fn entry() -> CatalogueEntry {
-    CatalogueEntry {
-        pattern: "a".to_owned().into(),
-        owner: "t".into(),
-        class: Class::Standard,
-        workloads: vec![Workload::Batch],
-        pool: None,
-        repeatable: false,
-        limits: Limits::default(),
-    }
-}
--- a/lib/scheduler/tests/model/main.rs
+++ b/lib/scheduler/tests/model/main.rs
@@ -4,7 +4,9 @@
 //! bounds. Injected faults verify that the same checks detect wrong leases.
 
 mod freshness_model;
+mod lease_message;
 mod lease_model;
+mod lease_state;
 
 use std::env;
 
