dispatch, entry: log failed jobs and ends that the leader does not expect

The application of run events now returns its effects, the leader logs job_failed with count and limit, an end without an expected run is logged as unexpected_end, and tarragon_entry_decisions_total counts all decisions also where lines are left out. Which ends count, and for what, is unchanged.

--- a/cli/src/bench/dispatch_simulation.rs
+++ b/cli/src/bench/dispatch_simulation.rs
@@ -265,9 +265,9 @@
             match self.bodies.remove(&id).expect("each event has a body") {
                 SimEvent::Input(input) => inputs.push(input),
                 SimEvent::Commit(command) => {
-                    self.state.apply(EPOCH_MS + self.now, &command);
+                    let answer = self.state.apply(EPOCH_MS + self.now, &command);
                     self.count_completed(&command);
-                    inputs.push(Input::Applied(command));
+                    inputs.push(Input::Applied(command, answer));
                 }
                 SimEvent::PollArrives(call) => self.poll_arrives(call),
                 SimEvent::RunEnds(worker, task, run) => self.run_ends(&worker, task, run),
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -6,7 +6,7 @@
 use tarragon_health::{HealthConfig, HealthTable};
 use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{
-    Command, JobKey, JobPhase, RunEvent, StepKey, TaskKey, WorkerIncarnation, WorkerRecord,
+    Answer, Command, JobKey, JobPhase, RunEvent, StepKey, TaskKey, WorkerIncarnation, WorkerRecord,
     WorkflowState,
 };
 
@@ -244,7 +244,7 @@
             | Input::StopOrderFinished { fence, .. }
             | Input::ThrottleOrderFinished { fence, .. }
                 if self.term != Some(fence) => {}
-            Input::Applied(command) => self.applied(&command),
+            Input::Applied(command, answer) => self.applied(&command, &answer),
             Input::NotProposed(commands) => self.not_proposed(&commands),
             Input::HeartbeatReceived {
                 incarnation,
@@ -352,7 +352,10 @@
         self.records.clear();
     }
 
-    fn applied(&mut self, command: &Command) {
+    fn applied(&mut self, command: &Command, answer: &Answer) {
+        if let Answer::Recorded(effects) = answer {
+            self.report_effects(effects);
+        }
         match command {
             Command::PutConfiguration(_) => {
                 self.read_priorities();
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use tarragon_names::{JobId, Millis, WorkerName};
-use tarragon_workflow::{JobKey, JobPhase, RunEnd, RunEvent, StepKey, StepProgress, TaskKey};
+use tarragon_workflow::{
+    JobKey, JobPhase, RunEffect, RunEnd, RunEvent, StepKey, StepProgress, TaskKey,
+};
 
 use crate::{
     DecisionEvent, Dispatcher, advice::Advice, run_spec::RunSpec, run_view::StartState,
@@ -269,6 +271,23 @@
         }
     }
 
+    /// Writes the effects of run events to the log.
+    pub(crate) fn report_effects(&mut self, effects: &[RunEffect]) {
+        for effect in effects {
+            match effect {
+                RunEffect::JobFailed {
+                    task,
+                    run,
+                    failures,
+                    max_attempts,
+                } => {
+                    let detail = format!("{failures} failed runs of at most {max_attempts}");
+                    self.emit(DecisionEvent::new("job_failed", detail).task(*task, *run));
+                }
+            }
+        }
+    }
+
     fn ended_applied(&mut self, task: &TaskKey, run: u32, worker: &WorkerName) {
         let state = self.workers.get(worker);
         let view = state.and_then(|state| state.runs.get(task));
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -143,9 +143,15 @@
             }
             let mut ran = Millis(0);
             let mut used = None;
+            // The end of a run that is not expected here was listed before, or its run was declared
+            // lost.
+            let mut name = "unexpected_end";
             if let Some(view) = state.runs.get(&finished_run.task)
                 && view.run == finished_run.run
             {
+                if !view.is_ended {
+                    name = "run_ended";
+                }
                 ran = self.now.since(view.placed_at);
                 used = view.usage_or_tail_ms;
                 state.set_ended(&finished_run.task, true);
@@ -164,7 +170,7 @@
                 finished_run.end, finished_run.number, ran.0
             );
             self.emit(
-                DecisionEvent::new("run_ended", detail)
+                DecisionEvent::new(name, detail)
                     .task(finished_run.task, finished_run.run)
                     .worker(&incarnation.worker),
             );
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::{DomainName, HostName, Millis, Name, WorkerName};
-use tarragon_workflow::{Command, TaskKey, WorkerIncarnation};
+use tarragon_workflow::{Answer, Command, TaskKey, WorkerIncarnation};
 
 use crate::{OrderOutcome, PollOutcome};
 
@@ -23,8 +23,8 @@
     },
     /// This host no longer leads.
     LostLeadership,
-    /// A command was committed and applied.
-    Applied(Command),
+    /// A command was committed and applied with this answer.
+    Applied(Command, Answer),
     /// Commands of the dispatcher were refused by the log and have no effect.
     NotProposed(Vec<Command>),
     /// A worker sent a heartbeat.
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -189,8 +189,8 @@
         if let Command::RunEvents(records) = &command {
             self.proposed.extend(records.iter().cloned());
         }
-        self.workflow_state.apply(self.unix_ms(), &command);
-        self.input(Input::Applied(command));
+        let answer = self.workflow_state.apply(self.unix_ms(), &command);
+        self.input(Input::Applied(command, answer));
     }
 
     pub fn resume_log(&mut self) {
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -163,6 +163,8 @@
             Output::Throttle(order) => self.order(WorkerOrder::Throttle(order), now),
             Output::RequestAdvice(call) => self.request_advice(call),
             Output::Event(decision) => {
+                let decisions = &self.parts.metrics.decisions;
+                decisions.with_label_values(&[decision.name]).inc();
                 self.parts.events.emit(&entry_log::event_of(&decision));
             }
         }
--- a/lib/entry/src/dispatch_sink.rs
+++ b/lib/entry/src/dispatch_sink.rs
@@ -10,8 +10,8 @@
 pub(crate) struct DispatchSink(pub(crate) DispatchHandle);
 
 impl ApplySink<WorkflowLog> for DispatchSink {
-    fn applied(&self, _: LogIndex, command: &Command, _: &Answer) {
-        self.0.send(Input::Applied(command.clone()));
+    fn applied(&self, _: LogIndex, command: &Command, answer: &Answer) {
+        self.0.send(Input::Applied(command.clone(), answer.clone()));
     }
 
     fn became_leader(&self, term: Term) {
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -28,6 +28,9 @@
     /// Ends of runs in the answers to polls, by kind of end. A worker repeats an end until the end
     /// is committed, and each repetition counts.
     pub run_ends: IntCounterVec,
+    /// Decisions of the dispatcher and changes in what it knows, by the name of their event. Unlike
+    /// the lines of the log they are never left out.
+    pub decisions: IntCounterVec,
     /// Seconds that one step of the dispatcher took.
     pub dispatch_step: Histogram,
     /// Messages on the links between hosts.
@@ -94,6 +97,13 @@
                     &["end"],
                 ),
             )?,
+            decisions: register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new("tarragon_entry_decisions_total", "Events of the dispatcher"),
+                    &["event"],
+                ),
+            )?,
             dispatch_step: register(
                 &registry,
                 Histogram::with_opts(
--- a/lib/workflow/src/answer.rs
+++ b/lib/workflow/src/answer.rs
@@ -1,13 +1,16 @@
 use derive_more::Display;
 
-use crate::JobPhase;
+use crate::{JobPhase, RunEffect};
 
 /// Result of applying a command.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum Answer {
     /// The command was applied, or an earlier command had the same effect.
     #[display("done")]
     Done,
+    /// The run events were applied, with these effects.
+    #[display("done")]
+    Recorded(Vec<RunEffect>),
     /// The state already holds this or a newer version of the configuration, or a later incarnation
     /// of the worker.
     #[display("held")]
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -4,8 +4,8 @@
 use tarragon_names::Name;
 
 use crate::{
-    JobKey, JobPhase, JobSpec, Occurrence, Placement, RunEnd, RunEvent, StepKey, StepSpec, TaskKey,
-    TaskPhase, TaskProgress,
+    JobKey, JobPhase, JobSpec, Occurrence, Placement, RunEffect, RunEnd, RunEvent, StepKey,
+    StepSpec, TaskKey, TaskPhase, TaskProgress,
 };
 
 /// A step whose tasks may be started now.
@@ -173,13 +173,21 @@
         self.end(JobPhase::Cancelled, now_ms);
     }
 
-    pub(crate) fn apply_event(&mut self, event: &RunEvent, max_attempts: u32, now_ms: u64) {
+    pub(crate) fn apply_event(
+        &mut self,
+        event: &RunEvent,
+        max_attempts: u32,
+        now_ms: u64,
+    ) -> Option<RunEffect> {
         match event {
             RunEvent::Placed {
                 task,
                 run,
                 incarnation,
-            } => self.apply_placed(task, *run, incarnation.clone()),
+            } => {
+                self.apply_placed(task, *run, incarnation.clone());
+                None
+            }
             RunEvent::Ended {
                 task,
                 run,
@@ -193,16 +201,17 @@
                 checkpoint,
             } => {
                 let is_current = self.task(task).is_some_and(|t| t.is_placed_as(*run));
-                if is_current {
-                    self.apply_end(
-                        task,
-                        *run,
-                        RunEnd::Lost,
-                        checkpoint.clone(),
-                        max_attempts,
-                        now_ms,
-                    );
+                if !is_current {
+                    return None;
                 }
+                self.apply_end(
+                    task,
+                    *run,
+                    RunEnd::Lost,
+                    checkpoint.clone(),
+                    max_attempts,
+                    now_ms,
+                )
             }
         }
     }
@@ -235,27 +244,28 @@
         checkpoint: Option<Name>,
         max_attempts: u32,
         now_ms: u64,
-    ) {
+    ) -> Option<RunEffect> {
         let spec = Arc::clone(&self.spec);
-        let Some(step_spec) = spec.steps.get(key.step.step as usize) else {
-            return;
-        };
-        let Some(occurrence) = self.occurrences.get_mut(&key.step.occurrence) else {
-            return;
-        };
-        let Some(step) = occurrence.steps.get_mut(key.step.step as usize) else {
-            return;
-        };
+        let step_spec = spec.steps.get(key.step.step as usize)?;
+        let occurrence = self.occurrences.get_mut(&key.step.occurrence)?;
+        let step = occurrence.steps.get_mut(key.step.step as usize)?;
         if step.tasks.len() <= key.index as usize {
-            return;
+            return None;
         }
         step.apply_end(step_spec, key.index, run, end, checkpoint);
-        let has_failed = !step_spec.long_running && step.failures(step_spec) >= max_attempts;
+        let failures = step.failures(step_spec);
+        let has_failed = !step_spec.long_running && failures >= max_attempts;
         if occurrence.steps.iter().all(crate::StepProgress::is_done) {
             occurrence.is_done = true;
             occurrence.steps = Vec::new();
         }
-        if has_failed && !self.phase.is_final() {
+        let effect = (has_failed && !self.phase.is_final()).then_some(RunEffect::JobFailed {
+            task: *key,
+            run,
+            failures,
+            max_attempts,
+        });
+        if effect.is_some() {
             self.end(JobPhase::Failed, now_ms);
         }
         let done = self.occurrences.values().filter(|o| o.is_done).count();
@@ -263,6 +273,7 @@
             self.end(JobPhase::Completed, now_ms);
         }
         self.drop_details();
+        effect
     }
 
     fn end(&mut self, phase: JobPhase, now_ms: u64) {
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -11,8 +11,9 @@
 use tarragon_shard::Sharded;
 
 use crate::{
-    Answer, Command, Configuration, Job, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEvent,
-    Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot, job_table::JobTable,
+    Answer, Command, Configuration, Job, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEffect,
+    RunEvent, Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot,
+    job_table::JobTable,
 };
 
 /// Number of shards of the job table.
@@ -70,10 +71,10 @@
             Command::Submit { job, queue, spec } => self.submit(*job, queue, spec, now_ms),
             Command::Cancel { job } => self.cancel(*job, now_ms),
             Command::RunEvents(events) => {
-                for event in events {
-                    self.apply_event(event, now_ms);
-                }
-                Answer::Done
+                let effects = events
+                    .iter()
+                    .filter_map(|event| self.apply_event(event, now_ms));
+                Answer::Recorded(effects.collect())
             }
             Command::PutWorker(record) => self.put_worker(record),
             Command::RemoveWorker(incarnation) => self.remove_worker(incarnation),
@@ -300,7 +301,7 @@
         answer.unwrap_or(Answer::NoSuchJob)
     }
 
-    fn apply_event(&self, event: &RunEvent, now_ms: u64) {
+    fn apply_event(&self, event: &RunEvent, now_ms: u64) -> Option<RunEffect> {
         let (RunEvent::Placed { task, .. }
         | RunEvent::Ended { task, .. }
         | RunEvent::Lost { task, .. }) = event;
@@ -310,13 +311,13 @@
         if let RunEvent::Placed { incarnation, .. } = event
             && self.is_going_down(incarnation)
         {
-            return;
+            return None;
         }
         let queue = self.with_job(key, |job| job.queue.clone());
         let queue = queue.and_then(|name| self.queue(&name));
         let max_attempts = queue.map_or(FALLBACK_MAX_ATTEMPTS, |queue| queue.max_attempts);
-        self.jobs.with(&key, |jobs| {
-            jobs.update(key, |job| job.apply_event(event, max_attempts, now_ms));
+        let effect = self.jobs.with(&key, |jobs| {
+            jobs.update(key, |job| job.apply_event(event, max_attempts, now_ms))
         });
         if let RunEvent::Ended {
             incarnation,
@@ -328,6 +329,7 @@
         {
             worker.acknowledged = worker.acknowledged.max(*number);
         }
+        effect.flatten()
     }
 
     /// Adds a wave. The machines of completed waves are dropped after the time for which ended jobs are
