--- /dev/null
+++ b/lib/dispatch/tests/returning_worker.rs
@@ -0,0 +1,70 @@
+//! A worker that was silent until its record was removed, and then returns as the same incarnation.
+
+mod common;
+
+use common::{Harness, step, task, worker};
+use tarragon_dispatch::OrderOutcome;
+use tarragon_workflow::{Command, JobPhase, RunEnd, WorkerIncarnation};
+
+const SILENT: &str = "w1";
+const OTHER: &str = "w2";
+
+/// Lets the only placed task fail on the worker that it was placed on, and returns that worker.
+fn fail_placed_run(harness: &mut Harness, run: u32, number: u64) -> WorkerIncarnation {
+    while harness.starts.is_empty() {
+        answer_polls_of_other(harness);
+        harness.advance(20);
+    }
+    let starts = harness.answer_starts(OrderOutcome::Accepted);
+    assert_eq!((starts.len(), starts[0].run), (1, run));
+    let incarnation = starts[0].incarnation.clone();
+    let worker = incarnation.worker.as_str();
+    let end = (number, task(1, 0, 0), run, RunEnd::Failed);
+    while !has_open_poll(harness, worker) {
+        harness.advance(20);
+    }
+    harness.answer_poll(worker, &[], &[end]);
+    harness.advance(20);
+    incarnation
+}
+
+fn has_open_poll(harness: &Harness, worker: &str) -> bool {
+    let mut polls = harness.polls.iter();
+    polls.any(|call| call.incarnation.worker.as_str() == worker)
+}
+
+fn answer_polls_of_other(harness: &mut Harness) {
+    if has_open_poll(harness, OTHER) {
+        harness.answer_poll(OTHER, &[], &[]);
+    }
+}
+
+/// Lets the polls of the worker go unanswered until its record is removed.
+fn silence_until_removed(harness: &mut Harness, incarnation: &WorkerIncarnation) {
+    while harness.workflow_state.worker(&incarnation.worker).is_some() {
+        if has_open_poll(harness, SILENT) {
+            harness.time_out_poll(SILENT);
+        }
+        answer_polls_of_other(harness);
+        harness.advance(20);
+    }
+}
+
+/// Guards against a job that fails after two failed runs of three, because the worker of the first run
+/// returns and lists its end again.
+#[test]
+fn end_listed_again_by_a_returning_worker_does_not_count() {
+    let mut harness = Harness::new(&[worker(SILENT, 8)]);
+    harness.submit(1, vec![step(1, 1)]);
+    let silent = fail_placed_run(&mut harness, 1, 1);
+    harness.commit(Command::PutWorker(worker(OTHER, 8)));
+    harness.advance(20);
+    answer_polls_of_other(&mut harness);
+    // The poll that acknowledges the end does not reach the worker.
+    silence_until_removed(&mut harness, &silent);
+    fail_placed_run(&mut harness, 2, 1);
+    harness.commit(Command::PutWorker(worker(SILENT, 8)));
+    harness.advance(20);
+    harness.answer_poll(SILENT, &[], &[(1, task(1, 0, 0), 1, RunEnd::Failed)]);
+    assert_eq!(harness.phase(1), Some(JobPhase::Running));
+}
