workflow: count each failed run of a task once

A task remembered only the last run that was counted, so the end of an earlier run that was applied again after a later run had failed was taken for a new failure. A worker lists an end until it is acknowledged, and the acknowledged number stands in the record of the worker, which is removed when the worker is silent; once it returns as the same incarnation, it lists the end again. A member of a gang that reports a failed run after a later run of the gang had failed was counted in the same way.

The state now holds the failed runs themselves, by number, in the task, which lives as long as an end of it can count. It no longer matters which worker, leader or log entry brings the end, or how often. Long-running tasks have no limit, so one run is kept for them and nothing grows.

--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -4,7 +4,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::LogIndex;
 use tarragon_replica::{Growth, StateMachine};
-use tarragon_wire::record;
+use tarragon_wire::{WireError, record};
 use tarragon_workflow::{Answer, Command, WorkflowSnapshot, WorkflowState};
 
 /// State machine of the replicated log: applies commands to the jobs and the configuration.
@@ -28,16 +28,31 @@
     }
 
     fn snapshot(&self) -> Outcome<Bytes> {
-        record::encode(&self.0.snapshot()).map_err(|e| Failure::new(Code::Internal, e.to_string()))
+        let snapshot = self.0.snapshot();
+        let histories = snapshot.histories();
+        record::encode(&(snapshot, histories))
+            .map_err(|e| Failure::new(Code::Internal, e.to_string()))
     }
 
     fn restore(&self, state: &[u8]) -> Outcome<()> {
         let snapshot = if state.is_empty() {
             WorkflowSnapshot::default()
         } else {
-            record::decode(state).map_err(|e| Failure::new(Code::CorruptRecord, e.to_string()))?
+            decode(state).map_err(|e| Failure::new(Code::CorruptRecord, e.to_string()))?
         };
         self.0.restore(snapshot);
         Ok(())
     }
 }
+
+fn decode(state: &[u8]) -> Result<WorkflowSnapshot, WireError> {
+    let (mut snapshot, rest) = record::decode_first::<WorkflowSnapshot>(state)?;
+    // Snapshots of earlier releases end here.
+    let histories = if rest.is_empty() {
+        None
+    } else {
+        Some(record::decode(rest)?)
+    };
+    snapshot.restore_histories(histories);
+    Ok(snapshot)
+}
--- /dev/null
+++ b/lib/entry/tests/workflow_log.rs
@@ -0,0 +1,132 @@
+//! Snapshots of the replicated state in their stored form.
+
+use std::sync::Arc;
+
+use tarragon_entry::WorkflowLog;
+use tarragon_names::{Millis, Name, PoolName, Resources, WorkerName};
+use tarragon_replica::StateMachine;
+use tarragon_workflow::{
+    Command, Configuration, JobKey, JobPhase, JobSpec, Queue, RunEnd, RunEvent, StepKey, StepSpec,
+    TaskKey, WorkerIncarnation, WorkflowState,
+};
+use yare::parameterized;
+
+const RETENTION_MS: u64 = 1_000;
+
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Snapshot as the release before [`TaskHistory`](tarragon_workflow::TaskHistory) wrote it, with the
+/// state that [`state_after_two_failed_runs`] builds.
+const EARLIER_RELEASE: &str = "\
+    01036f6e650101710168032f712f01700004e8070000000101017101710168032f712f01700004e8070000010101\
+    710001010101000000000000000000000000000000000000010100010001010103027733050302020000000002";
+
+fn task() -> TaskKey {
+    let step = StepKey {
+        job: JobKey(1),
+        occurrence: 0,
+        step: 0,
+    };
+    TaskKey { step, index: 0 }
+}
+
+fn incarnation(run: u32) -> WorkerIncarnation {
+    WorkerIncarnation {
+        worker: WorkerName::from(format!("w{run}")),
+        started_ms: 5,
+    }
+}
+
+fn placed(run: u32) -> RunEvent {
+    RunEvent::Placed {
+        task: task(),
+        run,
+        incarnation: incarnation(run),
+    }
+}
+
+fn failed(run: u32) -> RunEvent {
+    RunEvent::Ended {
+        incarnation: incarnation(run),
+        number: 1,
+        task: task(),
+        run,
+        end: RunEnd::Failed,
+        checkpoint: None,
+    }
+}
+
+/// State with one job, whose only task has failed in two runs and is placed for the third time.
+fn state_after_two_failed_runs() -> WorkflowState {
+    let state = WorkflowState::new(RETENTION_MS);
+    let queue = Queue {
+        name: Name::from("q"),
+        host: Name::from("h"),
+        prefix: Name::from("/q/"),
+        pool: PoolName::from("p"),
+        priority: 0,
+        max_attempts: MAX_ATTEMPTS,
+        stretch_permille: 1_000,
+        target_latency: Millis(0),
+        advice: None,
+    };
+    let configuration = Configuration {
+        version: 1,
+        text: Name::from("one"),
+        queues: vec![queue],
+        pools: Vec::new(),
+        max_body_bytes: 1,
+    };
+    state.apply(1, &Command::PutConfiguration(configuration));
+    let step = StepSpec {
+        count: 1,
+        resources: Resources::new(1, 1, 0),
+        ..StepSpec::default()
+    };
+    let spec = JobSpec {
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    let (job, queue) = (JobKey(1), Name::from("q"));
+    state.apply(1, &Command::Submit { job, queue, spec });
+    let events = vec![placed(1), failed(1), placed(2), failed(2), placed(3)];
+    state.apply(2, &Command::RunEvents(events));
+    state
+}
+
+fn earlier_release() -> Vec<u8> {
+    let digits = EARLIER_RELEASE.as_bytes().chunks(2);
+    let bytes = digits.map(|pair| {
+        let pair = str::from_utf8(pair).expect("digits");
+        u8::from_str_radix(pair, 16).expect("a hexadecimal number")
+    });
+    bytes.collect()
+}
+
+fn current_release() -> Vec<u8> {
+    let log = WorkflowLog(Arc::new(state_after_two_failed_runs()));
+    log.snapshot().expect("a snapshot").to_vec()
+}
+
+/// Guards against a snapshot that loses which runs have failed, so that an end that is listed again
+/// counts again after a restart, and against a host that cannot read the snapshot of the release before.
+#[parameterized(
+    of_the_earlier_release = { earlier_release() },
+    of_the_current_release = { current_release() },
+)]
+fn failed_runs_survive_a_snapshot(snapshot: Vec<u8>) {
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&snapshot).expect("the snapshot is read");
+    let state = &restored.0;
+    let apply = |events| state.apply(3, &Command::RunEvents(events));
+    let phase = || state.with_job(JobKey(1), |job| job.phase);
+    apply(vec![failed(1), failed(2), failed(1)]);
+    let count = state.with_job(JobKey(1), |job| {
+        job.task(&task()).map(|task| task.failed_runs.count())
+    });
+    assert_eq!(count.flatten(), Some(2));
+    apply(vec![failed(3)]);
+    assert_eq!(phase(), Some(JobPhase::Running));
+    apply(vec![placed(4), failed(4)]);
+    assert_eq!(phase(), Some(JobPhase::Failed));
+}
--- a/lib/wire/src/record.rs
+++ b/lib/wire/src/record.rs
@@ -58,6 +58,14 @@
     Ok(Bytes::from(postcard::to_allocvec(value)?))
 }
 
+/// Decodes the first of several values that were encoded one after the other, and returns the rest.
+pub fn decode_first<T>(buf: &[u8]) -> Result<(T, &[u8]), WireError>
+where
+    T: DeserializeOwned,
+{
+    Ok(postcard::take_from_bytes(buf)?)
+}
+
 /// Decodes a value of the log or a snapshot.
 pub fn decode<T>(buf: &[u8]) -> Result<T, WireError>
 where
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     JobKey, JobPhase, JobSpec, Occurrence, Placement, RunEffect, RunEnd, RunEvent, StepKey,
-    StepSpec, TaskKey, TaskPhase, TaskProgress,
+    StepSpec, TaskHistory, TaskKey, TaskPhase, TaskProgress,
 };
 
 /// A step whose tasks may be started now.
@@ -169,6 +169,46 @@
         tasks
     }
 
+    /// Histories of the tasks that have one.
+    pub(crate) fn histories(&self) -> Vec<TaskHistory> {
+        let mut histories = Vec::new();
+        for (occurrence, run) in &self.occurrences {
+            for (step, step_run) in (0..).zip(&run.steps) {
+                let step = StepKey {
+                    job: self.key,
+                    occurrence: *occurrence,
+                    step,
+                };
+                let tasks = (0..).zip(&step_run.tasks);
+                histories.extend(tasks.filter_map(|(index, task)| {
+                    let failed_runs = task.failed_runs.runs().clone();
+                    let task = TaskKey { step, index };
+                    (!failed_runs.is_empty()).then_some(TaskHistory { task, failed_runs })
+                }));
+            }
+        }
+        histories
+    }
+
+    pub(crate) fn restore_history(&mut self, history: TaskHistory) {
+        let key = history.task;
+        let occurrence = self.occurrences.get_mut(&key.step.occurrence);
+        let step = occurrence.and_then(|o| o.steps.get_mut(key.step.step as usize));
+        if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize)) {
+            task.failed_runs.restore(history.failed_runs);
+        }
+    }
+
+    /// Completes the tasks of a snapshot without histories.
+    pub(crate) fn assume_histories(&mut self) {
+        let occurrences = self.occurrences.values_mut();
+        let steps = occurrences.flat_map(|occurrence| &mut occurrence.steps);
+        for task in steps.flat_map(|step| &mut step.tasks) {
+            let last_run = task.last_ended_run();
+            task.failed_runs.assume_known_up_to(last_run);
+        }
+    }
+
     pub(crate) fn cancel(&mut self, now_ms: u64) {
         self.end(JobPhase::Cancelled, now_ms);
     }
--- a/lib/workflow/src/step_progress.rs
+++ b/lib/workflow/src/step_progress.rs
@@ -85,17 +85,10 @@
                 return;
             }
         }
-        let is_new_failure = end == RunEnd::Failed
-            && if spec.gang {
-                self.tasks.iter().all(|task| task.failed_run != run)
-            } else {
-                self.tasks[index as usize].failed_run != run
-            };
-        let task = &mut self.tasks[index as usize];
-        if is_new_failure {
-            task.failed_run = run;
-            task.failures += 1;
+        if end == RunEnd::Failed {
+            self.record_failure(spec, index, run);
         }
+        let task = &mut self.tasks[index as usize];
         if checkpoint.is_some() {
             task.checkpoint = checkpoint;
         }
@@ -106,9 +99,19 @@
         }
     }
 
+    fn record_failure(&mut self, spec: &StepSpec, index: u32, run: u32) {
+        let is_known = spec.gang && self.tasks.iter().any(|task| task.failed_runs.contains(run));
+        let failed_runs = &mut self.tasks[index as usize].failed_runs;
+        // Long-running tasks have no limit. One failed run shows that the task was started.
+        let is_needed = !spec.long_running || failed_runs.count() == 0;
+        if !is_known && is_needed {
+            failed_runs.insert(run);
+        }
+    }
+
     /// Number of failed runs: the highest of any task, or the total of a gang.
     pub fn failures(&self, spec: &StepSpec) -> u32 {
-        let failures = self.tasks.iter().map(|task| task.failures);
+        let failures = self.tasks.iter().map(|task| task.failed_runs.count());
         if spec.gang {
             failures.sum()
         } else {
--- a/lib/workflow/src/task_progress.rs
+++ b/lib/workflow/src/task_progress.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::Name;
 
-use crate::WorkerIncarnation;
+use crate::{FailedRuns, WorkerIncarnation};
 
 /// Assignment of a run to a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -31,10 +31,8 @@
     pub phase: TaskPhase,
     /// Number of the last run; 0 before the first.
     pub last_run: u32,
-    /// Number of the last run that was counted as failed; 0 if none was.
-    pub failed_run: u32,
-    /// Count of failed runs.
-    pub failures: u32,
+    /// Failed runs.
+    pub failed_runs: FailedRuns,
     /// Last checkpoint saved by any run; None before the first.
     pub checkpoint: Option<Name>,
 }
@@ -42,7 +40,7 @@
 impl TaskProgress {
     /// Returns whether a run of the task has certainly been started.
     pub fn has_started(&self) -> bool {
-        self.phase == TaskPhase::Done || self.failures > 0 || self.checkpoint.is_some()
+        self.phase == TaskPhase::Done || self.failed_runs.count() > 0 || self.checkpoint.is_some()
     }
 
     /// Returns the run that is placed on a worker, if there is one.
@@ -53,6 +51,14 @@
         }
     }
 
+    /// Number of the last run whose end is recorded.
+    pub(crate) fn last_ended_run(&self) -> u32 {
+        match &self.phase {
+            TaskPhase::Placed(placement) => placement.run.saturating_sub(1),
+            _ => self.last_run,
+        }
+    }
+
     /// Returns whether the run with this number is the one that is placed.
     pub fn is_placed_as(&self, run: u32) -> bool {
         self.placement()
--- a/lib/workflow/src/workflow_snapshot.rs
+++ b/lib/workflow/src/workflow_snapshot.rs
@@ -3,9 +3,11 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::{Name, WorkerName};
 
-use crate::{Configuration, Job, Queue, Wave, WaveKey, WorkerRecord};
+use crate::{Configuration, Job, JobKey, Queue, TaskHistory, Wave, WaveKey, WorkerRecord};
 
 /// Serializable copy of a whole [`WorkflowState`](crate::WorkflowState).
+///
+/// Its serialized form is followed by that of its [`histories`](Self::histories).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkflowSnapshot {
     /// Configuration in force at the time of the snapshot.
@@ -21,3 +23,26 @@
     /// Latest unix time of an applied command, in milliseconds.
     pub now_ms: u64,
 }
+
+impl WorkflowSnapshot {
+    /// What the serialized form of the tasks leaves out.
+    pub fn histories(&self) -> Vec<TaskHistory> {
+        self.jobs.iter().flat_map(Job::histories).collect()
+    }
+
+    /// Completes a snapshot that was read back; `None` if it was written by a release that stored no
+    /// histories.
+    pub fn restore_histories(&mut self, histories: Option<Vec<TaskHistory>>) {
+        let Some(histories) = histories else {
+            self.jobs.iter_mut().for_each(Job::assume_histories);
+            return;
+        };
+        let jobs = self.jobs.iter_mut().map(|job| (job.key, job));
+        let mut jobs = jobs.collect::<BTreeMap<JobKey, &mut Job>>();
+        for history in histories {
+            if let Some(job) = jobs.get_mut(&history.task.step.job) {
+                job.restore_history(history);
+            }
+        }
+    }
+}
