workflow: count nothing for a task that is done

The end of a done task now changes nothing, and a done task does not count towards the limit of its step, also where a configuration lowers the limit later.

--- a/lib/workflow/src/step_progress.rs
+++ b/lib/workflow/src/step_progress.rs
@@ -62,7 +62,7 @@
     }
 
     /// Records the end of a run. One `Done` completes a whole gang, and a failed run of a gang
-    /// counts once even if several members report it.
+    /// counts once even if several members report it. Nothing counts for a task that is done.
     pub(crate) fn apply_end(
         &mut self,
         spec: &StepSpec,
@@ -71,6 +71,9 @@
         end: RunEnd,
         checkpoint: Option<Name>,
     ) {
+        if self.tasks[index as usize].phase == TaskPhase::Done {
+            return;
+        }
         if spec.gang {
             if checkpoint.is_some() {
                 // The latest checkpoint of any member replaces the checkpoints of all members.
@@ -109,9 +112,13 @@
         }
     }
 
-    /// Number of failed runs: the highest of any task, or the total of a gang.
+    /// Number of failed runs: the highest of any task that is not done, or the total of a gang.
     pub fn failures(&self, spec: &StepSpec) -> u32 {
-        let failures = self.tasks.iter().map(|task| task.failed_runs.count());
+        let open = self
+            .tasks
+            .iter()
+            .filter(|task| task.phase != TaskPhase::Done);
+        let failures = open.map(|task| task.failed_runs.count());
         if spec.gang {
             failures.sum()
         } else {
