workflow: an earlier run does not replace the checkpoint of a later one

The end of an earlier run that is listed late or again brought back its checkpoint, for a gang that of all members, so the next run repeated work that a later run had saved.

--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -108,6 +108,30 @@
     log.snapshot().expect("a snapshot").to_vec()
 }
 
+/// Guards against an older checkpoint that replaces a later one after a restart.
+#[test]
+fn run_of_a_checkpoint_survives_a_snapshot() {
+    let state = state_after_two_failed_runs();
+    let stopped = |run, checkpoint| RunEvent::Ended {
+        incarnation: incarnation(run),
+        number: 1,
+        task: task(),
+        run,
+        end: RunEnd::Stopped,
+        checkpoint: Some(Name::from(checkpoint)),
+    };
+    let apply = |state: &WorkflowState, event| state.apply(3, &Command::RunEvents(vec![event]));
+    apply(&state, stopped(3, "new"));
+    let snapshot = WorkflowLog(Arc::new(state)).snapshot().expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&snapshot).expect("the snapshot is read");
+    apply(&restored.0, stopped(2, "old"));
+    let checkpoint = restored.0.with_job(JobKey(1), |job| {
+        job.task(&task()).and_then(|task| task.checkpoint.clone())
+    });
+    assert_eq!(checkpoint.flatten(), Some(Name::from("new")));
+}
+
 /// Guards against a snapshot that loses which runs have failed, so that an end that is listed again
 /// counts again after a restart, and against a host that cannot read the snapshot of the release before.
 #[parameterized(
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -180,11 +180,9 @@
                     step,
                 };
                 let tasks = (0..).zip(&step_run.tasks);
-                histories.extend(tasks.filter_map(|(index, task)| {
-                    let failed_runs = task.failed_runs.runs().clone();
-                    let task = TaskKey { step, index };
-                    (!failed_runs.is_empty()).then_some(TaskHistory { task, failed_runs })
-                }));
+                histories.extend(
+                    tasks.filter_map(|(index, task)| task.history(TaskKey { step, index })),
+                );
             }
         }
         histories
@@ -196,6 +194,7 @@
         let step = occurrence.and_then(|o| o.steps.get_mut(key.step.step as usize));
         if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize)) {
             task.failed_runs.restore(history.failed_runs);
+            task.checkpoint_run = history.checkpoint_run;
         }
     }
 
--- a/lib/workflow/src/step_progress.rs
+++ b/lib/workflow/src/step_progress.rs
@@ -74,27 +74,19 @@
         if self.tasks[index as usize].phase == TaskPhase::Done {
             return;
         }
-        if spec.gang {
-            if checkpoint.is_some() {
-                // The latest checkpoint of any member replaces the checkpoints of all members.
-                for task in &mut self.tasks {
-                    task.checkpoint.clone_from(&checkpoint);
-                }
-            }
-            if end == RunEnd::Done && !spec.long_running {
-                for task in &mut self.tasks {
-                    task.phase = TaskPhase::Done;
-                }
-                return;
+        if let Some(checkpoint) = &checkpoint {
+            self.save_checkpoint(spec, index, run, checkpoint);
+        }
+        if spec.gang && end == RunEnd::Done && !spec.long_running {
+            for task in &mut self.tasks {
+                task.phase = TaskPhase::Done;
             }
+            return;
         }
         if end == RunEnd::Failed {
             self.record_failure(spec, index, run);
         }
         let task = &mut self.tasks[index as usize];
-        if checkpoint.is_some() {
-            task.checkpoint = checkpoint;
-        }
         if end == RunEnd::Done && !spec.long_running {
             task.phase = TaskPhase::Done;
         } else if task.is_placed_as(run) {
@@ -102,6 +94,17 @@
         }
     }
 
+    /// Saves a checkpoint. One of any member of a gang replaces those of all members.
+    fn save_checkpoint(&mut self, spec: &StepSpec, index: u32, run: u32, checkpoint: &Name) {
+        if spec.gang {
+            for task in &mut self.tasks {
+                task.save_checkpoint(run, checkpoint);
+            }
+        } else {
+            self.tasks[index as usize].save_checkpoint(run, checkpoint);
+        }
+    }
+
     fn record_failure(&mut self, spec: &StepSpec, index: u32, run: u32) {
         let is_known = spec.gang && self.tasks.iter().any(|task| task.failed_runs.contains(run));
         let failed_runs = &mut self.tasks[index as usize].failed_runs;
--- a/lib/workflow/src/task_history.rs
+++ b/lib/workflow/src/task_history.rs
@@ -11,4 +11,6 @@
     pub task: TaskKey,
     /// Runs that ended as failed.
     pub failed_runs: BTreeSet<u32>,
+    /// Run that saved the checkpoint of the task; 0 if it is not known.
+    pub checkpoint_run: u32,
 }
--- a/lib/workflow/src/task_progress.rs
+++ b/lib/workflow/src/task_progress.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::Name;
 
-use crate::{FailedRuns, WorkerIncarnation};
+use crate::{FailedRuns, TaskHistory, TaskKey, WorkerIncarnation};
 
 /// Assignment of a run to a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,8 +33,12 @@
     pub last_run: u32,
     /// Failed runs.
     pub failed_runs: FailedRuns,
-    /// Last checkpoint saved by any run; None before the first.
+    /// Checkpoint of the latest run that saved one; None before the first.
     pub checkpoint: Option<Name>,
+    /// Run that saved the checkpoint; 0 if it is not known. [`TaskHistory`](crate::TaskHistory) holds
+    /// it in a snapshot.
+    #[serde(skip)]
+    pub checkpoint_run: u32,
 }
 
 impl TaskProgress {
@@ -59,6 +63,25 @@
         }
     }
 
+    /// Takes over the checkpoint of a run, unless a later run saved one. Ends come late and again.
+    pub(crate) fn save_checkpoint(&mut self, run: u32, checkpoint: &Name) {
+        if run >= self.checkpoint_run {
+            self.checkpoint = Some(checkpoint.clone());
+            self.checkpoint_run = run;
+        }
+    }
+
+    /// Returns what the serialized form of the task leaves out; None if that is nothing.
+    pub(crate) fn history(&self, task: TaskKey) -> Option<TaskHistory> {
+        let history = TaskHistory {
+            task,
+            failed_runs: self.failed_runs.runs().clone(),
+            checkpoint_run: self.checkpoint_run,
+        };
+        let is_empty = history.failed_runs.is_empty() && history.checkpoint_run == 0;
+        (!is_empty).then_some(history)
+    }
+
     /// Returns whether the run with this number is the one that is placed.
     pub fn is_placed_as(&self, run: u32) -> bool {
         self.placement()
