dispatch: all start orders of a run carry the checkpoint of its placement

The checkpoint of a start order was read from the replicated state when the order was sent. Between the orders for the members of a gang, or before one is repeated, the late end of an earlier run can change it, and members then resume from different checkpoints, which their workers must not do. The checkpoint is now taken with the run number, when the run is placed.

Evidence: members_of_a_gang_resume_from_the_same_checkpoint failed before with "late" in place of "early" and passes now.

--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use tarragon_names::{Millis, WorkerName};
+use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{Command, TaskKey, WorkerIncarnation};
 
 use crate::{
@@ -305,12 +305,24 @@
                     } else {
                         cfg.order_timeout
                     };
-                    due.push((*task, view.run, view.ticket.clone(), timeout));
+                    let (ticket, checkpoint) = (view.ticket.clone(), view.resume_from.clone());
+                    due.push((*task, view.run, ticket, checkpoint, timeout));
                 }
             }
-            for (task, run, ticket, timeout) in due {
-                if let Some(until) = state.grant_lease(now, cfg.lease) {
-                    starts.push((task, run, ticket, timeout, state.record.clone(), until));
+            for (task, run, ticket, checkpoint, timeout) in due {
+                if let Some(lease_until_ms) = state.grant_lease(now, cfg.lease) {
+                    starts.push(StartOrder {
+                        incarnation: state.record.incarnation.clone(),
+                        address: state.record.address.clone(),
+                        task,
+                        run,
+                        payload: Name::default(),
+                        lease_until_ms,
+                        fence: term,
+                        checkpoint,
+                        ticket,
+                        timeout,
+                    });
                 }
             }
         });
@@ -318,29 +330,16 @@
             self.lose_run(task, &worker);
         }
         self.outputs.extend(stops.into_iter().map(Output::Stop));
-        for (task, run, ticket, timeout, record, until) in starts {
-            let start_input = self.workflow_state.with_job(task.step.job, |job| {
-                let is_gang = job.spec.steps.get(task.step.step as usize)?.gang;
-                let occurrence = job.occurrences.get(&task.step.occurrence)?;
-                let step = occurrence.steps.get(task.step.step as usize)?;
-                let checkpoint = step.checkpoint(task.index, is_gang);
-                Some((job.spec.payload.clone(), checkpoint))
+        for order in starts {
+            let job = order.task.step.job;
+            let payload = self.workflow_state.with_job(job, |job| {
+                job.task(&order.task)?;
+                Some(job.spec.payload.clone())
             });
-            let Some((payload, checkpoint)) = start_input.flatten() else {
-                continue;
-            };
-            self.outputs.push(Output::Start(StartOrder {
-                incarnation: record.incarnation,
-                address: record.address,
-                task,
-                run,
-                payload,
-                lease_until_ms: until,
-                fence: term,
-                checkpoint,
-                ticket,
-                timeout,
-            }));
+            if let Some(payload) = payload.flatten() {
+                self.outputs
+                    .push(Output::Start(StartOrder { payload, ..order }));
+            }
         }
     }
 }
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -282,16 +282,21 @@
         plan.waiting = tasks.collect();
         for (index, worker, ticket) in placements {
             let task = TaskKey { step: key, index };
-            let run = self.workflow_state.with_job(key.job, |job| {
+            let next = self.workflow_state.with_job(key.job, |job| {
                 let occurrence = job.occurrences.get(&key.occurrence);
-                let run = occurrence.and_then(|o| o.steps.get(key.step as usize));
-                run.map_or(1, |run| run.next_run(index, step.gang))
+                let progress = occurrence.and_then(|o| o.steps.get(key.step as usize));
+                progress.map_or((1, None), |progress| {
+                    let checkpoint = progress.checkpoint(index, step.gang);
+                    (progress.next_run(index, step.gang), checkpoint)
+                })
             });
-            let (Some(run), Some(state)) = (run, self.workers.get_mut(&worker)) else {
+            let (Some((run, checkpoint)), Some(state)) = (next, self.workers.get_mut(&worker))
+            else {
                 continue;
             };
             let mut view = RunView::new(run, spec, self.now);
             view.ticket = ticket;
+            view.resume_from = checkpoint;
             state.insert_run(task, view);
             let incarnation = state.record.incarnation.clone();
             let free = state.free_for(&key);
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -64,6 +64,10 @@
     pub(crate) is_listed: bool,
     pub(crate) ticket: Option<Name>,
     pub(crate) placed_at: Millis,
+    /// Checkpoint that each start order for the run carries. It is fixed with the placement, because
+    /// all members of a gang must resume from the same one.
+    pub(crate) resume_from: Option<Name>,
+    /// Last checkpoint that a poll has listed.
     pub(crate) checkpoint: Option<Name>,
     pub(crate) progress: RunProgress,
     /// Rate that was last ordered, in percent; `None` if it is not known whether the order took
@@ -94,6 +98,7 @@
             is_listed: false,
             ticket: None,
             placed_at: now,
+            resume_from: None,
             checkpoint: None,
             progress: RunProgress::default(),
             ordered_rate: Some(FULL_RATE),
