workflow: pass the checkpoint of an end by reference

The linter refuses the owned one since a checkpoint is copied only where it is saved. Behaviour is unchanged; the tests of workflow and dispatch pass.

--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -233,7 +233,7 @@
                 end,
                 checkpoint,
                 ..
-            } => self.apply_end(task, *run, *end, checkpoint.clone(), max_attempts, now_ms),
+            } => self.apply_end(task, *run, *end, checkpoint.as_ref(), max_attempts, now_ms),
             RunEvent::Lost {
                 task,
                 run,
@@ -247,7 +247,7 @@
                     task,
                     *run,
                     RunEnd::Lost,
-                    checkpoint.clone(),
+                    checkpoint.as_ref(),
                     max_attempts,
                     now_ms,
                 )
@@ -280,7 +280,7 @@
         key: &TaskKey,
         run: u32,
         end: RunEnd,
-        checkpoint: Option<Name>,
+        checkpoint: Option<&Name>,
         max_attempts: u32,
         now_ms: u64,
     ) -> Option<RunEffect> {
--- a/lib/workflow/src/step_progress.rs
+++ b/lib/workflow/src/step_progress.rs
@@ -69,12 +69,12 @@
         index: u32,
         run: u32,
         end: RunEnd,
-        checkpoint: Option<Name>,
+        checkpoint: Option<&Name>,
     ) {
         if self.tasks[index as usize].phase == TaskPhase::Done {
             return;
         }
-        if let Some(checkpoint) = &checkpoint {
+        if let Some(checkpoint) = checkpoint {
             self.save_checkpoint(spec, index, run, checkpoint);
         }
         if spec.gang && end == RunEnd::Done && !spec.long_running {
