dispatch: judge a worker once by each end

An end that a worker lists again, after its record was removed or after a proposal was refused, counted once more for or against its health, its speed and the pause after a failed run, so a sound worker that returned from a cut got no tasks for one to four seconds for each end. The first listing of the end of a run that the leader expects there now decides alone; the end of a run that is not expected says nothing about the worker today.

Evidence: end_listed_again_does_not_pause_the_worker failed before and passes now.

--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -130,31 +130,27 @@
                 continue;
             }
             state.last_proposed_end = finished_run.number;
-            if finished_run.end == RunEnd::Done {
-                state.last_success_at = self.now;
-                let view = state
-                    .runs
-                    .get(&finished_run.task)
-                    .filter(|view| view.run == finished_run.run);
-                if let Some(view) = view {
-                    let ran = self.now.since(view.placed_at);
-                    state.speed.record_run(ran, view.spec.estimate);
-                }
-            }
             let mut ran = Millis(0);
             let mut used = None;
             // The end of a run that is not expected here was listed before, or its run was declared
             // lost.
             let mut name = "unexpected_end";
-            if let Some(view) = state.runs.get(&finished_run.task)
+            let mut is_new = false;
+            if let Some(view) = state.runs.get_mut(&finished_run.task)
                 && view.run == finished_run.run
             {
                 if !view.is_ended {
                     name = "run_ended";
                 }
+                is_new = !std::mem::replace(&mut view.is_end_listed, true);
                 ran = self.now.since(view.placed_at);
                 used = view.usage_or_tail_ms;
+                let estimate = view.spec.estimate;
                 state.set_ended(&finished_run.task, true);
+                if is_new && finished_run.end == RunEnd::Done {
+                    state.last_success_at = self.now;
+                    state.speed.record_run(ran, estimate);
+                }
                 self.needs_placement = true;
             }
             self.records.push(RunEvent::Ended {
@@ -174,7 +170,9 @@
                     .task(finished_run.task, finished_run.run)
                     .worker(&incarnation.worker),
             );
-            self.record_health(&finished_run.task, &incarnation.worker, finished_run.end);
+            if is_new {
+                self.record_health(&finished_run.task, &incarnation.worker, finished_run.end);
+            }
         }
     }
 
--- a/lib/dispatch/tests/returning_worker.rs
+++ b/lib/dispatch/tests/returning_worker.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Harness, step, task, worker};
+use common::{Harness, incarnation, step, task, worker};
 use tarragon_dispatch::OrderOutcome;
 use tarragon_workflow::{Command, JobPhase, RunEnd, WorkerIncarnation};
 
@@ -50,21 +50,40 @@
     }
 }
 
-/// Guards against a job that fails after two failed runs of three, because the worker of the first run
-/// returns and lists its end again.
-#[test]
-fn end_listed_again_by_a_returning_worker_does_not_count() {
+/// Lets a worker return after its only run failed, the acknowledgement was lost and its record was
+/// removed. It lists the end of the run again. Meanwhile the second run has failed elsewhere.
+fn after_return() -> Harness {
     let mut harness = Harness::new(&[worker(SILENT, 8)]);
     harness.submit(1, vec![step(1, 1)]);
     let silent = fail_placed_run(&mut harness, 1, 1);
     harness.commit(Command::PutWorker(worker(OTHER, 8)));
     harness.advance(20);
     answer_polls_of_other(&mut harness);
-    // The poll that acknowledges the end does not reach the worker.
     silence_until_removed(&mut harness, &silent);
     fail_placed_run(&mut harness, 2, 1);
     harness.commit(Command::PutWorker(worker(SILENT, 8)));
     harness.advance(20);
     harness.answer_poll(SILENT, &[], &[(1, task(1, 0, 0), 1, RunEnd::Failed)]);
+    harness
+}
+
+/// Guards against a job that fails after two failed runs of three, because the worker of the first run
+/// returns and lists its end again.
+#[test]
+fn end_listed_again_by_a_returning_worker_does_not_count() {
+    let harness = after_return();
     assert_eq!(harness.phase(1), Some(JobPhase::Running));
 }
+
+/// Guards against a sound worker that gets no tasks, because an end that it lists again counts as
+/// another failure there.
+#[test]
+fn end_listed_again_does_not_pause_the_worker() {
+    let mut harness = after_return();
+    harness.commit(Command::RemoveWorker(incarnation(OTHER)));
+    harness.starts.clear();
+    harness.submit(2, vec![step(1, 1)]);
+    harness.advance(200);
+    let mut starts = harness.starts.iter();
+    assert!(starts.any(|order| order.task == task(2, 0, 0)));
+}
