--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -142,7 +142,7 @@
                 if !view.is_ended {
                     name = "run_ended";
                 }
-                is_new = !std::mem::replace(&mut view.is_end_listed, true);
+                is_new = view.listed_end.replace(finished_run.number).is_none();
                 ran = self.now.since(view.placed_at);
                 used = view.usage_or_tail_ms;
                 let estimate = view.spec.estimate;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -79,8 +79,8 @@
     /// Whether the end was listed or is certain. Its record is then proposed, and the capacity is
     /// free.
     pub(crate) is_ended: bool,
-    /// Whether the worker has listed the end. It speaks for or against the worker only once.
-    pub(crate) is_end_listed: bool,
+    /// Number of the end, once the worker has listed it. It speaks for or against the worker only once.
+    pub(crate) listed_end: Option<u64>,
 }
 
 impl RunView {
@@ -106,7 +106,7 @@
             ordered_rate: Some(FULL_RATE),
             usage_or_tail_ms: None,
             is_ended: false,
-            is_end_listed: false,
+            listed_end: None,
         }
     }
 
