dispatch: the late success of an earlier run stops the later ones

A gang, or the last task of a job, whose first run was declared lost could be placed again and then turn out to be done, by an end that its returning worker lists late. The later run was not stopped, and start orders for members of a gang that had no answer were sent again after the success was recorded, which runs a task twice (TWICE). Both followed from looking for a placement in the replicated state, which a gang and a completed job do not have. The end of a run as done now stops every other run of its task or gang that the leader knows.

--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -4,7 +4,7 @@
 
 use tarragon_names::{JobId, Millis, WorkerName};
 use tarragon_workflow::{
-    JobKey, JobPhase, RunEffect, RunEnd, RunEvent, StepKey, StepProgress, TaskKey,
+    JobKey, JobPhase, RunEffect, RunEnd, RunEvent, StepKey, StepProgress, TaskKey, TaskPhase,
 };
 
 use crate::{
@@ -253,7 +253,9 @@
                     {
                         state.record.acknowledged = state.record.acknowledged.max(*number);
                     }
-                    if *end != RunEnd::Done {
+                    if *end == RunEnd::Done {
+                        self.stop_other_runs(task, *run);
+                    } else {
                         self.stop_gang(task.step, *run);
                     }
                 }
@@ -296,6 +298,30 @@
         }
     }
 
+    /// Stops the runs that are not needed once a run has completed its task: other runs of the task
+    /// and, for a gang, of all members. The end may come late, from a run that was declared lost.
+    fn stop_other_runs(&mut self, done: &TaskKey, run: u32) {
+        let is_done = self.workflow_state.with_job(done.step.job, |job| {
+            let task = job.task(done);
+            task.is_none_or(|task| task.phase == TaskPhase::Done)
+        });
+        if is_done == Some(false) {
+            return;
+        }
+        let now = self.now;
+        for (task, worker) in self.runs_of_job(done.step.job) {
+            let state = self.workers.get_mut(&worker);
+            if let Some(view) = state.and_then(|state| state.runs.get_mut(&task))
+                && task.step == done.step
+                && (task == *done || view.spec.is_gang)
+                && view.run != run
+                && !view.is_ended
+            {
+                view.request_stop(now);
+            }
+        }
+    }
+
     /// Stops the other members of a gang after one of them ended without success.
     pub(crate) fn stop_gang(&mut self, step: StepKey, run: u32) {
         let is_gang = self.workflow_state.with_job(step.job, |job| {
