dispatch: read the runs and checkpoints of a gang at once

All members are now read under one lock of the job. Found by the review, by reading; the window is microseconds and has no test.

--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use tarragon_names::WorkerName;
+use tarragon_names::{Name, WorkerName};
 use tarragon_workflow::{RunEvent, StepKey, TaskKey};
 
 use crate::{
@@ -262,6 +262,27 @@
         }
     }
 
+    /// Returns the number of the next run of each of these tasks and the checkpoint that it resumes
+    /// from. All are read at once, because the members of a gang must get the same.
+    fn next_runs<I>(&self, key: StepKey, is_gang: bool, tasks: I) -> Vec<(u32, Option<Name>)>
+    where
+        I: Iterator<Item = u32>,
+    {
+        let runs = self.workflow_state.with_job(key.job, |job| {
+            let occurrence = job.occurrences.get(&key.occurrence);
+            let progress = occurrence.and_then(|o| o.steps.get(key.step as usize));
+            let next = |index| match progress {
+                Some(progress) => {
+                    let checkpoint = progress.checkpoint(index, is_gang);
+                    (progress.next_run(index, is_gang), checkpoint)
+                }
+                None => (1, None),
+            };
+            tasks.map(next).collect()
+        });
+        runs.unwrap_or_default()
+    }
+
     /// Places waiting tasks on the chosen workers and records the decisions.
     pub(crate) fn place_tasks(&mut self, key: StepKey, chosen: &[(WorkerName, u32)]) {
         let Some(plan) = self.plans.get_mut(&key) else {
@@ -280,18 +301,11 @@
             }
         }
         plan.waiting = tasks.collect();
-        for (index, worker, ticket) in placements {
+        let tasks = placements.iter().map(|(index, ..)| *index);
+        let runs = self.next_runs(key, step.gang, tasks);
+        for ((index, worker, ticket), (run, checkpoint)) in placements.into_iter().zip(runs) {
             let task = TaskKey { step: key, index };
-            let next = self.workflow_state.with_job(key.job, |job| {
-                let occurrence = job.occurrences.get(&key.occurrence);
-                let progress = occurrence.and_then(|o| o.steps.get(key.step as usize));
-                progress.map_or((1, None), |progress| {
-                    let checkpoint = progress.checkpoint(index, step.gang);
-                    (progress.next_run(index, step.gang), checkpoint)
-                })
-            });
-            let (Some((run, checkpoint)), Some(state)) = (next, self.workers.get_mut(&worker))
-            else {
+            let Some(state) = self.workers.get_mut(&worker) else {
                 continue;
             };
             let mut view = RunView::new(run, spec, self.now);
