dispatch: undo the record of an end only for its own run

A refused record of an end set the capacity of whatever run of its task was on the worker back to occupied, also a later one, and did so for a later incarnation of the worker. The new test is for what it stands beside: an end whose record is refused is recorded when it is listed again, and counts once for the health of its worker.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -527,12 +527,17 @@
                 self.refresh_job(task.step.job);
             }
             RunEvent::Ended {
-                incarnation, task, ..
+                incarnation,
+                task,
+                run,
+                ..
             } => {
-                if let Some(state) = self.workers.get_mut(&incarnation.worker) {
+                if let Some(state) = self.workers.get_incarnation_mut(incarnation) {
                     // The worker lists the end again in the next poll.
                     state.last_proposed_end = state.record.acknowledged;
-                    state.set_ended(task, false);
+                    if state.runs.get(task).is_some_and(|view| view.run == *run) {
+                        state.set_ended(task, false);
+                    }
                 }
             }
             RunEvent::Lost { .. } => self.records.push(record.clone()),
--- a/lib/dispatch/tests/returning_worker.rs
+++ b/lib/dispatch/tests/returning_worker.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{Harness, incarnation, step, task, worker};
-use tarragon_dispatch::OrderOutcome;
-use tarragon_workflow::{Command, JobPhase, RunEnd, WorkerIncarnation};
+use tarragon_dispatch::{Input, OrderOutcome};
+use tarragon_workflow::{Command, JobPhase, RunEnd, RunEvent, WorkerIncarnation};
 
 const SILENT: &str = "w1";
 const OTHER: &str = "w2";
@@ -87,3 +87,31 @@
     let mut starts = harness.starts.iter();
     assert!(starts.any(|order| order.task == task(2, 0, 0)));
 }
+
+/// Guards against an end that the log refused and that is never recorded, and against one that counts
+/// twice for the health of its worker because it is listed again.
+#[test]
+fn refused_end_is_recorded_when_it_is_listed_again() {
+    let mut harness = Harness::new(&[worker(SILENT, 8)]);
+    harness.submit(1, vec![step(1, 1)]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    harness.advance(20);
+    let end = (1, task(1, 0, 0), 1, RunEnd::Failed);
+    harness.is_log_paused = true;
+    harness.answer_poll(SILENT, &[], &[end]);
+    let failed_at = harness.now;
+    harness.is_log_paused = false;
+    let refused = std::mem::take(&mut harness.uncommitted);
+    harness.input(Input::NotProposed(refused));
+    harness.advance(20);
+    harness.answer_poll(SILENT, &[], &[end]);
+    let ends = harness.proposed.iter();
+    let ends = ends.filter(|record| matches!(record, RunEvent::Ended { .. }));
+    assert_eq!(ends.count(), 1);
+    harness.starts.clear();
+    while harness.starts.is_empty() {
+        harness.advance(20);
+    }
+    let pause = harness.now - failed_at;
+    assert!((900..1_200).contains(&pause), "paused for {pause} ms");
+}
