workflow: only a failed end makes a job fail

The limit of failed runs was tested after any end in a step, so the success of one task failed the job once a configuration had lowered the limit below the failures of another, and job_failed named a task that had not failed. Evidence: the case of_another_task of success_after_a_lowered_limit_fails_no_job failed before and passes now.

--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -293,7 +293,8 @@
         }
         step.apply_end(step_spec, key.index, run, end, checkpoint);
         let failures = step.failures(step_spec);
-        let has_failed = !step_spec.long_running && failures >= max_attempts;
+        let is_failure = end == RunEnd::Failed && !step_spec.long_running;
+        let has_failed = is_failure && failures >= max_attempts;
         if occurrence.steps.iter().all(crate::StepProgress::is_done) {
             occurrence.is_done = true;
             occurrence.steps = Vec::new();
--- a/lib/workflow/tests/run_ends.rs
+++ b/lib/workflow/tests/run_ends.rs
@@ -193,3 +193,92 @@
     });
     assert_eq!(checkpoint.flatten(), Some(Name::from("new")));
 }
+
+/// Guards against a job that fails with the success of a task, because a configuration has lowered the
+/// limit below the failures of another task or of the same one.
+#[parameterized(
+    of_another_task = { 1 },
+    of_the_same_task = { 0 },
+)]
+fn success_after_a_lowered_limit_fails_no_job(index: u32) {
+    let mut events = three_failed_runs();
+    events.extend([placed(0, 4), placed(1, 1)]);
+    let state = state_after(tasks(2), events);
+    let mut lowered = configuration();
+    lowered.version = 2;
+    lowered.queues[0].max_attempts = 2;
+    state.apply(3, &Command::PutConfiguration(lowered));
+    let run = if index == 0 { 4 } else { 1 };
+    let done = vec![ended(index, run, RunEnd::Done)];
+    state.apply(4, &Command::RunEvents(done));
+    assert_eq!(phase(&state), Some(JobPhase::Running));
+}
+
+/// Guards against the progress of long-running tasks that grows with each failed run.
+#[test]
+fn long_running_task_keeps_one_failed_run() {
+    let events = (1..=50).flat_map(|run| [placed(0, run), ended(0, run, RunEnd::Failed)]);
+    let long_running = StepSpec {
+        long_running: true,
+        ..tasks(1)
+    };
+    let state = state_after(long_running, events.collect());
+    assert_eq!(phase(&state), Some(JobPhase::Running));
+    let failures = state.with_job(JobKey(1), |job| {
+        job.task(&task(0)).map(|task| task.failed_runs.count())
+    });
+    assert_eq!(failures.flatten(), Some(1));
+}
+
+/// Guards against a checkpoint that only the member keeps that saved it, and against work that is lost
+/// because a later checkpoint of the same run is not taken over.
+#[test]
+fn later_checkpoint_of_a_run_replaces_that_of_all_members() {
+    let events = vec![
+        placed(0, 1),
+        placed(1, 1),
+        ended_with(0, 1, RunEnd::Stopped, Some("early")),
+        ended_with(1, 1, RunEnd::Stopped, Some("late")),
+    ];
+    let state = state_after(gang(2), events);
+    for index in 0..2 {
+        let checkpoint = state.with_job(JobKey(1), |job| {
+            job.task(&task(index))
+                .and_then(|task| task.checkpoint.clone())
+        });
+        assert_eq!(checkpoint.flatten(), Some(Name::from("late")));
+    }
+}
+
+/// Guards against a failure that counts for two members of a larger gang, whatever the order in which
+/// they report it.
+#[test]
+fn failed_run_of_a_gang_counts_once_in_any_order_of_members() {
+    let mut events = Vec::new();
+    for run in 1..=3 {
+        events.extend((0..3).map(|index| placed(index, run)));
+        events.extend((0..3).map(|index| lost(index, run)));
+    }
+    for (index, run) in [
+        (2, 3),
+        (0, 1),
+        (1, 2),
+        (1, 1),
+        (0, 3),
+        (2, 2),
+        (2, 1),
+        (0, 2),
+    ] {
+        events.push(ended(index, run, RunEnd::Failed));
+    }
+    let state = state_after(gang(3), events);
+    assert_eq!(phase(&state), Some(JobPhase::Running));
+    let fourth = vec![
+        placed(0, 4),
+        placed(1, 4),
+        placed(2, 4),
+        ended(1, 4, RunEnd::Failed),
+    ];
+    state.apply(3, &Command::RunEvents(fourth));
+    assert_eq!(phase(&state), Some(JobPhase::Failed));
+}
