workflow: ends of runs that were never placed have no effect

A caller may send a job again under its key after the job was dropped from the state, and a worker that was cut off since then may list ends of the earlier job. They counted as failures, or completed the new job without work. Evidence: both cases of end_of_a_run_that_was_never_placed_has_no_effect failed before and pass now.

--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -288,7 +288,8 @@
         let step_spec = spec.steps.get(key.step.step as usize)?;
         let occurrence = self.occurrences.get_mut(&key.step.occurrence)?;
         let step = occurrence.steps.get_mut(key.step.step as usize)?;
-        if step.tasks.len() <= key.index as usize {
+        // A run that was never placed belongs to an earlier job under the same key.
+        if step.tasks.get(key.index as usize)?.last_run < run {
             return None;
         }
         step.apply_end(step_spec, key.index, run, end, checkpoint);
--- a/lib/workflow/tests/run_ends.rs
+++ b/lib/workflow/tests/run_ends.rs
@@ -214,6 +214,19 @@
     assert_eq!(phase(&state), Some(JobPhase::Running));
 }
 
+/// Guards against ends of an earlier job under the same key, whose worker returns after the job was
+/// dropped and submitted again.
+#[parameterized(
+    failed = { RunEnd::Failed },
+    done = { RunEnd::Done },
+)]
+fn end_of_a_run_that_was_never_placed_has_no_effect(end: RunEnd) {
+    let mut events = vec![placed(0, 1)];
+    events.extend((2..=6).map(|run| ended(0, run, end)));
+    let state = state_after(tasks(1), events);
+    assert_eq!(phase(&state), Some(JobPhase::Running));
+}
+
 /// Guards against the progress of long-running tasks that grows with each failed run.
 #[test]
 fn long_running_task_keeps_one_failed_run() {
