workflow, entry: smaller progress of a task, and a stored form that can go back

The bound of open tasks counted 64 bytes and now takes the size of the type; the test of the bound gets a disk with room for the same 24,576 tasks.

--- a/lib/entry/src/task_admission.rs
+++ b/lib/entry/src/task_admission.rs
@@ -2,10 +2,10 @@
 
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_replica::StateLimits;
-use tarragon_workflow::WorkflowState;
+use tarragon_workflow::{TaskProgress, WorkflowState};
 
 /// Size of the progress of a task in the memory, in bytes; it is smaller in a snapshot.
-const TASK_PROGRESS_BYTES: u64 = 64;
+const TASK_PROGRESS_BYTES: u64 = size_of::<TaskProgress>() as u64;
 
 /// Time after which a caller that was refused for want of room may try again, in milliseconds.
 const STATE_FULL_RETRY_MS: u64 = 1_000;
--- a/lib/entry/tests/open_tasks.rs
+++ b/lib/entry/tests/open_tasks.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 /// Size of each disk in bytes; it leaves room for the progress of 24,576 tasks.
-const DISK_BYTES: u64 = 4 << 20;
+const DISK_BYTES: u64 = 5 << 20;
 
 /// Size of a disk whose limit of the state is that of a host with 260 MB of memory, in bytes.
 const SITE_DISK_BYTES: u64 = 260_000_000 / 3;
--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -56,8 +56,16 @@
     }
 }
 
-/// State with one job, whose only task has failed in two runs and is placed for the third time.
-fn state_after_two_failed_runs() -> WorkflowState {
+fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        resources: Resources::new(1, 1, 0),
+        ..StepSpec::default()
+    }
+}
+
+/// State with one job of one task, to which these events were applied.
+fn state_after(events: Vec<RunEvent>) -> WorkflowState {
     let state = WorkflowState::new(RETENTION_MS);
     let queue = Queue {
         name: Name::from("q"),
@@ -78,22 +86,31 @@
         max_body_bytes: 1,
     };
     state.apply(1, &Command::PutConfiguration(configuration));
-    let step = StepSpec {
-        count: 1,
-        resources: Resources::new(1, 1, 0),
-        ..StepSpec::default()
-    };
     let spec = JobSpec {
-        steps: vec![step],
+        steps: vec![step(1)],
         ..JobSpec::default()
     };
     let (job, queue) = (JobKey(1), Name::from("q"));
     state.apply(1, &Command::Submit { job, queue, spec });
-    let events = vec![placed(1), failed(1), placed(2), failed(2), placed(3)];
     state.apply(2, &Command::RunEvents(events));
     state
 }
 
+/// State with one job, whose only task has failed in two runs and is placed for the third time.
+fn state_after_two_failed_runs() -> WorkflowState {
+    state_after(vec![placed(1), failed(1), placed(2), failed(2), placed(3)])
+}
+
+/// State with one job, whose only task was placed three times and lost twice.
+fn state_without_failures() -> WorkflowState {
+    let lost = |run| RunEvent::Lost {
+        task: task(),
+        run,
+        checkpoint: None,
+    };
+    state_after(vec![placed(1), lost(1), placed(2), lost(2), placed(3)])
+}
+
 fn earlier_release() -> Vec<u8> {
     let digits = EARLIER_RELEASE.as_bytes().chunks(2);
     let bytes = digits.map(|pair| {
@@ -154,3 +171,66 @@
     apply(vec![placed(4), failed(4)]);
     assert_eq!(phase(), Some(JobPhase::Failed));
 }
+
+/// Guards against histories that a snapshot gives to another task, step, occurrence or job.
+#[test]
+fn histories_return_to_their_tasks() {
+    let state = state_after_two_failed_runs();
+    let spec = JobSpec {
+        steps: vec![step(3), step(2)],
+        repeat_count: 2,
+        ..JobSpec::default()
+    };
+    for job in [JobKey(2), JobKey(3)] {
+        let (queue, spec) = (Name::from("q"), spec.clone());
+        state.apply(3, &Command::Submit { job, queue, spec });
+        for (occurrence, step, index) in [(0, 0, 2), (0, 1, 1), (1, 0, 1)] {
+            let step = StepKey {
+                job,
+                occurrence,
+                step,
+            };
+            let task = TaskKey { step, index };
+            let runs = 1 + u32::try_from(job.0).expect("a small number") + occurrence;
+            let checkpoint = Some(Name::from(task.to_string()));
+            let events = (1..=runs.min(MAX_ATTEMPTS - 1)).flat_map(|run| {
+                let placed = RunEvent::Placed {
+                    task,
+                    run,
+                    incarnation: incarnation(run),
+                };
+                let failed = RunEvent::Ended {
+                    incarnation: incarnation(run),
+                    number: 1,
+                    task,
+                    run,
+                    end: RunEnd::Failed,
+                    checkpoint: checkpoint.clone(),
+                };
+                [placed, failed]
+            });
+            state.apply(4, &Command::RunEvents(events.collect()));
+        }
+    }
+    let expected = state.snapshot();
+    let stored = WorkflowLog(Arc::new(state)).snapshot().expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&stored).expect("the snapshot is read");
+    assert_eq!(restored.0.snapshot(), expected);
+}
+
+/// Guards against a first failure that does not count, because the snapshot of the release before holds
+/// no failed runs of the task.
+#[test]
+fn first_failure_after_a_snapshot_of_the_earlier_release_counts() {
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    let mut snapshot = state_without_failures().snapshot();
+    snapshot.restore_histories(None);
+    restored.0.restore(snapshot);
+    let late = vec![failed(1), failed(2)];
+    restored.0.apply(3, &Command::RunEvents(late));
+    let count = restored.0.with_job(JobKey(1), |job| {
+        job.task(&task()).map(|task| task.failed_runs.count())
+    });
+    assert_eq!(count.flatten(), Some(2));
+}
--- a/lib/workflow/src/failed_runs.rs
+++ b/lib/workflow/src/failed_runs.rs
@@ -1,20 +1,19 @@
-use std::collections::BTreeSet;
-
 use serde::{Deserialize, Serialize};
 
+use crate::FailedRunDetails;
+
 /// Failed runs of a task. Each counts once, however often its end is applied and in whatever order:
 /// a worker lists an end until it is acknowledged, also after its record was removed.
 ///
-/// The serialized form is that of earlier releases, which stored the last counted run and the count;
-/// [`TaskHistory`](crate::TaskHistory) holds the rest.
+/// The serialized form is that of earlier releases, the last counted run and the count. A snapshot
+/// holds the details in a [`TaskHistory`](crate::TaskHistory).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FailedRuns {
-    /// Runs up to this one count as known, because a snapshot of an earlier release tells only how
-    /// many of them failed.
-    known_up_to: u32,
+    last_counted: u32,
     count: u32,
+    /// `None` while no run has failed, as for most tasks.
     #[serde(skip)]
-    runs: BTreeSet<u32>,
+    details: Option<Box<FailedRunDetails>>,
 }
 
 impl FailedRuns {
@@ -23,34 +22,38 @@
         self.count
     }
 
-    /// Numbers of the failed runs, without those that only a snapshot of an earlier release counted.
-    pub fn runs(&self) -> &BTreeSet<u32> {
-        &self.runs
+    /// What the serialized form leaves out.
+    pub(crate) fn details(&self) -> Option<&FailedRunDetails> {
+        self.details.as_deref()
     }
 
-    /// Returns whether the failure of a run is counted already.
+    /// Returns whether a failure of the run would not count, because it is counted already or may be.
     pub(crate) fn contains(&self, run: u32) -> bool {
-        run <= self.known_up_to || self.runs.contains(&run)
+        self.details().is_some_and(|details| {
+            run <= details.assumed_up_to || details.runs.binary_search(&run).is_ok()
+        })
     }
 
     /// Counts the failure of a run that is not counted yet.
     pub(crate) fn insert(&mut self, run: u32) {
         if !self.contains(run) {
-            self.runs.insert(run);
+            let runs = &mut self.details.get_or_insert_default().runs;
+            let at = runs.partition_point(|counted| *counted < run);
+            runs.insert(at, run);
+            self.last_counted = run;
             self.count = self.count.saturating_add(1);
         }
     }
 
-    /// Adds the runs that the serialized form left out.
-    pub(crate) fn restore(&mut self, runs: BTreeSet<u32>) {
-        self.runs = runs;
+    /// Adds what the serialized form left out.
+    pub(crate) fn restore(&mut self, details: FailedRunDetails) {
+        self.details = Some(Box::new(details));
     }
 
-    /// Takes over a count of an earlier release, which did not store its runs: any run up to `last_run`
-    /// may be among them.
-    pub(crate) fn assume_known_up_to(&mut self, last_run: u32) {
+    /// Completes a count of an earlier release; `last_run` is the last run whose end is recorded.
+    pub(crate) fn assume_up_to(&mut self, last_run: u32) {
         if self.count > 0 {
-            self.known_up_to = last_run;
+            self.details.get_or_insert_default().assumed_up_to = last_run;
         }
     }
 }
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -193,8 +193,7 @@
         let occurrence = self.occurrences.get_mut(&key.step.occurrence);
         let step = occurrence.and_then(|o| o.steps.get_mut(key.step.step as usize));
         if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize)) {
-            task.failed_runs.restore(history.failed_runs);
-            task.checkpoint_run = history.checkpoint_run;
+            task.restore_history(history);
         }
     }
 
@@ -202,10 +201,8 @@
     pub(crate) fn assume_histories(&mut self) {
         let occurrences = self.occurrences.values_mut();
         let steps = occurrences.flat_map(|occurrence| &mut occurrence.steps);
-        for task in steps.flat_map(|step| &mut step.tasks) {
-            let last_run = task.last_ended_run();
-            task.failed_runs.assume_known_up_to(last_run);
-        }
+        let tasks = steps.flat_map(|step| &mut step.tasks);
+        tasks.for_each(TaskProgress::assume_history);
     }
 
     pub(crate) fn cancel(&mut self, now_ms: u64) {
--- a/lib/workflow/src/step_progress.rs
+++ b/lib/workflow/src/step_progress.rs
@@ -78,9 +78,7 @@
             self.save_checkpoint(spec, index, run, checkpoint);
         }
         if spec.gang && end == RunEnd::Done && !spec.long_running {
-            for task in &mut self.tasks {
-                task.phase = TaskPhase::Done;
-            }
+            self.tasks.iter_mut().for_each(TaskProgress::complete);
             return;
         }
         if end == RunEnd::Failed {
@@ -88,7 +86,7 @@
         }
         let task = &mut self.tasks[index as usize];
         if end == RunEnd::Done && !spec.long_running {
-            task.phase = TaskPhase::Done;
+            task.complete();
         } else if task.is_placed_as(run) {
             task.phase = TaskPhase::Waiting;
         }
--- a/lib/workflow/src/task_progress.rs
+++ b/lib/workflow/src/task_progress.rs
@@ -71,17 +71,39 @@
         }
     }
 
+    /// Marks the task as done, and frees what only an open task needs.
+    pub(crate) fn complete(&mut self) {
+        *self = Self {
+            phase: TaskPhase::Done,
+            last_run: self.last_run,
+            ..Self::default()
+        };
+    }
+
     /// Returns what the serialized form of the task leaves out; None if that is nothing.
     pub(crate) fn history(&self, task: TaskKey) -> Option<TaskHistory> {
         let history = TaskHistory {
             task,
-            failed_runs: self.failed_runs.runs().clone(),
+            failed_runs: self.failed_runs.details().cloned(),
             checkpoint_run: self.checkpoint_run,
         };
-        let is_empty = history.failed_runs.is_empty() && history.checkpoint_run == 0;
+        let is_empty = history.failed_runs.is_none() && history.checkpoint_run == 0;
         (!is_empty).then_some(history)
     }
 
+    pub(crate) fn restore_history(&mut self, history: TaskHistory) {
+        if let Some(failed_runs) = history.failed_runs {
+            self.failed_runs.restore(failed_runs);
+        }
+        self.checkpoint_run = history.checkpoint_run;
+    }
+
+    /// Completes a task of a snapshot without histories.
+    pub(crate) fn assume_history(&mut self) {
+        let last_run = self.last_ended_run();
+        self.failed_runs.assume_up_to(last_run);
+    }
+
     /// Returns whether the run with this number is the one that is placed.
     pub fn is_placed_as(&self, run: u32) -> bool {
         self.placement()
