--- a/lib/dispatch/tests/returning_worker.rs
+++ b/lib/dispatch/tests/returning_worker.rs
@@ -115,3 +115,30 @@
     let pause = harness.now - failed_at;
     assert!((900..1_200).contains(&pause), "paused for {pause} ms");
 }
+
+/// Guards against an operator who cannot tell an end that is listed again from a new one, or why a job
+/// failed.
+#[test]
+fn log_tells_repeated_ends_and_failed_jobs() {
+    let mut harness = after_return();
+    let repeated = harness.events_named("unexpected_end");
+    assert_eq!(repeated.len(), 1);
+    assert!(
+        repeated[0].starts_with("failed, end number 1,"),
+        "{repeated:?}"
+    );
+    assert_eq!(harness.events_named("job_failed"), [""; 0]);
+    harness.starts.clear();
+    harness.advance(2_000);
+    let third = RunEvent::Ended {
+        incarnation: incarnation(OTHER),
+        number: 9,
+        task: task(1, 0, 0),
+        run: 3,
+        end: RunEnd::Failed,
+        checkpoint: None,
+    };
+    harness.commit(Command::RunEvents(vec![third.clone(), third]));
+    let reasons = harness.events_named("job_failed");
+    assert_eq!(reasons, ["3 failed runs of at most 3"]);
+}
