dispatch: build a start order in one step

The order was made with an empty payload that was replaced later. No behaviour changes: a task of an occurrence that is over still gets no start. The tests of dispatch pass, the linter is clean over the workspace.

--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use tarragon_names::{Millis, Name, WorkerName};
-use tarragon_workflow::{Command, TaskKey, WorkerIncarnation};
+use tarragon_workflow::{Command, TaskKey, WorkerIncarnation, WorkflowState};
 
 use crate::{
     DecisionEvent, Dispatcher, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
@@ -265,6 +265,7 @@
     pub(crate) fn send_due_orders(&mut self, changed: &BTreeSet<WorkerName>) {
         let Some(term) = self.term else { return };
         let (now, cfg) = (self.now, self.cfg);
+        let workflow_state = Arc::clone(&self.workflow_state);
         let mut starts = Vec::new();
         let mut stops = Vec::new();
         let mut unsent = Vec::new();
@@ -310,13 +311,15 @@
                 }
             }
             for (task, run, ticket, checkpoint, timeout) in due {
-                if let Some(lease_until_ms) = state.grant_lease(now, cfg.lease) {
+                if let Some(lease_until_ms) = state.grant_lease(now, cfg.lease)
+                    && let Some(payload) = payload_of(&workflow_state, &task)
+                {
                     starts.push(StartOrder {
                         incarnation: state.record.incarnation.clone(),
                         address: state.record.address.clone(),
                         task,
                         run,
-                        payload: Name::default(),
+                        payload,
                         lease_until_ms,
                         fence: term,
                         checkpoint,
@@ -330,16 +333,15 @@
             self.lose_run(task, &worker);
         }
         self.outputs.extend(stops.into_iter().map(Output::Stop));
-        for order in starts {
-            let job = order.task.step.job;
-            let payload = self.workflow_state.with_job(job, |job| {
-                job.task(&order.task)?;
-                Some(job.spec.payload.clone())
-            });
-            if let Some(payload) = payload.flatten() {
-                self.outputs
-                    .push(Output::Start(StartOrder { payload, ..order }));
-            }
-        }
+        self.outputs.extend(starts.into_iter().map(Output::Start));
     }
 }
+
+/// Payload for the start of a task; `None` once all tasks of its occurrence are done.
+fn payload_of(workflow_state: &WorkflowState, task: &TaskKey) -> Option<Name> {
+    let payload = workflow_state.with_job(task.step.job, |job| {
+        let is_open = job.task(task).is_some();
+        is_open.then(|| job.spec.payload.clone())
+    });
+    payload.flatten()
+}
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -79,7 +79,8 @@
     /// Whether the end was listed or is certain. Its record is then proposed, and the capacity is
     /// free.
     pub(crate) is_ended: bool,
-    /// Number of the end, once the worker has listed it. It speaks for or against the worker only once.
+    /// Number of the end once the worker has listed it. Only the first listing counts for the health of
+    /// the worker.
     pub(crate) listed_end: Option<u64>,
 }
 
--- a/lib/workflow/src/run_effect.rs
+++ b/lib/workflow/src/run_effect.rs
@@ -5,7 +5,7 @@
 pub enum RunEffect {
     /// The job ended as failed, because a task or gang failed as often as its queue allows.
     JobFailed {
-        /// Task whose end was counted last.
+        /// Task with the failed end that was counted last.
         task: TaskKey,
         /// Run of the task that was counted last.
         run: u32,
