workflow: keep what an incarnation announced after its record is removed

A worker that leaves could get tasks again (DRAIN). What an incarnation had announced stood in its record: an announcement from before it began to drain that was committed late replaced the record, and after a removal, by silence or by the worker's own message, the record was written anew as that of a ready worker. The sequence numbers that tell a late heartbeat are kept only in the memory of one leader, and are not compared for a worker without a record.

The state now keeps, for each removed record with a start time, the incarnation, whether it drained and what was acknowledged to it, for as long as an ended job. The next announcement of the same incarnation takes them over. A later incarnation is not concerned.

--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::LogIndex;
 use tarragon_replica::{Growth, StateMachine};
@@ -30,7 +31,8 @@
     fn snapshot(&self) -> Outcome<Bytes> {
         let snapshot = self.0.snapshot();
         let histories = snapshot.histories();
-        record::encode(&(snapshot, histories))
+        let removed_workers = snapshot.removed_workers.clone();
+        record::encode(&(snapshot, histories, removed_workers))
             .map_err(|e| Failure::new(Code::Internal, e.to_string()))
     }
 
@@ -47,12 +49,22 @@
 
 fn decode(state: &[u8]) -> Result<WorkflowSnapshot, WireError> {
     let (mut snapshot, rest) = record::decode_first::<WorkflowSnapshot>(state)?;
-    // Snapshots of earlier releases end here.
-    let histories = if rest.is_empty() {
-        None
-    } else {
-        Some(record::decode(rest)?)
-    };
+    let (histories, rest) = decode_next(rest)?;
     snapshot.restore_histories(histories);
+    let (removed_workers, _) = decode_next(rest)?;
+    snapshot.removed_workers = removed_workers.unwrap_or_default();
     Ok(snapshot)
 }
+
+/// Decodes the next part of a snapshot and returns the rest. Snapshots of earlier releases have fewer
+/// parts.
+fn decode_next<T>(rest: &[u8]) -> Result<(Option<T>, &[u8]), WireError>
+where
+    T: DeserializeOwned,
+{
+    if rest.is_empty() {
+        return Ok((None, rest));
+    }
+    let (part, rest) = record::decode_first(rest)?;
+    Ok((Some(part), rest))
+}
--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use tarragon_entry::WorkflowLog;
-use tarragon_names::{Millis, Name, PoolName, Resources, WorkerName};
+use tarragon_names::{DomainName, Millis, Name, PoolName, Resources, WorkerName};
 use tarragon_replica::StateMachine;
 use tarragon_workflow::{
     Command, Configuration, JobKey, JobPhase, JobSpec, Queue, RunEnd, RunEvent, StepKey, StepSpec,
-    TaskKey, WorkerIncarnation, WorkflowState,
+    TaskKey, WorkerIncarnation, WorkerRecord, WorkflowState,
 };
 use yare::parameterized;
 
@@ -132,6 +132,34 @@
     assert_eq!(checkpoint.flatten(), Some(Name::from("new")));
 }
 
+/// Guards against a worker that is no longer known to leave after a restart of the hosts, when its record
+/// was removed before and an earlier announcement arrives.
+#[test]
+fn removed_worker_survives_a_snapshot() {
+    let put = |is_draining| {
+        Command::PutWorker(WorkerRecord {
+            incarnation: incarnation(1),
+            address: Name::from("w1:80"),
+            domain: DomainName::from("d"),
+            pool: PoolName::from("p"),
+            capacity: Resources::new(1, 1, 0),
+            labels: Vec::new(),
+            rack: None,
+            is_draining,
+            acknowledged: 0,
+        })
+    };
+    let state = state_after_two_failed_runs();
+    state.apply(2, &put(true));
+    state.apply(2, &Command::RemoveWorker(incarnation(1)));
+    let snapshot = WorkflowLog(Arc::new(state)).snapshot().expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&snapshot).expect("the snapshot is read");
+    restored.0.apply(3, &put(false));
+    let record = restored.0.worker(&incarnation(1).worker);
+    assert_eq!(record.map(|record| record.is_draining), Some(true));
+}
+
 /// Guards against a snapshot that loses which runs have failed, so that an end that is listed again
 /// counts again after a restart, and against a host that cannot read the snapshot of the release before.
 #[parameterized(
--- /dev/null
+++ b/lib/workflow/src/worker_records.rs
@@ -0,0 +1,90 @@
+use std::collections::BTreeMap;
+
+use tarragon_names::WorkerName;
+
+use crate::{Answer, RemovedWorker, WorkerIncarnation, WorkerRecord};
+
+/// Records of the workers, and what is kept of the removed ones.
+///
+/// Announcements are resent and arrive late, also after the record of their sender was removed. None
+/// takes back what its incarnation announced or what was acknowledged to it.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerRecords {
+    by_name: BTreeMap<WorkerName, WorkerRecord>,
+    removed: BTreeMap<WorkerIncarnation, RemovedWorker>,
+}
+
+impl WorkerRecords {
+    pub(crate) fn new(
+        by_name: BTreeMap<WorkerName, WorkerRecord>,
+        removed: Vec<RemovedWorker>,
+    ) -> Self {
+        let removed = removed.into_iter();
+        Self {
+            by_name,
+            removed: removed
+                .map(|worker| (worker.incarnation.clone(), worker))
+                .collect(),
+        }
+    }
+
+    pub(crate) fn by_name(&self) -> &BTreeMap<WorkerName, WorkerRecord> {
+        &self.by_name
+    }
+
+    pub(crate) fn removed(&self) -> impl Iterator<Item = &RemovedWorker> {
+        self.removed.values()
+    }
+
+    pub(crate) fn put(&mut self, record: &WorkerRecord) -> Answer {
+        let incarnation = &record.incarnation;
+        let known = self.by_name.get(&incarnation.worker);
+        if known.is_some_and(|known| known.incarnation.started_ms > incarnation.started_ms) {
+            return Answer::NotNewer;
+        }
+        let mut record = record.clone();
+        if let Some(known) = known.filter(|known| known.incarnation == record.incarnation) {
+            record.acknowledged = known.acknowledged;
+            record.is_draining |= known.is_draining;
+        } else if let Some(removed) = self.removed.remove(&record.incarnation) {
+            record.acknowledged = removed.acknowledged;
+            record.is_draining |= removed.is_draining;
+        }
+        self.by_name
+            .insert(record.incarnation.worker.clone(), record);
+        Answer::Done
+    }
+
+    /// Removes the record of an incarnation at `now_ms`, and forgets the records that were removed before
+    /// `oldest_ms`.
+    pub(crate) fn remove(&mut self, incarnation: &WorkerIncarnation, now_ms: u64, oldest_ms: u64) {
+        self.removed
+            .retain(|_, worker| worker.removed_ms >= oldest_ms);
+        let known = self.by_name.get(&incarnation.worker);
+        if known.is_none_or(|known| known.incarnation != *incarnation) {
+            return;
+        }
+        let Some(record) = self.by_name.remove(&incarnation.worker) else {
+            return;
+        };
+        // Without the time of its start, an incarnation cannot be told from the next one.
+        if incarnation.started_ms > 0 {
+            let removed = RemovedWorker {
+                incarnation: record.incarnation,
+                is_draining: record.is_draining,
+                acknowledged: record.acknowledged,
+                removed_ms: now_ms,
+            };
+            self.removed.insert(incarnation.clone(), removed);
+        }
+    }
+
+    /// Records that the end with this number was recorded.
+    pub(crate) fn acknowledge(&mut self, incarnation: &WorkerIncarnation, number: u64) {
+        if let Some(worker) = self.by_name.get_mut(&incarnation.worker)
+            && worker.incarnation == *incarnation
+        {
+            worker.acknowledged = worker.acknowledged.max(number);
+        }
+    }
+}
--- a/lib/workflow/src/workflow_snapshot.rs
+++ b/lib/workflow/src/workflow_snapshot.rs
@@ -3,11 +3,14 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::{Name, WorkerName};
 
-use crate::{Configuration, Job, JobKey, Queue, TaskHistory, Wave, WaveKey, WorkerRecord};
+use crate::{
+    Configuration, Job, JobKey, Queue, RemovedWorker, TaskHistory, Wave, WaveKey, WorkerRecord,
+};
 
 /// Serializable copy of a whole [`WorkflowState`](crate::WorkflowState).
 ///
-/// Its serialized form is followed by that of its [`histories`](Self::histories).
+/// Its serialized form is followed by those of its [`histories`](Self::histories) and of
+/// [`removed_workers`](Self::removed_workers).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkflowSnapshot {
     /// Configuration in force at the time of the snapshot.
@@ -22,6 +25,9 @@
     pub waves: BTreeMap<WaveKey, Wave>,
     /// Latest unix time of an applied command, in milliseconds.
     pub now_ms: u64,
+    /// What is kept of the workers whose records were removed.
+    #[serde(skip)]
+    pub removed_workers: Vec<RemovedWorker>,
 }
 
 impl WorkflowSnapshot {
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -13,7 +13,7 @@
 use crate::{
     Answer, Command, Configuration, Job, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEffect,
     RunEvent, Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot,
-    job_table::JobTable,
+    job_table::JobTable, worker_records::WorkerRecords,
 };
 
 /// Number of shards of the job table.
@@ -38,7 +38,7 @@
     configuration: RwLock<Arc<Configuration>>,
     queues: RwLock<BTreeMap<Name, Arc<Queue>>>,
     jobs: Sharded<JobTable>,
-    workers: Mutex<BTreeMap<WorkerName, WorkerRecord>>,
+    workers: Mutex<WorkerRecords>,
     waves: Mutex<BTreeMap<WaveKey, Wave>>,
     /// Incarnations on machines whose upkeep is ordered and not confirmed; follows from the waves.
     going_down: Mutex<BTreeSet<WorkerIncarnation>>,
@@ -76,8 +76,8 @@
                     .filter_map(|event| self.apply_event(event, now_ms));
                 Answer::Recorded(effects.collect())
             }
-            Command::PutWorker(record) => self.put_worker(record),
-            Command::RemoveWorker(incarnation) => self.remove_worker(incarnation),
+            Command::PutWorker(record) => self.workers.lock().put(record),
+            Command::RemoveWorker(incarnation) => self.remove_worker(incarnation, now_ms),
             Command::StartWave { key, wave } => self.start_wave(*key, wave, now_ms),
             Command::MachineDone { key, machine } => {
                 self.update_machine(*key, machine, |_| MachinePhase::Done)
@@ -153,12 +153,12 @@
 
     /// Returns the records of all workers.
     pub fn workers(&self) -> Vec<WorkerRecord> {
-        self.workers.lock().values().cloned().collect()
+        self.workers.lock().by_name().values().cloned().collect()
     }
 
     /// Returns the record of a worker.
     pub fn worker(&self, name: &WorkerName) -> Option<WorkerRecord> {
-        self.workers.lock().get(name).cloned()
+        self.workers.lock().by_name().get(name).cloned()
     }
 
     /// Returns all waves of upkeep, including completed ones, whose machines may be dropped.
@@ -191,6 +191,11 @@
         let mut jobs = Vec::new();
         self.for_each_job(|job| jobs.push(job.clone()));
         let queues = self.queues.read();
+        let (workers, removed_workers) = {
+            let workers = self.workers.lock();
+            let removed = workers.removed().cloned().collect();
+            (workers.by_name().clone(), removed)
+        };
         WorkflowSnapshot {
             configuration: (**self.configuration.read()).clone(),
             queues: queues
@@ -198,9 +203,10 @@
                 .map(|(name, queue)| (name.clone(), (**queue).clone()))
                 .collect(),
             jobs,
-            workers: self.workers.lock().clone(),
+            workers,
             waves: self.waves.lock().clone(),
             now_ms: self.now_ms.load(Ordering::Relaxed),
+            removed_workers,
         }
     }
 
@@ -217,7 +223,7 @@
             let key = job.key;
             self.jobs.with(&key, |jobs| jobs.insert(job));
         }
-        *self.workers.lock() = snapshot.workers;
+        *self.workers.lock() = WorkerRecords::new(snapshot.workers, snapshot.removed_workers);
         *self.waves.lock() = snapshot.waves;
         self.update_going_down();
         self.now_ms.store(snapshot.now_ms, Ordering::Relaxed);
@@ -324,10 +330,8 @@
             number,
             ..
         } = event
-            && let Some(worker) = self.workers.lock().get_mut(&incarnation.worker)
-            && worker.incarnation == *incarnation
         {
-            worker.acknowledged = worker.acknowledged.max(*number);
+            self.workers.lock().acknowledge(incarnation, *number);
         }
         effect.flatten()
     }
@@ -375,28 +379,11 @@
         *self.going_down.lock() = going_down;
     }
 
-    fn put_worker(&self, record: &WorkerRecord) -> Answer {
-        let mut workers = self.workers.lock();
-        let known = workers.get(&record.incarnation.worker);
-        if known.is_some_and(|known| known.incarnation.started_ms > record.incarnation.started_ms) {
-            return Answer::NotNewer;
-        }
-        let mut record = record.clone();
-        if let Some(known) = known.filter(|known| known.incarnation == record.incarnation) {
-            record.acknowledged = known.acknowledged;
-        }
-        workers.insert(record.incarnation.worker.clone(), record);
-        Answer::Done
-    }
-
-    fn remove_worker(&self, incarnation: &WorkerIncarnation) -> Answer {
-        let mut workers = self.workers.lock();
-        if workers
-            .get(&incarnation.worker)
-            .is_some_and(|known| known.incarnation == *incarnation)
-        {
-            workers.remove(&incarnation.worker);
-        }
+    /// Removes the record of a worker. What it announced and what was acknowledged to it is kept for as
+    /// long as an ended job.
+    fn remove_worker(&self, incarnation: &WorkerIncarnation, now_ms: u64) -> Answer {
+        let oldest_ms = now_ms.saturating_sub(self.retention_ms);
+        self.workers.lock().remove(incarnation, now_ms, oldest_ms);
         Answer::Done
     }
 }
--- /dev/null
+++ b/lib/workflow/tests/worker_records.rs
@@ -0,0 +1,131 @@
+//! Announcements of workers that come late, out of order, or after the record of the worker was removed.
+
+use tarragon_names::{DomainName, Name, PoolName, Resources, WorkerName};
+use tarragon_workflow::{
+    Command, JobKey, RunEnd, RunEvent, StepKey, TaskKey, WorkerIncarnation, WorkerRecord,
+    WorkflowState,
+};
+use yare::parameterized;
+
+const RETENTION_MS: u64 = 1_000;
+
+/// Start times of two incarnations; the first may have announced itself late.
+const FIRST_MS: u64 = 5;
+const SECOND_MS: u64 = 6;
+
+/// Start time of an incarnation that does not report it.
+const UNKNOWN_MS: u64 = 0;
+
+fn worker() -> WorkerName {
+    WorkerName::from("w")
+}
+
+fn incarnation(started_ms: u64) -> WorkerIncarnation {
+    WorkerIncarnation {
+        worker: worker(),
+        started_ms,
+    }
+}
+
+fn put(started_ms: u64, is_draining: bool) -> Command {
+    Command::PutWorker(WorkerRecord {
+        incarnation: incarnation(started_ms),
+        address: Name::from("w:80"),
+        domain: DomainName::from("d"),
+        pool: PoolName::from("p"),
+        capacity: Resources::new(1, 1, 0),
+        labels: Vec::new(),
+        rack: None,
+        is_draining,
+        acknowledged: 0,
+    })
+}
+
+fn ready(started_ms: u64) -> Command {
+    put(started_ms, false)
+}
+
+fn draining(started_ms: u64) -> Command {
+    put(started_ms, true)
+}
+
+fn removal(started_ms: u64) -> Command {
+    Command::RemoveWorker(incarnation(started_ms))
+}
+
+fn end_of_run(number: u64) -> Command {
+    let step = StepKey {
+        job: JobKey(1),
+        occurrence: 0,
+        step: 0,
+    };
+    Command::RunEvents(vec![RunEvent::Ended {
+        incarnation: incarnation(FIRST_MS),
+        number,
+        task: TaskKey { step, index: 0 },
+        run: 1,
+        end: RunEnd::Failed,
+        checkpoint: None,
+    }])
+}
+
+fn record_after(commands: &[Command]) -> Option<WorkerRecord> {
+    let state = WorkflowState::new(RETENTION_MS);
+    for command in commands {
+        state.apply(1, command);
+    }
+    state.worker(&worker())
+}
+
+/// Guards against a task that is placed on a worker that leaves: an announcement from before it began
+/// to drain is committed after the one that told it, or after the record was removed.
+#[parameterized(
+    after_the_later_one = { &[draining(FIRST_MS), ready(FIRST_MS)] },
+    after_a_removal = { &[draining(FIRST_MS), removal(FIRST_MS), ready(FIRST_MS)] },
+    after_two_removals = {
+        &[draining(FIRST_MS), removal(FIRST_MS), ready(FIRST_MS), removal(FIRST_MS), ready(FIRST_MS)]
+    },
+)]
+fn late_announcement_does_not_end_the_drain(commands: &[Command]) {
+    let record = record_after(commands).expect("the worker is known");
+    assert!(record.is_draining);
+}
+
+/// Guards against a restarted worker that gets no tasks because its earlier incarnation left. Without
+/// its start time, an incarnation cannot be told from the one before.
+#[parameterized(
+    while_known = { &[draining(FIRST_MS), ready(SECOND_MS)] },
+    after_a_removal = { &[draining(FIRST_MS), removal(FIRST_MS), ready(SECOND_MS)] },
+    without_start_time = { &[draining(UNKNOWN_MS), removal(UNKNOWN_MS), ready(UNKNOWN_MS)] },
+)]
+fn next_incarnation_does_not_drain(commands: &[Command]) {
+    let record = record_after(commands).expect("the worker is known");
+    assert!(!record.is_draining);
+}
+
+/// Guards against ends that are listed and proposed again by a worker that was cut off until its record
+/// was removed.
+#[test]
+fn acknowledged_number_survives_the_removal_of_the_record() {
+    let commands = [
+        ready(FIRST_MS),
+        end_of_run(7),
+        removal(FIRST_MS),
+        ready(FIRST_MS),
+    ];
+    let record = record_after(&commands).expect("the worker is known");
+    assert_eq!(record.acknowledged, 7);
+}
+
+/// Guards against a state that grows with every worker that was ever removed.
+#[test]
+fn removed_worker_is_forgotten_after_the_retention() {
+    let state = WorkflowState::new(RETENTION_MS);
+    state.apply(1, &draining(FIRST_MS));
+    state.apply(1, &removal(FIRST_MS));
+    state.apply(2 + RETENTION_MS, &ready(SECOND_MS));
+    state.apply(2 + RETENTION_MS, &removal(SECOND_MS));
+    let removed = state.snapshot().removed_workers;
+    let removed = removed.iter().map(|worker| worker.incarnation.started_ms);
+    assert_eq!(removed.collect::<Vec<_>>(), [SECOND_MS]);
+}
