dispatch: a poll stays open while its worker's record is put again

The time of the open poll stood in the state of the worker, which is made anew when its record is removed and put again, as for a worker that returns after silence. A second poll was then sent beside the first. The result of a poll names the incarnation and not the poll, so each answer counted as that of the poll after it: an answer that the worker had given before a run began was taken for one that was asked for after the start, and the run that it did not list counted as ended. A poll from before the removal that timed out made the returned worker count as silent.

The open polls now belong to the incarnation, for the term of the leader, and the next poll is sent once the result of the last one is in.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -50,6 +50,9 @@
     pub(crate) term: Option<u64>,
     pub(crate) leading_since: Millis,
     pub(crate) workers: WorkerTable,
+    /// Open polls with the times at which they were sent. A poll stays open while the record of its
+    /// worker is removed and put again, so that its result is not taken for that of a later poll.
+    pub(crate) open_polls: BTreeMap<WorkerIncarnation, Millis>,
     /// Placed tasks with their workers, ordered by task.
     pub(crate) placed: BTreeSet<(TaskKey, WorkerName)>,
     pub(crate) plans: BTreeMap<StepKey, StepPlan>,
@@ -114,6 +117,7 @@
             term: None,
             leading_since: Millis(0),
             workers: WorkerTable::default(),
+            open_polls: BTreeMap::new(),
             placed: BTreeSet::new(),
             plans: BTreeMap::new(),
             scheduled_jobs: BTreeSet::new(),
@@ -339,6 +343,7 @@
 
     fn forget_all(&mut self) {
         self.workers.clear();
+        self.open_polls.clear();
         self.placed.clear();
         self.plans.clear();
         self.new_steps.clear();
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -39,10 +39,10 @@
 
     pub(crate) fn poll_finished(&mut self, incarnation: &WorkerIncarnation, outcome: PollOutcome) {
         let (now, cfg) = (self.now, self.cfg);
+        let sent_at = self.open_polls.remove(incarnation).unwrap_or(now);
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
         };
-        let sent_at = state.poll_sent_at.take().unwrap_or(now);
         let answer = match outcome {
             PollOutcome::Answered(answer) => answer,
             PollOutcome::OtherIncarnation => {
@@ -339,14 +339,14 @@
     pub(crate) fn send_due_polls(&mut self, changed: &BTreeSet<WorkerName>) {
         let Some(term) = self.term else { return };
         let (now, cfg) = (self.now, self.cfg);
-        let outputs = &mut self.outputs;
+        let (outputs, open_polls) = (&mut self.outputs, &mut self.open_polls);
         self.workers.for_each_mut(changed, |_, state| {
-            let is_open = state.poll_sent_at.is_some();
+            let is_open = open_polls.contains_key(state.incarnation());
             let waits_for_commit = state.last_proposed_end > state.record.acknowledged;
             if is_open || now < state.next_poll_at || waits_for_commit {
                 return;
             }
-            state.poll_sent_at = Some(now);
+            open_polls.insert(state.incarnation().clone(), now);
             let is_responsive = state.is_synced && state.poll_failures == 0;
             // The lease of a worker that does not answer is not extended, so that its expiry is not
             // put off.
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -35,8 +35,6 @@
     leading_since: Millis,
     /// Time at which the last answered poll was sent; `None` before the first answer.
     pub(crate) confirmed_at: Option<Millis>,
-    /// Time at which the open poll was sent.
-    pub(crate) poll_sent_at: Option<Millis>,
     /// No poll is sent before this time.
     pub(crate) next_poll_at: Millis,
     pub(crate) poll_failures: u32,
@@ -94,7 +92,6 @@
             lease_until_ms: 0,
             leading_since,
             confirmed_at: None,
-            poll_sent_at: None,
             next_poll_at: now,
             poll_failures: 0,
             unsent_polls: 0,
