discovery, entry: no refusal after an attempt that may be accepted

A caller could be told that its job never runs (429, 503) although the job ran later (REFUSED). A host sends a submission again when the leader does not answer in time. If the leader had no room for the second attempt, for example because the first one still held the room until its commit, the host passed that refusal on, and the first attempt was accepted after it.

The host now answers that the outcome is not known (504) when an earlier attempt may have taken effect. The caller sends the same submission again and learns the outcome. What may have become of the attempts is decided in RequestAttempts, apart from the calls. Refusals of other requests are facts about the state and are passed on as before.

Evidence: two cases of refusal_is_passed_on_only_if_no_attempt_may_be_accepted failed with the former rule, which passed every refusal on, and pass now. The tests of tarragon-entry pass; none of them brings a live leader into this order of events.

--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -17,7 +17,7 @@
 use tarragon_agreement::Recovered;
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_delivery::{BudgetLimits, HeartbeatCache};
-use tarragon_discovery::LeaderHint;
+use tarragon_discovery::{LeaderHint, RequestAttempts};
 use tarragon_names::{HostName, MemberId, Name, Term};
 use tarragon_replica::{Clock, LeaderLease, Links, PeerListener, PeerSink, process_seed};
 use tarragon_storage::{Disk, DiskUsage, FileStore};
@@ -263,7 +263,7 @@
     async fn call_leader(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
         let started_at = Instant::now();
         let timing = &self.cfg.timing;
-        let mut is_outcome_unknown = false;
+        let mut attempts = RequestAttempts::default();
         loop {
             let remaining = timeout.saturating_sub(started_at.elapsed());
             let leader = self.known_leader().map(|(_, leader)| leader);
@@ -297,22 +297,18 @@
             let code = match reply {
                 Ok(Reply::NotLeader { .. }) => Code::NotLeader,
                 Err(failure) if is_retried(failure.code) => failure.code,
+                Err(refusal) if request.is_submission() => return Err(attempts.refused(refusal)),
                 reply => return reply,
             };
-            is_outcome_unknown |= code == Code::NotConfirmed;
+            attempts.failed(code);
             let waited = started_at.elapsed();
-            let max_wait = if is_outcome_unknown {
+            let max_wait = if attempts.may_have_taken_effect() {
                 timeout
             } else {
                 timing.max_leader_wait().min(timeout)
             };
             if waited + LEADER_RETRY_DELAY >= max_wait {
-                let code = if is_outcome_unknown {
-                    Code::NotConfirmed
-                } else {
-                    Code::NoLeader
-                };
-                return Err(Failure::of(code).retry_after(RETRY_AFTER_MS));
+                return Err(Failure::of(attempts.unanswered()).retry_after(RETRY_AFTER_MS));
             }
             sleep(LEADER_RETRY_DELAY).await;
         }
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -91,6 +91,11 @@
         Some(Name::from(job))
     }
 
+    /// Returns whether a refusal promises that the request never takes effect.
+    pub(crate) fn is_submission(&self) -> bool {
+        matches!(self, Self::Submit { .. })
+    }
+
     /// Label of the request in metrics.
     pub(crate) fn kind(&self) -> &'static str {
         match self {
