host: no refusal of a job after an attempt that may be accepted

A host repeats a submission, under a generated key, when the leader does not answer in time. The key makes a second acceptance safe, but the refusal of the second attempt was passed on while the first one could still reach the log.

LeaderClient::submit answers that the outcome is not confirmed (5105) in that case, by the rule that the entry hosts follow. Other commands are recognized by their request id or set a state, so they are passed on as before.

--- a/lib/host/src/host_core.rs
+++ b/lib/host/src/host_core.rs
@@ -102,7 +102,11 @@
             let command = command.clone();
             async move { client.propose(cx, command).await }.boxed()
         };
-        self.leader_client.call(timeout, local, remote).await
+        if matches!(command, Command::AcceptJob { .. }) {
+            self.leader_client.submit(timeout, local, remote).await
+        } else {
+            self.leader_client.call(timeout, local, remote).await
+        }
     }
 
     /// Describes the replica group as the leader knows it.
--- a/lib/host/src/leader_client.rs
+++ b/lib/host/src/leader_client.rs
@@ -2,8 +2,9 @@
 
 use futures::future::BoxFuture;
 use tarpc::{client::RpcError, context::Context};
+use tarragon_cell::Answer;
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_discovery::LeaderHint;
+use tarragon_discovery::{LeaderHint, RequestAttempts};
 use tarragon_names::{HostName, Term};
 use tarragon_wire::control::ControlClient;
 use tokio::time::{Instant, sleep};
@@ -49,12 +50,43 @@
     /// After `timeout` the call fails with `NotConfirmed` if an attempt may have taken effect, otherwise
     /// with `NoLeader`.
     pub async fn call<'a, T, L, R>(&self, timeout: Duration, local: L, remote: R) -> Outcome<T>
+    where
+        L: Fn(Duration) -> BoxFuture<'a, Outcome<T>>,
+        R: Fn(ControlClient, Context) -> BoxFuture<'static, Result<Outcome<T>, RpcError>>,
+    {
+        let mut attempts = RequestAttempts::default();
+        self.repeat(&mut attempts, timeout, local, remote).await
+    }
+
+    /// Submits a job to the leader like [`call`](Self::call). A refusal promises that the job never
+    /// runs, so it is passed on only if no earlier attempt may be accepted.
+    pub async fn submit<'a, L, R>(&self, timeout: Duration, local: L, remote: R) -> Outcome<Answer>
+    where
+        L: Fn(Duration) -> BoxFuture<'a, Outcome<Answer>>,
+        R: Fn(ControlClient, Context) -> BoxFuture<'static, Result<Outcome<Answer>, RpcError>>,
+    {
+        let mut attempts = RequestAttempts::default();
+        let answer = self.repeat(&mut attempts, timeout, local, remote).await;
+        match answer {
+            Ok(Answer::Failed(refusal)) => Ok(Answer::Failed(attempts.refused(refusal))),
+            Err(refusal) => Err(attempts.refused(refusal)),
+            accepted => accepted,
+        }
+    }
+
+    /// Repeats a call until it is answered or its timeout ends.
+    async fn repeat<'a, T, L, R>(
+        &self,
+        attempts: &mut RequestAttempts,
+        timeout: Duration,
+        local: L,
+        remote: R,
+    ) -> Outcome<T>
     where
         L: Fn(Duration) -> BoxFuture<'a, Outcome<T>>,
         R: Fn(ControlClient, Context) -> BoxFuture<'static, Result<Outcome<T>, RpcError>>,
     {
         let deadline = Instant::now() + timeout;
-        let mut may_have_taken_effect = false;
         let mut lookups = 0;
         let mut failed_leader = None;
         loop {
@@ -62,11 +94,7 @@
                 .saturating_duration_since(Instant::now())
                 .min(ATTEMPT_TIMEOUT);
             if remaining.is_zero() {
-                return Err(Failure::of(if may_have_taken_effect {
-                    Code::NotConfirmed
-                } else {
-                    Code::NoLeader
-                }));
+                return Err(Failure::of(attempts.unanswered()));
             }
             let Some(host) = self.leader_hint.get() else {
                 self.find_leader(lookups, remaining, failed_leader.as_ref())
@@ -85,7 +113,7 @@
             };
             match result {
                 Err(failure) if is_retryable(failure.code) => {
-                    may_have_taken_effect |= failure.code == Code::NotConfirmed;
+                    attempts.failed(failure.code);
                     failed_leader = self
                         .leader_hint
                         .with_term()
