entry: a submission that arrives twice takes up room for its tasks once

A caller was told that its job was not accepted and never runs (503) although the same submission was accepted. A submission that arrives again, from the caller or from a host that got no answer in time, while the entry of the first one is not applied yet was counted as a second job: the first one held the room for its tasks, and the other was refused for want of it.

The room is now reserved by job. Jobs are still bounded together, as the other tests of open_tasks show.

--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -128,7 +128,10 @@
             ));
         }
         let tasks = spec.tasks();
-        let _reservation = match self.task_admission.reserve(&self.workflow_state, tasks) {
+        let reserved = self
+            .task_admission
+            .reserve(&self.workflow_state, job, tasks);
+        let _reservation = match reserved {
             Ok(reservation) => reservation,
             Err(failure) => return self.if_still_leader(Err(failure)),
         };
--- a/lib/entry/tests/open_tasks.rs
+++ b/lib/entry/tests/open_tasks.rs
@@ -79,6 +79,23 @@
     cell.stop();
 }
 
+/// Guards against a caller who is told that its job never runs (429, 503) although the same submission
+/// was accepted: it arrived again before the entry of the first one was applied, and the first one held
+/// the room for its tasks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn submission_that_arrives_twice_takes_up_room_once() {
+    let mut cell = start(45, DISK_BYTES).await;
+    for job in 1..=10 {
+        let submit = || cell.call_once(4, submission(job, 20_000));
+        let (first, second) = tokio::join!(submit(), submit());
+        assert!(matches!(first, Ok(Reply::Done)), "job {job}: {first:?}");
+        assert!(matches!(second, Ok(Reply::Done)), "job {job}: {second:?}");
+        let cancellation = Cell::cancellation(&format!("{job:016x}"));
+        assert_eq!(cell.call(4, cancellation).await, Reply::Done);
+    }
+    cell.stop();
+}
+
 /// Guards against a bound that refuses jobs on the busiest day of a large site.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn tasks_of_a_large_site_are_accepted() {
