--- a/lib/host/tests/leader_client.rs
+++ b/lib/host/tests/leader_client.rs
@@ -55,8 +55,8 @@
     }
 }
 
-fn refused(code: Code) -> Outcome<Answer> {
-    Ok(Answer::Failed(Failure::of(code)))
+fn refused(code: Code) -> Answer {
+    Answer::Failed(Failure::of(code))
 }
 
 fn failed(code: Code) -> Outcome<Answer> {
@@ -66,11 +66,11 @@
 /// Guards against a job that runs although its caller was told that it did not and never will: the
 /// second attempt is refused, and the first one, which got no answer in time, is accepted later.
 #[parameterized(
-    refused_at_once = { vec![refused(Code::QueueFull)], Some(Code::QueueFull) },
-    no_effect_before = { vec![failed(Code::NotLeader), refused(Code::QueueFull)], Some(Code::QueueFull) },
+    refused_at_once = { vec![Ok(refused(Code::QueueFull))], Some(Code::QueueFull) },
+    no_effect_before = { vec![failed(Code::NotLeader), Ok(refused(Code::QueueFull))], Some(Code::QueueFull) },
     accepted_again = { vec![failed(Code::NotConfirmed), Ok(Answer::Accepted(JobId(1)))], None },
     refused_by_the_state = {
-        vec![failed(Code::NotConfirmed), refused(Code::QueueFull)], Some(Code::NotConfirmed)
+        vec![failed(Code::NotConfirmed), Ok(refused(Code::QueueFull))], Some(Code::NotConfirmed)
     },
     refused_for_want_of_room = {
         vec![failed(Code::NotConfirmed), failed(Code::StateFull)], Some(Code::NotConfirmed)
