membership: a late announcement does not replace a voter that answers

A live voter could be removed from the group, and the learner that stood by for a lost host be used up, because of a message that was out of date. A voter whose host announced another identity counted as lost at once, and the leader remembers only the last announcement of a host: one of the replica that the host had held before its disk was replaced, which arrived after the announcements of the new one, made the new one the lost voter.

A voter now counts as lost by an announcement only if it has not answered for a second, as for learners that may be promoted. A replica that was replaced does not answer, because messages are addressed to identities.

--- a/lib/membership/src/next_change.rs
+++ b/lib/membership/src/next_change.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     MemberChange, choose_replacement,
-    replacement::{is_promotable, newest_match_index},
+    replacement::{answers, is_promotable, newest_match_index},
 };
 
 /// State of the replica group, as known to the leader.
@@ -26,15 +26,17 @@
 /// Returns the next change that the group needs, or `None` if it needs none or no learner can be
 /// promoted.
 ///
-/// A voter whose host announced another identity has lost its disk and is replaced at once; a voter
-/// that does not answer is replaced after `replace_after`. Voters are added while there are fewer
-/// than `target_voters`. An addition starts only if enough learners are ready to reach an odd
-/// number of voters, because an even number tolerates no more losses than the odd number below it.
+/// A voter whose host announced another identity has lost its disk and is replaced once it no longer
+/// answers; an announcement may be older than the voter. Any other voter that does not answer is
+/// replaced after `replace_after`. Voters are added while there are fewer than `target_voters`. An
+/// addition starts only if enough learners are ready to reach an odd number of voters, because an even
+/// number tolerates no more losses than the odd number below it.
 pub fn next_change(group: &GroupState<'_>) -> Option<MemberChange> {
     let mut status = group.status.to_vec();
     for member in &mut status {
         let announced = group.announced_ids.get(&member.host);
-        if member.role == Role::Voter && announced.is_some_and(|id| *id != member.id) {
+        let has_other_id = announced.is_some_and(|id| *id != member.id);
+        if member.role == Role::Voter && has_other_id && !answers(member) {
             member.silent_for = Some(Millis(u64::MAX));
         }
     }
--- a/lib/membership/src/replacement.rs
+++ b/lib/membership/src/replacement.rs
@@ -6,8 +6,9 @@
 /// Number of entries that a learner may lack and still count as up to date.
 const MAX_LEARNER_LAG_ENTRIES: u64 = 1_000;
 
-/// Time since a learner's last answer after which the learner is not promoted.
-const MAX_LEARNER_SILENCE: Millis = Millis(1_000);
+/// Time since a member's last answer after which it counts as silent: it is not promoted, and its host
+/// may hold another replica.
+const MAX_MEMBER_SILENCE: Millis = Millis(1_000);
 
 /// Chooses a lost voter and the learner that replaces it; `None` if no voter is lost or no learner
 /// can be promoted.
@@ -54,12 +55,19 @@
     status.iter().filter_map(|member| member.match_index).max()
 }
 
+/// Returns whether the member is the leader itself or answered recently.
+pub(crate) fn answers(member: &MemberStatus) -> bool {
+    member
+        .silent_for
+        .is_none_or(|silent| silent < MAX_MEMBER_SILENCE)
+}
+
 /// Returns whether the member is a learner that answers and is up to date.
 pub(crate) fn is_promotable(member: &MemberStatus, newest: LogIndex) -> bool {
     member.role == Role::Learner
         && member
             .silent_for
-            .is_some_and(|silent| silent < MAX_LEARNER_SILENCE)
+            .is_some_and(|silent| silent < MAX_MEMBER_SILENCE)
         && member
             .match_index
             .is_some_and(|matched| LogIndex(matched.0 + MAX_LEARNER_LAG_ENTRIES) >= newest)
