--- a/lib/dispatch/tests/returning_worker.rs
+++ b/lib/dispatch/tests/returning_worker.rs
@@ -4,7 +4,8 @@
 
 use common::{Harness, incarnation, step, task, worker};
 use tarragon_dispatch::{Input, OrderOutcome};
-use tarragon_workflow::{Command, JobPhase, RunEnd, RunEvent, WorkerIncarnation};
+use tarragon_workflow::{Command, JobPhase, RunEnd, RunEvent, WorkerIncarnation, WorkerRecord};
+use yare::parameterized;
 
 const SILENT: &str = "w1";
 const OTHER: &str = "w2";
@@ -52,8 +53,8 @@
 
 /// Lets a worker return after its only run failed, the acknowledgement was lost and its record was
 /// removed. It lists the end of the run again. Meanwhile the second run has failed elsewhere.
-fn after_return() -> Harness {
-    let mut harness = Harness::new(&[worker(SILENT, 8)]);
+fn after_return(silent_worker: &WorkerRecord) -> Harness {
+    let mut harness = Harness::new(std::slice::from_ref(silent_worker));
     harness.submit(1, vec![step(1, 1)]);
     let silent = fail_placed_run(&mut harness, 1, 1);
     harness.commit(Command::PutWorker(worker(OTHER, 8)));
@@ -61,25 +62,38 @@
     answer_polls_of_other(&mut harness);
     silence_until_removed(&mut harness, &silent);
     fail_placed_run(&mut harness, 2, 1);
-    harness.commit(Command::PutWorker(worker(SILENT, 8)));
+    harness.commit(Command::PutWorker(silent_worker.clone()));
     harness.advance(20);
     harness.answer_poll(SILENT, &[], &[(1, task(1, 0, 0), 1, RunEnd::Failed)]);
     harness
 }
 
+/// The silent worker without the time of its start: nothing of its removed record is kept.
+fn without_start_time() -> WorkerRecord {
+    let mut record = worker(SILENT, 8);
+    record.incarnation.started_ms = 0;
+    record
+}
+
 /// Guards against a job that fails after two failed runs of three, because the worker of the first run
 /// returns and lists its end again.
-#[test]
-fn end_listed_again_by_a_returning_worker_does_not_count() {
-    let harness = after_return();
+#[parameterized(
+    same_incarnation = { worker(SILENT, 8) },
+    no_start_time = { without_start_time() },
+)]
+fn end_listed_again_by_a_returning_worker_does_not_count(silent_worker: WorkerRecord) {
+    let harness = after_return(&silent_worker);
     assert_eq!(harness.phase(1), Some(JobPhase::Running));
 }
 
 /// Guards against a sound worker that gets no tasks, because an end that it lists again counts as
 /// another failure there.
-#[test]
-fn end_listed_again_does_not_pause_the_worker() {
-    let mut harness = after_return();
+#[parameterized(
+    same_incarnation = { worker(SILENT, 8) },
+    no_start_time = { without_start_time() },
+)]
+fn end_listed_again_does_not_pause_the_worker(silent_worker: WorkerRecord) {
+    let mut harness = after_return(&silent_worker);
     harness.commit(Command::RemoveWorker(incarnation(OTHER)));
     harness.starts.clear();
     harness.submit(2, vec![step(1, 1)]);
@@ -120,7 +134,7 @@
 /// failed.
 #[test]
 fn log_tells_repeated_ends_and_failed_jobs() {
-    let mut harness = after_return();
+    let mut harness = after_return(&without_start_time());
     let repeated = harness.events_named("unexpected_end");
     assert_eq!(repeated.len(), 1);
     assert!(
