tests: search workers that return after their record was removed

It judges by what the workers did.

Evidence: each check finds a planted fault.

Left out of the model: an order for an earlier incarnation reaches a restarted worker only after it has been reachable for 4 s, and a late poll never does. Nothing shuts these out until the leader knows of the restart (docs/incidents/late-order.md).

--- /dev/null
+++ b/lib/dispatch/tests/returning_workers_search.rs
@@ -0,0 +1,100 @@
+//! Seeded random silences, restarts and returns of workers beside failing tasks, late and repeated
+//! orders, changes of the leader and refused proposals.
+//!
+//! `TARRAGON_SEEDS=FROM..TO` chooses the seeds.
+
+mod common;
+mod returning_workers;
+
+use std::env;
+
+use returning_workers::{Intensity, PlantedFault, Rule, Simulation, Summary};
+use yare::parameterized;
+
+/// Seeds that failed once.
+///
+/// 74, 173: a job failed too early, because a worker that returned after its record was removed listed
+/// a failed end again, and it counted again. 17, 36: a job failed because of late ends of a task that
+/// was done. 33, 237: the late end of an earlier run brought back an older checkpoint. 958, 1368: the
+/// members of a gang resumed from different checkpoints, because a late end changed it between their
+/// start orders.
+const KNOWN_SEEDS: &[u64] = &[17, 33, 36, 74, 173, 237, 958, 1_368];
+
+/// Seeds of the simulations with a planted fault, of which at least one has to show it.
+const PLANTED_SEEDS: std::ops::Range<u64> = 0..20;
+
+/// Seeds in `TARRAGON_SEEDS=FROM..TO`, or else `default`.
+fn seeds_or(default: &[u64]) -> Vec<u64> {
+    let Ok(seeds) = env::var("TARRAGON_SEEDS") else {
+        return default.to_vec();
+    };
+    let (from, to) = seeds.split_once("..").expect("FROM..TO");
+    let (from, to) = (from.parse::<u64>(), to.parse::<u64>());
+    (from.expect("a number")..to.expect("a number")).collect()
+}
+
+/// Guards against ends, orders and records that count wrongly because they come late or again: a job
+/// that fails or completes without cause or not at all, a task that runs twice, beyond its attempts or
+/// after it is done, and a checkpoint that is lost or differs between the members of a gang.
+#[test]
+fn jobs_end_as_their_tasks_did() {
+    let mut total = Summary::default();
+    let mut failed = Vec::new();
+    let seeds = seeds_or(KNOWN_SEEDS);
+    for seed in seeds.iter().copied() {
+        let (violations, summary) = Simulation::new(seed, Intensity::Faulty, None).run();
+        for violation in &violations {
+            println!("seed {seed}: {:?}: {}", violation.rule, violation.detail);
+        }
+        if !violations.is_empty() {
+            failed.push(seed);
+        }
+        total.starts += summary.starts;
+        total.returns += summary.returns;
+        total.returns_with_listed_ends += summary.returns_with_listed_ends;
+        total.leaders += summary.leaders;
+        total.refused_proposals += summary.refused_proposals;
+        total.rest_ms = total.rest_ms.max(summary.rest_ms);
+    }
+    println!("{total:?}");
+    assert_eq!(failed, Vec::<u64>::new(), "seeds that broke a rule");
+    if seeds == KNOWN_SEEDS {
+        assert!(
+            total.returns_with_listed_ends > 0,
+            "no worker returned with listed ends"
+        );
+    }
+}
+
+/// Guards against a check that finds nothing.
+#[parameterized(
+    failure_counts_often = { PlantedFault::FailureCountsOften, Rule::FailedWithoutCause },
+    failure_is_dropped = { PlantedFault::FailureIsDropped, Rule::NotFailed },
+    start_beyond_the_budget = { PlantedFault::FailureIsDropped, Rule::Budget },
+    done_is_dropped = { PlantedFault::DoneIsDropped, Rule::StartAfterDone },
+    run_is_declared_lost = { PlantedFault::RunIsDeclaredLost, Rule::Twice },
+    done_is_forged = { PlantedFault::DoneIsForged, Rule::CompletedEarly },
+    step_starts_early = { PlantedFault::DoneIsForged, Rule::Order },
+    checkpoint_is_forged = { PlantedFault::CheckpointIsForged, Rule::ForeignCheckpoint },
+    gang_checkpoint_is_dropped = { PlantedFault::GangCheckpointIsDropped, Rule::MixedCheckpoints },
+    checkpoint_is_dropped = { PlantedFault::CheckpointIsDropped, Rule::OlderCheckpoint },
+    end_is_lost = { PlantedFault::EndIsLost, Rule::Unfinished },
+)]
+fn planted_fault_is_found(fault: PlantedFault, rule: Rule) {
+    let mut found = PLANTED_SEEDS.filter(|seed| {
+        let (violations, _) = Simulation::new(*seed, Intensity::Calm, Some(fault)).run();
+        violations.iter().any(|violation| violation.rule == rule)
+    });
+    assert!(found.next().is_some(), "no seed shows {rule:?}");
+}
+
+/// Guards against checks that report what is right, and against a simulation that does not repeat.
+#[test]
+fn simulation_without_faults_breaks_no_rule_and_repeats() {
+    for seed in 0..5 {
+        let run = || Simulation::new(seed, Intensity::Calm, None).run();
+        let (violations, summary) = run();
+        assert_eq!(violations, Vec::new(), "seed {seed}");
+        assert_eq!(summary, run().1, "seed {seed}");
+    }
+}
