dispatch: propose a refused end again when its worker is gone

Callers saw a job that stayed running for ever: a task counted as placed on an incarnation that no longer existed. The worker had listed the end of the run, so the run was not declared lost when the worker restarted or was removed, and the log refused the record of the end. The leader relied on the worker to list the end again. Only the next leader would have found the task.

The record of such an end is now proposed again, as that of a lost run is. Applying it twice does no harm, because each run counts once.

Found by the search for returning workers on the present code.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -528,13 +528,16 @@
             }
             RunEvent::Ended {
                 incarnation, task, ..
-            } => {
-                if let Some(state) = self.workers.get_mut(&incarnation.worker) {
+            } => match self.workers.get_incarnation_mut(incarnation) {
+                Some(state) => {
                     // The worker lists the end again in the next poll.
                     state.last_proposed_end = state.record.acknowledged;
                     state.set_ended(task, false);
                 }
-            }
+                // The worker was removed or restarted, and its run was not declared lost, because its
+                // end was listed.
+                None => self.records.push(record.clone()),
+            },
             RunEvent::Lost { .. } => self.records.push(record.clone()),
         }
     }
--- a/lib/dispatch/tests/returning_workers_search.rs
+++ b/lib/dispatch/tests/returning_workers_search.rs
@@ -17,8 +17,9 @@
 /// a failed end again, and it counted again. 17, 36: a job failed because of late ends of a task that
 /// was done. 33, 237: the late end of an earlier run brought back an older checkpoint. 958, 1368: the
 /// members of a gang resumed from different checkpoints, because a late end changed it between their
-/// start orders.
-const KNOWN_SEEDS: &[u64] = &[17, 33, 36, 74, 173, 237, 958, 1_368];
+/// start orders. 7927: a task waited for ever, because the log refused the record of its end and its
+/// worker had restarted.
+const KNOWN_SEEDS: &[u64] = &[17, 33, 36, 74, 173, 237, 958, 1_368, 7_927];
 
 /// Seeds of the simulations with a planted fault, of which at least one has to show it.
 const PLANTED_SEEDS: std::ops::Range<u64> = 0..20;
