dispatch: repeat rate orders while an earlier one may be carried out late

A worker that leaves an order to change the rate of a run unanswered may carry it out 2 to 12 s later, after a newer one. The dispatcher took the newer order, once accepted, for the rate of the run, so a best-effort run stayed paused for good, or went on beside a task that missed its target. The list of runs shows no rate, so a late order cannot be seen. Two orders on their way at the same time could also overtake each other.

RunRate now keeps until when an order other than the last one may be carried out: 30 s after an order without an answer, and the timeout of an order where two overlap. Until an order was sent after that time, the wanted rate is ordered again every 2 s, after a poll. The first repetition of an order without an answer still follows the next poll. A run whose rate is not certain is not judged as standing still. Orders of an earlier leader are not repeated: they have a lower term, which the worker refuses.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -16,6 +16,7 @@
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
     late_orders::LateOrders,
+    run_rate::RunRate,
     run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
     step_plan::StepPlan,
     worker_speed::WorkerSpeed,
@@ -311,7 +312,7 @@
                 view.start = StartState::Inherited;
                 view.start_may_arrive_until = self.now + START_ORDER_LIFETIME;
                 if view.spec.is_best_effort {
-                    view.ordered_rate = None;
+                    view.rate = RunRate::unknown();
                 }
                 state.insert_run(task, view);
                 self.placed.insert((task, placement.incarnation.worker));
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -148,7 +148,7 @@
 fn running_time(view: &RunView, now: Millis) -> Option<Millis> {
     // A throttled run takes longer through no fault of its worker.
     let is_running = !view.is_ended
-        && view.ordered_rate == Some(FULL_RATE)
+        && view.rate.is_certainly(FULL_RATE)
         && view.stop == StopState::NotRequested
         && matches!(view.start, StartState::Present { .. });
     (is_running && view.spec.estimate.0 > 0).then(|| now.since(view.placed_at))
--- a/lib/dispatch/src/dispatcher_throttle.rs
+++ b/lib/dispatch/src/dispatcher_throttle.rs
@@ -55,8 +55,8 @@
                 && !view.is_ended
                 && view.stop == StopState::NotRequested
                 && matches!(view.start, StartState::Present { .. });
-            if can_be_throttled && view.ordered_rate != Some(rate) {
-                view.ordered_rate = Some(rate);
+            if can_be_throttled && view.rate.needs_order(rate, now) {
+                view.rate.order_sent(rate, now, cfg.order_timeout);
                 due.push((*task, view.run));
             }
         }
@@ -78,7 +78,7 @@
     }
 
     /// Handles the result of a throttle order. Unless the order was accepted, the rate of the run
-    /// is unknown, and the next poll of the worker sends the order again.
+    /// is unknown, and the order is sent again after the next poll of the worker.
     pub(crate) fn throttle_order_finished(
         &mut self,
         incarnation: &WorkerIncarnation,
@@ -86,13 +86,14 @@
         run: u32,
         outcome: OrderOutcome,
     ) {
-        if outcome == OrderOutcome::Accepted {
-            return;
-        }
+        let now = self.now;
         let state = self.workers.get_incarnation_mut(incarnation);
         let view = state.and_then(|state| state.runs.get_mut(&task));
         if let Some(view) = view.filter(|view| view.run == run) {
-            view.ordered_rate = None;
+            view.rate.order_finished(outcome, now);
+        }
+        if outcome == OrderOutcome::Accepted {
+            return;
         }
         self.emit(
             DecisionEvent::new("pace_not_accepted", outcome.to_string())
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod packing;
 mod poll;
 mod run_progress;
+mod run_rate;
 mod run_spec;
 mod run_view;
 mod step_plan;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,7 +1,7 @@
 use tarragon_names::{Millis, Name};
 use tarragon_workflow::WorkerIncarnation;
 
-use crate::{dispatcher_throttle::FULL_RATE, run_progress::RunProgress, run_spec::RunSpec};
+use crate::{run_progress::RunProgress, run_rate::RunRate, run_spec::RunSpec};
 
 /// Highest run number of a task that may be preempted, so that every task ends eventually.
 const MAX_PREEMPTED_RUN: u32 = 3;
@@ -70,9 +70,7 @@
     /// Last checkpoint that a poll has listed.
     pub(crate) checkpoint: Option<Name>,
     pub(crate) progress: RunProgress,
-    /// Rate that was last ordered, in percent; `None` if it is not known whether the order took
-    /// effect.
-    pub(crate) ordered_rate: Option<u64>,
+    pub(crate) rate: RunRate,
     /// CPU in use in thousandths of a core or, for a latency-sensitive run, its tail latency in
     /// milliseconds, as the worker last reported.
     pub(crate) usage_or_tail_ms: Option<u64>,
@@ -103,7 +101,7 @@
             resume_from: None,
             checkpoint: None,
             progress: RunProgress::default(),
-            ordered_rate: Some(FULL_RATE),
+            rate: RunRate::of_new_run(),
             usage_or_tail_ms: None,
             is_ended: false,
             listed_end: None,
--- a/lib/dispatch/tests/throttling.rs
+++ b/lib/dispatch/tests/throttling.rs
@@ -113,6 +113,106 @@
     assert!(harness.throttles.is_empty());
 }
 
+/// A worker that carries out the first of its throttle orders late, without an answer.
+struct LateWorker {
+    harness: Harness,
+    /// Order that is carried out late, and when.
+    late: Option<(u64, ThrottleOrder)>,
+    /// Rate of the best-effort task.
+    percent: u64,
+    orders: usize,
+}
+
+impl LateWorker {
+    /// A worker whose best-effort task was ordered to pause, without an answer.
+    fn with_late_pause(delay_ms: u64) -> Self {
+        let mut harness = harness();
+        answer_poll_with_tail(&mut harness, 150);
+        let late = answer_throttles(&mut harness, OrderOutcome::Unanswered).remove(0);
+        assert_eq!(late.percent, 0);
+        Self {
+            late: Some((harness.now + delay_ms, late)),
+            harness,
+            percent: 100,
+            orders: 0,
+        }
+    }
+
+    /// Lets time pass while the latency-sensitive task has this tail latency.
+    fn advance(&mut self, millis: u64, tail_ms: u64) {
+        let end = self.harness.now + millis;
+        while self.harness.now < end {
+            self.harness.advance(100);
+            let now = self.harness.now;
+            if let Some((_, order)) = self.late.take_if(|(at, _)| now >= *at) {
+                self.percent = order.percent;
+            }
+            answer_poll_with_tail(&mut self.harness, tail_ms);
+            for order in answer_throttles(&mut self.harness, OrderOutcome::Accepted) {
+                self.percent = order.percent;
+                self.orders += 1;
+            }
+        }
+    }
+}
+
+/// Guards against a best-effort task that stays at an old rate for good, because the order for that
+/// rate had no answer and was carried out after a newer one.
+#[parameterized(
+    two_seconds_late = { 2_000 },
+    seven_seconds_late = { 7_000 },
+    twelve_seconds_late = { 12_000 },
+    thirty_seconds_late = { 29_900 },
+)]
+fn late_throttle_order_does_not_last(delay_ms: u64) {
+    let mut worker = LateWorker::with_late_pause(delay_ms);
+    worker.advance(1_000, 150);
+    worker.advance(delay_ms + 11_000, 20);
+    assert!(worker.late.is_none(), "the late order was carried out");
+    assert_eq!(worker.percent, 100);
+}
+
+/// Guards against a flood of orders while an order may be late, and against orders that never end.
+#[test]
+fn throttle_orders_are_repeated_at_a_bounded_rate_until_none_can_be_late() {
+    let mut worker = LateWorker::with_late_pause(5_000);
+    worker.advance(31_000, 150);
+    let repeats = 31_000 / 2_000;
+    assert!(
+        (10..=repeats + 2).contains(&worker.orders),
+        "{}",
+        worker.orders
+    );
+    let before = worker.orders;
+    worker.advance(10_000, 150);
+    assert_eq!(worker.orders, before);
+}
+
+/// Guards against a rate that is taken for certain although the order for it overtook an earlier one.
+#[test]
+fn throttle_order_that_overtakes_another_is_repeated_once() {
+    let mut harness = harness();
+    answer_poll_with_tail(&mut harness, 150);
+    let mut open = std::mem::take(&mut harness.throttles);
+    for _ in 0..16 {
+        harness.advance(100);
+        answer_poll_with_tail(&mut harness, 20);
+    }
+    open.append(&mut harness.throttles);
+    let percents = open.iter().map(|order| order.percent);
+    assert_eq!(percents.collect::<Vec<_>>(), [0, 25]);
+    harness.throttles = open;
+    answer_throttles(&mut harness, OrderOutcome::Accepted);
+    let mut percents = Vec::new();
+    for _ in 0..40 {
+        harness.advance(100);
+        answer_poll_with_tail(&mut harness, 90);
+        let throttles = answer_throttles(&mut harness, OrderOutcome::Accepted);
+        percents.extend(throttles.iter().map(|order| order.percent));
+    }
+    assert_eq!(percents, [25]);
+}
+
 /// Guards against a task that stays throttled because the order came from an earlier leader.
 #[test]
 fn new_leader_orders_the_rate_again() {
