upkeep: a repeated order waits until the bound of a step admits it

An order for upkeep that an earlier leader committed and did not send was repeated at once, because it counts as carried out. By then the other tasks of a step may have become unavailable, and the repetition, which is the first order that the platform sees, ended one task too many.

While the machine is up, the repetition now waits until the bounds of the steps admit it, for the worker that the list names as well as for the one that ran there when the order was committed. It still counts as carried out for the cap of the wave and for all new orders. A machine that is not up is ordered again as before.

Two such orders that the bound does not admit together would wait for each other, and nothing else moves their tasks.

No case with hosts: none of them lets a leader end between the commit and the order.

--- a/lib/upkeep/src/next_steps.rs
+++ b/lib/upkeep/src/next_steps.rs
@@ -29,17 +29,22 @@
 /// goes down when nothing runs there, or when the wave would otherwise miss its due time. The
 /// number of machines that are down at once never exceeds the cap of the wave, and the number of
 /// unavailable tasks never exceeds the bound of their step. An order that is not confirmed counts
-/// as carried out for both, and is repeated.
+/// as carried out for both, and is repeated. While its machine is up, it may never have been sent, so
+/// the repetition waits until the bounds admit it.
 pub fn next_steps(waves: &BTreeMap<WaveKey, Wave>, inputs: &UpkeepInputs<'_>) -> Vec<UpkeepStep> {
     let mut steps = Vec::new();
     let mut stopping = stopping_workers(waves, inputs);
-    for (key, wave) in waves.iter().filter(|(_, wave)| !wave.is_completed()) {
+    let open = || waves.iter().filter(|(_, wave)| !wave.is_completed());
+    for (key, wave) in open() {
+        repeat_orders(*key, wave, inputs, &mut stopping, &mut steps);
+    }
+    for (key, wave) in open() {
         wave_steps(*key, wave, inputs, &mut stopping, &mut steps);
     }
     steps
 }
 
-/// Workers on machines whose upkeep was ordered.
+/// Workers on machines that are going down or may be down.
 ///
 /// The list names no worker for a machine that is already down.
 fn stopping_workers(
@@ -52,17 +57,58 @@
         stopping.extend(listed.and_then(|machine| machine.worker.clone()));
         stopping.extend(worker.clone());
     }
-    for phase in waves.values().flat_map(|wave| wave.machines.values()) {
-        if let MachinePhase::Ordered {
-            incarnation: Some(incarnation),
-        } = phase
-        {
-            stopping.insert(incarnation.worker.clone());
+    for (name, phase) in waves.values().flat_map(|wave| &wave.machines) {
+        if !is_up(name, inputs) {
+            stopping.extend(ordered_worker(phase).cloned());
         }
     }
     stopping
 }
 
+fn is_up(machine: &Name, inputs: &UpkeepInputs<'_>) -> bool {
+    let machine = inputs.machines.get(machine);
+    machine.is_some_and(|machine| machine.state == MachineState::Up)
+}
+
+/// Worker on the machine when its upkeep was ordered.
+fn ordered_worker(phase: &MachinePhase) -> Option<&WorkerName> {
+    match phase {
+        MachinePhase::Ordered { incarnation } => Some(&incarnation.as_ref()?.worker),
+        MachinePhase::Waiting | MachinePhase::Done => None,
+    }
+}
+
+/// Repeats the orders that are not confirmed, and adds their workers to `stopping`.
+///
+/// Of two orders that the bound of a step does not admit together, the later one waits.
+fn repeat_orders(
+    key: WaveKey,
+    wave: &Wave,
+    inputs: &UpkeepInputs<'_>,
+    stopping: &mut BTreeSet<WorkerName>,
+    steps: &mut Vec<UpkeepStep>,
+) {
+    let ordered = wave.machines.iter();
+    for (name, phase) in ordered.filter(|(_, phase)| matches!(phase, MachinePhase::Ordered { .. }))
+    {
+        let Some(machine) = inputs.machines.get(name) else {
+            continue;
+        };
+        stopping.extend(ordered_worker(phase).cloned());
+        // The order also ends a worker that started after it was committed.
+        let worker = machine.worker.as_ref().or(ordered_worker(phase));
+        let breaks_bound = worker.is_some_and(|on| breaks_bound(inputs.bounded, on, stopping));
+        if breaks_bound && is_up(name, inputs) {
+            continue;
+        }
+        stopping.extend(machine.worker.clone());
+        steps.push(UpkeepStep::Repeat {
+            wave: key,
+            machine: name.clone(),
+        });
+    }
+}
+
 fn wave_steps(
     key: WaveKey,
     wave: &Wave,
@@ -87,10 +133,6 @@
                 wave: key,
                 machine: name.clone(),
             }),
-            Some(_) if *phase != MachinePhase::Waiting => steps.push(UpkeepStep::Repeat {
-                wave: key,
-                machine: name.clone(),
-            }),
             Some(machine) if machine.state == MachineState::Up && !is_down(name) => {
                 waiting.push(machine);
             }
--- a/lib/upkeep/tests/next_steps.rs
+++ b/lib/upkeep/tests/next_steps.rs
@@ -122,21 +122,27 @@
 }
 
 /// Steps for a late wave of the machines a, b and c in these phases, of which at most two may be
-/// down at once. A task of a step, of which one may be unavailable, runs on each of a and b.
-fn steps_in_phases(phases: [MachinePhase; 3], listed: &[(&str, MachineState)]) -> Vec<String> {
+/// down at once. A task of a step, of which one may be unavailable, runs on each of a and b; `available`
+/// tells which of them do their full work.
+fn steps_in_phases(
+    phases: [MachinePhase; 3],
+    listed: &[(&str, MachineState)],
+    available: [bool; 2],
+) -> Vec<String> {
     let machines = listed.iter().map(|(name, state)| {
         let (key, mut machine) = machine(name, *state);
         machine.worker = machine.worker.filter(|_| *state == Up);
         (key, machine)
     });
-    let bounded = ["w-a", "w-b"].map(|worker| BoundedTask {
+    let bounded = [("w-a", available[0]), ("w-b", available[1])];
+    let bounded = bounded.map(|(worker, is_available)| BoundedTask {
         step: StepKey {
             job: JobKey(1),
             occurrence: 0,
             step: 0,
         },
         worker: Some(WorkerName::from(worker)),
-        is_available: true,
+        is_available,
         max_unavailable: 1,
     });
     let runs = ["w-a", "w-b"].map(|worker| (WorkerName::from(worker), 1));
@@ -196,5 +202,37 @@
     listed: &[(&str, MachineState)],
     expected: &[&str],
 ) {
-    assert_eq!(steps_in_phases(phases, listed), expected);
+    assert_eq!(steps_in_phases(phases, listed, [true, true]), expected);
+}
+
+/// Guards against a task beyond the bound of a step that is ended by an order which an earlier leader
+/// committed and did not send: the tasks on other machines may have become unavailable since then.
+#[parameterized(
+    waits_while_the_other_task_is_unavailable = {
+        [ordered("w-a"), Waiting, Waiting], Up, [true, false], &["begin c"]
+    },
+    waits_for_the_worker_that_started_since = {
+        [ordered("w-old"), Waiting, Waiting], Up, [true, false], &["begin c"]
+    },
+    is_repeated_for_a_machine_that_is_down = {
+        [ordered("w-a"), Waiting, Waiting], InUpkeep, [true, false], &["repeat a", "begin c"]
+    },
+    is_repeated_when_only_its_own_task_is_unavailable = {
+        [ordered("w-a"), Waiting, Waiting], Up, [false, true], &["repeat a", "begin c"]
+    },
+    second_one_waits_for_the_first = {
+        [ordered("w-a"), ordered("w-b"), Waiting], Up, [true, true], &["repeat a"]
+    },
+    waits_for_one_that_may_be_carried_out_now = {
+        [ordered("w-a"), ordered("w-b"), Waiting], InUpkeep, [true, true], &["repeat a"]
+    },
+)]
+fn order_is_repeated_within_the_bound(
+    phases: [MachinePhase; 3],
+    state_of_a: MachineState,
+    available: [bool; 2],
+    expected: &[&str],
+) {
+    let listed = [("a", state_of_a), ("b", Up), ("c", Up)];
+    assert_eq!(steps_in_phases(phases, &listed, available), expected);
 }
