upkeep: a machine whose list entry cannot be read is not removed

An entry of the platform's list of machines that could not be read was left out, and a machine that is not listed counts as removed. Its upkeep was recorded as not needed, so the operator saw a wave as completed although a machine of it had no upkeep.

The event machine_entries_unreadable tells operators.

--- a/lib/entry/src/external_services.rs
+++ b/lib/entry/src/external_services.rs
@@ -5,7 +5,7 @@
     AdviceAnswer, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder, ThrottleOrder,
 };
 use tarragon_names::{Name, WorkerName};
-use tarragon_upkeep::Machine;
+use tarragon_upkeep::MachineList;
 use tarragon_workflow::{StepKey, WaveKey};
 
 /// Calls to workers.
@@ -56,7 +56,7 @@
     /// Lists all machines; `None` if a part of the list is missing.
     ///
     /// `timeout` applies to the call for each part of the list.
-    fn list(&self, timeout: Duration) -> BoxFuture<'static, Option<Vec<Machine>>>;
+    fn list(&self, timeout: Duration) -> BoxFuture<'static, Option<MachineList>>;
 
     /// Orders the upkeep of a machine for a wave, as `holder` with the fencing token `fence`.
     fn begin_upkeep(
--- a/lib/entry/src/upkeep_loop.rs
+++ b/lib/entry/src/upkeep_loop.rs
@@ -8,7 +8,7 @@
 use tarragon_names::{Millis, Name, Term, WorkerName};
 use tarragon_replica::Clock;
 use tarragon_telemetry::{Event, EventSink};
-use tarragon_upkeep::{BoundedTask, Machine, UpkeepInputs, UpkeepStep, next_steps};
+use tarragon_upkeep::{BoundedTask, MachineList, UpkeepInputs, UpkeepStep, next_steps};
 use tarragon_workflow::{Command, MachinePhase, Wave, WaveKey, WorkerIncarnation, WorkflowState};
 use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
@@ -85,7 +85,7 @@
 
     async fn check_waves(&mut self, host: &EntryHost) {
         let listed_at = self.clock.now();
-        let Some(listed) = self.machines.list(PLATFORM_CALL_TIMEOUT).await else {
+        let Some(list) = self.machines.list(PLATFORM_CALL_TIMEOUT).await else {
             self.events.emit(&Event::warning("machines_not_listed"));
             return;
         };
@@ -96,48 +96,40 @@
         }
         self.recently_ordered
             .retain(|_, order| listed_at.since(order.at) < settle_time);
-        let machines = listed
-            .into_iter()
-            .map(|machine| (machine.name.clone(), machine));
-        let machines = machines.collect::<BTreeMap<Name, Machine>>();
+        if list.unreadable > 0 {
+            let detail = format!("{}, others: {}", list.unreadable, list.machines.len());
+            let event = Event::warning("machine_entries_unreadable");
+            self.events.emit(&event.detail(detail));
+        }
         // Each order takes a while, in which tasks may end. The next one is therefore decided anew.
         let mut handled = BTreeSet::new();
         while self.clock.now().since(listed_at) < MAX_LIST_AGE {
             let waves = self.workflow_state.waves();
-            let mut steps = self.next_steps(&waves, &machines).into_iter();
+            let mut steps = self.next_steps(&waves, &list).into_iter();
             let Some(step) = steps.find(|step| !handled.contains(step)) else {
                 return;
             };
             handled.insert(step.clone());
-            self.carry_out(host, &machines, step).await;
+            self.carry_out(host, &list, step).await;
         }
     }
 
     /// Returns whether a step whose order was just committed would be chosen again.
-    fn is_still_due(
-        &self,
-        machines: &BTreeMap<Name, Machine>,
-        key: WaveKey,
-        begin: &UpkeepStep,
-    ) -> bool {
+    fn is_still_due(&self, list: &MachineList, key: WaveKey, begin: &UpkeepStep) -> bool {
         let mut waves = self.workflow_state.waves();
         if let UpkeepStep::Begin { machine, .. } = begin
             && let Some(wave) = waves.get_mut(&key)
         {
             wave.machines.insert(machine.clone(), MachinePhase::Waiting);
         }
-        self.next_steps(&waves, machines).contains(begin)
+        self.next_steps(&waves, list).contains(begin)
     }
 
-    fn next_steps(
-        &self,
-        waves: &BTreeMap<WaveKey, Wave>,
-        machines: &BTreeMap<Name, Machine>,
-    ) -> Vec<UpkeepStep> {
+    fn next_steps(&self, waves: &BTreeMap<WaveKey, Wave>, list: &MachineList) -> Vec<UpkeepStep> {
         let ordered = self.recently_ordered.iter();
         let ordered = ordered.map(|(machine, order)| (machine.clone(), order.worker.clone()));
         let inputs = UpkeepInputs {
-            machines,
+            list,
             recently_ordered: &ordered.collect(),
             runs: &self.run_counts(),
             bounded: &self.bounded_tasks(),
@@ -147,12 +139,7 @@
         next_steps(waves, &inputs)
     }
 
-    async fn carry_out(
-        &mut self,
-        host: &EntryHost,
-        machines: &BTreeMap<Name, Machine>,
-        step: UpkeepStep,
-    ) {
+    async fn carry_out(&mut self, host: &EntryHost, list: &MachineList, step: UpkeepStep) {
         match step {
             UpkeepStep::Drain { worker } => self.dispatch.send(Input::AvoidWorker(worker)),
             UpkeepStep::Skip { wave: key, machine } => {
@@ -163,8 +150,7 @@
                 machine,
                 worker,
             } => {
-                self.begin_upkeep(host, machines, wave, machine, worker)
-                    .await;
+                self.begin_upkeep(host, list, wave, machine, worker).await;
             }
             UpkeepStep::Repeat { wave, machine } => {
                 let outcome = self.order_upkeep(host, wave, &machine).await;
@@ -180,7 +166,7 @@
     async fn begin_upkeep(
         &mut self,
         host: &EntryHost,
-        machines: &BTreeMap<Name, Machine>,
+        list: &MachineList,
         key: WaveKey,
         machine: Name,
         worker: Option<WorkerName>,
@@ -201,7 +187,7 @@
             machine: machine.clone(),
             worker,
         };
-        let outcome = if self.is_still_due(machines, key, &begin) {
+        let outcome = if self.is_still_due(list, key, &begin) {
             self.order_upkeep(host, key, &machine).await
         } else {
             Some(MachineOutcome::Refused)
--- a/lib/entry/tests/common/platform.rs
+++ b/lib/entry/tests/common/platform.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use tarragon_entry::{MachineCalls, MachineOutcome};
 use tarragon_names::{Name, WorkerName};
-use tarragon_upkeep::{Machine, MachineState};
+use tarragon_upkeep::{Machine, MachineList, MachineState};
 use tarragon_workflow::WaveKey;
 use tokio::sync::Semaphore;
 
@@ -42,6 +42,8 @@
     fence: u64,
     waves: BTreeSet<WaveKey>,
     down_until: Option<Instant>,
+    /// Whether the entry in the list of machines cannot be read.
+    is_unreadable: bool,
 }
 
 impl MachineRecord {
@@ -100,6 +102,13 @@
         record.worker = worker.map(WorkerName::from);
     }
 
+    /// Sets whether the entry of a machine in the list can be read.
+    pub fn set_readable(&self, machine: &str, is_readable: bool) {
+        let mut state = self.state.lock();
+        let record = state.machines.entry(Name::from(machine)).or_default();
+        record.is_unreadable = !is_readable;
+    }
+
     pub fn orders(&self) -> Vec<ReceivedOrder> {
         self.state.lock().orders.clone()
     }
@@ -145,20 +154,30 @@
 }
 
 impl MachineCalls for Platform {
-    fn list(&self, _: Duration) -> BoxFuture<'static, Option<Vec<Machine>>> {
+    fn list(&self, _: Duration) -> BoxFuture<'static, Option<MachineList>> {
         let state = Arc::clone(&self.state);
         async move {
             let state = state.lock();
-            let machines = state.machines.iter().map(|(name, record)| Machine {
-                name: name.clone(),
-                state: if record.is_down() {
-                    MachineState::Upkeep
-                } else {
-                    MachineState::Up
-                },
-                worker: record.worker.clone(),
+            let all = state.machines.len();
+            let readable = state.machines.iter();
+            let readable = readable.filter(|(_, record)| !record.is_unreadable);
+            let machines = readable.map(|(name, record)| {
+                let machine = Machine {
+                    name: name.clone(),
+                    state: if record.is_down() {
+                        MachineState::Upkeep
+                    } else {
+                        MachineState::Up
+                    },
+                    worker: record.worker.clone(),
+                };
+                (name.clone(), machine)
             });
-            Some(machines.collect())
+            let machines = machines.collect::<BTreeMap<_, _>>();
+            Some(MachineList {
+                unreadable: all - machines.len(),
+                machines,
+            })
         }
         .boxed()
     }
--- a/lib/entry/tests/upkeep.rs
+++ b/lib/entry/tests/upkeep.rs
@@ -167,3 +167,19 @@
     assert_eq!(cell.platform.workers.start_count(), 1);
     cell.stop();
 }
+
+/// Guards against a wave that is reported as completed although a machine had no upkeep: the platform's
+/// list had an entry that could not be read, so the machine was taken for removed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn wave_waits_for_a_machine_whose_entry_cannot_be_read() {
+    let mut cell = ready_cell(35).await;
+    cell.platform.add_machine("m-1", None);
+    cell.platform.set_readable("m-1", false);
+    cell.start_wave(4, WAVE, &["m-1"], 1).await;
+    sleep(SEVERAL_CHECKS).await;
+    assert!(!cell.is_wave_completed(4, WAVE).await);
+    cell.platform.set_readable("m-1", true);
+    wait_for_completion(&cell).await;
+    assert!(cell.platform.orders().iter().any(|order| order.has_begun));
+    cell.stop();
+}
--- a/lib/upkeep/src/machine.rs
+++ b/lib/upkeep/src/machine.rs
@@ -12,6 +12,8 @@
     Upkeep,
     /// Down for another reason.
     Down,
+    /// The entry could not be read beyond the name of the machine.
+    Unknown,
 }
 
 /// A machine as the platform lists it.
--- a/lib/upkeep/src/next_steps.rs
+++ b/lib/upkeep/src/next_steps.rs
@@ -3,13 +3,15 @@
 use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{MachinePhase, Wave, WaveKey};
 
-use crate::{BoundedTask, Machine, MachineState, UpkeepStep, bounded_task::breaks_bound};
+use crate::{
+    BoundedTask, Machine, MachineList, MachineState, UpkeepStep, bounded_task::breaks_bound,
+};
 
 /// State of the machines and of the work on them, from which [`next_steps`] decides.
 #[derive(Clone, Debug)]
 pub struct UpkeepInputs<'a> {
-    /// All machines by name; a machine that is not listed was removed for good.
-    pub machines: &'a BTreeMap<Name, Machine>,
+    /// All machines.
+    pub list: &'a MachineList,
     /// Machines whose upkeep was ordered so recently that the list may not show it yet, each with
     /// the worker that ran there.
     pub recently_ordered: &'a BTreeMap<Name, Option<WorkerName>>,
@@ -31,6 +33,10 @@
 /// unavailable tasks never exceeds the bound of their step. An order that is not confirmed counts
 /// as carried out for both, and is repeated. While its machine is up, it may never have been sent, so
 /// the repetition waits until the bounds admit it.
+///
+/// A machine whose entry could not be read may be up, so nothing begins there and its upkeep is not
+/// recorded as done. It counts as down only if its upkeep was ordered: an order that was confirmed
+/// before is older than an upkeep lasts.
 pub fn next_steps(waves: &BTreeMap<WaveKey, Wave>, inputs: &UpkeepInputs<'_>) -> Vec<UpkeepStep> {
     let mut steps = Vec::new();
     let mut stopping = stopping_workers(waves, inputs);
@@ -53,23 +59,18 @@
 ) -> BTreeSet<WorkerName> {
     let mut stopping = BTreeSet::new();
     for (machine, worker) in inputs.recently_ordered {
-        let listed = inputs.machines.get(machine);
+        let listed = inputs.list.machines.get(machine);
         stopping.extend(listed.and_then(|machine| machine.worker.clone()));
         stopping.extend(worker.clone());
     }
     for (name, phase) in waves.values().flat_map(|wave| &wave.machines) {
-        if !is_up(name, inputs) {
+        if !inputs.list.may_be_up(name) {
             stopping.extend(ordered_worker(phase).cloned());
         }
     }
     stopping
 }
 
-fn is_up(machine: &Name, inputs: &UpkeepInputs<'_>) -> bool {
-    let machine = inputs.machines.get(machine);
-    machine.is_some_and(|machine| machine.state == MachineState::Up)
-}
-
 /// Worker on the machine when its upkeep was ordered.
 fn ordered_worker(phase: &MachinePhase) -> Option<&WorkerName> {
     match phase {
@@ -91,17 +92,19 @@
     let ordered = wave.machines.iter();
     for (name, phase) in ordered.filter(|(_, phase)| matches!(phase, MachinePhase::Ordered { .. }))
     {
-        let Some(machine) = inputs.machines.get(name) else {
-            continue;
-        };
         stopping.extend(ordered_worker(phase).cloned());
+        if inputs.list.is_removed(name) {
+            continue;
+        }
+        let machine = inputs.list.machines.get(name);
+        let listed_worker = machine.and_then(|machine| machine.worker.as_ref());
         // The order also ends a worker that started after it was committed.
-        let worker = machine.worker.as_ref().or(ordered_worker(phase));
+        let worker = listed_worker.or(ordered_worker(phase));
         let breaks_bound = worker.is_some_and(|on| breaks_bound(inputs.bounded, on, stopping));
-        if breaks_bound && is_up(name, inputs) {
+        if breaks_bound && inputs.list.may_be_up(name) {
             continue;
         }
-        stopping.extend(machine.worker.clone());
+        stopping.extend(listed_worker.cloned());
         steps.push(UpkeepStep::Repeat {
             wave: key,
             machine: name.clone(),
@@ -117,7 +120,7 @@
     steps: &mut Vec<UpkeepStep>,
 ) {
     let is_down = |name: &Name| {
-        let state = inputs.machines.get(name).map(|machine| machine.state);
+        let state = inputs.list.machines.get(name).map(|machine| machine.state);
         matches!(wave.machines.get(name), Some(MachinePhase::Ordered { .. }))
             || inputs.recently_ordered.contains_key(name)
             || state == Some(MachineState::Upkeep)
@@ -128,15 +131,15 @@
         if *phase == MachinePhase::Done {
             continue;
         }
-        match inputs.machines.get(name) {
-            None => steps.push(UpkeepStep::Skip {
+        match inputs.list.machines.get(name) {
+            None if inputs.list.is_removed(name) => steps.push(UpkeepStep::Skip {
                 wave: key,
                 machine: name.clone(),
             }),
             Some(machine) if machine.state == MachineState::Up && !is_down(name) => {
                 waiting.push(machine);
             }
-            Some(_) => {}
+            _ => {}
         }
     }
     let runs_on = |machine: &Machine| {
--- a/lib/upkeep/tests/next_steps.rs
+++ b/lib/upkeep/tests/next_steps.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use tarragon_names::{Millis, Name, WorkerName};
-use tarragon_upkeep::{BoundedTask, Machine, MachineState, UpkeepInputs, UpkeepStep, next_steps};
+use tarragon_upkeep::{
+    BoundedTask, Machine, MachineList, MachineState, UpkeepInputs, UpkeepStep, next_steps,
+};
 use tarragon_workflow::{JobKey, MachinePhase, StepKey, Wave, WaveKey, WorkerIncarnation};
 use yare::parameterized;
 
@@ -36,7 +38,10 @@
         requested_ms: 0,
     };
     let inputs = UpkeepInputs {
-        machines: &machines.collect(),
+        list: &MachineList {
+            machines: machines.collect(),
+            unreadable: 0,
+        },
         recently_ordered: &ordered
             .iter()
             .map(|name| (Name::from(*name), None))
@@ -58,7 +63,7 @@
     steps.collect()
 }
 
-use MachineState::{Down, Up, Upkeep as InUpkeep};
+use MachineState::{Down, Unknown, Up, Upkeep as InUpkeep};
 
 /// Guards against more machines down than the cap allows, against runs that are ended without need,
 /// and against a wave that is late or never ends.
@@ -123,10 +128,11 @@
 
 /// Steps for a late wave of the machines a, b and c in these phases, of which at most two may be
 /// down at once. A task of a step, of which one may be unavailable, runs on each of a and b; `available`
-/// tells which of them do their full work.
+/// tells which of them do their full work. So many entries of the list are `unreadable`.
 fn steps_in_phases(
     phases: [MachinePhase; 3],
     listed: &[(&str, MachineState)],
+    unreadable: usize,
     available: [bool; 2],
 ) -> Vec<String> {
     let machines = listed.iter().map(|(name, state)| {
@@ -147,7 +153,10 @@
     });
     let runs = ["w-a", "w-b"].map(|worker| (WorkerName::from(worker), 1));
     let inputs = UpkeepInputs {
-        machines: &machines.collect(),
+        list: &MachineList {
+            machines: machines.collect(),
+            unreadable,
+        },
         recently_ordered: &BTreeMap::new(),
         runs: &BTreeMap::from(runs),
         bounded: &bounded,
@@ -202,7 +211,7 @@
     listed: &[(&str, MachineState)],
     expected: &[&str],
 ) {
-    assert_eq!(steps_in_phases(phases, listed, [true, true]), expected);
+    assert_eq!(steps_in_phases(phases, listed, 0, [true, true]), expected);
 }
 
 /// Guards against a task beyond the bound of a step that is ended by an order which an earlier leader
@@ -234,5 +243,36 @@
     expected: &[&str],
 ) {
     let listed = [("a", state_of_a), ("b", Up), ("c", Up)];
-    assert_eq!(steps_in_phases(phases, &listed, available), expected);
+    assert_eq!(steps_in_phases(phases, &listed, 0, available), expected);
+}
+
+/// Guards against a wave that is reported as completed although a machine of it had no upkeep: its entry
+/// in the list could not be read, which was taken for its removal.
+#[parameterized(
+    waiting_and_removed = { Waiting, &[], 0, &["skip a"] },
+    waiting_and_perhaps_unreadable = { Waiting, &[], 1, &[] },
+    waiting_in_an_unknown_state = { Waiting, &[("a", Unknown)], 0, &[] },
+    ordered_and_perhaps_unreadable = { ordered("w-a"), &[], 1, &["repeat a"] },
+    ordered_in_an_unknown_state = { ordered("w-a"), &[("a", Unknown)], 0, &["repeat a"] },
+)]
+fn machine_with_an_unreadable_entry_is_not_skipped(
+    phase: MachinePhase,
+    listed: &[(&str, MachineState)],
+    unreadable: usize,
+    expected: &[&str],
+) {
+    let phases = [phase, Done, Done];
+    let steps = steps_in_phases(phases, listed, unreadable, [true, true]);
+    assert_eq!(steps, expected);
+}
+
+/// Guards against a repeated order beyond the bound of a step for a machine that may be up.
+#[parameterized(
+    unknown_state = { &[("a", Unknown)], 0 },
+    perhaps_unreadable = { &[], 1 },
+)]
+fn order_for_a_machine_that_may_be_up_waits(listed: &[(&str, MachineState)], unreadable: usize) {
+    let phases = [ordered("w-a"), Done, Done];
+    let steps = steps_in_phases(phases, listed, unreadable, [true, false]);
+    assert!(steps.is_empty(), "{steps:?}");
 }
