discovery, entry: decide on the attempts of a call to the leader

EntryHost::call_leader repeated by hand what LeaderAnswer::apply decides, and held the rule on calls with little time and the one on further attempts beside its sockets. LeaderCall now decides how long an attempt lasts, what its failure says of the host that was called, and what follows it; what a host learns goes through LeaderAnswer::apply, as for announcements.

Evidence: the tests of discovery and formation, leader_lease and leader_search of entry pass.

--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -41,12 +41,6 @@
     upkeep_loop::UpkeepLoop,
 };
 
-/// Delay between two attempts to reach the leader.
-const LEADER_RETRY_DELAY: Duration = Duration::from_millis(40);
-
-/// Time after which a refused caller may try again, in milliseconds.
-const RETRY_AFTER_MS: u64 = 400;
-
 /// Delay between two attempts to open the store on a disk that cannot be written.
 const DISK_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -260,83 +254,6 @@
         silence.is_some_and(|silence| silence < self.cfg.timing.leader_silence_limit())
     }
 
-    async fn call_leader(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
-        let started_at = Instant::now();
-        let timing = &self.cfg.timing;
-        let mut is_outcome_unknown = false;
-        loop {
-            let remaining = timeout.saturating_sub(started_at.elapsed());
-            let leader = self.known_leader().map(|(_, leader)| leader);
-            let reply = match leader {
-                None => Err(Failure::of(Code::NoLeader)),
-                Some(leader) if leader == self.cfg.host => self.answer_here(request.clone()).await,
-                Some(leader) if is_large(&request) => {
-                    return self.redirect_to(&leader);
-                }
-                Some(leader) => {
-                    let call_timeout = remaining.min(timing.call_attempt_timeout());
-                    let reply = self.mesh.call(&leader, &request, call_timeout).await;
-                    // Little time for an answer says nothing about the leader.
-                    let had_time = call_timeout >= timing.call_attempt_timeout();
-                    if let Err(failure) = &reply
-                        && is_retried(failure.code)
-                        && (had_time || failure.code != Code::NotConfirmed)
-                        && self.leader_hint.forget(&leader)
-                    {
-                        self.log_forgotten_leader(&leader, request.kind(), failure.code);
-                    }
-                    if let Ok(Reply::NotLeader { leader: next }) = &reply {
-                        self.leader_hint.forget(&leader);
-                        if let Some((term, next)) = next {
-                            self.leader_hint.set(*term, next);
-                        }
-                    }
-                    reply
-                }
-            };
-            let code = match reply {
-                Ok(Reply::NotLeader { .. }) => Code::NotLeader,
-                Err(failure) if is_retried(failure.code) => failure.code,
-                reply => return reply,
-            };
-            is_outcome_unknown |= code == Code::NotConfirmed;
-            let waited = started_at.elapsed();
-            let max_wait = if is_outcome_unknown {
-                timeout
-            } else {
-                timing.max_leader_wait().min(timeout)
-            };
-            if waited + LEADER_RETRY_DELAY >= max_wait {
-                let code = if is_outcome_unknown {
-                    Code::NotConfirmed
-                } else {
-                    Code::NoLeader
-                };
-                return Err(Failure::of(code).retry_after(RETRY_AFTER_MS));
-            }
-            sleep(LEADER_RETRY_DELAY).await;
-        }
-    }
-
-    /// Counts and logs that this host forgot its leader because of the outcome of a call.
-    pub(crate) fn log_forgotten_leader(&self, leader: &HostName, kind: &str, code: Code) {
-        self.metrics.leader_forgotten.inc();
-        let event = Event::info("leader_forgotten").peer(leader.clone());
-        let known = self.known_leader().map(|(_, leader)| leader);
-        let detail = format!("{kind}; now known: {known:?}");
-        self.events.emit(&event.code(code.number()).detail(detail));
-    }
-
-    /// Sends the caller to the control address of the leader. All hosts have the same ports.
-    fn redirect_to(&self, leader: &HostName) -> Outcome<Reply> {
-        let unusable = |_e| Failure::of(Code::NoLeader).retry_after(RETRY_AFTER_MS);
-        let leader = leader.parse::<SocketAddr>().map_err(unusable)?;
-        let own = self.cfg.heartbeat_address.parse::<SocketAddr>();
-        let own = own.map_err(unusable)?;
-        let address = SocketAddr::new(leader.ip(), own.port());
-        Ok(Reply::Redirect(Name::from(address.to_string())))
-    }
-
     /// Answers a call of another host. A large configuration stays here: the other host's link may be
     /// slow, so its caller is sent to this host.
     pub(crate) async fn answer_call(&self, request: Request) -> Outcome<Reply> {
@@ -521,15 +438,3 @@
         }
     }
 }
-
-fn is_large(request: &Request) -> bool {
-    matches!(request, Request::PutConfiguration(c) if is_large_configuration(&c.text))
-}
-
-/// Returns whether a request that failed with `code` is sent again, to the next known leader.
-fn is_retried(code: Code) -> bool {
-    matches!(
-        code,
-        Code::NoLeader | Code::NotLeader | Code::HostUnreachable | Code::NotConfirmed
-    )
-}
--- a/lib/entry/src/entry_timing.rs
+++ b/lib/entry/src/entry_timing.rs
@@ -2,10 +2,14 @@
 
 use tarragon_agreement::Config;
 use tarragon_delivery::DeliveryLimits;
+use tarragon_discovery::CallTimes;
 use tarragon_dispatch::DispatchConfig;
 use tarragon_names::Millis;
 use tarragon_replica::LinkTiming;
 
+/// Delay between two attempts to reach the leader.
+const LEADER_RETRY_DELAY: Duration = Duration::from_millis(40);
+
 /// Bounds that the platform guarantees or requires; all other times are derived from them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Bounds {
@@ -116,6 +120,16 @@
         Duration::from_millis(self.bounds.recovery_time.0 / 3)
     }
 
+    /// Returns the times of a request to the leader that ends within `timeout`.
+    pub fn leader_call_times(&self, timeout: Duration) -> CallTimes {
+        CallTimes {
+            timeout,
+            attempt_timeout: self.call_attempt_timeout(),
+            max_leader_wait: self.max_leader_wait(),
+            retry_delay: LEADER_RETRY_DELAY,
+        }
+    }
+
     /// Returns the time for which a request that certainly was not run waits for a leader before it
     /// is refused.
     pub fn max_leader_wait(&self) -> Duration {
--- a/lib/entry/src/host_directory.rs
+++ b/lib/entry/src/host_directory.rs
@@ -135,7 +135,5 @@
     if is_own && !matches!(answer, LeaderAnswer::Leads(_)) {
         return;
     }
-    if answer.apply(to, &host.leader_hint) {
-        host.log_forgotten_leader(to, "hello", code.unwrap_or(Code::NotLeader));
-    }
+    host.apply_leader_answer(to, &answer, "hello", code.unwrap_or(Code::NotLeader));
 }
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod heartbeat_tracker;
 mod host_directory;
 mod inbound;
+mod leader_calls;
 mod leader_service;
 mod link_monitor;
 mod mesh;
