discovery, entry: a refusal after an unknown attempt is not a refusal of the call

When an attempt of a call to the leader had no answer and the next one was refused, for example because the route was removed or the state was full by then, the caller got that refusal: 404 or 503, nothing was run. The first attempt may have been committed, so the job may run.

A call that may change the state now fails with 5105 (outcome unknown, the same request may be sent again) once an attempt of unknown outcome is followed by a refusal. A read changes nothing, so its last answer stands.

Evidence: two cases of failure_of_a_call (no route, state full) fail with the earlier rule and pass now.

--- a/lib/discovery/src/leader_call.rs
+++ b/lib/discovery/src/leader_call.rs
@@ -32,15 +32,17 @@
 #[derive(Clone, Debug)]
 pub struct LeaderCall {
     times: CallTimes,
+    changes_state: bool,
     /// Whether an attempt was sent and its outcome is not known.
     has_unknown_attempt: bool,
 }
 
 impl LeaderCall {
-    /// Begins a call.
-    pub fn new(times: CallTimes) -> Self {
+    /// Begins a call; `changes_state` tells whether the leader commits anything for it.
+    pub fn new(times: CallTimes, changes_state: bool) -> Self {
         Self {
             times,
+            changes_state,
             has_unknown_attempt: false,
         }
     }
@@ -60,9 +62,16 @@
     }
 
     /// Decides what follows an attempt that failed with `code`, `waited` after the call began.
+    ///
+    /// A refusal says that the refused attempt had no effect. It says nothing about an earlier
+    /// attempt that may have been committed.
     pub fn attempt_failed(&mut self, code: Code, waited: Duration) -> AfterFailure {
         if !is_retried(code) {
-            return AfterFailure::Refused;
+            return if self.has_unknown_attempt && self.changes_state {
+                AfterFailure::GiveUp(Code::NotConfirmed)
+            } else {
+                AfterFailure::Refused
+            };
         }
         self.has_unknown_attempt |= code == Code::NotConfirmed;
         let (max_wait, code) = if self.has_unknown_attempt {
--- a/lib/discovery/tests/leader_call.rs
+++ b/lib/discovery/tests/leader_call.rs
@@ -16,18 +16,21 @@
 use AfterFailure::{GiveUp, Refused, Retry};
 use Code::{HostUnreachable, NoEntry, NoLeader, NotConfirmed, NotLeader, StateFull};
 
-/// Guards against calls that end too early or too late, and against a caller that is told that nothing
-/// was run after a search that began with an unknown outcome.
+/// Guards against a caller that is told that nothing was run while an earlier attempt may have been
+/// committed, against a read whose answer is withheld, and against calls that end too early or too late.
 #[parameterized(
-    refused = { &[(NoEntry, 0)], Refused },
-    refused_after_a_search = { &[(NoLeader, 0), (HostUnreachable, 40), (StateFull, 80)], Refused },
-    short_search = { &[(NoLeader, 0), (NotLeader, 250)], Retry },
-    long_search = { &[(NoLeader, 0), (NotLeader, 260)], GiveUp(NoLeader) },
-    search_after_an_unknown_attempt = { &[(NotConfirmed, 1_000), (NoLeader, 4_900)], Retry },
-    long_search_after_an_unknown_attempt = { &[(NotConfirmed, 1_000), (NoLeader, 4_960)], GiveUp(NotConfirmed) },
+    refused = { true, &[(NoEntry, 0)], Refused },
+    refused_after_a_search = { true, &[(NoLeader, 0), (HostUnreachable, 40), (StateFull, 80)], Refused },
+    no_route_after_an_unknown_attempt = { true, &[(NotConfirmed, 1_000), (NoEntry, 1_040)], GiveUp(NotConfirmed) },
+    state_full_after_an_unknown_attempt = { true, &[(NotConfirmed, 1_000), (NotLeader, 1_040), (StateFull, 1_080)], GiveUp(NotConfirmed) },
+    read_after_an_unknown_attempt = { false, &[(NotConfirmed, 1_000), (NoEntry, 1_040)], Refused },
+    short_search = { true, &[(NoLeader, 0), (NotLeader, 250)], Retry },
+    long_search = { true, &[(NoLeader, 0), (NotLeader, 260)], GiveUp(NoLeader) },
+    search_after_an_unknown_attempt = { true, &[(NotConfirmed, 1_000), (NoLeader, 4_900)], Retry },
+    long_search_after_an_unknown_attempt = { true, &[(NotConfirmed, 1_000), (NoLeader, 4_960)], GiveUp(NotConfirmed) },
 )]
-fn failure_of_a_call(attempts: &[(Code, u64)], expected: AfterFailure) {
-    let mut call = LeaderCall::new(TIMES);
+fn failure_of_a_call(changes_state: bool, attempts: &[(Code, u64)], expected: AfterFailure) {
+    let mut call = LeaderCall::new(TIMES, changes_state);
     let mut last = Retry;
     for (code, waited_ms) in attempts {
         assert_eq!(last, Retry);
@@ -46,7 +49,7 @@
     refused = { NoEntry, 0, None },
 )]
 fn failure_says_something_of_the_host(code: Code, waited_ms: u64, expected: Option<LeaderAnswer>) {
-    let call = LeaderCall::new(TIMES);
+    let call = LeaderCall::new(TIMES, true);
     let attempt_timeout = call.attempt_timeout(Duration::from_millis(waited_ms));
     assert_eq!(call.host_answer(code, attempt_timeout), expected);
 }
--- a/lib/entry/src/leader_calls.rs
+++ b/lib/entry/src/leader_calls.rs
@@ -20,7 +20,7 @@
     pub(crate) async fn call_leader(&self, request: Request, timeout: Duration) -> Outcome<Reply> {
         let started_at = Instant::now();
         let times = self.cfg.timing.leader_call_times(timeout);
-        let mut call = LeaderCall::new(times);
+        let mut call = LeaderCall::new(times, request.changes_state());
         loop {
             let leader = self.known_leader().map(|(_, leader)| leader);
             let attempt_timeout = call.attempt_timeout(started_at.elapsed());
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -91,6 +91,23 @@
         Some(Name::from(job))
     }
 
+    /// Returns whether the leader may commit something for the request.
+    pub(crate) fn changes_state(&self) -> bool {
+        match self {
+            Self::Submit { .. }
+            | Self::Cancel { .. }
+            | Self::PutConfiguration(_)
+            | Self::Announce(_)
+            | Self::Leave(_)
+            | Self::StartWave { .. }
+            | Self::Hello(_) => true,
+            Self::ReadStatus { .. }
+            | Self::ReadConfiguration
+            | Self::CheckWave(_)
+            | Self::Advise(_) => false,
+        }
+    }
+
     /// Label of the request in metrics.
     pub(crate) fn kind(&self) -> &'static str {
         match self {
