dispatch: a poll brings about no order after the lease has lapsed

The answer to a poll gave rise to orders to change rates and to stop runs that the leader does not expect, whether or not the leader still held its lease; only starts, other stops and polls were checked. A leader that stood still and then read such an answer could order a rate, or the stop of a run that its successor had placed, until the worker knew the later term.

Both now wait until the lease is regained; the next poll brings them about again. The event orders_withheld is logged and counted once for each lapse.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -81,6 +81,8 @@
     pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
     pub(crate) next_placement_at: Millis,
+    /// Whether no other host can have been elected, so that orders may be sent.
+    pub(crate) is_sole_leader: bool,
     /// Time since which no other host can have been the leader.
     pub(crate) sole_leader_since: Millis,
     /// Time of the next check for expired leases and overdue runs.
@@ -133,6 +135,7 @@
             late_orders: LateOrders::default(),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
+            is_sole_leader: false,
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
             now: Millis(0),
@@ -156,12 +159,17 @@
     ) -> Vec<Output> {
         self.now = self.now.max(now);
         self.now_ms = now_ms;
+        let was_sole_leader = std::mem::replace(&mut self.is_sole_leader, is_sole_leader);
         if !is_sole_leader {
             self.sole_leader_since = self.now;
         }
         for input in inputs {
             self.handle_input(input);
         }
+        if was_sole_leader && !is_sole_leader && self.term.is_some() {
+            let detail = "the lease has lapsed".to_owned();
+            self.emit(DecisionEvent::new("orders_withheld", detail).warning());
+        }
         if self.term.is_some() {
             self.workers.update_index(self.now);
             if self.needs_placement && self.now >= self.next_placement_at {
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -229,6 +229,8 @@
                     view.usage_or_tail_ms = status.usage_or_tail_ms;
                     view.is_listed = true;
                 }
+                // The next poll lists the run again if no order may be sent now.
+                _ if !self.is_sole_leader => {}
                 _ => unknown_runs.push((status.task, status.run)),
             }
         }
--- a/lib/dispatch/src/dispatcher_throttle.rs
+++ b/lib/dispatch/src/dispatcher_throttle.rs
@@ -35,7 +35,9 @@
     /// target, and raises their rate in steps once all tail latencies are well below their targets.
     pub(crate) fn throttle_best_effort(&mut self, worker: &WorkerName) {
         let (now, cfg) = (self.now, self.cfg);
-        let Some(term) = self.term else { return };
+        let Some(term) = self.term.filter(|_| self.is_sole_leader) else {
+            return;
+        };
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
