dispatch, entry: count refusals for an old term and runs refused after a restart

An operator could not tell from the metrics whether a stale leader or a restarted worker had played a part: refusals of a term stood in the detail of three events, those that came after the leader had learned of its successor were dropped, and a stop on a new incarnation was logged like any other.

Evidence: order_that_is_refused_for_its_term_is_counted (new), and next_incarnation_refuses_the_orders_that_may_still_arrive, which now also checks that each run is counted once. The counter of upkeep_not_ordered is not covered by a test.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -238,6 +238,7 @@
     }
 
     fn handle_input(&mut self, input: Input) {
+        self.report_refused_term(&input);
         match input {
             Input::BecameLeader { term } => self.start_leading(term),
             Input::LostLeadership => self.stop_leading(),
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -6,7 +6,7 @@
 use tarragon_workflow::{Command, TaskKey, WorkerIncarnation};
 
 use crate::{
-    DecisionEvent, Dispatcher, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
+    DecisionEvent, Dispatcher, Input, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
     backoff::backoff,
     run_view::{START_ORDER_LIFETIME, StartState, StopState},
 };
@@ -64,6 +64,41 @@
         self.needs_placement = true;
     }
 
+    /// Reports an order that a worker refused because it has seen a later term. The refusal counts
+    /// also after this host has lost the lead.
+    pub(crate) fn report_refused_term(&mut self, input: &Input) {
+        let (kind, fence, incarnation, task, run, outcome) = match input {
+            Input::StartOrderFinished {
+                fence,
+                incarnation,
+                task,
+                run,
+                outcome,
+            } => ("start", fence, incarnation, task, run, outcome),
+            Input::StopOrderFinished {
+                fence,
+                incarnation,
+                task,
+                run,
+                outcome,
+            } => ("stop", fence, incarnation, task, run, outcome),
+            Input::ThrottleOrderFinished {
+                fence,
+                incarnation,
+                task,
+                run,
+                outcome,
+            } => ("rate", fence, incarnation, task, run, outcome),
+            _ => return,
+        };
+        if *outcome == OrderOutcome::Refused(Refusal::Fence) {
+            let detail = format!("{kind} order of term {fence}");
+            let event = DecisionEvent::new("order_refused_for_term", detail);
+            let event = event.task(*task, *run).worker(&incarnation.worker);
+            self.emit(event.warning());
+        }
+    }
+
     pub(crate) fn start_order_finished(
         &mut self,
         incarnation: &WorkerIncarnation,
@@ -189,10 +224,10 @@
         if outcome == OrderOutcome::Refused(Refusal::Fence) {
             state.suspend_polls(now);
         }
-        if outcome == OrderOutcome::Accepted {
-            self.late_orders.stop_accepted(incarnation, (task, run));
-        }
+        let mut is_refused_after_restart = outcome == OrderOutcome::Accepted
+            && self.late_orders.stop_accepted(incarnation, (task, run));
         if let Some(view) = state.runs.get_mut(&task).filter(|view| view.run == run) {
+            is_refused_after_restart |= outcome == OrderOutcome::Accepted && !view.is_refused();
             view.failed_stops += 1;
             view.stop = match outcome {
                 OrderOutcome::Accepted => StopState::Accepted { at: now },
@@ -206,6 +241,10 @@
                 }
             };
         }
+        if is_refused_after_restart {
+            let event = DecisionEvent::new("run_refused_after_restart", String::new());
+            self.emit(event.task(task, run).worker(&incarnation.worker));
+        }
         if outcome != OrderOutcome::Accepted {
             self.emit(
                 DecisionEvent::new("stop_not_accepted", outcome.to_string())
--- a/lib/dispatch/src/late_orders.rs
+++ b/lib/dispatch/src/late_orders.rs
@@ -81,12 +81,18 @@
         due.collect()
     }
 
-    /// Records that `incarnation` refuses the run from now on.
-    pub(crate) fn stop_accepted(&mut self, incarnation: &WorkerIncarnation, run: (TaskKey, u32)) {
+    /// Records that `incarnation` refuses the run from now on. Returns whether that is news.
+    pub(crate) fn stop_accepted(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        run: (TaskKey, u32),
+    ) -> bool {
         let orders = self.0.get_mut(&incarnation.worker);
-        if let Some(order) = orders.and_then(|orders| orders.get_mut(&run)) {
-            order.refused_by = Some(incarnation.clone());
-            order.failed_stops = 0;
-        }
+        let Some(order) = orders.and_then(|orders| orders.get_mut(&run)) else {
+            return false;
+        };
+        order.failed_stops = 0;
+        let previous = order.refused_by.replace(incarnation.clone());
+        previous.as_ref() != Some(incarnation)
     }
 }
--- a/lib/dispatch/tests/lapsed_lease.rs
+++ b/lib/dispatch/tests/lapsed_lease.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{Harness, step, task, worker};
-use tarragon_dispatch::{OrderOutcome, RunStatus};
+use common::{Harness, incarnation, step, task, worker};
+use tarragon_dispatch::{Input, OrderOutcome, Refusal, RunStatus};
 use tarragon_names::Millis;
 use tarragon_workflow::{StepSpec, TaskKey};
+use yare::parameterized;
 
 /// Answers the open poll with the task of job 1 over its target, the best-effort task of job 2, and a run
 /// that the leader does not expect.
@@ -57,3 +58,52 @@
     assert_eq!(harness.stops.len(), 1);
     assert_eq!(harness.event_count("orders_withheld"), 1);
 }
+
+/// Result of an order that was sent in the term 1.
+fn refused_start() -> Input {
+    Input::StartOrderFinished {
+        fence: 1,
+        incarnation: incarnation("w1"),
+        task: task(1, 0, 0),
+        run: 1,
+        outcome: OrderOutcome::Refused(Refusal::Fence),
+    }
+}
+
+fn refused_stop() -> Input {
+    Input::StopOrderFinished {
+        fence: 1,
+        incarnation: incarnation("w1"),
+        task: task(1, 0, 0),
+        run: 1,
+        outcome: OrderOutcome::Refused(Refusal::Fence),
+    }
+}
+
+fn refused_rate() -> Input {
+    Input::ThrottleOrderFinished {
+        fence: 1,
+        incarnation: incarnation("w1"),
+        task: task(1, 0, 0),
+        run: 1,
+        outcome: OrderOutcome::Refused(Refusal::Fence),
+    }
+}
+
+/// Guards against a stale leader that operators cannot see: most refusals of its term come when it has
+/// learned of its successor.
+#[parameterized(
+    start_while_it_leads = { refused_start(), true },
+    start_after_it_was_replaced = { refused_start(), false },
+    stop_after_it_was_replaced = { refused_stop(), false },
+    rate_while_it_leads = { refused_rate(), true },
+    rate_after_it_was_replaced = { refused_rate(), false },
+)]
+fn order_that_is_refused_for_its_term_is_counted(result: Input, is_leader: bool) {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    if !is_leader {
+        harness.input(Input::LostLeadership);
+    }
+    harness.input(result);
+    assert_eq!(harness.event_count("order_refused_for_term"), 1);
+}
--- a/lib/dispatch/tests/restarts.rs
+++ b/lib/dispatch/tests/restarts.rs
@@ -115,6 +115,7 @@
     assert!(harness.starts.is_empty());
     harness.advance(2_000);
     assert!(harness.stops.is_empty(), "the incarnation refuses the run");
+    assert_eq!(harness.event_count("run_refused_after_restart"), 1);
 }
 
 /// Guards against work that waits for good after a poll met a later incarnation of which nothing more is
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -28,8 +28,8 @@
     /// Ends of runs in the answers to polls, by kind of end. A worker repeats an end until the end
     /// is committed, and each repetition counts.
     pub run_ends: IntCounterVec,
-    /// Decisions of the dispatcher and changes in what it knows, by the name of their event. Unlike
-    /// the lines of the log they are never left out.
+    /// Decisions of the dispatcher and changes in what it knows, and orders for upkeep that were not
+    /// sent, by the name of their event. Unlike the lines of the log they are never left out.
     pub decisions: IntCounterVec,
     /// Seconds that one step of the dispatcher took.
     pub dispatch_step: Histogram,
@@ -100,7 +100,10 @@
             decisions: register(
                 &registry,
                 IntCounterVec::new(
-                    Opts::new("tarragon_entry_decisions_total", "Events of the dispatcher"),
+                    Opts::new(
+                        "tarragon_entry_decisions_total",
+                        "Events of the dispatcher and of upkeep",
+                    ),
                     &["event"],
                 ),
             )?,
--- a/lib/entry/src/upkeep_loop.rs
+++ b/lib/entry/src/upkeep_loop.rs
@@ -216,6 +216,8 @@
             let event = Event::warning("upkeep_not_ordered");
             let detail = format!("machine {machine}, wave {key}: the lease has lapsed");
             self.events.emit(&event.detail(detail));
+            let decisions = &host.metrics.decisions;
+            decisions.with_label_values(&["upkeep_not_ordered"]).inc();
             return None;
         };
         let worker = incarnation.as_ref().map(|ended| ended.worker.clone());
