--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -16,6 +16,7 @@
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
     late_orders::LateOrders,
+    run_rate::RunRate,
     run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
     step_plan::StepPlan,
     worker_speed::WorkerSpeed,
@@ -83,6 +84,8 @@
     pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
     pub(crate) next_placement_at: Millis,
+    /// Whether no other host can have been elected, so that orders may be sent.
+    pub(crate) is_sole_leader: bool,
     /// Time since which no other host can have been the leader.
     pub(crate) sole_leader_since: Millis,
     /// Time of the next check for expired leases and overdue runs.
@@ -136,6 +139,7 @@
             late_orders: LateOrders::default(),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
+            is_sole_leader: false,
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
             now: Millis(0),
@@ -159,12 +163,17 @@
     ) -> Vec<Output> {
         self.now = self.now.max(now);
         self.now_ms = now_ms;
+        let was_sole_leader = std::mem::replace(&mut self.is_sole_leader, is_sole_leader);
         if !is_sole_leader {
             self.sole_leader_since = self.now;
         }
         for input in inputs {
             self.handle_input(input);
         }
+        if was_sole_leader && !is_sole_leader && self.term.is_some() {
+            let detail = "the lease has lapsed".to_owned();
+            self.emit(DecisionEvent::new("orders_withheld", detail).warning());
+        }
         if self.term.is_some() {
             self.workers.update_index(self.now);
             if self.needs_placement && self.now >= self.next_placement_at {
@@ -233,6 +242,7 @@
     }
 
     fn handle_input(&mut self, input: Input) {
+        self.report_refused_term(&input);
         match input {
             Input::BecameLeader { term } => self.start_leading(term),
             Input::LostLeadership => self.stop_leading(),
@@ -315,7 +325,7 @@
                 view.start = StartState::Inherited;
                 view.start_may_arrive_until = self.now + START_ORDER_LIFETIME;
                 if view.spec.is_best_effort {
-                    view.ordered_rate = None;
+                    view.rate = RunRate::unknown();
                 }
                 state.insert_run(task, view);
                 self.placed.insert((task, placement.incarnation.worker));
--- a/lib/dispatch/src/dispatcher_throttle.rs
+++ b/lib/dispatch/src/dispatcher_throttle.rs
@@ -35,7 +35,9 @@
     /// target, and raises their rate in steps once all tail latencies are well below their targets.
     pub(crate) fn throttle_best_effort(&mut self, worker: &WorkerName) {
         let (now, cfg) = (self.now, self.cfg);
-        let Some(term) = self.term else { return };
+        let Some(term) = self.term.filter(|_| self.is_sole_leader) else {
+            return;
+        };
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -55,8 +57,8 @@
                 && !view.is_ended
                 && view.stop == StopState::NotRequested
                 && matches!(view.start, StartState::Present { .. });
-            if can_be_throttled && view.ordered_rate != Some(rate) {
-                view.ordered_rate = Some(rate);
+            if can_be_throttled && view.rate.needs_order(rate, now) {
+                view.rate.order_sent(rate, now, cfg.order_timeout);
                 due.push((*task, view.run));
             }
         }
@@ -78,7 +80,7 @@
     }
 
     /// Handles the result of a throttle order. Unless the order was accepted, the rate of the run
-    /// is unknown, and the next poll of the worker sends the order again.
+    /// is unknown, and the order is sent again after the next poll of the worker.
     pub(crate) fn throttle_order_finished(
         &mut self,
         incarnation: &WorkerIncarnation,
@@ -86,13 +88,14 @@
         run: u32,
         outcome: OrderOutcome,
     ) {
-        if outcome == OrderOutcome::Accepted {
-            return;
-        }
+        let now = self.now;
         let state = self.workers.get_incarnation_mut(incarnation);
         let view = state.and_then(|state| state.runs.get_mut(&task));
         if let Some(view) = view.filter(|view| view.run == run) {
-            view.ordered_rate = None;
+            view.rate.order_finished(outcome, now);
+        }
+        if outcome == OrderOutcome::Accepted {
+            return;
         }
         self.emit(
             DecisionEvent::new("pace_not_accepted", outcome.to_string())
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -411,6 +411,12 @@
         self.proposed.iter().filter(is_lost).count()
     }
 
+    /// Number of events with this name.
+    pub fn event_count(&self, name: &str) -> usize {
+        let events = self.events.iter();
+        events.filter(|event| event.name == name).count()
+    }
+
     /// Number of start orders by worker.
     pub fn started_on(&self) -> BTreeMap<String, usize> {
         let mut count = BTreeMap::new();
