dispatch: log what waiting steps wait for and why workers are not usable

While steps waited beside idle workers, the log showed neither which steps had no request for advice and why, nor which workers could not be named. steps_waiting tells both once a second for each pool, with the cause of each pause of a worker. Placement is unchanged.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -84,6 +84,8 @@
     pub(crate) sole_leader_since: Millis,
     /// Time of the next check for expired leases and overdue runs.
     pub(crate) next_expiry_at: Millis,
+    /// Earliest time of the next report on waiting steps.
+    pub(crate) next_report_at: Millis,
     pub(crate) now: Millis,
     pub(crate) now_ms: u64,
 }
@@ -134,6 +136,7 @@
             next_placement_at: Millis(0),
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
+            next_report_at: Millis(0),
             now: Millis(0),
             now_ms: 0,
         }
@@ -168,6 +171,7 @@
                 self.next_placement_at = self.now + self.cfg.placement_interval;
                 self.new_steps.clear();
                 self.place();
+                self.report_waiting_steps();
             } else {
                 self.place_new_steps();
             }
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -13,6 +13,7 @@
     nameable_workers::NameableWorkers,
     packing::Candidate,
     step_plan::StepPlan,
+    wait::Wait,
 };
 
 /// Largest number of workers named in one request.
@@ -80,8 +81,11 @@
             .queue
             .advice
             .map_or(Millis(0), |terms| request_duration(&terms, 0));
-        if self.now < plan.advice.next_request_at || !self.relays.has_idle_relay(duration, self.now)
-        {
+        let has_relay = self.relays.has_idle_relay(duration, self.now);
+        if self.now < plan.advice.next_request_at || !has_relay {
+            if !has_relay {
+                self.set_wait(&key, Wait::Relay);
+            }
             self.claim(&key, CandidateSet::Approved, claims);
             return;
         }
@@ -97,6 +101,7 @@
         if workers.is_empty() {
             if let Some(plan) = self.plans.get_mut(&key) {
                 plan.advice.next_request_at = self.now + NO_WORKER_PAUSE;
+                plan.wait = Wait::Worker;
             }
             self.renew_tickets_early(key, duration);
         } else {
@@ -250,6 +255,7 @@
         };
         self.last_request_id = request_id;
         plan.advice.open_request = Some(request_id);
+        plan.wait = Wait::Advice;
         let asked = plan.asked_on_each(workers.len());
         for worker in &workers {
             if let Some(state) = self.workers.get_mut(worker) {
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     DecisionEvent, Dispatcher, advice::Advice, run_spec::RunSpec, run_view::StartState,
-    step_plan::StepPlan,
+    step_plan::StepPlan, unusable::Unusable, wait::Wait,
 };
 
 /// Time without placements on a worker after the first failed run.
@@ -140,6 +140,7 @@
             not_before: Millis(0),
             next_preemption_at: Millis(0),
             capacity_by: Millis(0),
+            wait: Wait::default(),
         };
         if !plan.step().best_effort && !plan.step().long_running {
             let need = plan.waiting_need().cpu_milli;
@@ -351,7 +352,7 @@
         if let Some(state) = self.workers.get_mut(worker) {
             let pause = FAILED_RUN_PAUSE.0 << state.failures_in_a_row.min(MAX_PAUSE_DOUBLINGS);
             state.failures_in_a_row += 1;
-            state.avoid_until = state.avoid_until.max(now + Millis(pause));
+            state.avoid(now + Millis(pause), Unusable::FailedRuns);
         }
     }
 
@@ -363,6 +364,7 @@
                 HealthDecision::Quarantine { worker, probe_at } => {
                     if let Some(state) = self.workers.get_mut(&worker) {
                         state.avoid_until = probe_at;
+                        state.avoid_cause = Unusable::SetAside;
                     }
                     let detail = format!("until {probe_at:?}");
                     self.emit(
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -9,6 +9,7 @@
     DecisionEvent, Dispatcher, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
     backoff::backoff,
     run_view::{START_ORDER_LIFETIME, StartState, StopState},
+    unusable::Unusable,
 };
 
 /// Time without placements on a worker that refused a start as unhealthy or full.
@@ -150,7 +151,7 @@
         if let Some(state) = self.workers.get_mut(&incarnation.worker) {
             match refusal {
                 Refusal::Unhealthy | Refusal::Capacity | Refusal::Unreachable => {
-                    state.avoid_until = state.avoid_until.max(now + REFUSING_WORKER_PAUSE);
+                    state.avoid(now + REFUSING_WORKER_PAUSE, Unusable::Avoided);
                 }
                 Refusal::Fence => state.suspend_polls(now),
                 _ => {}
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -12,6 +12,7 @@
     run_spec::RunSpec,
     run_view::RunView,
     step_plan::StepPlan,
+    wait::Wait,
     worker_state::WorkerState,
 };
 
@@ -123,6 +124,7 @@
             return;
         };
         if self.must_leave_headroom(plan) {
+            self.set_wait(&key, Wait::Headroom);
             return;
         }
         if plan.queue.advice.is_some() {
@@ -131,6 +133,7 @@
             self.release_reservation(&key);
             self.place_tasks(key, &chosen);
         } else if !self.preempt(key, CandidateSet::All, claims) {
+            self.set_wait(&key, Wait::Worker);
             self.release_reservation(&key);
             self.claim(&key, CandidateSet::All, claims);
         }
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -6,7 +6,7 @@
 use tarragon_names::{Millis, Resources, WorkerName};
 use tarragon_workflow::{JobSpec, Queue, StepKey, StepSpec};
 
-use crate::advice::Advice;
+use crate::{advice::Advice, wait::Wait};
 
 /// Part of the time until its objective, in percent, that a step leaves to more urgent steps.
 const LONG_WAIT_PERCENT: u64 = 25;
@@ -33,6 +33,7 @@
     pub(crate) next_preemption_at: Millis,
     /// Time by which the runs that were stopped for the step have ended.
     pub(crate) capacity_by: Millis,
+    pub(crate) wait: Wait,
 }
 
 impl StepPlan {
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -4,7 +4,8 @@
 use tarragon_workflow::{StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
-    DispatchConfig, dispatcher_throttle::FULL_RATE, run_view::RunView, worker_speed::WorkerSpeed,
+    DispatchConfig, dispatcher_throttle::FULL_RATE, run_view::RunView, unusable::Unusable,
+    worker_speed::WorkerSpeed,
 };
 
 /// Slowest rate of a worker's clock relative to the leader's, in percent.
@@ -80,6 +81,8 @@
     /// Nothing is placed on the worker before this time, because it failed, refused or delayed
     /// runs, or because its machine goes down.
     pub(crate) avoid_until: Millis,
+    /// Cause of the longest of these pauses.
+    pub(crate) avoid_cause: Unusable,
 }
 
 impl WorkerState {
@@ -116,6 +119,7 @@
             best_effort_rate: FULL_RATE,
             below_target_since: None,
             avoid_until: Millis(0),
+            avoid_cause: Unusable::Avoided,
         }
     }
 
@@ -252,13 +256,31 @@
 
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        self.is_synced
-            && self.takes_orders()
-            && self.going_down_since.is_none()
-            && !self.record.is_draining
-            && self.leaves_at.is_none()
-            && self.poll_failures == 0
-            && now >= self.avoid_until
+        self.unusable(now).is_none()
+    }
+
+    /// Returns why no new tasks may be placed on the worker; `None` if they may.
+    pub(crate) fn unusable(&self, now: Millis) -> Option<Unusable> {
+        let is_going_down = self.going_down_since.is_some() || self.record.is_draining;
+        if !self.takes_orders() {
+            Some(Unusable::LeaseOver)
+        } else if !self.is_synced {
+            Some(Unusable::Unsynced)
+        } else if is_going_down || self.leaves_at.is_some() {
+            Some(Unusable::GoingDown)
+        } else if self.poll_failures > 0 {
+            Some(Unusable::Silent)
+        } else {
+            (now < self.avoid_until).then_some(self.avoid_cause)
+        }
+    }
+
+    /// Places nothing on the worker before `until`, or longer if another pause lasts longer.
+    pub(crate) fn avoid(&mut self, until: Millis, cause: Unusable) {
+        if until > self.avoid_until {
+            self.avoid_until = until;
+            self.avoid_cause = cause;
+        }
     }
 
     /// Sends no polls for a while: another host leads or the incarnation has ended, and the log
