dispatch: end the quarantine of a worker that succeeds again

A worker was set aside at most once in a term of the leader and never restored: the dispatcher took no due probes from the health table, which restores a worker only by the success of its probe. Each such worker kept its place under the limit for good, so after 30% of the workers had been set aside once, no failing worker was set aside any more.

The dispatcher now takes the due probes with its other timed work: from then on the next end on the worker decides. A failed probe is reported as ProbeFailed, and the delay doubles up to 12 s.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -26,6 +26,10 @@
 /// Time from the quarantine of a worker until it may get a task again.
 const PROBE_DELAY: Millis = Millis(3_000);
 
+/// Longest time until a quarantined worker may get a task again, so that a repaired one returns
+/// within it.
+const MAX_PROBE_DELAY: Millis = Millis(12_000);
+
 /// Highest share of workers in quarantine, in percent. Without it, a job that fails everywhere
 /// would empty the pool.
 const MAX_QUARANTINED_PERCENT: usize = 30;
@@ -106,6 +110,7 @@
         let health = HealthConfig {
             min_failed_jobs: QUARANTINE_FAILED_JOBS,
             min_probe_delay: PROBE_DELAY,
+            max_probe_delay: MAX_PROBE_DELAY,
             max_quarantined_percent: MAX_QUARANTINED_PERCENT,
             ..HealthConfig::default()
         };
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -379,6 +379,11 @@
                     }
                     self.emit(DecisionEvent::new("worker_restored", String::new()).worker(&worker));
                 }
+                HealthDecision::ProbeFailed { worker, probe_at } => {
+                    if let Some(state) = self.workers.get_mut(&worker) {
+                        state.avoid(probe_at, Unusable::SetAside);
+                    }
+                }
                 // The replicated state counts the attempts of each job itself.
                 HealthDecision::FailJob { .. } => {}
             }
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -333,6 +333,9 @@
             self.refresh_job(job);
         }
         self.move_overdue_runs();
+        // A quarantined worker is usable again from the time of its probe on: the next run that ends
+        // there is the probe.
+        self.health.take_due_probes(self.now, usize::MAX);
     }
 
     /// Sends the polls that are due.
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -6,8 +6,9 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use tarragon_dispatch::{
-    AdviceAnswer, AdviceRequest, DispatchConfig, Dispatcher, FinishedRun, Input, OrderOutcome,
-    Output, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder, StopOrder, ThrottleOrder,
+    AdviceAnswer, AdviceRequest, DecisionEvent, DispatchConfig, Dispatcher, FinishedRun, Input,
+    OrderOutcome, Output, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder, StopOrder,
+    ThrottleOrder,
 };
 use tarragon_names::{
     DomainName, HostName, Millis, Name, PoolName, RackName, Resources, WorkerName,
@@ -36,6 +37,7 @@
     pub throttles: Vec<ThrottleOrder>,
     pub advice_requests: Vec<AdviceRequest>,
     pub proposed: Vec<RunEvent>,
+    pub events: Vec<DecisionEvent>,
     /// Whether proposed commands are queued instead of committed.
     pub is_log_paused: bool,
     /// Whether no other host can have been elected.
@@ -135,6 +137,7 @@
             throttles: Vec::new(),
             advice_requests: Vec::new(),
             proposed: Vec::new(),
+            events: Vec::new(),
             is_log_paused: false,
             is_sole_leader: true,
             uncommitted: Vec::new(),
@@ -180,7 +183,7 @@
                 Output::Stop(order) => self.stops.push(order),
                 Output::Throttle(order) => self.throttles.push(order),
                 Output::RequestAdvice(call) => self.advice_requests.push(call),
-                Output::Event(_) => {}
+                Output::Event(event) => self.events.push(event),
             }
         }
     }
--- a/lib/health/src/health_decision.rs
+++ b/lib/health/src/health_decision.rs
@@ -10,6 +10,13 @@
         /// Time at which the first probe is due.
         probe_at: Millis,
     },
+    /// Place no more tasks on the worker until its next probe, because its probe failed.
+    ProbeFailed {
+        /// Quarantined worker.
+        worker: WorkerName,
+        /// Time at which the next probe is due.
+        probe_at: Millis,
+    },
     /// Place tasks on the worker again, because a task succeeded there during a probe.
     Restore {
         /// Worker to restore.
--- a/lib/health/src/health_table.rs
+++ b/lib/health/src/health_table.rs
@@ -139,8 +139,11 @@
                 quarantine.probe_delay =
                     Millis(quarantine.probe_delay.0 * 2).min(self.cfg.max_probe_delay);
                 quarantine.probe_at = now + quarantine.probe_delay;
-                let probe = (quarantine.probe_at, worker.clone());
+                let probe_at = quarantine.probe_at;
+                let probe = (probe_at, worker.clone());
                 self.probes.with_shard(0, |probes| probes.insert(probe));
+                let worker = worker.clone();
+                decisions.push(HealthDecision::ProbeFailed { worker, probe_at });
             }
             return;
         }
--- a/lib/scheduler/src/scheduler_jobs.rs
+++ b/lib/scheduler/src/scheduler_jobs.rs
@@ -236,6 +236,8 @@
                     .actions
                     .push(SchedAction::Log(SchedLog::Restored { worker }));
             }
+            // The next probe opens the worker.
+            HealthDecision::ProbeFailed { .. } => {}
             HealthDecision::FailJob { job, workers } => {
                 let cause = format!("failed on {} workers that run other jobs", workers.len());
                 Self::refuse(leader_state, job, Failure::new(Code::TaskFailed, cause));
