health: a job that fails everywhere pauses no sound worker

Each failed run paused its worker for 1 to 4 s, whoever was at fault.

The health table, which already knows on which workers a job failed, now decides who is suspected: a quick failure counts against a worker only if the job has failed on no other, and once it fails on another one, the failure is withdrawn, with the pause or the quarantine that rests on it alone. A probe that ends with such a job is repeated at once. Pauses and quarantine share one limit of 30% of the workers: before a job was tried again nobody knows who is at fault, and with all workers paused it is not tried again.

Two tests of the health table compared the whole list of decisions; the lists now hold the new decisions and are still compared as a whole.

Evidence: jobs_that_fail_everywhere_pause_no_sound_worker and the cases of worker_that_fails_everything_is_avoided_beside_hopeless_jobs with hopeless jobs failed before and pass now.

--- a/cli/src/bench/health_simulation.rs
+++ b/cli/src/bench/health_simulation.rs
@@ -282,7 +282,10 @@
                     self.quarantined.remove(&worker);
                     self.restored_after_repair += u64::from(worker < self.bad_workers);
                 }
-                HealthDecision::ProbeFailed { .. } => {}
+                HealthDecision::Clear { worker } => {
+                    self.quarantined.remove(&self.worker_indices[&worker]);
+                }
+                HealthDecision::ProbeFailed { .. } | HealthDecision::Suspect { .. } => {}
                 HealthDecision::FailJob { .. } if job.is_bad => self.bad_jobs_failed += 1,
                 HealthDecision::FailJob { .. } => self.good_jobs_failed += 1,
             }
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -30,9 +30,9 @@
 /// within it.
 const MAX_PROBE_DELAY: Millis = Millis(12_000);
 
-/// Highest share of workers in quarantine, in percent. Without it, a job that fails everywhere
-/// would empty the pool.
-const MAX_QUARANTINED_PERCENT: usize = 30;
+/// Highest share of workers that are avoided for failed runs, in percent: in quarantine, or paused
+/// after a failed run. Without it, jobs that fail everywhere would empty the pool.
+pub(crate) const MAX_FAILING_PERCENT: usize = 30;
 
 /// Number of different jobs that must fail on a worker, with no success in between, before the
 /// worker is quarantined.
@@ -111,7 +111,7 @@
             min_failed_jobs: QUARANTINE_FAILED_JOBS,
             min_probe_delay: PROBE_DELAY,
             max_probe_delay: MAX_PROBE_DELAY,
-            max_quarantined_percent: MAX_QUARANTINED_PERCENT,
+            max_quarantined_percent: MAX_FAILING_PERCENT,
             ..HealthConfig::default()
         };
         Self {
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -8,15 +8,15 @@
 };
 
 use crate::{
-    DecisionEvent, Dispatcher, advice::Advice, run_spec::RunSpec, run_view::StartState,
-    step_plan::StepPlan, unusable::Unusable, wait::Wait,
+    DecisionEvent, Dispatcher, advice::Advice, dispatcher::MAX_FAILING_PERCENT, run_spec::RunSpec,
+    run_view::StartState, step_plan::StepPlan, wait::Wait,
 };
 
 /// Time without placements on a worker after the first failed run.
 const FAILED_RUN_PAUSE: Millis = Millis(1_000);
 
-/// Number of failed runs after which the pause no longer doubles.
-const MAX_PAUSE_DOUBLINGS: u32 = 2;
+/// Number of failed jobs after which the pause no longer doubles.
+const MAX_PAUSE_DOUBLINGS: usize = 2;
 
 impl Dispatcher {
     /// Updates the plans and runs of a job from its replicated state: plans the steps that are
@@ -324,9 +324,6 @@
         let job = JobId(task.step.job.0);
         match end {
             RunEnd::Done => {
-                if let Some(state) = self.workers.get_mut(worker) {
-                    state.failures_in_a_row = 0;
-                }
                 let decisions = self.health.record_success(worker, job, self.now);
                 self.apply_health_decisions(decisions);
             }
@@ -334,7 +331,6 @@
                 if let Some(plan) = self.plans.get_mut(&task.step) {
                     plan.failed_on.insert(worker.clone());
                 }
-                self.pause_failing_worker(worker);
                 let decisions = self.health.record_failure(worker, job, self.now, true);
                 self.apply_health_decisions(decisions);
             }
@@ -342,17 +338,25 @@
         }
     }
 
-    /// Places nothing on a worker for a while after a failed run, and longer after each further one
-    /// with no success in between.
+    /// Places nothing on a worker for a while after a run failed there of a job that failed on no
+    /// other worker, and longer after each further such job with no success in between.
     ///
     /// A worker that fails everything would otherwise end many gangs before enough different jobs
-    /// have failed there for its quarantine; a sound one loses little.
-    fn pause_failing_worker(&mut self, worker: &WorkerName) {
+    /// have failed there for its quarantine; a sound one loses little. Before a job was tried
+    /// again it is unknown who is at fault, so a limit holds: many jobs that fail everywhere would
+    /// pause all workers, and with them the further attempts that tell.
+    fn pause_failing_worker(&mut self, worker: &WorkerName, failed_jobs: usize) {
         let now = self.now;
+        let others = self.workers.iter().filter(|(name, _)| *name != worker);
+        let avoided = others.filter(|(_, state)| state.is_avoided_for_failures(now));
+        let limit = (self.workers.len() * MAX_FAILING_PERCENT / 100).max(1);
+        if avoided.count() >= limit {
+            return;
+        }
         if let Some(state) = self.workers.get_mut(worker) {
-            let pause = FAILED_RUN_PAUSE.0 << state.failures_in_a_row.min(MAX_PAUSE_DOUBLINGS);
-            state.failures_in_a_row += 1;
-            state.avoid(now + Millis(pause), Unusable::FailedRuns);
+            let doublings = failed_jobs.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
+            let pause = Millis(FAILED_RUN_PAUSE.0 << doublings);
+            state.paused_until = state.paused_until.max(now + pause);
         }
     }
 
@@ -361,10 +365,13 @@
 
         for decision in decisions {
             match decision {
+                HealthDecision::Suspect {
+                    worker,
+                    failed_jobs,
+                } => self.pause_failing_worker(&worker, failed_jobs),
                 HealthDecision::Quarantine { worker, probe_at } => {
                     if let Some(state) = self.workers.get_mut(&worker) {
-                        state.avoid_until = probe_at;
-                        state.avoid_cause = Unusable::SetAside;
+                        state.set_aside_until = probe_at;
                     }
                     let detail = format!("until {probe_at:?}");
                     self.emit(
@@ -373,15 +380,21 @@
                             .warning(),
                     );
                 }
+                HealthDecision::Clear { worker } => {
+                    if let Some(state) = self.workers.get_mut(&worker) {
+                        state.paused_until = Millis(0);
+                        state.set_aside_until = Millis(0);
+                    }
+                }
                 HealthDecision::Restore { worker } => {
                     if let Some(state) = self.workers.get_mut(&worker) {
-                        state.avoid_until = Millis(0);
+                        state.set_aside_until = Millis(0);
                     }
                     self.emit(DecisionEvent::new("worker_restored", String::new()).worker(&worker));
                 }
                 HealthDecision::ProbeFailed { worker, probe_at } => {
                     if let Some(state) = self.workers.get_mut(&worker) {
-                        state.avoid(probe_at, Unusable::SetAside);
+                        state.set_aside_until = probe_at;
                     }
                 }
                 // The replicated state counts the attempts of each job itself.
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -9,7 +9,6 @@
     DecisionEvent, Dispatcher, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
     backoff::backoff,
     run_view::{START_ORDER_LIFETIME, StartState, StopState},
-    unusable::Unusable,
 };
 
 /// Time without placements on a worker that refused a start as unhealthy or full.
@@ -151,7 +150,7 @@
         if let Some(state) = self.workers.get_mut(&incarnation.worker) {
             match refusal {
                 Refusal::Unhealthy | Refusal::Capacity | Refusal::Unreachable => {
-                    state.avoid(now + REFUSING_WORKER_PAUSE, Unusable::Avoided);
+                    state.avoid_until = state.avoid_until.max(now + REFUSING_WORKER_PAUSE);
                 }
                 Refusal::Fence => state.suspend_polls(now),
                 _ => {}
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -13,7 +13,6 @@
     DecisionEvent, Dispatcher,
     dispatcher_throttle::FULL_RATE,
     run_view::{RunView, StartState, StopState},
-    unusable::Unusable,
     worker_state::WorkerState,
 };
 
@@ -80,7 +79,7 @@
                 if state.avoid_until <= now {
                     suspects.push(worker.clone());
                 }
-                state.avoid(now + SUSPECT_PAUSE, Unusable::Avoided);
+                state.avoid_until = state.avoid_until.max(now + SUSPECT_PAUSE);
             }
             for (task, view) in &state.runs {
                 if view.has_unaccepted_stop(now, self.cfg.order_timeout) {
@@ -110,7 +109,7 @@
     pub(crate) fn avoid_worker(&mut self, worker: &WorkerName) {
         let until = self.now + SUSPECT_PAUSE;
         if let Some(state) = self.workers.get_mut(worker) {
-            state.avoid(until, Unusable::Avoided);
+            state.avoid_until = state.avoid_until.max(until);
         }
     }
 
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -70,19 +70,19 @@
     pub(crate) is_lease_expired: bool,
     /// Duration of runs on this worker, relative to their estimates.
     pub(crate) speed: WorkerSpeed,
-    /// Number of failed runs since the last successful one.
-    pub(crate) failures_in_a_row: u32,
     /// Time at which the last successful run was reported.
     pub(crate) last_success_at: Millis,
     /// Rate of the best-effort runs on this worker, in percent.
     pub(crate) best_effort_rate: u64,
     /// Time since which all latency-sensitive runs on this worker are well below their targets.
     pub(crate) below_target_since: Option<Millis>,
-    /// Nothing is placed on the worker before this time, because it failed, refused or delayed
-    /// runs, or because its machine goes down.
+    /// Nothing is placed on the worker before this time, because it refused or delayed runs, or
+    /// because its machine goes down.
     pub(crate) avoid_until: Millis,
-    /// Cause of the longest of these pauses.
-    pub(crate) avoid_cause: Unusable,
+    /// End of the pause after failed runs.
+    pub(crate) paused_until: Millis,
+    /// Time of the next probe, while the worker is quarantined.
+    pub(crate) set_aside_until: Millis,
 }
 
 impl WorkerState {
@@ -114,12 +114,12 @@
             restart_seen_at: None,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
-            failures_in_a_row: 0,
             last_success_at: Millis(0),
             best_effort_rate: FULL_RATE,
             below_target_since: None,
             avoid_until: Millis(0),
-            avoid_cause: Unusable::Avoided,
+            paused_until: Millis(0),
+            set_aside_until: Millis(0),
         }
     }
 
@@ -270,17 +270,18 @@
             Some(Unusable::GoingDown)
         } else if self.poll_failures > 0 {
             Some(Unusable::Silent)
+        } else if now < self.set_aside_until {
+            Some(Unusable::SetAside)
+        } else if now < self.paused_until {
+            Some(Unusable::FailedRuns)
         } else {
-            (now < self.avoid_until).then_some(self.avoid_cause)
+            (now < self.avoid_until).then_some(Unusable::Avoided)
         }
     }
 
-    /// Places nothing on the worker before `until`, or longer if another pause lasts longer.
-    pub(crate) fn avoid(&mut self, until: Millis, cause: Unusable) {
-        if until > self.avoid_until {
-            self.avoid_until = until;
-            self.avoid_cause = cause;
-        }
+    /// Returns whether nothing is placed on the worker because of failed runs.
+    pub(crate) fn is_avoided_for_failures(&self, now: Millis) -> bool {
+        now < self.paused_until.max(self.set_aside_until)
     }
 
     /// Sends no polls for a while: another host leads or the incarnation has ended, and the log
--- a/lib/dispatch/tests/failing_jobs.rs
+++ b/lib/dispatch/tests/failing_jobs.rs
@@ -7,6 +7,7 @@
 use common::{Harness, step, worker};
 use tarragon_dispatch::OrderOutcome;
 use tarragon_workflow::RunEnd;
+use yare::parameterized;
 
 /// Jobs from this number on fail on every worker.
 const FIRST_HOPELESS_JOB: u64 = 1_000_000;
@@ -107,3 +108,44 @@
     cluster.submit_every(80, 100, 0);
     assert!(cluster.has_event("worker_set_aside", "w2"));
 }
+
+/// Guards against sound workers that stay idle because jobs that fail everywhere have failed there:
+/// each such run once paused its worker for one to four seconds.
+#[parameterized(
+    one_task_each = { 1 },
+    several_tasks_each = { 4 },
+)]
+fn jobs_that_fail_everywhere_pause_no_sound_worker(tasks: u32) {
+    let mut cluster = Cluster::new(4, None);
+    for _ in 0..12 {
+        cluster.submit(true, tasks, 2);
+    }
+    cluster.advance(3_000);
+    for _ in 0..12 {
+        cluster.submit(true, tasks, 2);
+    }
+    cluster.advance(500);
+    cluster.started.clear();
+    cluster.submit(false, 4, 8);
+    cluster.advance(60);
+    assert_eq!(cluster.started.len(), 4, "{:?}", cluster.started);
+}
+
+/// Guards against a worker that fails everything and goes on to get tasks because jobs that fail
+/// everywhere excuse its failures.
+#[parameterized(
+    sound_jobs_alone = { 0 },
+    one_hopeless_job_in_four = { 1 },
+    half_of_the_jobs_hopeless = { 2 },
+)]
+fn worker_that_fails_everything_is_avoided_beside_hopeless_jobs(hopeless: usize) {
+    let mut cluster = Cluster::new(4, Some("w1"));
+    cluster.submit_every(80, 100, hopeless);
+    let failing = cluster.started["w1"];
+    let sound = cluster.started.values().sum::<usize>() - failing;
+    assert!(
+        sound >= 300 && failing * 12 <= sound,
+        "{:?}",
+        cluster.started
+    );
+}
--- a/lib/health/src/health_decision.rs
+++ b/lib/health/src/health_decision.rs
@@ -3,6 +3,20 @@
 /// Decision of the health table, to be carried out by its caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HealthDecision {
+    /// Place nothing on the worker for a short time, because a job failed there quickly and on no
+    /// other worker.
+    Suspect {
+        /// Worker to avoid.
+        worker: WorkerName,
+        /// Number of such jobs since the last success on the worker.
+        failed_jobs: usize,
+    },
+    /// Place tasks on the worker again: no failed job counts against it any more, because the jobs
+    /// failed on other workers too.
+    Clear {
+        /// Worker that was suspected or quarantined.
+        worker: WorkerName,
+    },
     /// Place no more tasks on the worker until it runs a probe task.
     Quarantine {
         /// Worker to quarantine.
--- a/lib/health/src/health_table.rs
+++ b/lib/health/src/health_table.rs
@@ -86,7 +86,7 @@
                 // The job fails on several workers, so its failures are no evidence against any of
                 // them.
                 for other in &failures.workers {
-                    self.with_worker(other, |health| health.suspicious_failures.remove(&job));
+                    decisions.extend(self.withdraw_failure(other, job));
                 }
             }
             let is_only_worker = failures.workers.len() == 1;
@@ -124,6 +124,25 @@
         decisions
     }
 
+    /// Withdraws the failure of a job from the evidence against a worker, and ends the quarantine
+    /// that rests on it alone.
+    fn withdraw_failure(&self, worker: &WorkerName, job: JobId) -> Option<HealthDecision> {
+        self.with_worker(worker, |health| {
+            if !health.withdraw(job) {
+                return None;
+            }
+            if let Some(quarantine) = health.quarantine.take() {
+                self.quarantined_count.fetch_sub(1, Ordering::Relaxed);
+                self.probes.with_shard(0, |probes| {
+                    probes.remove(&(quarantine.probe_at, worker.clone()));
+                });
+            }
+            let worker = worker.clone();
+            Some(HealthDecision::Clear { worker })
+        })
+        .flatten()
+    }
+
     fn count_worker_failure(
         &self,
         health: &mut WorkerHealth,
@@ -134,17 +153,26 @@
         decisions: &mut Vec<HealthDecision>,
     ) {
         if let Some(quarantine) = &mut health.quarantine {
-            if quarantine.is_probing {
-                quarantine.is_probing = false;
+            if !quarantine.is_probing {
+                return;
+            }
+            quarantine.is_probing = false;
+            // A failure that says nothing about the worker leaves the probe without an outcome.
+            quarantine.probe_at = now;
+            if is_evidence {
+                if quarantine.evidence.len() < self.cfg.min_failed_jobs {
+                    quarantine.evidence.insert(job);
+                }
                 quarantine.probe_delay =
                     Millis(quarantine.probe_delay.0 * 2).min(self.cfg.max_probe_delay);
                 quarantine.probe_at = now + quarantine.probe_delay;
-                let probe_at = quarantine.probe_at;
-                let probe = (probe_at, worker.clone());
-                self.probes.with_shard(0, |probes| probes.insert(probe));
-                let worker = worker.clone();
-                decisions.push(HealthDecision::ProbeFailed { worker, probe_at });
+                decisions.push(HealthDecision::ProbeFailed {
+                    worker: worker.clone(),
+                    probe_at: quarantine.probe_at,
+                });
             }
+            let probe = (quarantine.probe_at, worker.clone());
+            self.probes.with_shard(0, |probes| probes.insert(probe));
             return;
         }
         if !is_evidence {
@@ -160,11 +188,11 @@
         {
             let probe_at = now + self.cfg.min_probe_delay;
             health.quarantine = Some(Quarantine {
+                evidence: std::mem::take(&mut health.suspicious_failures),
                 probe_at,
                 probe_delay: self.cfg.min_probe_delay,
                 is_probing: false,
             });
-            health.suspicious_failures.clear();
             health.recent_failures.clear();
             health.recent_successes = [None; 2];
             self.probes
@@ -173,7 +201,12 @@
                 worker: worker.clone(),
                 probe_at,
             });
+            return;
         }
+        decisions.push(HealthDecision::Suspect {
+            worker: worker.clone(),
+            failed_jobs: health.suspicious_failures.len(),
+        });
     }
 
     /// Counts a task that succeeded.
@@ -190,6 +223,7 @@
             health.record_success(job);
             if !health
                 .quarantine
+                .as_ref()
                 .is_some_and(|quarantine| quarantine.is_probing)
             {
                 return Vec::new();
--- a/lib/health/src/worker_health.rs
+++ b/lib/health/src/worker_health.rs
@@ -25,8 +25,10 @@
 const MAX_RECENT_FAILURES: usize = MAX_OTHER_FAILURES + 2;
 
 /// State of a quarantined worker.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Quarantine {
+    /// Jobs that led to the quarantine and have failed on no other worker since.
+    pub(crate) evidence: BTreeSet<JobId>,
     /// Time at which the next probe is due.
     pub(crate) probe_at: Millis,
     /// Delay before the next probe, doubled after each failed one.
@@ -50,6 +52,16 @@
         }
     }
 
+    /// Withdraws a job that failed on another worker too from the evidence against this one. Returns
+    /// whether that was the last evidence.
+    pub(crate) fn withdraw(&mut self, job: JobId) -> bool {
+        let evidence = match &mut self.quarantine {
+            Some(quarantine) => &mut quarantine.evidence,
+            None => &mut self.suspicious_failures,
+        };
+        evidence.remove(&job) && evidence.is_empty()
+    }
+
     /// Returns whether jobs other than `job` succeed here.
     ///
     /// The worker may have become faulty after a success, so the success no longer counts once
--- a/lib/health/tests/health_table.rs
+++ b/lib/health/tests/health_table.rs
@@ -20,6 +20,17 @@
         .any(|decision| matches!(decision, HealthDecision::Quarantine { .. }))
 }
 
+fn suspect(n: usize, failed_jobs: usize) -> HealthDecision {
+    HealthDecision::Suspect {
+        worker: worker(n),
+        failed_jobs,
+    }
+}
+
+fn clear(n: usize) -> HealthDecision {
+    HealthDecision::Clear { worker: worker(n) }
+}
+
 /// Guards against keeping a faulty worker in service, and against quarantining a healthy one.
 ///
 /// Each step is a job and its outcome on one worker: quick failure (`q`), slow failure (`s`) or
@@ -82,15 +93,14 @@
         // A repeated failure on the same worker adds no evidence.
         decisions.extend(table.record_failure(&worker(n), JobId(2), Millis(1), true));
     }
-    let workers = (0..3).map(worker).collect();
-    let decision = HealthDecision::FailJob {
-        job: JobId(2),
-        workers,
-    };
-    assert_eq!(
-        decisions,
-        if expected { vec![decision] } else { Vec::new() }
-    );
+    let mut expected_decisions = vec![suspect(0, 1), suspect(0, 1), clear(0)];
+    if expected {
+        expected_decisions.push(HealthDecision::FailJob {
+            job: JobId(2),
+            workers: (0..3).map(worker).collect(),
+        });
+    }
+    assert_eq!(decisions, expected_decisions);
     assert_eq!(table.workers_with_failure(JobId(2)).len(), 3);
 }
 
@@ -124,13 +134,56 @@
     for n in 0..3 {
         table.record_success(&worker(n), JobId(2), Millis(0));
     }
-    for n in 0..3 {
-        assert!(
-            table
-                .record_failure(&worker(n), JobId(2), Millis(1), true)
-                .is_empty()
-        );
+    for (n, expected) in [vec![suspect(0, 1)], vec![clear(0)], vec![]]
+        .iter()
+        .enumerate()
+    {
+        let decisions = table.record_failure(&worker(n), JobId(2), Millis(1), true);
+        assert_eq!(decisions, *expected);
+    }
+}
+
+/// Guards against a sound worker that stays suspected or quarantined because of jobs that fail
+/// everywhere, and against a bad one that is cleared as soon as one of its failed jobs is such a
+/// job.
+#[parameterized(
+    suspected_for_one = { 1, 1, true },
+    suspected_for_two = { 2, 2, true },
+    one_of_two_failed_here_alone = { 2, 1, false },
+    quarantined = { 3, 3, true },
+    quarantined_for_one_that_failed_here_alone = { 3, 2, false },
+)]
+fn failures_elsewhere_clear_a_worker(failed: u64, elsewhere: u64, expected: bool) {
+    let table = table(20);
+    for job in 0..failed {
+        table.record_failure(&worker(0), JobId(job), Millis(0), true);
     }
+    let mut decisions = Vec::new();
+    for job in 0..elsewhere {
+        decisions.extend(table.record_failure(&worker(1), JobId(job), Millis(1), true));
+    }
+    let expected_decisions = if expected { vec![clear(0)] } else { vec![] };
+    assert_eq!(decisions, expected_decisions);
+    assert_eq!(table.is_quarantined(&worker(0)), failed >= 3 && !expected);
+    assert_eq!(
+        table.take_due_probes(Millis(1_000_000), 9).len(),
+        table.quarantined_count()
+    );
+}
+
+/// Guards against a longer quarantine of a sound worker whose probe is a job that fails everywhere.
+#[test]
+fn probe_with_a_job_that_fails_elsewhere_is_repeated() {
+    let table = table(20);
+    for job in 1..=3 {
+        table.record_failure(&worker(0), JobId(job), Millis(0), true);
+    }
+    table.record_failure(&worker(1), JobId(9), Millis(0), true);
+    let now = HealthConfig::default().min_probe_delay;
+    assert_eq!(table.take_due_probes(now, 9), [worker(0)]);
+    let decisions = table.record_failure(&worker(0), JobId(9), now, true);
+    assert_eq!(decisions, [clear(1)]);
+    assert_eq!(table.take_due_probes(now, 9), [worker(0)]);
 }
 
 /// Guards against quarantining every worker when a fault affects all of them.
--- a/lib/scheduler/src/scheduler_jobs.rs
+++ b/lib/scheduler/src/scheduler_jobs.rs
@@ -230,14 +230,14 @@
                     .actions
                     .push(SchedAction::Log(SchedLog::Quarantined { worker }));
             }
-            HealthDecision::Restore { worker } => {
+            HealthDecision::Restore { worker } | HealthDecision::Clear { worker } => {
                 self.update_schedulable(leader_state, &worker);
                 leader_state
                     .actions
                     .push(SchedAction::Log(SchedLog::Restored { worker }));
             }
-            // The next probe opens the worker.
-            HealthDecision::ProbeFailed { .. } => {}
+            // The next probe opens the worker; a suspicion alone closes none here.
+            HealthDecision::ProbeFailed { .. } | HealthDecision::Suspect { .. } => {}
             HealthDecision::FailJob { job, workers } => {
                 let cause = format!("failed on {} workers that run other jobs", workers.len());
                 Self::refuse(leader_state, job, Failure::new(Code::TaskFailed, cause));
