health: a job that succeeds elsewhere speaks against the workers it failed on

A job of which a task has succeeded since its first failure does not fail everywhere. Its first success suspects the workers that it failed on, and its later failures count against their workers, however many there are. Such a pause is no guess, so it has no limit.

Evidence: workers_that_fail_half_of_their_runs_are_avoided failed before and passes now.

--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -338,25 +338,30 @@
         }
     }
 
-    /// Places nothing on a worker for a while after a run failed there of a job that failed on no
-    /// other worker, and longer after each further such job with no success in between.
+    /// Places nothing on a worker for a while after a run failed there of a job that does not fail
+    /// everywhere, and longer after each further such job with no success in between.
     ///
     /// A worker that fails everything would otherwise end many gangs before enough different jobs
-    /// have failed there for its quarantine; a sound one loses little. Before a job was tried
-    /// again it is unknown who is at fault, so a limit holds: many jobs that fail everywhere would
-    /// pause all workers, and with them the further attempts that tell.
-    fn pause_failing_worker(&mut self, worker: &WorkerName, failed_jobs: usize) {
+    /// have failed there for its quarantine; a sound one loses little. Until a job has succeeded
+    /// elsewhere it is uncertain who is at fault, so a limit holds: many jobs that fail everywhere
+    /// would pause all workers, and with them the further attempts that tell.
+    fn pause_failing_worker(&mut self, worker: &WorkerName, is_certain: bool, failed_jobs: usize) {
         let now = self.now;
         let others = self.workers.iter().filter(|(name, _)| *name != worker);
-        let avoided = others.filter(|(_, state)| state.is_avoided_for_failures(now));
+        let suspected = others.filter(|(_, state)| state.is_suspected(now));
         let limit = (self.workers.len() * MAX_FAILING_PERCENT / 100).max(1);
-        if avoided.count() >= limit {
+        if !is_certain && suspected.count() >= limit {
             return;
         }
         if let Some(state) = self.workers.get_mut(worker) {
             let doublings = failed_jobs.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
-            let pause = Millis(FAILED_RUN_PAUSE.0 << doublings);
-            state.paused_until = state.paused_until.max(now + pause);
+            let until = now + Millis(FAILED_RUN_PAUSE.0 << doublings);
+            let paused_until = if is_certain {
+                &mut state.failing_until
+            } else {
+                &mut state.paused_until
+            };
+            *paused_until = until.max(*paused_until);
         }
     }
 
@@ -367,8 +372,9 @@
             match decision {
                 HealthDecision::Suspect {
                     worker,
+                    is_certain,
                     failed_jobs,
-                } => self.pause_failing_worker(&worker, failed_jobs),
+                } => self.pause_failing_worker(&worker, is_certain, failed_jobs),
                 HealthDecision::Quarantine { worker, probe_at } => {
                     if let Some(state) = self.workers.get_mut(&worker) {
                         state.set_aside_until = probe_at;
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -79,8 +79,10 @@
     /// Nothing is placed on the worker before this time, because it refused or delayed runs, or
     /// because its machine goes down.
     pub(crate) avoid_until: Millis,
-    /// End of the pause after failed runs.
+    /// End of the pause after a failed run of a job that may fail everywhere.
     pub(crate) paused_until: Millis,
+    /// End of the pause after a failed run of a job that succeeded elsewhere.
+    pub(crate) failing_until: Millis,
     /// Time of the next probe, while the worker is quarantined.
     pub(crate) set_aside_until: Millis,
 }
@@ -119,6 +121,7 @@
             below_target_since: None,
             avoid_until: Millis(0),
             paused_until: Millis(0),
+            failing_until: Millis(0),
             set_aside_until: Millis(0),
         }
     }
@@ -272,15 +275,16 @@
             Some(Unusable::Silent)
         } else if now < self.set_aside_until {
             Some(Unusable::SetAside)
-        } else if now < self.paused_until {
+        } else if now < self.paused_until.max(self.failing_until) {
             Some(Unusable::FailedRuns)
         } else {
             (now < self.avoid_until).then_some(Unusable::Avoided)
         }
     }
 
-    /// Returns whether nothing is placed on the worker because of failed runs.
-    pub(crate) fn is_avoided_for_failures(&self, now: Millis) -> bool {
+    /// Returns whether nothing is placed on the worker because of failed runs that may not be its
+    /// fault.
+    pub(crate) fn is_suspected(&self, now: Millis) -> bool {
         now < self.paused_until.max(self.set_aside_until)
     }
 
--- a/lib/dispatch/tests/failing_jobs.rs
+++ b/lib/dispatch/tests/failing_jobs.rs
@@ -17,6 +17,8 @@
     harness: Harness,
     workers: Vec<String>,
     failing_worker: Option<&'static str>,
+    /// Workers that fail every second run.
+    half_failing: &'static [&'static str],
     last_end: BTreeMap<String, u64>,
     /// Number of runs that were started, by worker.
     started: BTreeMap<String, usize>,
@@ -31,6 +33,7 @@
             harness: Harness::new(&records.collect::<Vec<_>>()),
             workers,
             failing_worker,
+            half_failing: &[],
             last_end: BTreeMap::new(),
             started: BTreeMap::new(),
             next_job: 0,
@@ -72,14 +75,15 @@
             for order in self.harness.answer_starts(OrderOutcome::Accepted) {
                 let worker = order.incarnation.worker.to_string();
                 let is_hopeless = order.task.step.job.0 >= FIRST_HOPELESS_JOB;
-                let is_failing = self.failing_worker == Some(worker.as_str());
+                let number = self.last_end.entry(worker.clone()).or_default();
+                *number += 1;
+                let is_failing = self.failing_worker == Some(worker.as_str())
+                    || (*number % 2 == 0 && self.half_failing.contains(&worker.as_str()));
                 let end = if is_hopeless || is_failing {
                     RunEnd::Failed
                 } else {
                     RunEnd::Done
                 };
-                let number = self.last_end.entry(worker.clone()).or_default();
-                *number += 1;
                 *self.started.entry(worker.clone()).or_default() += 1;
                 ends.entry(worker)
                     .or_default()
@@ -149,3 +153,22 @@
         cluster.started
     );
 }
+
+/// Guards against many workers that fail part of their runs and are taken for sound because the
+/// jobs have failed on several of them.
+#[parameterized(
+    sound_jobs_alone = { 0 },
+    one_hopeless_job_in_four = { 1 },
+)]
+fn workers_that_fail_half_of_their_runs_are_avoided(hopeless: usize) {
+    let mut cluster = Cluster::new(4, None);
+    cluster.half_failing = &["w0", "w1"];
+    cluster.submit_every(80, 100, hopeless);
+    let failing = cluster.started["w0"] + cluster.started["w1"];
+    let sound = cluster.started["w2"] + cluster.started["w3"];
+    assert!(
+        sound >= 200 && failing * 5 <= sound,
+        "{:?}",
+        cluster.started
+    );
+}
--- a/lib/health/src/health_table.rs
+++ b/lib/health/src/health_table.rs
@@ -82,14 +82,15 @@
             if !failures.workers.contains(worker) {
                 failures.workers.push(worker.clone());
             }
-            if failures.workers.len() > 1 {
+            let may_fail_everywhere = failures.workers.len() > 1 && !failures.has_succeeded;
+            if may_fail_everywhere {
                 // The job fails on several workers, so its failures are no evidence against any of
                 // them.
                 for other in &failures.workers {
                     decisions.extend(self.withdraw_failure(other, job));
                 }
             }
-            let is_only_worker = failures.workers.len() == 1;
+            let has_succeeded = failures.has_succeeded;
             self.with_worker(worker, |health| {
                 health.record_failure(job);
                 self.count_worker_failure(
@@ -97,7 +98,8 @@
                     worker,
                     job,
                     now,
-                    is_quick && is_only_worker,
+                    is_quick && !may_fail_everywhere,
+                    has_succeeded,
                     &mut decisions,
                 );
             });
@@ -150,6 +152,7 @@
         job: JobId,
         now: Millis,
         is_evidence: bool,
+        is_certain: bool,
         decisions: &mut Vec<HealthDecision>,
     ) {
         if let Some(quarantine) = &mut health.quarantine {
@@ -205,6 +208,7 @@
         }
         decisions.push(HealthDecision::Suspect {
             worker: worker.clone(),
+            is_certain,
             failed_jobs: health.suspicious_failures.len(),
         });
     }
@@ -219,22 +223,41 @@
         job: JobId,
         _now: Millis,
     ) -> Vec<HealthDecision> {
-        self.with_worker(worker, |health| {
+        let mut decisions = self.suspect_workers_with_failure(worker, job);
+        let is_restored = self.with_worker(worker, |health| {
             health.record_success(job);
-            if !health
-                .quarantine
-                .as_ref()
-                .is_some_and(|quarantine| quarantine.is_probing)
-            {
-                return Vec::new();
+            let is_restored = health.quarantine.as_ref().is_some_and(|q| q.is_probing);
+            if is_restored {
+                health.quarantine = None;
+                self.quarantined_count.fetch_sub(1, Ordering::Relaxed);
             }
-            health.quarantine = None;
-            self.quarantined_count.fetch_sub(1, Ordering::Relaxed);
-            vec![HealthDecision::Restore {
+            is_restored
+        });
+        if is_restored == Some(true) {
+            decisions.push(HealthDecision::Restore {
                 worker: worker.clone(),
-            }]
+            });
+        }
+        decisions
+    }
+
+    /// Suspects the workers that a job failed on, at its first success elsewhere since.
+    fn suspect_workers_with_failure(&self, worker: &WorkerName, job: JobId) -> Vec<HealthDecision> {
+        self.jobs.with(&job, |shard| {
+            let Some(failures) = shard.get_mut(&job).filter(|f| !f.has_succeeded) else {
+                return Vec::new();
+            };
+            failures.has_succeeded = true;
+            let others = failures.workers.iter().filter(|other| *other != worker);
+            let suspect = |other: &WorkerName| {
+                self.with_worker(other, |health| HealthDecision::Suspect {
+                    worker: other.clone(),
+                    is_certain: true,
+                    failed_jobs: health.suspicious_failures.len().max(1),
+                })
+            };
+            others.filter_map(suspect).collect()
         })
-        .unwrap_or_default()
     }
 
     /// Returns at most `limit` quarantined workers that are due for one probe task each.
