--- a/lib/dispatch/tests/failing_jobs.rs
+++ b/lib/dispatch/tests/failing_jobs.rs
@@ -78,7 +78,7 @@
                 let number = self.last_end.entry(worker.clone()).or_default();
                 *number += 1;
                 let is_failing = self.failing_worker == Some(worker.as_str())
-                    || (*number % 2 == 0 && self.half_failing.contains(&worker.as_str()));
+                    || (number.is_multiple_of(2) && self.half_failing.contains(&worker.as_str()));
                 let end = if is_hopeless || is_failing {
                     RunEnd::Failed
                 } else {
--- a/lib/health/src/health_table.rs
+++ b/lib/health/src/health_table.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     HealthConfig, HealthDecision,
+    evidence::Evidence,
     job_failures::JobFailures,
     worker_health::{Quarantine, WorkerHealth},
 };
@@ -90,18 +91,16 @@
                     decisions.extend(self.withdraw_failure(other, job));
                 }
             }
-            let has_succeeded = failures.has_succeeded;
+            let evidence = if may_fail_everywhere || !is_quick {
+                Evidence::Neutral
+            } else if failures.has_succeeded {
+                Evidence::Certain
+            } else {
+                Evidence::Uncertain
+            };
             self.with_worker(worker, |health| {
                 health.record_failure(job);
-                self.count_worker_failure(
-                    health,
-                    worker,
-                    job,
-                    now,
-                    is_quick && !may_fail_everywhere,
-                    has_succeeded,
-                    &mut decisions,
-                );
+                self.count_worker_failure(health, worker, job, now, evidence, &mut decisions);
             });
             if failures.is_failed {
                 return;
@@ -151,8 +150,7 @@
         worker: &WorkerName,
         job: JobId,
         now: Millis,
-        is_evidence: bool,
-        is_certain: bool,
+        evidence: Evidence,
         decisions: &mut Vec<HealthDecision>,
     ) {
         if let Some(quarantine) = &mut health.quarantine {
@@ -162,7 +160,7 @@
             quarantine.is_probing = false;
             // A failure that says nothing about the worker leaves the probe without an outcome.
             quarantine.probe_at = now;
-            if is_evidence {
+            if evidence != Evidence::Neutral {
                 if quarantine.evidence.len() < self.cfg.min_failed_jobs {
                     quarantine.evidence.insert(job);
                 }
@@ -178,7 +176,7 @@
             self.probes.with_shard(0, |probes| probes.insert(probe));
             return;
         }
-        if !is_evidence {
+        if evidence == Evidence::Neutral {
             return;
         }
         // Jobs beyond the threshold add no information, and the set must stay bounded if the limit
@@ -208,7 +206,7 @@
         }
         decisions.push(HealthDecision::Suspect {
             worker: worker.clone(),
-            is_certain,
+            is_certain: evidence == Evidence::Certain,
             failed_jobs: health.suspicious_failures.len(),
         });
     }
