--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -1,6 +1,9 @@
 //! Updates of plans and runs after changes of jobs.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use tarragon_names::{JobId, Millis, WorkerName};
 use tarragon_workflow::{
@@ -136,7 +139,8 @@
             waiting,
             advice: Advice::default(),
             failed_on: BTreeSet::new(),
-            reserved: std::collections::BTreeMap::new(),
+            failed_tasks: BTreeMap::new(),
+            reserved: BTreeMap::new(),
             not_before: Millis(0),
             next_preemption_at: Millis(0),
             capacity_by: Millis(0),
@@ -324,12 +328,15 @@
         let job = JobId(task.step.job.0);
         match end {
             RunEnd::Done => {
+                self.pause_workers_at_fault(task, worker);
                 let decisions = self.health.record_success(worker, job, self.now);
                 self.apply_health_decisions(decisions);
             }
             RunEnd::Failed => {
                 if let Some(plan) = self.plans.get_mut(&task.step) {
                     plan.failed_on.insert(worker.clone());
+                    let workers = plan.failed_tasks.entry(task.index).or_default();
+                    workers.insert(worker.clone());
                 }
                 let decisions = self.health.record_failure(worker, job, self.now, true);
                 self.apply_health_decisions(decisions);
@@ -338,30 +345,43 @@
         }
     }
 
-    /// Places nothing on a worker for a while after a run failed there of a job that does not fail
-    /// everywhere, and longer after each further such job with no success in between.
+    /// Places nothing on a worker for a while after a run failed there of a job that failed on no
+    /// other worker, and longer after each further such job with no success in between.
     ///
     /// A worker that fails everything would otherwise end many gangs before enough different jobs
-    /// have failed there for its quarantine; a sound one loses little. Until a job has succeeded
-    /// elsewhere it is uncertain who is at fault, so a limit holds: many jobs that fail everywhere
-    /// would pause all workers, and with them the further attempts that tell.
-    fn pause_failing_worker(&mut self, worker: &WorkerName, is_certain: bool, failed_jobs: usize) {
+    /// have failed there for its quarantine; a sound one loses little. Before a job was tried
+    /// again it is unknown who is at fault, so a limit holds: many jobs that fail everywhere would
+    /// pause all workers, and with them the further attempts that tell.
+    fn pause_suspected_worker(&mut self, worker: &WorkerName, failed_jobs: usize) {
         let now = self.now;
         let others = self.workers.iter().filter(|(name, _)| *name != worker);
         let suspected = others.filter(|(_, state)| state.is_suspected(now));
         let limit = (self.workers.len() * MAX_FAILING_PERCENT / 100).max(1);
-        if !is_certain && suspected.count() >= limit {
+        if suspected.count() >= limit {
             return;
         }
         if let Some(state) = self.workers.get_mut(worker) {
             let doublings = failed_jobs.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
-            let until = now + Millis(FAILED_RUN_PAUSE.0 << doublings);
-            let paused_until = if is_certain {
-                &mut state.failing_until
-            } else {
-                &mut state.paused_until
-            };
-            *paused_until = until.max(*paused_until);
+            let pause = Millis(FAILED_RUN_PAUSE.0 << doublings);
+            state.paused_until = state.paused_until.max(now + pause);
+        }
+    }
+
+    /// Places nothing for a while on the workers on which a task failed that succeeded on another
+    /// one.
+    ///
+    /// The task does not fail everywhere, so those workers were at fault, and no limit holds. Other
+    /// tasks of its job may still fail everywhere.
+    fn pause_workers_at_fault(&mut self, task: &TaskKey, succeeded_on: &WorkerName) {
+        let until = self.now + FAILED_RUN_PAUSE;
+        let plan = self.plans.get_mut(&task.step);
+        let failed_on = plan.and_then(|plan| plan.failed_tasks.remove(&task.index));
+        for worker in failed_on.unwrap_or_default() {
+            if worker != *succeeded_on
+                && let Some(state) = self.workers.get_mut(&worker)
+            {
+                state.failing_until = state.failing_until.max(until);
+            }
         }
     }
 
@@ -372,9 +392,8 @@
             match decision {
                 HealthDecision::Suspect {
                     worker,
-                    is_certain,
                     failed_jobs,
-                } => self.pause_failing_worker(&worker, is_certain, failed_jobs),
+                } => self.pause_suspected_worker(&worker, failed_jobs),
                 HealthDecision::Quarantine { worker, probe_at } => {
                     if let Some(state) = self.workers.get_mut(&worker) {
                         state.set_aside_until = probe_at;
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -25,6 +25,8 @@
     pub(crate) advice: Advice,
     /// Workers on which a task of the step failed or took too long.
     pub(crate) failed_on: BTreeSet<WorkerName>,
+    /// Workers on which a run of a task failed, by task, until the task is done.
+    pub(crate) failed_tasks: BTreeMap<u32, BTreeSet<WorkerName>>,
     /// Number of tasks for which capacity is reserved, by worker.
     pub(crate) reserved: BTreeMap<WorkerName, u32>,
     /// No placement before this time, after a refusal.
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -81,7 +81,7 @@
     pub(crate) avoid_until: Millis,
     /// End of the pause after a failed run of a job that may fail everywhere.
     pub(crate) paused_until: Millis,
-    /// End of the pause after a failed run of a job that succeeded elsewhere.
+    /// End of the pause after a failed run of a task that succeeded elsewhere.
     pub(crate) failing_until: Millis,
     /// Time of the next probe, while the worker is quarantined.
     pub(crate) set_aside_until: Millis,
--- a/lib/health/src/health_decision.rs
+++ b/lib/health/src/health_decision.rs
@@ -3,13 +3,11 @@
 /// Decision of the health table, to be carried out by its caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum HealthDecision {
-    /// Place nothing on the worker for a short time, because a job failed there quickly that does
-    /// not fail everywhere as far as known.
+    /// Place nothing on the worker for a short time, because a job failed there quickly and on no
+    /// other worker.
     Suspect {
         /// Worker to avoid.
         worker: WorkerName,
-        /// Whether the job succeeded elsewhere; if not, it may still turn out to fail everywhere.
-        is_certain: bool,
         /// Number of such jobs since the last success on the worker.
         failed_jobs: usize,
     },
--- a/lib/health/src/health_table.rs
+++ b/lib/health/src/health_table.rs
@@ -9,7 +9,6 @@
 
 use crate::{
     HealthConfig, HealthDecision,
-    evidence::Evidence,
     job_failures::JobFailures,
     worker_health::{Quarantine, WorkerHealth},
 };
@@ -83,24 +82,24 @@
             if !failures.workers.contains(worker) {
                 failures.workers.push(worker.clone());
             }
-            let may_fail_everywhere = failures.workers.len() > 1 && !failures.has_succeeded;
-            if may_fail_everywhere {
+            if failures.workers.len() > 1 {
                 // The job fails on several workers, so its failures are no evidence against any of
                 // them.
                 for other in &failures.workers {
                     decisions.extend(self.withdraw_failure(other, job));
                 }
             }
-            let evidence = if may_fail_everywhere || !is_quick {
-                Evidence::Neutral
-            } else if failures.has_succeeded {
-                Evidence::Certain
-            } else {
-                Evidence::Uncertain
-            };
+            let is_only_worker = failures.workers.len() == 1;
             self.with_worker(worker, |health| {
                 health.record_failure(job);
-                self.count_worker_failure(health, worker, job, now, evidence, &mut decisions);
+                self.count_worker_failure(
+                    health,
+                    worker,
+                    job,
+                    now,
+                    is_quick && is_only_worker,
+                    &mut decisions,
+                );
             });
             if failures.is_failed {
                 return;
@@ -150,7 +149,7 @@
         worker: &WorkerName,
         job: JobId,
         now: Millis,
-        evidence: Evidence,
+        is_evidence: bool,
         decisions: &mut Vec<HealthDecision>,
     ) {
         if let Some(quarantine) = &mut health.quarantine {
@@ -160,7 +159,7 @@
             quarantine.is_probing = false;
             // A failure that says nothing about the worker leaves the probe without an outcome.
             quarantine.probe_at = now;
-            if evidence != Evidence::Neutral {
+            if is_evidence {
                 if quarantine.evidence.len() < self.cfg.min_failed_jobs {
                     quarantine.evidence.insert(job);
                 }
@@ -176,7 +175,7 @@
             self.probes.with_shard(0, |probes| probes.insert(probe));
             return;
         }
-        if evidence == Evidence::Neutral {
+        if !is_evidence {
             return;
         }
         // Jobs beyond the threshold add no information, and the set must stay bounded if the limit
@@ -206,7 +205,6 @@
         }
         decisions.push(HealthDecision::Suspect {
             worker: worker.clone(),
-            is_certain: evidence == Evidence::Certain,
             failed_jobs: health.suspicious_failures.len(),
         });
     }
@@ -221,41 +219,22 @@
         job: JobId,
         _now: Millis,
     ) -> Vec<HealthDecision> {
-        let mut decisions = self.suspect_workers_with_failure(worker, job);
-        let is_restored = self.with_worker(worker, |health| {
+        self.with_worker(worker, |health| {
             health.record_success(job);
-            let is_restored = health.quarantine.as_ref().is_some_and(|q| q.is_probing);
-            if is_restored {
-                health.quarantine = None;
-                self.quarantined_count.fetch_sub(1, Ordering::Relaxed);
+            if !health
+                .quarantine
+                .as_ref()
+                .is_some_and(|quarantine| quarantine.is_probing)
+            {
+                return Vec::new();
             }
-            is_restored
-        });
-        if is_restored == Some(true) {
-            decisions.push(HealthDecision::Restore {
+            health.quarantine = None;
+            self.quarantined_count.fetch_sub(1, Ordering::Relaxed);
+            vec![HealthDecision::Restore {
                 worker: worker.clone(),
-            });
-        }
-        decisions
-    }
-
-    /// Suspects the workers that a job failed on, at its first success elsewhere since.
-    fn suspect_workers_with_failure(&self, worker: &WorkerName, job: JobId) -> Vec<HealthDecision> {
-        self.jobs.with(&job, |shard| {
-            let Some(failures) = shard.get_mut(&job).filter(|f| !f.has_succeeded) else {
-                return Vec::new();
-            };
-            failures.has_succeeded = true;
-            let others = failures.workers.iter().filter(|other| *other != worker);
-            let suspect = |other: &WorkerName| {
-                self.with_worker(other, |health| HealthDecision::Suspect {
-                    worker: other.clone(),
-                    is_certain: true,
-                    failed_jobs: health.suspicious_failures.len().max(1),
-                })
-            };
-            others.filter_map(suspect).collect()
+            }]
         })
+        .unwrap_or_default()
     }
 
     /// Returns at most `limit` quarantined workers that are due for one probe task each.
--- a/lib/health/src/job_failures.rs
+++ b/lib/health/src/job_failures.rs
@@ -6,9 +6,6 @@
     /// Distinct workers that the job failed on, in the order of the first failure on each.
     pub(crate) workers: Vec<WorkerName>,
     pub(crate) last_failure_at: Millis,
-    /// Whether a task of the job succeeded since its first failure. Such a job does not fail
-    /// everywhere, so its failures count against the workers, however many there are.
-    pub(crate) has_succeeded: bool,
     /// Whether the decision to end the job as failed was made already.
     pub(crate) is_failed: bool,
 }
--- a/lib/health/src/lib.rs
+++ b/lib/health/src/lib.rs
@@ -3,7 +3,6 @@
 //! A failed task counts against its worker and its job. [`HealthTable`] derives a
 //! [`HealthDecision`] from the counts; the caller carries out and logs the decisions.
 
-mod evidence;
 mod health_config;
 mod health_decision;
 mod health_table;
