--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -16,6 +16,7 @@
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
     late_orders::LateOrders,
+    retry_outcomes::RetryOutcomes,
     run_rate::RunRate,
     run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
     step_plan::StepPlan,
@@ -27,9 +28,13 @@
 /// Time from the quarantine of a worker until it may get a task again.
 const PROBE_DELAY: Millis = Millis(3_000);
 
-/// Highest share of workers in quarantine, in percent. Without it, a job that fails everywhere
-/// would empty the pool.
-const MAX_QUARANTINED_PERCENT: usize = 30;
+/// Longest time until a quarantined worker may get a task again, so that a repaired one returns
+/// within it.
+const MAX_PROBE_DELAY: Millis = Millis(12_000);
+
+/// Highest share of workers that are avoided for failed runs, in percent: in quarantine, or paused
+/// after a failed run. Without it, jobs that fail everywhere would empty the pool.
+pub(crate) const MAX_FAILING_PERCENT: usize = 30;
 
 /// Number of different jobs that must fail on a worker, with no success in between, before the
 /// worker is quarantined.
@@ -67,6 +72,7 @@
     pub(crate) approved_permille: BTreeMap<Name, u64>,
     pub(crate) records: Vec<RunEvent>,
     pub(crate) outputs: Vec<Output>,
+    pub(crate) retry_outcomes: RetryOutcomes,
     /// Mean of the speeds of all workers.
     pub(crate) mean_speed: WorkerSpeed,
     /// Priority of the least urgent queue.
@@ -90,6 +96,8 @@
     pub(crate) sole_leader_since: Millis,
     /// Time of the next check for expired leases and overdue runs.
     pub(crate) next_expiry_at: Millis,
+    /// Earliest time of the next report on waiting steps.
+    pub(crate) next_report_at: Millis,
     pub(crate) now: Millis,
     pub(crate) now_ms: u64,
 }
@@ -110,7 +118,8 @@
         let health = HealthConfig {
             min_failed_jobs: QUARANTINE_FAILED_JOBS,
             min_probe_delay: PROBE_DELAY,
-            max_quarantined_percent: MAX_QUARANTINED_PERCENT,
+            max_probe_delay: MAX_PROBE_DELAY,
+            max_quarantined_percent: MAX_FAILING_PERCENT,
             ..HealthConfig::default()
         };
         Self {
@@ -130,6 +139,7 @@
             approved_permille: BTreeMap::new(),
             records: Vec::new(),
             outputs: Vec::new(),
+            retry_outcomes: RetryOutcomes::default(),
             mean_speed: WorkerSpeed::default(),
             lowest_priority: 0,
             new_steps: Vec::new(),
@@ -142,6 +152,7 @@
             is_sole_leader: false,
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
+            next_report_at: Millis(0),
             now: Millis(0),
             now_ms: 0,
         }
@@ -181,6 +192,7 @@
                 self.next_placement_at = self.now + self.cfg.placement_interval;
                 self.new_steps.clear();
                 self.place();
+                self.report_waiting_steps();
             } else {
                 self.place_new_steps();
             }
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -6,7 +6,7 @@
 use tarragon_names::{Millis, Resources, WorkerName};
 use tarragon_workflow::{JobSpec, Queue, StepKey, StepSpec};
 
-use crate::advice::Advice;
+use crate::{advice::Advice, wait::Wait};
 
 /// Part of the time until its objective, in percent, that a step leaves to more urgent steps.
 const LONG_WAIT_PERCENT: u64 = 25;
@@ -25,6 +25,8 @@
     pub(crate) advice: Advice,
     /// Workers on which a task of the step failed or took too long.
     pub(crate) failed_on: BTreeSet<WorkerName>,
+    /// Workers on which a run of a task failed, by task, until the task is done.
+    pub(crate) failed_tasks: BTreeMap<u32, BTreeSet<WorkerName>>,
     /// Number of tasks for which capacity is reserved, by worker.
     pub(crate) reserved: BTreeMap<WorkerName, u32>,
     /// No placement before this time, after a refusal.
@@ -33,6 +35,7 @@
     pub(crate) next_preemption_at: Millis,
     /// Time by which the runs that were stopped for the step have ended.
     pub(crate) capacity_by: Millis,
+    pub(crate) wait: Wait,
 }
 
 impl StepPlan {
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -4,7 +4,8 @@
 use tarragon_workflow::{StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
-    DispatchConfig, dispatcher_throttle::FULL_RATE, run_view::RunView, worker_speed::WorkerSpeed,
+    DispatchConfig, dispatcher_throttle::FULL_RATE, run_view::RunView, unusable::Unusable,
+    worker_speed::WorkerSpeed,
 };
 
 /// Slowest rate of a worker's clock relative to the leader's, in percent.
@@ -67,17 +68,23 @@
     pub(crate) is_lease_expired: bool,
     /// Duration of runs on this worker, relative to their estimates.
     pub(crate) speed: WorkerSpeed,
-    /// Number of failed runs since the last successful one.
-    pub(crate) failures_in_a_row: u32,
     /// Time at which the last successful run was reported.
     pub(crate) last_success_at: Millis,
     /// Rate of the best-effort runs on this worker, in percent.
     pub(crate) best_effort_rate: u64,
     /// Time since which all latency-sensitive runs on this worker are well below their targets.
     pub(crate) below_target_since: Option<Millis>,
-    /// Nothing is placed on the worker before this time, because it failed, refused or delayed
-    /// runs, or because its machine goes down.
+    /// Nothing is placed on the worker before this time, because it refused or delayed runs, or
+    /// because its machine goes down.
     pub(crate) avoid_until: Millis,
+    /// End of the pause after a failed run of a job that may fail everywhere.
+    pub(crate) paused_until: Millis,
+    /// Number of failed runs since the last successful one.
+    pub(crate) failures_in_a_row: u32,
+    /// End of the pause after a failed run that is most likely the fault of the worker.
+    pub(crate) failing_until: Millis,
+    /// Time of the next probe, while the worker is quarantined.
+    pub(crate) set_aside_until: Millis,
 }
 
 impl WorkerState {
@@ -108,11 +115,14 @@
             restart_seen_at: None,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
-            failures_in_a_row: 0,
             last_success_at: Millis(0),
             best_effort_rate: FULL_RATE,
             below_target_since: None,
             avoid_until: Millis(0),
+            paused_until: Millis(0),
+            failures_in_a_row: 0,
+            failing_until: Millis(0),
+            set_aside_until: Millis(0),
         }
     }
 
@@ -249,13 +259,33 @@
 
     /// Returns whether new tasks may be placed on the worker.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        self.is_synced
-            && self.takes_orders()
-            && self.going_down_since.is_none()
-            && !self.record.is_draining
-            && self.leaves_at.is_none()
-            && self.poll_failures == 0
-            && now >= self.avoid_until
+        self.unusable(now).is_none()
+    }
+
+    /// Returns why no new tasks may be placed on the worker; `None` if they may.
+    pub(crate) fn unusable(&self, now: Millis) -> Option<Unusable> {
+        let is_going_down = self.going_down_since.is_some() || self.record.is_draining;
+        if !self.takes_orders() {
+            Some(Unusable::LeaseOver)
+        } else if !self.is_synced {
+            Some(Unusable::Unsynced)
+        } else if is_going_down || self.leaves_at.is_some() {
+            Some(Unusable::GoingDown)
+        } else if self.poll_failures > 0 {
+            Some(Unusable::Silent)
+        } else if now < self.set_aside_until {
+            Some(Unusable::SetAside)
+        } else if now < self.paused_until.max(self.failing_until) {
+            Some(Unusable::FailedRuns)
+        } else {
+            (now < self.avoid_until).then_some(Unusable::Avoided)
+        }
+    }
+
+    /// Returns whether nothing is placed on the worker because of failed runs that may not be its
+    /// fault.
+    pub(crate) fn is_suspected(&self, now: Millis) -> bool {
+        now < self.paused_until.max(self.set_aside_until)
     }
 
     /// Sends no polls for a while: another host leads or the incarnation has ended, and the log
