replica: sync the first entry of a term before it is counted

Callers saw nothing; the fault shows after a loss of power. A new leader reported the first entry of its term as synced on its own disk although it was only written, so with three voters the entry, and the entries of earlier terms that it commits, could count as held by a majority while one follower alone held it durably. After a loss of power of the leader the other two could have replaced a committed entry.

Cause: `ReplicaDriver::sync` synced the log, then reported the vote, and took the last appended entry after that. The report of the vote makes the replica the leader, which appends an entry; this entry was then reported without a sync.

The entry to report is now taken before the sync, and what the report of the vote adds is left to the next round of the loop.

--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -263,14 +263,16 @@
     /// reports cause further writes.
     fn sync(&mut self) -> Outcome<()> {
         while self.unsynced_entry.is_some() || self.unreported_vote.is_some() {
-            if self.unsynced_entry.is_some() {
+            // Taken before the vote is reported, which may cause further writes: they are not synced.
+            let synced_entry = self.unsynced_entry.take();
+            if synced_entry.is_some() {
                 let _timer = self.parts.metrics.sync_time.start_timer();
                 self.parts.store.sync()?;
             }
             if let Some((term, voted_for)) = self.unreported_vote.take() {
                 self.step(Event::VoteSynced { term, voted_for })?;
             }
-            if let Some((index, term)) = self.unsynced_entry.take() {
+            if let Some((index, term)) = synced_entry {
                 self.step(Event::Synced { index, term })?;
             }
         }
