agreement: voters whose disk is full neither vote nor lead

A replica learns with `Event::DiskState` that its disk refuses writes for want of room. Until there is room it votes for nobody, starts no election and takes no further entries, but answers the heartbeats of its leader with what is synced, so that reads under the lease go on. A leader refuses proposals and member changes and hands over the lead once the others have committed its whole log without it, which shows that a majority of them takes writes. Where they don't, it keeps the lease.

Nothing is reported as done before it is: votes and acknowledgements wait for `VoteSynced` and `Synced` as with a slow disk, so no voter votes twice in a term or forgets an entry that it acknowledged.

--- a/lib/agreement/src/core.rs
+++ b/lib/agreement/src/core.rs
@@ -18,6 +18,8 @@
     /// Hosts from `Event::HostLearned`, used for members that are not in the member list.
     pub(crate) learned_hosts: BTreeMap<MemberId, HostName>,
     pub(crate) jitter: Jitter,
+    /// Whether the local disk refuses writes, so that this replica can neither vote nor acknowledge.
+    pub(crate) is_disk_full: bool,
     /// Actions of the current step.
     pub(crate) actions: Vec<Action>,
 }
--- a/lib/agreement/src/event.rs
+++ b/lib/agreement/src/event.rs
@@ -47,6 +47,12 @@
         /// Vote that was saved in that term.
         voted_for: Option<MemberId>,
     },
+    /// The local disk refuses writes for want of room, or takes them again. The writes that it
+    /// refused are still due, in order, and are reported once they are done.
+    DiskState {
+        /// Whether the disk refuses writes.
+        is_full: bool,
+    },
     /// The application requests a linearizable read.
     Read {
         /// Repeated in `Action::Done` or `Action::Refused`.
--- a/lib/agreement/src/leader.rs
+++ b/lib/agreement/src/leader.rs
@@ -96,6 +96,9 @@
         if core.now >= self.heartbeat_due {
             self.heartbeat(core);
         }
+        if core.is_disk_full && self.others_can_commit(core) {
+            self.transfer(core);
+        }
         self.advance(core);
         true
     }
@@ -108,6 +111,7 @@
             uncommitted_bytes > 0 && uncommitted_bytes + new_bytes > core.cfg.max_uncommitted_bytes;
         if records.is_empty()
             || self.transfer.is_some()
+            || core.is_disk_full
             || has_many_bytes
             || uncommitted + records.len() as u64 > core.cfg.max_uncommitted_entries
         {
@@ -143,7 +147,8 @@
         }
         let plan =
             PendingMemberChange::plan(token, core.id, current, target, core.commit, deadline);
-        let can_start = self.is_ready && self.change.is_none() && self.transfer.is_none();
+        let is_undisturbed = self.transfer.is_none() && !core.is_disk_full;
+        let can_start = self.is_ready && self.change.is_none() && is_undisturbed;
         let Some(change) = plan.filter(|_| can_start) else {
             core.refuse(token, Some(core.id));
             return;
@@ -168,12 +173,8 @@
     }
 
     pub(crate) fn transfer(&mut self, core: &mut Core) {
-        let is_recent = |p: &Progress| core.now.since(p.last_contact) < core.cfg.election_min;
-        let members = core.log.members();
         let target = self
-            .peers
-            .iter()
-            .filter(|(id, p)| members.is_voter(**id) && is_recent(p))
+            .voters_in_contact(core)
             .max_by_key(|(_, p)| p.match_index);
         if let (Some((target, _)), None, None) = (target, &self.transfer, &self.change) {
             self.transfer = Some(Transfer {
@@ -256,6 +257,20 @@
         self.peers.get(&id)
     }
 
+    /// Returns the other voters that answered recently.
+    fn voters_in_contact(&self, core: &Core) -> impl Iterator<Item = (&MemberId, &Progress)> {
+        let is_recent = |p: &Progress| core.now.since(p.last_contact) < core.cfg.election_min;
+        let peers = self.peers.iter();
+        peers.filter(move |(id, p)| core.log.members().is_voter(**id) && is_recent(p))
+    }
+
+    /// Returns whether the other voters are in contact and have committed the whole log without this
+    /// replica, so that a majority of them takes writes and can elect one of them.
+    fn others_can_commit(&self, core: &Core) -> bool {
+        let is_ahead = core.log.synced() < core.commit && core.commit == core.log.last_index();
+        is_ahead && self.voters_in_contact(core).count() >= core.log.members().majority()
+    }
+
     fn has_majority_contact(&self, core: &Core) -> bool {
         let last_contact = self.majority_value(core, core.now, |p| p.last_contact);
         core.now.since(last_contact) < core.cfg.election_max
--- a/lib/agreement/src/replica.rs
+++ b/lib/agreement/src/replica.rs
@@ -60,6 +60,7 @@
                 commit,
                 learned_hosts: BTreeMap::new(),
                 jitter: Jitter::new(seed),
+                is_disk_full: false,
                 actions: Vec::new(),
             },
             role_state: RoleState::Follower,
@@ -203,6 +204,7 @@
             Event::Synced { index, term } => self.on_synced(index, term),
             Event::VoteSynced { term, voted_for } => self.on_vote_synced(term, voted_for),
             Event::SnapshotSaved { meta } => self.on_snapshot_saved(&meta),
+            Event::DiskState { is_full } => self.core.is_disk_full = is_full,
             Event::Propose { token, records } => match &mut self.role_state {
                 RoleState::Leader(leader) => leader.propose(&mut self.core, token, records),
                 _ => self.core.refuse(token, self.leader),
@@ -233,7 +235,7 @@
                 self.become_follower(None);
             }
         } else if self.core.now >= self.election_due {
-            if self.core.is_voter() {
+            if self.can_campaign() {
                 self.start_election(true, false);
             } else {
                 // Without an election of its own, it would name a lost leader for ever.
@@ -299,7 +301,7 @@
                 }
             }
             PeerMsg::TimeoutNow { term } => {
-                if term == self.term() && self.leader == Some(from) && self.core.is_voter() {
+                if term == self.term() && self.leader == Some(from) && self.can_campaign() {
                     self.start_election(false, true);
                 }
             }
@@ -314,6 +316,12 @@
         is_pre_vote: bool,
         is_transfer: bool,
     ) {
+        // A vote cannot be saved, and moving to a term that cannot be saved would end the answers to
+        // the leader of the current one. Pre-votes are left out with them, since a candidate that
+        // counts on this replica would start terms that it cannot win.
+        if self.core.is_disk_full {
+            return;
+        }
         let is_log_up_to_date = last >= (self.core.log.last_term(), self.core.log.last_index());
         // The lease of a leader relies on voters not to vote for another candidate within
         // `election_min` of answering the leader. The term must not change either, because a
@@ -399,7 +407,9 @@
             return;
         }
         if campaign.is_pre_vote {
-            self.start_election(false, false);
+            if self.can_campaign() {
+                self.start_election(false, false);
+            }
         } else {
             self.leader = Some(self.core.id);
             let leader = Leader::start(&mut self.core);
@@ -407,6 +417,11 @@
         }
     }
 
+    /// Returns whether this replica may start an election: its vote for itself has to be saved.
+    fn can_campaign(&self) -> bool {
+        self.core.is_voter() && !self.core.is_disk_full
+    }
+
     fn on_snapshot_saved(&mut self, meta: &SnapshotMeta) {
         if meta.index > self.core.commit {
             return;
--- a/lib/agreement/src/replica/follower.rs
+++ b/lib/agreement/src/replica/follower.rs
@@ -46,10 +46,15 @@
     ) {
         let log = &self.core.log;
         let base = log.base_index();
+        let matches_at_prev = prev < base || log.term_at(prev) == Some(prev_term);
+        if self.core.is_disk_full && !(matches_at_prev && entries.is_empty()) {
+            self.decline(commit);
+            return;
+        }
         if (prev.0 + 1..).zip(&entries).any(|(at, e)| e.index.0 != at) {
             return;
         }
-        if prev >= base && log.term_at(prev) != Some(prev_term) {
+        if !matches_at_prev {
             let hint = self.match_hint(prev, prev_term);
             self.reply_append(from, false, hint);
             return;
@@ -65,6 +70,16 @@
         self.core.commit_to(commit.min(self.verified_index));
     }
 
+    /// Answers a message whose entries are not taken because the disk is full, so that what waits for
+    /// room stays bounded.
+    ///
+    /// The answer repeats what is synced, even if the logs do not match: after a mismatch the leader
+    /// would send the same entries again with each heartbeat.
+    fn decline(&mut self, commit: LogIndex) {
+        self.acknowledge();
+        self.core.commit_to(commit.min(self.verified_index));
+    }
+
     fn append(&mut self, entries: Vec<Entry>) {
         let first = entries[0].index;
         // Continuing would silently lose a committed entry.
@@ -106,6 +121,10 @@
             self.acknowledge();
             return;
         }
+        if self.core.is_disk_full {
+            self.acknowledge();
+            return;
+        }
         self.core
             .log
             .reset_to_snapshot(meta.clone(), self.core.commit);
--- a/lib/agreement/tests/group/fakes/disk.rs
+++ b/lib/agreement/tests/group/fakes/disk.rs
@@ -16,6 +16,10 @@
     pub durable: Recovered,
     pending: Vec<Write>,
     pub fails_sync: bool,
+    /// Keeps all writes until there is room; a crash loses them.
+    pub is_full: bool,
+    /// Planted fault: a full disk drops writes and reports them as done.
+    pub forgets_when_full: bool,
 }
 
 impl Disk {
@@ -40,10 +44,24 @@
         if self.fails_sync {
             return None;
         }
+        if self.is_full {
+            return Some(self.refuse());
+        }
         let writes: Vec<_> = self.pending.drain(..).collect();
         Some(writes.into_iter().map(|w| self.store(w)).collect())
     }
 
+    fn refuse(&mut self) -> Vec<Event> {
+        if !self.forgets_when_full {
+            return Vec::new();
+        }
+        let durable = self.durable.clone();
+        let writes: Vec<_> = self.pending.drain(..).collect();
+        let events = writes.into_iter().map(|w| self.store(w)).collect();
+        self.durable = durable;
+        events
+    }
+
     /// Drops the unsynced writes, except for the first `torn` unsynced entries.
     pub fn crash(&mut self, torn: usize) {
         let mut left = torn;
--- a/lib/agreement/tests/group/fakes/host.rs
+++ b/lib/agreement/tests/group/fakes/host.rs
@@ -30,6 +30,8 @@
     pub snapshot_interval_entries: u64,
     snapshot_index: LogIndex,
     sync_due: u64,
+    /// Whether the replica was told that the disk is full.
+    is_disk_full: bool,
 }
 
 impl Host {
@@ -52,6 +54,7 @@
             snapshot_interval_entries: 200,
             snapshot_index: LogIndex(0),
             sync_due: 0,
+            is_disk_full: false,
         }
     }
 
@@ -67,6 +70,7 @@
             self.restore(&meta.clone(), &state.clone());
         }
         self.leading_term = None;
+        self.is_disk_full = false;
         self.paused = false;
         self.inbox.clear();
         self.replica = Some(Replica::new(self.cfg.clone(), recovered, seed));
@@ -104,10 +108,17 @@
         if self.disk.is_clean() || now < self.sync_due {
             return Vec::new();
         }
-        self.disk.sync().unwrap_or_else(|| {
+        let Some(mut events) = self.disk.sync() else {
             self.crash(0);
-            Vec::new()
-        })
+            return Vec::new();
+        };
+        // A write shows that the disk is full, or that it has room again.
+        if self.is_disk_full != self.disk.is_full {
+            let is_full = self.disk.is_full;
+            self.is_disk_full = is_full;
+            events.push(Event::DiskState { is_full });
+        }
+        events
     }
 
     fn execute(
--- a/lib/agreement/tests/group/main.rs
+++ b/lib/agreement/tests/group/main.rs
@@ -3,6 +3,7 @@
 mod byte_bounds;
 mod fakes;
 mod follower;
+mod full_disk;
 mod random;
 mod replication;
 mod scenarios;
--- a/lib/agreement/tests/group/random.rs
+++ b/lib/agreement/tests/group/random.rs
@@ -1,4 +1,7 @@
-use std::env;
+use std::{
+    env,
+    panic::{AssertUnwindSafe, catch_unwind},
+};
 
 use bytes::Bytes;
 use rand_chacha::{
@@ -31,6 +34,9 @@
 struct RandomRun {
     cluster: Cluster,
     rng: ChaCha8Rng,
+    /// Fills disks and frees them, from a generator that leaves the other faults as they are; `None`
+    /// if all disks have room.
+    full_disks: Option<ChaCha8Rng>,
 }
 
 impl RandomRun {
@@ -54,7 +60,18 @@
             host.start(seed ^ rate);
         }
         let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
-        Self { cluster, rng }
+        Self {
+            cluster,
+            rng,
+            full_disks: None,
+        }
+    }
+
+    fn with_full_disks(seed: u64) -> Self {
+        Self {
+            full_disks: Some(ChaCha8Rng::seed_from_u64(seed ^ 0xf011)),
+            ..Self::new(seed)
+        }
     }
 
     fn pick(&mut self, n: usize) -> usize {
@@ -64,6 +81,7 @@
     fn run(&mut self) {
         for _ in 0..FAULTS_PER_RUN {
             self.inject_fault();
+            self.fill_or_free_disks();
             for _ in 0..20 {
                 self.send_requests();
                 let ms = self.pick(100) as u64;
@@ -100,6 +118,21 @@
         }
     }
 
+    /// Fills one disk or all of them, or frees all; half of the time nothing changes.
+    fn fill_or_free_disks(&mut self) {
+        let Some(rng) = &mut self.full_disks else {
+            return;
+        };
+        let hosts = &mut self.cluster.hosts;
+        let at = rng.next_u64() as usize % hosts.len();
+        match rng.next_u64() % 10 {
+            0 | 1 => hosts[at].disk.is_full = true,
+            2 => hosts.iter_mut().for_each(|h| h.disk.is_full = true),
+            3 | 4 => hosts.iter_mut().for_each(|h| h.disk.is_full = false),
+            _ => {}
+        }
+    }
+
     /// Replaces this host's voter with a learner. If the host is not a member, the host loses its
     /// disk instead and joins as a learner.
     fn replace_or_lose(&mut self, name: &str) {
@@ -165,6 +198,7 @@
             let host = self.cluster.host(name);
             host.paused = false;
             host.disk.fails_sync = false;
+            host.disk.is_full = false;
             if host.replica.is_none() {
                 self.cluster.start(name);
             }
@@ -214,14 +248,44 @@
     RandomRun::new(seed).run();
 }
 
-/// Runs `group_recovers_from_random_faults` with further seeds if requested by an environment
+/// Guards against a voter whose disk is full and that votes twice, acknowledges what its disk does not
+/// hold, or stays behind once there is room.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+    seed_5 = { 5 },
+    seed_6 = { 6 },
+)]
+fn group_recovers_from_random_faults_and_full_disks(seed: u64) {
+    RandomRun::with_full_disks(seed).run();
+}
+
+/// Guards against a search that passes whatever a full disk does: one that reports writes as done which
+/// it drops has to be found by some of the seeds above.
+#[test]
+fn full_disk_that_forgets_its_writes_is_found() {
+    let is_found = |seed: &u64| {
+        let mut run = RandomRun::with_full_disks(*seed);
+        for host in &mut run.cluster.hosts {
+            host.disk.forgets_when_full = true;
+        }
+        catch_unwind(AssertUnwindSafe(|| run.run())).is_err()
+    };
+    assert!((1..=6).any(|seed| is_found(&seed)), "no seed finds it");
+}
+
+/// Runs `group_recovers_from_random_faults`, also with full disks, with further seeds if requested by an environment
 /// variable.
 #[test]
 fn group_recovers_from_random_faults_with_further_seeds() {
     let number = |name| env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
     let first = number(FIRST_SEED_VARIABLE).unwrap_or(1_000);
     for seed in (first..).take(number(EXTRA_RUNS_VARIABLE).unwrap_or(0) as usize) {
-        let run = std::panic::catch_unwind(|| RandomRun::new(seed).run());
+        let run = catch_unwind(|| RandomRun::new(seed).run());
         assert!(run.is_ok(), "random faults failed with seed {seed}");
+        let run = catch_unwind(|| RandomRun::with_full_disks(seed).run());
+        assert!(run.is_ok(), "full disks failed with seed {seed}");
     }
 }
