replica: wait for room instead of ending when the disk is full

Callers saw a voter end with 7102 as soon as its disk refused one write, and a cell without a leader and without reads if the disks of a majority were full. An operator had to free space and start hosts again.

Cause: the thread of the replica took each failed write for a disk in an unknown state.

`StoreWriter` now stands between the thread and the store. It keeps a refused write and those after it, in order, repeats them each 250 ms, and reports a write to the replica only when it is durable, as before; a failed sync still ends the process.

--- a/lib/codes/src/code.rs
+++ b/lib/codes/src/code.rs
@@ -109,7 +109,7 @@
     /// corrupt record in the data folder
     CorruptRecord = 7101, 500, "Replace the host's data: see 'lose a disk' in docs/OPERATIONS.md.";
     /// disk full or not writable
-    DiskFull = 7102, 500, "Free space in the data folder and start the host again.";
+    DiskFull = 7102, 500, "Free space in the data folder; the host goes on by itself.";
     /// sync to disk failed
     SyncFailed = 7103, 500, "Check the disk; the host starts again from what the disk holds.";
     /// data folder owned by another host
--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -82,7 +82,6 @@
         let dispatch = DispatchHandle::new(tx);
         let replica_parts = ReplicaParts {
             replica,
-            store: Box::new(store),
             limits: self.cfg.state_limits,
             saved_snapshot: saved,
             state,
@@ -96,7 +95,8 @@
         for member in replica_parts.replica.members().by_id.values() {
             self.mesh.connect(&member.host);
         }
-        let (handle, replica_thread) = ReplicaDriver::start(replica_parts, applied_index);
+        let (handle, replica_thread) =
+            ReplicaDriver::start(replica_parts, Box::new(store), applied_index);
         let available_tasks = Arc::new(AvailableTasks::default());
         let unstarted_jobs = Arc::new(UnstartedJobs::default());
         let dispatch_parts = DispatchParts {
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -16,7 +16,10 @@
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -122,6 +125,8 @@
     pub recovery_time: Millis,
     /// Size of the disks of hosts that are started from now on, in bytes; `None` if it is not limited.
     pub disk_bytes: Option<u64>,
+    /// Sizes of the disks that are limited, by host.
+    capacities: BTreeMap<u8, Arc<AtomicU64>>,
 }
 
 impl Cell {
@@ -135,6 +140,7 @@
             platform: Arc::default(),
             recovery_time: Bounds::default().recovery_time,
             disk_bytes: None,
+            capacities: BTreeMap::new(),
         }
     }
 
@@ -204,17 +210,32 @@
                 advice: Arc::new(UnreachableAdvice),
                 machines: Arc::clone(&self.platform) as _,
             },
-            disk: self.limited_disk(),
+            disk: self.limited_disk(host),
         };
         self.clocks.insert(host, clock);
         (cfg, parts)
     }
 
-    fn limited_disk(&self) -> Arc<dyn Disk> {
-        match self.disk_bytes {
-            Some(capacity) => Arc::new(SmallDisk { capacity }),
-            None => Arc::new(LocalDisk),
-        }
+    fn limited_disk(&mut self, host: u8) -> Arc<dyn Disk> {
+        let Some(bytes) = self.disk_bytes else {
+            return Arc::new(LocalDisk);
+        };
+        let capacity = self.capacities.entry(host);
+        let capacity = capacity.or_insert_with(|| Arc::new(AtomicU64::new(bytes)));
+        Arc::new(SmallDisk {
+            capacity: Arc::clone(capacity),
+        })
+    }
+
+    /// Lets the limited disk of a host refuse each write that needs room.
+    pub fn fill_disk(&self, host: u8) {
+        self.capacities[&host].store(0, Ordering::SeqCst);
+    }
+
+    /// Gives the limited disk of a host its room again.
+    pub fn make_room(&self, host: u8) {
+        let bytes = self.disk_bytes.expect("limited disks");
+        self.capacities[&host].store(bytes, Ordering::SeqCst);
     }
 
     fn state_limits(&self) -> StateLimits {
--- a/lib/entry/tests/common/small_disk.rs
+++ b/lib/entry/tests/common/small_disk.rs
@@ -1,23 +1,29 @@
-use std::path::{Path, PathBuf};
+use std::{
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_storage::{Disk, DiskUsage, Files, Folder};
 
 /// Disk that refuses writes beyond its capacity. The data folders of all its hosts count apart.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct SmallDisk {
-    /// Size of the disk in bytes.
-    pub capacity: u64,
+    /// Size of the disk in bytes; tests change it while the disk is in use.
+    pub capacity: Arc<AtomicU64>,
 }
 
 impl SmallDisk {
-    fn limit(self, dir: &Path, folder: Folder) -> Box<dyn Files> {
+    fn limit(&self, dir: &Path, folder: Folder) -> Box<dyn Files> {
         // Data that was set aside stands beside the folder of the replica.
         let root = dir.parent().unwrap_or(dir).to_owned();
         Box::new(LimitedFiles {
             folder,
             root,
-            capacity: self.capacity,
+            capacity: Arc::clone(&self.capacity),
         })
     }
 }
@@ -38,13 +44,13 @@
     folder: Folder,
     /// Folder whose files take up the space of the disk.
     root: PathBuf,
-    capacity: u64,
+    capacity: Arc<AtomicU64>,
 }
 
 impl LimitedFiles {
     fn reserve(&self, added: usize) -> Outcome<()> {
         let used = DiskUsage::of(&self.root);
-        if used.total_bytes() + added as u64 > self.capacity {
+        if used.total_bytes() + added as u64 > self.capacity.load(Ordering::SeqCst) {
             let cause = format!("no space left for {added} bytes beside {used}");
             return Err(Failure::new(Code::DiskFull, cause));
         }
--- a/lib/host/src/replica_runtime.rs
+++ b/lib/host/src/replica_runtime.rs
@@ -78,7 +78,6 @@
         );
         let parts = ReplicaParts {
             replica,
-            store: Box::new(store),
             limits,
             saved_snapshot: saved,
             state: Arc::new(CellStateMachine(Arc::clone(&cell))),
@@ -89,7 +88,7 @@
             events: Arc::clone(deps.events),
             metrics: Arc::clone(deps.metrics),
         };
-        let (handle, replica_thread) = ReplicaDriver::start(parts, applied);
+        let (handle, replica_thread) = ReplicaDriver::start(parts, Box::new(store), applied);
         let parts = SchedulerParts {
             scheduler: new_scheduler(deps.cfg, Arc::clone(&cell)),
             replica: handle.clone(),
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -20,7 +20,8 @@
 
 use crate::{
     AbortOnPanic, ApplySink, Clock, Growth, GrowthRoom, LeaderLease, Links, ReplicaHandle,
-    StateLimits, StateMachine, input::Input, proposal_batch::ProposalBatch, waiters::Waiters,
+    StateLimits, StateMachine, input::Input, proposal_batch::ProposalBatch,
+    store_writer::StoreWriter, waiters::Waiters,
 };
 
 /// Inputs that may be queued for the replica's thread. Bounds memory use under overload.
@@ -47,11 +48,9 @@
 where
     S: StateMachine,
 {
-    /// Consensus state machine, restored from `store`.
+    /// Consensus state machine, restored from the store.
     pub replica: Replica,
-    /// Durable log, vote and snapshot of the replica.
-    pub store: Box<dyn LogStore>,
-    /// Limits of the log and the snapshot in `store`.
+    /// Limits of the log and the snapshot in the store.
     pub limits: StateLimits,
     /// Latest saved snapshot, sent to members that need entries already deleted from the log.
     pub saved_snapshot: Option<(SnapshotMeta, Bytes)>,
@@ -78,6 +77,7 @@
     S: StateMachine,
 {
     parts: ReplicaParts<S>,
+    writer: StoreWriter,
     waiters: Waiters<S>,
     rx: Receiver<Input<S>>,
     id: MemberId,
@@ -93,25 +93,26 @@
     room_snapshot_at: Millis,
     /// Whether a proposal was refused for want of room since the latest snapshot, which may free some.
     is_room_wanted: bool,
-    /// Last entry appended since the last sync.
-    unsynced_entry: Option<(LogIndex, Term)>,
-    /// Vote that is saved and synced but not yet reported to the replica.
-    unreported_vote: Option<(Term, Option<MemberId>)>,
+    /// Whether the replica was told that the disk refuses writes.
+    is_disk_full: bool,
 }
 
 impl<S> ReplicaDriver<S>
 where
     S: StateMachine,
 {
-    /// Starts the thread. `applied_index` is the last log index already applied to the state.
+    /// Starts the thread. `store` holds the durable log, vote and snapshot of the replica;
+    /// `applied_index` is the last log index already applied to the state.
     pub fn start(
         parts: ReplicaParts<S>,
+        store: Box<dyn LogStore>,
         applied_index: LogIndex,
     ) -> (ReplicaHandle<S>, JoinHandle<()>) {
         let (tx, rx) = sync_channel(MAX_QUEUED_INPUTS);
         let id = parts.replica.id();
         let driver = Self {
             parts,
+            writer: StoreWriter::new(store),
             waiters: Waiters::default(),
             rx,
             id,
@@ -123,8 +124,7 @@
             snapshot_retry_at: Millis(0),
             room_snapshot_at: Millis(0),
             is_room_wanted: false,
-            unsynced_entry: None,
-            unreported_vote: None,
+            is_disk_full: false,
         };
         let spawned = thread::Builder::new()
             .name("replica".to_owned())
@@ -161,6 +161,7 @@
     /// Handles one batch of inputs. Returns false once the thread has to end.
     fn handle_batch(&mut self) -> Outcome<bool> {
         let mut inputs = Vec::new();
+        self.writer.retry(self.parts.clock.now())?;
         match self.rx.recv_timeout(TICK_INTERVAL) {
             Ok(input) => inputs.push(input),
             Err(RecvTimeoutError::Timeout) => {}
@@ -215,7 +216,10 @@
 
     fn growth_room(&self) -> GrowthRoom {
         let uncommitted = self.parts.replica.uncommitted_bytes() as u64;
-        GrowthRoom::new(self.parts.limits, self.parts.store.sizes(), uncommitted)
+        if self.is_disk_full {
+            return GrowthRoom::closed(self.parts.limits);
+        }
+        GrowthRoom::new(self.parts.limits, self.writer.sizes(), uncommitted)
     }
 
     fn leader_lease(&self) -> Option<LeaderLease> {
@@ -262,36 +266,51 @@
     /// Syncs the writes of the current batch and reports them to the replica. Repeats while the
     /// reports cause further writes.
     fn sync(&mut self) -> Outcome<()> {
-        while self.unsynced_entry.is_some() || self.unreported_vote.is_some() {
-            // Taken before the vote is reported, which may cause further writes: they are not synced.
-            let synced_entry = self.unsynced_entry.take();
-            if synced_entry.is_some() {
-                let _timer = self.parts.metrics.sync_time.start_timer();
-                self.parts.store.sync()?;
-            }
-            if let Some((term, voted_for)) = self.unreported_vote.take() {
-                self.step(Event::VoteSynced { term, voted_for })?;
+        loop {
+            self.report_disk_state()?;
+            let needs_sync = self.writer.needs_sync();
+            let timer = needs_sync.then(|| self.parts.metrics.sync_time.start_timer());
+            let reports = self.writer.sync()?;
+            drop(timer);
+            if reports.is_empty() {
+                return Ok(());
             }
-            if let Some((index, term)) = synced_entry {
-                self.step(Event::Synced { index, term })?;
+            for report in reports {
+                self.step(report)?;
             }
         }
-        Ok(())
+    }
+
+    /// Tells the replica and the operator when the disk becomes full and when it has room again.
+    fn report_disk_state(&mut self) -> Outcome<()> {
+        let is_full = self.writer.refusal().is_some();
+        if is_full == self.is_disk_full {
+            return Ok(());
+        }
+        self.is_disk_full = is_full;
+        self.parts.metrics.disk_full.set(i64::from(is_full));
+        let event = match self.writer.refusal() {
+            Some(refusal) => LogEvent::error("disk_full")
+                .code(refusal.code.number())
+                .detail(refusal.cause.clone()),
+            None => LogEvent::info("disk_writable"),
+        };
+        self.emit(&event.index(self.applied_index));
+        self.step(Event::DiskState { is_full })
     }
 
     fn execute(&mut self, action: Action) -> Outcome<()> {
         match action {
             Action::Send { to, host, msg } => self.send(to, &host, msg),
             Action::SaveVote { term, voted_for } => {
-                self.parts.store.save_vote(term, voted_for)?;
-                self.unreported_vote = Some((term, voted_for));
+                self.writer.save_vote(term, voted_for)?;
             }
             Action::Append {
                 truncate_from,
                 entries,
-            } => self.append(truncate_from, &entries)?,
+            } => self.writer.append(truncate_from, entries)?,
             Action::Apply { entries } => entries.iter().try_for_each(|e| self.apply(e))?,
-            Action::InstallSnapshot { meta, state } => self.install_snapshot(&meta, state)?,
+            Action::InstallSnapshot { meta, state } => self.install_snapshot(meta, state)?,
             Action::SendSnapshot { to, host, term } => self.send_snapshot(to, &host, term),
             Action::Proposed { token, first, term } => self.waiters.appended(token, first, term),
             Action::Done { token, index } => self.waiters.done(token, index, self.applied_index),
@@ -357,17 +376,6 @@
         self.parts.links.send(host, event);
     }
 
-    fn append(&mut self, truncate_from: Option<LogIndex>, entries: &[Entry]) -> Outcome<()> {
-        if let Some(index) = truncate_from {
-            self.parts.store.truncate_from(index)?;
-        }
-        self.parts.store.append(entries)?;
-        if let Some(last) = entries.last() {
-            self.unsynced_entry = Some((last.index, last.term));
-        }
-        Ok(())
-    }
-
     fn apply(&mut self, entry: &Entry) -> Outcome<()> {
         let mut result = None;
         if let Payload::Record(buf) = &entry.payload {
@@ -390,16 +398,16 @@
         Ok(())
     }
 
-    fn install_snapshot(&mut self, meta: &SnapshotMeta, state: Bytes) -> Outcome<()> {
-        self.parts.store.save_snapshot(meta, &state)?;
+    fn install_snapshot(&mut self, meta: SnapshotMeta, state: Bytes) -> Outcome<()> {
+        self.writer.install_snapshot(meta.clone(), state.clone())?;
         self.parts.state.restore(&state)?;
-        self.parts.saved_snapshot = Some((meta.clone(), state));
         self.applied_index = meta.index;
         self.snapshot_index = meta.index;
-        self.kept_log_bytes = self.parts.store.sizes().log_bytes;
+        self.kept_log_bytes = self.writer.sizes().log_bytes;
         self.waiters.fail_unapplied();
         self.emit(&LogEvent::info("snapshot_installed").index(meta.index));
-        self.step(Event::SnapshotSaved { meta: meta.clone() })
+        self.parts.saved_snapshot = Some((meta, state));
+        Ok(())
     }
 
     fn send_snapshot(&self, to: MemberId, host: &HostName, term: Term) {
@@ -411,10 +419,10 @@
     fn save_snapshot_if_due(&mut self) -> Outcome<()> {
         let now = self.parts.clock.now();
         let entries = self.applied_index.0 - self.snapshot_index.0;
-        let (limits, sizes) = (self.parts.limits, self.parts.store.sizes());
+        let (limits, sizes) = (self.parts.limits, self.writer.sizes());
         let is_due = entries >= SNAPSHOT_INTERVAL_ENTRIES
             || limits.is_snapshot_due(sizes, self.kept_log_bytes)
-            || (self.is_room_wanted && now >= self.room_snapshot_at);
+            || ((self.is_room_wanted || self.is_disk_full) && now >= self.room_snapshot_at);
         if entries == 0 || !is_due || now < self.snapshot_retry_at {
             return Ok(());
         }
@@ -433,7 +441,7 @@
             Err(failure) => Err(failure),
             Ok(()) => {
                 self.snapshot_index = meta.index;
-                self.kept_log_bytes = self.parts.store.sizes().log_bytes;
+                self.kept_log_bytes = self.writer.sizes().log_bytes;
                 // Counted from the end, since a snapshot on a slow disk takes longer than the pause.
                 self.room_snapshot_at = self.parts.clock.now() + SNAPSHOT_PAUSE;
                 self.is_room_wanted = false;
@@ -445,10 +453,10 @@
     fn save_snapshot(&mut self, meta: &SnapshotMeta) -> Outcome<()> {
         let timer = self.parts.metrics.snapshot_time.start_timer();
         let state = self.parts.state.snapshot()?;
-        self.parts.store.save_snapshot(meta, &state)?;
+        self.writer.save_snapshot(meta, &state)?;
         let seconds = timer.stop_and_record();
         self.parts.saved_snapshot = Some((meta.clone(), state));
-        let sizes = self.parts.store.sizes();
+        let sizes = self.writer.sizes();
         let event = LogEvent::info("snapshot_saved").index(meta.index);
         self.emit(&event.detail(format!(
             "log {} bytes, snapshot {} bytes, {seconds:.3} s",
@@ -458,7 +466,7 @@
     }
 
     fn update_size_metrics(&self) {
-        let sizes = self.parts.store.sizes();
+        let sizes = self.writer.sizes();
         let metrics = &self.parts.metrics;
         metrics.log_bytes.set(sizes.log_bytes as i64);
         metrics.snapshot_bytes.set(sizes.snapshot_bytes as i64);
--- a/lib/replica/src/growth_room.rs
+++ b/lib/replica/src/growth_room.rs
@@ -27,6 +27,15 @@
         }
     }
 
+    /// Returns the room beside a full disk, which is none.
+    pub fn closed(limits: StateLimits) -> Self {
+        Self {
+            limits,
+            free_bytes: 0,
+            uncommitted_bytes: 0,
+        }
+    }
+
     /// Takes room for a record of `len` bytes, or returns why it is refused. A refused record is not
     /// proposed and has no effect.
     pub fn take(&mut self, growth: Growth, len: u64) -> Outcome<()> {
--- a/lib/replica/src/lib.rs
+++ b/lib/replica/src/lib.rs
@@ -23,6 +23,7 @@
 mod state_limits;
 mod state_machine;
 mod status;
+mod store_writer;
 mod waiters;
 
 pub use abort_on_panic::AbortOnPanic;
@@ -41,3 +42,4 @@
 pub use state_limits::StateLimits;
 pub use state_machine::StateMachine;
 pub use status::ReplicaStatus;
+pub use store_writer::StoreWriter;
--- a/lib/replica/tests/driver/group.rs
+++ b/lib/replica/tests/driver/group.rs
@@ -20,6 +20,7 @@
 };
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event, EventId, EventSink, Metrics};
+use tokio::runtime::{Builder, Runtime};
 use tokio_util::sync::CancellationToken;
 
 use crate::disk_store::{DiskState, DiskStore};
@@ -27,6 +28,9 @@
 /// Time after which a wait fails, far above the time that a passing test needs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time in which the thread answers a request.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
 const HOST: &str = "a";
 
 /// Waits until a condition holds, and panics after [`WAIT_TIMEOUT`].
@@ -107,11 +111,13 @@
     fn dropped(&self, _: &HostName) {}
 }
 
-#[derive(Debug)]
-struct NoEvents;
+/// Counts events by name.
+#[derive(Debug, Default)]
+struct Events(Mutex<BTreeMap<&'static str, usize>>);
 
-impl EventSink for NoEvents {
-    fn emit(&self, _: &Event) -> EventId {
+impl EventSink for Events {
+    fn emit(&self, event: &Event) -> EventId {
+        *self.0.lock().entry(event.name).or_default() += 1;
         EventId::default()
     }
 }
@@ -121,6 +127,9 @@
     handle: ReplicaHandle<Sum>,
     thread: Option<JoinHandle<()>>,
     sink: Arc<Sink>,
+    events: Arc<Events>,
+    runtime: Runtime,
+    pub metrics: Arc<Metrics>,
 }
 
 impl Group {
@@ -148,24 +157,31 @@
             disk: disk.clone(),
             unsynced: Mutex::default(),
         });
+        let events = Arc::new(Events::default());
+        let metrics = Arc::new(Metrics::new());
         let parts = ReplicaParts {
             saved_snapshot: recovered.snapshot.clone(),
             replica: Replica::new(Config::default(), recovered, 1),
-            store: Box::new(store),
             limits: StateLimits::new(1 << 30, 1 << 30),
             state: Arc::new(Sum::default()),
             clock: Arc::new(SystemClock::start()),
             links: Arc::new(links),
             sink: Arc::clone(&sink) as _,
             leader_hint: Arc::new(LeaderHint::default()),
-            events: Arc::new(NoEvents),
-            metrics: Arc::new(Metrics::new()),
+            events: Arc::clone(&events) as _,
+            metrics: Arc::clone(&metrics),
         };
-        let (handle, thread) = ReplicaDriver::start(parts, LogIndex(0));
+        let (handle, thread) = ReplicaDriver::start(parts, Box::new(store), LogIndex(0));
         Self {
             handle,
             thread: Some(thread),
             sink,
+            events,
+            runtime: Builder::new_current_thread()
+                .enable_time()
+                .build()
+                .expect("a runtime"),
+            metrics,
         }
     }
 
@@ -177,6 +193,28 @@
     pub fn entries_unsynced_at_first_commit(&self) -> usize {
         self.sink.unsynced.lock().expect("the replica leads")
     }
+
+    /// Number of events with this name.
+    pub fn count(&self, name: &str) -> usize {
+        self.events.0.lock().get(name).copied().unwrap_or_default()
+    }
+
+    /// Proposes a number and returns the sum after it.
+    pub fn add(&self, number: u64) -> Outcome<u64> {
+        let proposal = self.handle.propose(0, number, CALL_TIMEOUT);
+        self.runtime.block_on(proposal)
+    }
+
+    /// Proposes a number without waiting for its result.
+    pub fn send(&self, number: u64) {
+        let sent = self.handle.propose_for_scheduler(0, number);
+        sent.expect("the queue has room");
+    }
+
+    /// Reads as the leader.
+    pub fn read(&self) -> Outcome<()> {
+        self.runtime.block_on(self.handle.read(CALL_TIMEOUT))
+    }
 }
 
 impl Drop for Group {
--- a/lib/telemetry/src/metrics.rs
+++ b/lib/telemetry/src/metrics.rs
@@ -96,6 +96,8 @@
     log_bytes: IntGauge = gauge("tarragon_log_bytes");
     /// Bytes of the latest snapshot on the disk of this replica.
     snapshot_bytes: IntGauge = gauge("tarragon_snapshot_bytes");
+    /// Whether the disk of this replica refuses writes, so that it neither votes nor leads.
+    disk_full: IntGauge = gauge("tarragon_disk_full");
     /// Limit of log and snapshot together, in bytes.
     state_limit_bytes: IntGauge = gauge("tarragon_state_limit_bytes");
     /// Time of making and saving a snapshot.
