entry: damage a log that holds an entry

`host_with_a_damaged_log_becomes_a_voter_again` failed once in 36 runs with an index out of bounds: the log of the host was empty when the test changed a byte of its first record. A host is ready once a leader answers it, which may be before its first entry is on its disk. The test now waits for that entry before it stops the host; what it checks is unchanged.

--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -67,6 +67,9 @@
     FIRST_PORT + (process::id() % u32::from(PORTS)) as u16
 }
 
+/// Size of a log without entries, in bytes.
+const EMPTY_LOG_BYTES: u64 = 20;
+
 /// Time after which a wait fails; far longer than expected, so that a busy machine fails no test.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -497,11 +500,17 @@
         fs::remove_dir_all(self.disk(host)).expect("the data folder exists");
     }
 
+    /// Returns whether the log of a host holds a record beside the empty one of its creation.
+    pub fn has_log_record(&self, host: u8) -> bool {
+        let path = self.disk(host).join("replica").join("log");
+        fs::metadata(path).is_ok_and(|metadata| metadata.len() > EMPTY_LOG_BYTES)
+    }
+
     /// Changes a byte in the first record of the log of a stopped host.
     pub fn damage_log(&self, host: u8) {
         let path = self.disk(host).join("replica").join("log");
         let mut log = fs::read(&path).expect("the log exists");
-        log[20] ^= 0x10;
+        log[EMPTY_LOG_BYTES as usize] ^= 0x10;
         fs::write(&path, log).expect("the log is writable");
     }
 }
--- a/lib/entry/tests/formation.rs
+++ b/lib/entry/tests/formation.rs
@@ -77,6 +77,8 @@
         cell.start(host, true, true, &[1, 2, 3]).await;
     }
     wait_until("all hosts find the leader", || cell.all_ready()).await;
+    // A host is ready once a leader answers it, which may be before its first entry.
+    wait_until("the log holds an entry", || cell.has_log_record(3)).await;
     cell.stop_host(3);
     cell.damage_log(3);
     cell.start(3, true, false, &[1, 2, 3]).await;
