--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -288,6 +288,8 @@
             return Ok(());
         }
         self.is_disk_full = is_full;
+        // A log that grows for a second before the next attempt may leave no room for a snapshot.
+        self.snapshot_retry_at = Millis(0);
         self.parts.metrics.disk_full.set(i64::from(is_full));
         let event = match self.writer.refusal() {
             Some(refusal) => LogEvent::error("disk_full")
