--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -16,7 +16,10 @@
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -64,6 +67,9 @@
     FIRST_PORT + (process::id() % u32::from(PORTS)) as u16
 }
 
+/// Size of a log without entries, in bytes.
+const EMPTY_LOG_BYTES: u64 = 20;
+
 /// Time after which a wait fails; far longer than expected, so that a busy machine fails no test.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -122,6 +128,8 @@
     pub recovery_time: Millis,
     /// Size of the disks of hosts that are started from now on, in bytes; `None` if it is not limited.
     pub disk_bytes: Option<u64>,
+    /// Sizes of the disks that are limited, by host.
+    capacities: BTreeMap<u8, Arc<AtomicU64>>,
 }
 
 impl Cell {
@@ -135,6 +143,7 @@
             platform: Arc::default(),
             recovery_time: Bounds::default().recovery_time,
             disk_bytes: None,
+            capacities: BTreeMap::new(),
         }
     }
 
@@ -204,17 +213,32 @@
                 advice: Arc::new(UnreachableAdvice),
                 machines: Arc::clone(&self.platform) as _,
             },
-            disk: self.limited_disk(),
+            disk: self.limited_disk(host),
         };
         self.clocks.insert(host, clock);
         (cfg, parts)
     }
 
-    fn limited_disk(&self) -> Arc<dyn Disk> {
-        match self.disk_bytes {
-            Some(capacity) => Arc::new(SmallDisk { capacity }),
-            None => Arc::new(LocalDisk),
-        }
+    fn limited_disk(&mut self, host: u8) -> Arc<dyn Disk> {
+        let Some(bytes) = self.disk_bytes else {
+            return Arc::new(LocalDisk);
+        };
+        let capacity = self.capacities.entry(host);
+        let capacity = capacity.or_insert_with(|| Arc::new(AtomicU64::new(bytes)));
+        Arc::new(SmallDisk {
+            capacity: Arc::clone(capacity),
+        })
+    }
+
+    /// Lets the limited disk of a host refuse each write that needs room.
+    pub fn fill_disk(&self, host: u8) {
+        self.capacities[&host].store(0, Ordering::SeqCst);
+    }
+
+    /// Gives the limited disk of a host its room again.
+    pub fn make_room(&self, host: u8) {
+        let bytes = self.disk_bytes.expect("limited disks");
+        self.capacities[&host].store(bytes, Ordering::SeqCst);
     }
 
     fn state_limits(&self) -> StateLimits {
@@ -476,11 +500,17 @@
         fs::remove_dir_all(self.disk(host)).expect("the data folder exists");
     }
 
+    /// Returns whether the log of a host holds a record beside the empty one of its creation.
+    pub fn has_log_record(&self, host: u8) -> bool {
+        let path = self.disk(host).join("replica").join("log");
+        fs::metadata(path).is_ok_and(|metadata| metadata.len() > EMPTY_LOG_BYTES)
+    }
+
     /// Changes a byte in the first record of the log of a stopped host.
     pub fn damage_log(&self, host: u8) {
         let path = self.disk(host).join("replica").join("log");
         let mut log = fs::read(&path).expect("the log exists");
-        log[20] ^= 0x10;
+        log[EMPTY_LOG_BYTES as usize] ^= 0x10;
         fs::write(&path, log).expect("the log is writable");
     }
 }
