dispatch: forget failed jobs after a minute

Jobs are forgotten 60 s after their last failure; not at once when they end, because the other tasks of a job that fails everywhere would then count against their workers.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -34,6 +34,9 @@
 /// after a failed run. Without it, jobs that fail everywhere would empty the pool.
 pub(crate) const MAX_FAILING_PERCENT: usize = 30;
 
+/// Time for which the failures of a job are kept after the last one.
+const FAILED_JOB_RETENTION: Millis = Millis(60_000);
+
 /// Number of different jobs that must fail on a worker, with no success in between, before the
 /// worker is quarantined.
 const QUARANTINE_FAILED_JOBS: usize = 3;
@@ -118,6 +121,7 @@
             min_probe_delay: PROBE_DELAY,
             max_probe_delay: MAX_PROBE_DELAY,
             max_quarantined_percent: MAX_FAILING_PERCENT,
+            job_retention: FAILED_JOB_RETENTION,
             ..HealthConfig::default()
         };
         Self {
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -338,6 +338,7 @@
         // A quarantined worker is usable again from the time of its probe on: the next run that ends
         // there is the probe.
         self.health.take_due_probes(self.now, usize::MAX);
+        self.health.forget_expired_jobs(self.now);
     }
 
     /// Sends the polls that are due.
