dispatch: split the handling of a listed end

record_ends updated the view of the run, the capacity and the speed of its worker, proposed the record, wrote the log line and judged the worker. The worker's state now handles the end, and the log line has a function of its own.

--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -4,12 +4,13 @@
 use std::collections::BTreeSet;
 
 use tarragon_names::{Millis, Resources, WorkerName};
-use tarragon_workflow::{JobKey, RunEnd, RunEvent, StepSpec, WorkerIncarnation};
+use tarragon_workflow::{JobKey, RunEvent, StepSpec, WorkerIncarnation};
 
 use crate::{
     DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
     StopOrder,
     backoff::backoff,
+    listed_end::ListedEnd,
     run_view::{StartState, StopState},
     worker_speed::WorkerSpeed,
     worker_state::WorkerState,
@@ -130,29 +131,8 @@
                 continue;
             }
             state.last_proposed_end = finished_run.number;
-            let mut ran = Millis(0);
-            let mut used = None;
-            // The end of a run that is not expected here was listed before, or its run was declared
-            // lost.
-            let mut name = "unexpected_end";
-            let mut is_new = false;
-            if let Some(view) = state.runs.get_mut(&finished_run.task)
-                && view.run == finished_run.run
-            {
-                if !view.is_ended {
-                    name = "run_ended";
-                }
-                is_new = view.listed_end.replace(finished_run.number).is_none();
-                ran = self.now.since(view.placed_at);
-                used = view.usage_or_tail_ms;
-                let estimate = view.spec.estimate;
-                state.set_ended(&finished_run.task, true);
-                if is_new && finished_run.end == RunEnd::Done {
-                    state.last_success_at = self.now;
-                    state.speed.record_run(ran, estimate);
-                }
-                self.needs_placement = true;
-            }
+            let listed = state.end_listed(finished_run, self.now);
+            self.needs_placement |= listed.is_some();
             self.records.push(RunEvent::Ended {
                 incarnation: incarnation.clone(),
                 number: finished_run.number,
@@ -161,21 +141,37 @@
                 end: finished_run.end,
                 checkpoint: finished_run.checkpoint.clone(),
             });
-            let detail = format!(
-                "{}, end number {}, after {} ms, last usage {used:?}",
-                finished_run.end, finished_run.number, ran.0
-            );
-            self.emit(
-                DecisionEvent::new(name, detail)
-                    .task(finished_run.task, finished_run.run)
-                    .worker(&incarnation.worker),
-            );
-            if is_new {
+            self.report_end(incarnation, finished_run, listed);
+            if listed.is_some_and(|listed| listed.is_first) {
                 self.record_health(&finished_run.task, &incarnation.worker, finished_run.end);
             }
         }
     }
 
+    /// Writes a listed end to the log. The end of a run that is not expected on the worker was listed
+    /// before, or its run was declared lost.
+    fn report_end(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        finished_run: &FinishedRun,
+        listed: Option<ListedEnd>,
+    ) {
+        let is_expected = listed.is_some_and(|listed| listed.is_expected);
+        let name = if is_expected {
+            "run_ended"
+        } else {
+            "unexpected_end"
+        };
+        let ran = listed.map_or(Millis(0), |listed| listed.ran);
+        let used = listed.and_then(|listed| listed.usage_or_tail_ms);
+        let detail = format!(
+            "{}, end number {}, after {} ms, last usage {used:?}",
+            finished_run.end, finished_run.number, ran.0
+        );
+        let event = DecisionEvent::new(name, detail).task(finished_run.task, finished_run.run);
+        self.emit(event.worker(&incarnation.worker));
+    }
+
     /// Resources of the listed runs whose capacity the leader counts as free: runs that it does not
     /// expect on the worker, and runs that it has declared ended. They occupy the worker until their
     /// ends are listed. A run of an unknown job may occupy all of it.
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod headroom;
 mod input;
 mod late_orders;
+mod listed_end;
 mod nameable_workers;
 mod order;
 mod output;
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -1,11 +1,11 @@
 use std::collections::BTreeMap;
 
 use tarragon_names::{Millis, PoolName, Resources};
-use tarragon_workflow::{StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
+use tarragon_workflow::{RunEnd, StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
-    DispatchConfig, dispatcher_throttle::FULL_RATE, run_view::RunView, unusable::Unusable,
-    worker_speed::WorkerSpeed,
+    DispatchConfig, FinishedRun, dispatcher_throttle::FULL_RATE, listed_end::ListedEnd,
+    run_view::RunView, unusable::Unusable, worker_speed::WorkerSpeed,
 };
 
 /// Slowest rate of a worker's clock relative to the leader's, in percent.
@@ -205,6 +205,27 @@
             .collect()
     }
 
+    /// Handles the end of a run that the worker lists; `None` if the run is not known here.
+    pub(crate) fn end_listed(&mut self, ended: &FinishedRun, now: Millis) -> Option<ListedEnd> {
+        let view = self.runs.get_mut(&ended.task)?;
+        if view.run != ended.run {
+            return None;
+        }
+        let listed = ListedEnd {
+            is_expected: !view.is_ended,
+            is_first: view.listed_end.replace(ended.number).is_none(),
+            ran: now.since(view.placed_at),
+            usage_or_tail_ms: view.usage_or_tail_ms,
+        };
+        let estimate = view.spec.estimate;
+        self.set_ended(&ended.task, true);
+        if listed.is_first && ended.end == RunEnd::Done {
+            self.last_success_at = now;
+            self.speed.record_run(listed.ran, estimate);
+        }
+        Some(listed)
+    }
+
     /// Marks a run as ended, which frees its capacity, or reverts that.
     pub(crate) fn set_ended(&mut self, task: &TaskKey, is_ended: bool) {
         let Some(view) = self.runs.get_mut(task) else {
