storage: tell a full disk from one that refuses writes for another reason

Every error of a write was reported as a full disk (7102). Since a running replica waits for room, a disk that has become read-only or a folder that is gone would be retried for ever, and its voter, which answers heartbeats, would never be replaced. Only writes that lack room wait now; any other refusal has a code of its own (7106) and ends the process, as before. A start waits for both, as before.

--- a/lib/codes/src/code.rs
+++ b/lib/codes/src/code.rs
@@ -108,7 +108,7 @@
     BadSettings = 6101, 500, "Correct each listed place in the settings file.";
     /// corrupt record in the data folder
     CorruptRecord = 7101, 500, "Replace the host's data: see 'lose a disk' in docs/OPERATIONS.md.";
-    /// disk full or not writable
+    /// disk full
     DiskFull = 7102, 500, "Free space in the data folder; the host goes on by itself.";
     /// sync to disk failed
     SyncFailed = 7103, 500, "Check the disk; the host starts again from what the disk holds.";
@@ -116,6 +116,8 @@
     ForeignData = 7104, 500, "Point data_dir to this host's own folder.";
     /// data folder in use by another process
     FolderInUse = 7105, 500, "Start the host again once the other process has ended.";
+    /// disk refuses writes for another reason than room
+    DiskUnusable = 7106, 500, "Check the disk and the rights on the data folder; the host starts again and waits for it.";
     /// internal error
     Internal = 9001, 500, "Report it with the log lines of the request.";
 }
@@ -125,6 +127,11 @@
     pub fn number(self) -> u16 {
         self as u16
     }
+
+    /// Returns whether a disk refused a write, which left its files as they were.
+    pub fn is_refused_write(self) -> bool {
+        matches!(self, Self::DiskFull | Self::DiskUnusable)
+    }
 }
 
 impl From<Code> for u16 {
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -420,7 +420,7 @@
     let mut is_reported = false;
     loop {
         match open_store(cfg, dir, new_id, disk, events) {
-            Err(failure) if failure.code == Code::DiskFull => {
+            Err(failure) if failure.code.is_refused_write() => {
                 if !is_reported {
                     let event = Event::error("disk_lost").code(failure.code.number());
                     let detail = format!("{}; data folder: {}", failure.cause, DiskUsage::of(dir));
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -434,7 +434,7 @@
         match self.save_snapshot(&meta) {
             // The log stays as it is. It is cut once there is room, and until then it takes no more
             // than the limit.
-            Err(failure) if failure.code == Code::DiskFull => {
+            Err(failure) if failure.code.is_refused_write() => {
                 self.snapshot_retry_at = self.parts.clock.now() + SNAPSHOT_PAUSE;
                 let event = LogEvent::error("snapshot_failed").code(failure.code.number());
                 self.emit(&event.index(meta.index).detail(failure.cause));
--- a/lib/storage/src/file_store.rs
+++ b/lib/storage/src/file_store.rs
@@ -211,7 +211,7 @@
         frame::push_empty(&mut frame, self.synced_log_len)?;
         match self.files.append(LOG_FILE, &frame) {
             Ok(()) => self.log_len += frame.len() as u64,
-            Err(failure) if failure.code == Code::DiskFull => return Ok(()),
+            Err(failure) if failure.code.is_refused_write() => return Ok(()),
             Err(failure) => return Err(failure),
         }
         self.files.sync(LOG_FILE)?;
--- a/lib/storage/src/files.rs
+++ b/lib/storage/src/files.rs
@@ -25,7 +25,7 @@
 
     /// Appends to an existing file; durable after the next `sync` of the file.
     ///
-    /// After a failure with `DiskFull` the file has its previous length.
+    /// After a failure with `DiskFull` or `DiskUnusable` the file has its previous length.
     fn append(&mut self, name: &str, contents: &[u8]) -> Outcome<()>;
 
     /// Replaces everything from `offset` on, which must not be longer than the old part; durable on
--- a/lib/storage/src/folder.rs
+++ b/lib/storage/src/folder.rs
@@ -68,7 +68,7 @@
         if !matches!(&self.append_file, Some((open, _)) if open == name) {
             let path = self.path.join(name);
             let file = OpenOptions::new().append(true).open(&path);
-            let file = file.map_err(|e| io_failure(Code::DiskFull, &path, &e))?;
+            let file = file.map_err(|e| write_failure(&path, &e))?;
             self.append_file = Some((name.to_owned(), file));
         }
         match &mut self.append_file {
@@ -132,12 +132,12 @@
             // A partial file would take up the room that other writes need.
             let _removed = fs::remove_file(&temp);
             let cause = format!("{}: {e}, writing {} bytes", temp.display(), contents.len());
-            Failure::new(Code::DiskFull, cause)
+            Failure::new(refused_write(&e), cause)
         })?;
         file.sync_all()
             .map_err(|e| io_failure(Code::SyncFailed, &temp, &e))?;
         let path = self.path.join(name);
-        fs::rename(&temp, &path).map_err(|e| io_failure(Code::DiskFull, &path, &e))?;
+        fs::rename(&temp, &path).map_err(|e| write_failure(&path, &e))?;
         if matches!(&self.append_file, Some((open, _)) if open == name) {
             self.append_file = None;
         }
@@ -149,16 +149,14 @@
         match fs::remove_file(&path) {
             Ok(()) => self.sync_dir(),
             Err(e) if e.kind() == ErrorKind::NotFound => Ok(()),
-            Err(e) => Err(io_failure(Code::DiskFull, &path, &e)),
+            Err(e) => Err(write_failure(&path, &e)),
         }
     }
 
     fn append(&mut self, name: &str, contents: &[u8]) -> Outcome<()> {
         let path = self.path.join(name);
         let file = self.open_append_file(name)?;
-        let before = file
-            .metadata()
-            .map_err(|e| io_failure(Code::DiskFull, &path, &e))?;
+        let before = file.metadata().map_err(|e| write_failure(&path, &e))?;
         let Err(error) = file.write_all(contents) else {
             return Ok(());
         };
@@ -166,7 +164,7 @@
         // that no record follows the partial one.
         let cut = file.set_len(before.len());
         cut.map_err(|e| io_failure(Code::SyncFailed, &path, &e))?;
-        Err(io_failure(Code::DiskFull, &path, &error))
+        Err(write_failure(&path, &error))
     }
 
     fn overwrite_from(&mut self, name: &str, offset: u64, contents: &[u8]) -> Outcome<()> {
@@ -178,7 +176,7 @@
             file.set_len(offset + contents.len() as u64)?;
             Ok(file)
         });
-        let file = written.map_err(|e| io_failure(Code::DiskFull, &path, &e))?;
+        let file = written.map_err(|e| write_failure(&path, &e))?;
         let synced = file.sync_all();
         synced.map_err(|e| io_failure(Code::SyncFailed, &path, &e))
     }
@@ -199,6 +197,20 @@
     }
 }
 
+/// Code of a refused write. Only a write that lacks room succeeds once others have freed some.
+fn refused_write(e: &io::Error) -> Code {
+    match e.kind() {
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
+            Code::DiskFull
+        }
+        _ => Code::DiskUnusable,
+    }
+}
+
+fn write_failure(path: &Path, error: &io::Error) -> Failure {
+    io_failure(refused_write(error), path, error)
+}
+
 fn io_failure(code: Code, path: &Path, error: &io::Error) -> Failure {
     Failure::new(code, format!("{}: {error}", path.display()))
 }
--- a/lib/storage/tests/files/folders.rs
+++ b/lib/storage/tests/files/folders.rs
@@ -1,7 +1,7 @@
 use std::fs;
 
 use tarragon_codes::Code;
-use tarragon_names::MemberId;
+use tarragon_names::{MemberId, Term};
 use tarragon_storage::{FileStore, LogStore};
 
 use crate::{ID, entries};
@@ -58,3 +58,15 @@
     let failure = FileStore::create(dir.path(), MemberId(43)).unwrap_err();
     assert_eq!(failure.code, Code::ForeignData);
 }
+
+/// Guards against a write that waits for room on a disk that refuses it for another reason.
+#[test]
+fn write_to_a_folder_that_is_gone_does_not_count_as_a_full_disk() {
+    let parent = tempfile::tempdir().unwrap();
+    let dir = parent.path().join("data");
+    let mut store = FileStore::create(&dir, ID).unwrap();
+    store.recover().unwrap();
+    fs::remove_dir_all(&dir).unwrap();
+    let failure = store.save_vote(Term(1), None).unwrap_err();
+    assert_eq!(failure.code, Code::DiskUnusable);
+}
