dispatch: log why a run is lost and what is known of its worker's lease

The log could not tell them apart: run_lost had no reason, worker_lease_over not the computed end of the lease, and start_not_accepted not the incarnation that the order was for. No decision changes.

--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -8,6 +8,7 @@
 use crate::{
     DecisionEvent, Dispatcher, Input, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
     backoff::backoff,
+    loss_cause::LossCause,
     run_view::{START_ORDER_LIFETIME, StartState, StopState},
 };
 
@@ -39,13 +40,12 @@
         } else if view.stop == StopState::NotRequested {
             view.start = StartState::Unanswered { again_at: self.now };
         } else {
-            // No start order was sent.
-            self.lose_run(*task, worker);
+            self.lose_run(*task, worker, LossCause::NotOrdered);
         }
     }
 
     /// Marks a run as lost that has certainly ended, and frees its capacity.
-    pub(crate) fn lose_run(&mut self, task: TaskKey, worker: &WorkerName) {
+    pub(crate) fn lose_run(&mut self, task: TaskKey, worker: &WorkerName, cause: LossCause) {
         let state = self.workers.get_mut(worker);
         let Some(state) = state else {
             return;
@@ -56,7 +56,7 @@
         let (run, checkpoint) = (view.run, view.checkpoint.clone());
         state.set_ended(&task, true);
         self.emit(
-            DecisionEvent::new("run_lost", String::new())
+            DecisionEvent::new("run_lost", cause.to_string())
                 .task(task, run)
                 .worker(worker),
         );
@@ -154,7 +154,7 @@
             }
         }
         self.emit(
-            DecisionEvent::new("start_not_accepted", outcome.to_string())
+            DecisionEvent::new("start_not_accepted", format!("{outcome}, {incarnation}"))
                 .task(task, run)
                 .worker(&incarnation.worker)
                 .warning(),
@@ -200,7 +200,7 @@
             }
         }
         if !has_unanswered_start && refusal != Refusal::Fence {
-            self.lose_run(task, &incarnation.worker);
+            self.lose_run(task, &incarnation.worker, LossCause::Refused);
         }
         self.stop_gang(task.step, run);
     }
@@ -369,7 +369,7 @@
             }
         });
         for (task, worker) in unsent {
-            self.lose_run(task, &worker);
+            self.lose_run(task, &worker, LossCause::NotOrdered);
         }
         self.outputs.extend(stops.into_iter().map(Output::Stop));
         self.outputs.extend(starts.into_iter().map(Output::Start));
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -11,6 +11,7 @@
     StopOrder,
     backoff::backoff,
     listed_end::ListedEnd,
+    loss_cause::LossCause,
     run_view::{StartState, StopState},
     worker_speed::WorkerSpeed,
     worker_state::WorkerState,
@@ -239,13 +240,13 @@
                 && sent_at >= at + self.cfg.stop_time + STOP_TIME_MARGIN
                 && !answer.is_truncated
             {
-                ended.push(*task);
+                ended.push((*task, LossCause::Stopped));
             } else if let StartState::Present { since } = view.start
                 && sent_at > since
                 && !answer.is_truncated
                 && view.stop == StopState::NotRequested
             {
-                ended.push(*task);
+                ended.push((*task, LossCause::NotListed));
             } else if view.start == StartState::Inherited {
                 view.request_stop(now);
             }
@@ -267,8 +268,8 @@
                 timeout: self.cfg.order_timeout,
             }));
         }
-        for task in ended {
-            self.lose_run(task, &incarnation.worker);
+        for (task, cause) in ended {
+            self.lose_run(task, &incarnation.worker, cause);
         }
     }
 
@@ -292,21 +293,19 @@
             }
         }
         for worker in expired {
-            self.emit(
-                DecisionEvent::new("worker_lease_over", String::new())
-                    .worker(&worker)
-                    .warning(),
-            );
             let Some(state) = self.workers.get(&worker) else {
                 continue;
             };
+            let detail = format!("{}, {}", state.incarnation(), state.lease_detail(now));
             let runs = state.runs.iter();
             let lost = runs
                 .filter(|(_, view)| view.start != StartState::Committing)
                 .map(|(task, _)| *task)
                 .collect::<Vec<_>>();
+            let event = DecisionEvent::new("worker_lease_over", detail);
+            self.emit(event.worker(&worker).warning());
             for task in lost {
-                self.lose_run(task, &worker);
+                self.lose_run(task, &worker, LossCause::LeaseOver);
             }
         }
         for incarnation in gone {
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -77,13 +77,14 @@
         let lost = state.runs.iter().filter(|(_, view)| !view.is_ended);
         let lost = lost.map(|(task, view)| (*task, view.run, view.checkpoint.clone()));
         let lost = lost.collect::<Vec<_>>();
-        self.emit(
-            DecisionEvent::new(
-                "worker_unseated",
-                format!("{}, {} runs lost", state.incarnation(), lost.len()),
-            )
-            .worker(worker),
+        let detail = format!(
+            "{}, {} runs lost, {} start orders without an answer, {}",
+            state.incarnation(),
+            lost.len(),
+            state.outstanding_starts(self.now),
+            state.lease_detail(self.now)
         );
+        self.emit(DecisionEvent::new("worker_unseated", detail).worker(worker));
         for (task, view) in &state.runs {
             self.placed.remove(&(*task, worker.clone()));
             if view.has_outstanding_start(self.now) {
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod input;
 mod late_orders;
 mod listed_end;
+mod loss_cause;
 mod nameable_workers;
 mod order;
 mod output;
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -182,6 +182,22 @@
         least > self.lease_until_ms.saturating_add(LEASE_MARGIN.0)
     }
 
+    /// What is known of the lease and of the worker's clock, for the log.
+    pub(crate) fn lease_detail(&self, now: Millis) -> String {
+        let Some((clock_ms, at)) = self.clock else {
+            return "its clock was not read".to_owned();
+        };
+        let until = self.lease_until_ms;
+        let age = now.since(at).0;
+        format!("lease until {until} on its clock, which showed {clock_ms} {age} ms ago")
+    }
+
+    /// Number of start orders that may still arrive although they have no answer.
+    pub(crate) fn outstanding_starts(&self, now: Millis) -> usize {
+        let runs = self.runs.values();
+        runs.filter(|view| view.has_outstanding_start(now)).count()
+    }
+
     pub(crate) fn insert_run(&mut self, task: TaskKey, view: RunView) {
         self.remove_run(&task);
         if !view.is_ended {
