dispatch: calls for the next incarnation carry a higher fencing token

Cause: a lease ends at a time on the worker's clock, and that clock starts anew with each incarnation. A start or a poll for the incarnation before that reaches the next one names a time far ahead, which the worker shortens to the longest lease, 10 s. The leader counts with the lease that it grants itself, 8 s. The name in the call's header cannot tell the incarnations apart.

Why it holds: a worker does nothing for a lower token than it has seen. The token now rises with each record of a worker within a term, so that from the first call for the next incarnation on all calls for the one before are refused. What was carried out before that is bounded: at the first reading of the clock the leader counts with the longest lease of the platform. So does the next leader, since the state remembers that an incarnation replaced another one.

returning_workers_search now lets orders and polls for the incarnation before through as soon as the worker was reached, in place of 4 s later.

--- a/lib/dispatch/src/config.rs
+++ b/lib/dispatch/src/config.rs
@@ -5,6 +5,9 @@
 pub struct DispatchConfig {
     /// Lease granted with each poll and each start. No leader grants more.
     pub lease: Millis,
+    /// Longest lease that a worker takes; it shortens a longer one. A call that was meant for an earlier
+    /// incarnation names a time on another clock.
+    pub max_lease: Millis,
     /// Time for which a worker may delay the answer to a poll while no run ends.
     pub poll_wait: Millis,
     /// Time after which a failed poll is repeated.
@@ -40,6 +43,7 @@
     fn default() -> Self {
         Self {
             lease: Millis(8_000),
+            max_lease: Millis(10_000),
             poll_wait: Millis(1_000),
             poll_retry: Millis(250),
             stop_time: Millis(900),
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -10,7 +10,8 @@
 };
 
 use crate::{
-    AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
+    AdviceRelays, DecisionEvent, DispatchConfig, FencingToken, Input, OrderOutcome, Output,
+    PollOutcome, Refusal,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
@@ -56,6 +57,8 @@
     pub(crate) health: HealthTable,
     pub(crate) term: Option<u64>,
     pub(crate) leading_since: Millis,
+    /// Number of the incarnation of a worker that was added last in this term.
+    pub(crate) last_incarnation: u64,
     pub(crate) workers: WorkerTable,
     /// Open polls with the times at which they were sent. A poll stays open while the record of its
     /// worker is removed and put again, so that its result is not taken for that of a later poll.
@@ -130,6 +133,7 @@
             health: HealthTable::new(health),
             term: None,
             leading_since: Millis(0),
+            last_incarnation: 0,
             workers: WorkerTable::default(),
             open_polls: BTreeMap::new(),
             placed: BTreeSet::new(),
@@ -256,7 +260,7 @@
     }
 
     fn handle_input(&mut self, input: Input) {
-        self.report_refused_term(&input);
+        self.report_refused_token(&input);
         match input {
             Input::BecameLeader { term } => self.start_leading(term),
             Input::LostLeadership => self.stop_leading(),
@@ -271,7 +275,7 @@
             | Input::StartOrderFinished { fence, .. }
             | Input::StopOrderFinished { fence, .. }
             | Input::ThrottleOrderFinished { fence, .. }
-                if self.term != Some(fence) => {}
+                if self.term != Some(fence.term()) => {}
             Input::Applied(command, answer) => self.applied(&command, &answer),
             Input::NotProposed(commands) => self.not_proposed(&commands),
             Input::HeartbeatReceived {
@@ -279,24 +283,37 @@
                 leaves_in,
             } => self.heartbeat_received(&incarnation, leaves_in),
             Input::PollFinished {
+                fence,
                 incarnation,
                 outcome,
-                ..
-            } => self.poll_finished(&incarnation, outcome),
+            } => {
+                let is_superseded = self.is_superseded(&incarnation, fence);
+                let outcome = match outcome {
+                    PollOutcome::Fenced if is_superseded => PollOutcome::NotSent,
+                    outcome => outcome,
+                };
+                self.poll_finished(&incarnation, outcome);
+            }
             Input::StartOrderFinished {
+                fence,
                 incarnation,
                 task,
                 run,
                 outcome,
-                ..
-            } => self.start_order_finished(&incarnation, task, run, outcome),
+            } => {
+                let outcome = self.outcome_in_term(&incarnation, fence, outcome);
+                self.start_order_finished(&incarnation, task, run, outcome);
+            }
             Input::StopOrderFinished {
+                fence,
                 incarnation,
                 task,
                 run,
                 outcome,
-                ..
-            } => self.stop_order_finished(&incarnation, task, run, outcome),
+            } => {
+                let outcome = self.outcome_in_term(&incarnation, fence, outcome);
+                self.stop_order_finished(&incarnation, task, run, outcome);
+            }
             Input::ThrottleOrderFinished {
                 incarnation,
                 task,
@@ -310,6 +327,30 @@
         }
     }
 
+    /// Returns whether a call with this token was sent before the record of the incarnation was removed
+    /// and put again.
+    fn is_superseded(&self, incarnation: &WorkerIncarnation, fence: FencingToken) -> bool {
+        let state = self.workers.get(&incarnation.worker);
+        let state = state.filter(|state| state.incarnation() == incarnation);
+        state.is_some_and(|state| state.fence != fence)
+    }
+
+    /// Returns what the outcome of an order says in this term: an order that was refused because a later
+    /// order of this host overtook it says nothing about other leaders.
+    fn outcome_in_term(
+        &self,
+        incarnation: &WorkerIncarnation,
+        fence: FencingToken,
+        outcome: OrderOutcome,
+    ) -> OrderOutcome {
+        let is_fenced = outcome == OrderOutcome::Refused(Refusal::Fence);
+        if is_fenced && self.is_superseded(incarnation, fence) {
+            OrderOutcome::NotSent
+        } else {
+            outcome
+        }
+    }
+
     /// Becomes the leader. Runs that an earlier leader placed are looked for on their workers
     /// before anything is placed there.
     fn start_leading(&mut self, term: u64) {
@@ -367,6 +408,7 @@
 
     fn forget_all(&mut self) {
         self.workers.clear();
+        self.last_incarnation = 0;
         self.open_polls.clear();
         self.placed.clear();
         self.plans.clear();
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -64,9 +64,9 @@
         self.needs_placement = true;
     }
 
-    /// Reports an order that a worker refused because it has seen a later term. The refusal counts
-    /// also after this host has lost the lead.
-    pub(crate) fn report_refused_term(&mut self, input: &Input) {
+    /// Reports an order that a worker refused because it has seen a higher token: that of a later leader,
+    /// or that of its present incarnation. The refusal counts also after this host has lost the lead.
+    pub(crate) fn report_refused_token(&mut self, input: &Input) {
         let (kind, fence, incarnation, task, run, outcome) = match input {
             Input::StartOrderFinished {
                 fence,
@@ -92,8 +92,16 @@
             _ => return,
         };
         if *outcome == OrderOutcome::Refused(Refusal::Fence) {
-            let detail = format!("{kind} order of term {fence}");
-            let event = DecisionEvent::new("order_refused_for_term", detail);
+            let state = self.workers.get(&incarnation.worker);
+            let is_for_earlier_incarnation = state
+                .is_some_and(|state| state.fence > *fence && state.fence.term() == fence.term());
+            let name = if is_for_earlier_incarnation {
+                "order_refused_for_incarnation"
+            } else {
+                "order_refused_for_term"
+            };
+            let detail = format!("{kind} order with token {fence}, {incarnation}");
+            let event = DecisionEvent::new(name, detail);
             let event = event.task(*task, *run).worker(&incarnation.worker);
             self.emit(event.warning());
         }
@@ -273,7 +281,6 @@
     /// Tells the present incarnations of workers to refuse the start orders that may still arrive for
     /// runs that have ended.
     pub(crate) fn stop_late_orders(&mut self) {
-        let Some(fence) = self.term else { return };
         let (now, cfg) = (self.now, self.cfg);
         self.late_orders.expire(now);
         let workers = self.late_orders.workers().cloned().collect::<Vec<_>>();
@@ -292,7 +299,7 @@
                     address: state.record.address.clone(),
                     task,
                     run,
-                    fence,
+                    fence: state.fence,
                     timeout: cfg.order_timeout,
                 })
             });
@@ -302,7 +309,6 @@
 
     /// Sends the orders that are due.
     pub(crate) fn send_due_orders(&mut self, changed: &BTreeSet<WorkerName>) {
-        let Some(term) = self.term else { return };
         let (now, cfg) = (self.now, self.cfg);
         let workflow_state = Arc::clone(&self.workflow_state);
         let mut starts = Vec::new();
@@ -329,7 +335,7 @@
                             address: state.record.address.clone(),
                             task: *task,
                             run: view.run,
-                            fence: term,
+                            fence: state.fence,
                             timeout: cfg.order_timeout,
                         });
                     }
@@ -360,7 +366,7 @@
                         run,
                         payload,
                         lease_until_ms,
-                        fence: term,
+                        fence: state.fence,
                         checkpoint,
                         ticket,
                         timeout,
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -81,7 +81,7 @@
             self.worker_restarted(incarnation);
             return;
         }
-        state.record_clock(answer.clock_ms, now, &cfg);
+        state.record_clock(answer.clock_ms, now);
         state.last_contact = now;
         state.confirmed_at = Some(sent_at);
         state.next_poll_at = now;
@@ -201,7 +201,6 @@
         sent_at: Millis,
     ) {
         let now = self.now;
-        let Some(term) = self.term else { return };
         let Some(state) = self.workers.get(&incarnation.worker) else {
             return;
         };
@@ -251,7 +250,7 @@
                 view.request_stop(now);
             }
         }
-        let address = state.record.address.clone();
+        let (address, fence) = (state.record.address.clone(), state.fence);
         for (task, run) in unknown_runs {
             self.emit(
                 DecisionEvent::new("unknown_run_stopped", String::new())
@@ -264,7 +263,7 @@
                 address: address.clone(),
                 task,
                 run,
-                fence: term,
+                fence,
                 timeout: self.cfg.order_timeout,
             }));
         }
@@ -280,7 +279,7 @@
         let mut expired = Vec::new();
         let mut gone = Vec::new();
         for (worker, state) in self.workers.iter_mut() {
-            if state.poll_failures == 0 || !state.has_lease_certainly_expired(now, &cfg) {
+            if state.poll_failures == 0 || !state.has_lease_certainly_expired(now) {
                 continue;
             }
             if !state.is_lease_expired {
@@ -338,7 +337,6 @@
 
     /// Sends the polls that are due.
     pub(crate) fn send_due_polls(&mut self, changed: &BTreeSet<WorkerName>) {
-        let Some(term) = self.term else { return };
         let (now, cfg) = (self.now, self.cfg);
         let (outputs, open_polls) = (&mut self.outputs, &mut self.open_polls);
         self.workers.for_each_mut(changed, |_, state| {
@@ -360,7 +358,7 @@
                 incarnation: state.record.incarnation.clone(),
                 address: state.record.address.clone(),
                 lease_until_ms,
-                fence: term,
+                fence: state.fence,
                 acknowledged: state.record.acknowledged,
                 wait: if is_responsive {
                     cfg.poll_wait
--- a/lib/dispatch/src/dispatcher_throttle.rs
+++ b/lib/dispatch/src/dispatcher_throttle.rs
@@ -35,9 +35,9 @@
     /// target, and raises their rate in steps once all tail latencies are well below their targets.
     pub(crate) fn throttle_best_effort(&mut self, worker: &WorkerName) {
         let (now, cfg) = (self.now, self.cfg);
-        let Some(term) = self.term.filter(|_| self.is_sole_leader) else {
+        if !self.is_sole_leader {
             return;
-        };
+        }
         let Some(state) = self.workers.get_mut(worker) else {
             return;
         };
@@ -51,6 +51,7 @@
             state.record.incarnation.clone(),
             state.record.address.clone(),
         );
+        let fence = state.fence;
         let mut due = Vec::new();
         for (task, view) in &mut state.runs {
             let can_be_throttled = view.spec.is_best_effort
@@ -73,7 +74,7 @@
                 task,
                 run,
                 percent: rate,
-                fence: term,
+                fence,
                 timeout: cfg.order_timeout,
             }));
         }
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -4,7 +4,8 @@
 use tarragon_workflow::{TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
-    DecisionEvent, Dispatcher,
+    DecisionEvent, Dispatcher, FencingToken,
+    earlier_lease::EarlierLease,
     run_view::{RunView, StartState, StopState},
     worker_state::WorkerState,
 };
@@ -62,13 +63,40 @@
             .worker(&record.incarnation.worker),
         );
         self.health.add_worker(&record.incarnation.worker);
-        let mut state = WorkerState::new(record, self.now, self.leading_since);
+        let fence = self.next_fence();
+        let earlier_lease = self.earlier_lease(&record.incarnation);
+        let mut state = WorkerState::new(record, fence, self.now, earlier_lease);
         let is_going_down = self.workflow_state.is_going_down(state.incarnation());
         state.going_down_since = is_going_down.then_some(self.now);
         self.workers
             .insert(state.incarnation().worker.clone(), state);
     }
 
+    /// Returns the bound on the leases that calls of earlier leaders or for earlier incarnations may have
+    /// granted.
+    ///
+    /// An earlier leader granted its last lease before this host became the leader. A call for an earlier
+    /// incarnation names a time on the clock of that one, which the next one takes for a time far ahead
+    /// and shortens to the longest lease.
+    fn earlier_lease(&self, incarnation: &WorkerIncarnation) -> EarlierLease {
+        let is_restarted = self.workflow_state.is_restarted(incarnation);
+        EarlierLease {
+            granted_until: self.leading_since,
+            longest: if is_restarted {
+                self.cfg.max_lease
+            } else {
+                self.cfg.lease
+            },
+        }
+    }
+
+    /// Returns the token of the calls to the incarnation that is added next, which is higher than all
+    /// earlier ones.
+    fn next_fence(&mut self) -> FencingToken {
+        self.last_incarnation += 1;
+        FencingToken::new(self.term.unwrap_or_default(), self.last_incarnation)
+    }
+
     /// Removes a worker whose incarnation has ended; all its runs ended with it.
     fn remove_worker(&mut self, worker: &WorkerName) {
         let Some(state) = self.workers.remove(worker) else {
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -2,7 +2,7 @@
 use tarragon_names::{DomainName, HostName, Millis, Name, WorkerName};
 use tarragon_workflow::{Answer, Command, TaskKey, WorkerIncarnation};
 
-use crate::{OrderOutcome, PollOutcome};
+use crate::{FencingToken, OrderOutcome, PollOutcome};
 
 /// Answer of the advice service: workers that may run a step.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -47,8 +47,8 @@
     HostStops(HostName),
     /// A poll of a worker was answered or timed out.
     PollFinished {
-        /// Term in which the poll was sent.
-        fence: u64,
+        /// Fencing token of the poll.
+        fence: FencingToken,
         /// Incarnation that was polled.
         incarnation: WorkerIncarnation,
         /// Answer of the worker, or the reason why there is none.
@@ -56,8 +56,8 @@
     },
     /// An order to start a run was answered or timed out.
     StartOrderFinished {
-        /// Term in which the order was sent.
-        fence: u64,
+        /// Fencing token of the order.
+        fence: FencingToken,
         /// Incarnation that the order was meant for.
         incarnation: WorkerIncarnation,
         /// Task that the order was for.
@@ -69,8 +69,8 @@
     },
     /// An order to stop a run was answered or timed out.
     StopOrderFinished {
-        /// Term in which the order was sent.
-        fence: u64,
+        /// Fencing token of the order.
+        fence: FencingToken,
         /// Incarnation that the order was meant for.
         incarnation: WorkerIncarnation,
         /// Task that the order was for.
@@ -82,8 +82,8 @@
     },
     /// An order to change the rate of a run was answered or timed out.
     ThrottleOrderFinished {
-        /// Term in which the order was sent.
-        fence: u64,
+        /// Fencing token of the order.
+        fence: FencingToken,
         /// Incarnation that the order was meant for.
         incarnation: WorkerIncarnation,
         /// Task that the order was for.
--- a/lib/dispatch/src/order.rs
+++ b/lib/dispatch/src/order.rs
@@ -2,6 +2,8 @@
 use tarragon_names::{Millis, Name};
 use tarragon_workflow::{TaskKey, WorkerIncarnation};
 
+use crate::FencingToken;
+
 /// Order to start a run.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StartOrder {
@@ -17,8 +19,8 @@
     pub payload: Name,
     /// End of the worker's lease on the worker's clock, in milliseconds.
     pub lease_until_ms: u64,
-    /// Term of the leader; the worker refuses orders of earlier terms.
-    pub fence: u64,
+    /// The worker refuses the order if it has seen a higher token.
+    pub fence: FencingToken,
     /// Checkpoint to resume from; `None` to start from the beginning.
     pub checkpoint: Option<Name>,
     /// Proof that the worker may run the step; `None` for a queue without advice.
@@ -38,8 +40,8 @@
     pub task: TaskKey,
     /// Number of the run, counted per task.
     pub run: u32,
-    /// Term of the leader; the worker refuses orders of earlier terms.
-    pub fence: u64,
+    /// The worker refuses the order if it has seen a higher token.
+    pub fence: FencingToken,
     /// Time after which the order counts as unanswered.
     pub timeout: Millis,
 }
@@ -57,8 +59,8 @@
     pub run: u32,
     /// Rate in percent; 0 pauses the run, and 100 lifts the limit.
     pub percent: u64,
-    /// Term of the leader; the worker refuses orders of earlier terms.
-    pub fence: u64,
+    /// The worker refuses the order if it has seen a higher token.
+    pub fence: FencingToken,
     /// Time after which the order counts as unanswered.
     pub timeout: Millis,
 }
@@ -67,7 +69,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, derive_more::Display, Eq, PartialEq, Serialize)]
 #[display(rename_all = "snake_case")]
 pub enum Refusal {
-    /// The worker has seen a higher term.
+    /// The worker has seen a higher fencing token.
     Fence,
     /// This run or a later one of the task was stopped or has ended on the worker.
     Old,
--- a/lib/dispatch/src/poll.rs
+++ b/lib/dispatch/src/poll.rs
@@ -2,6 +2,8 @@
 use tarragon_names::{Millis, Name};
 use tarragon_workflow::{RunEnd, TaskKey, WorkerIncarnation};
 
+use crate::FencingToken;
+
 /// Poll of a worker, which renews its lease.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PollCall {
@@ -11,8 +13,8 @@
     pub address: Name,
     /// End of the lease on the worker's clock, in milliseconds; `None` to poll without a lease.
     pub lease_until_ms: Option<u64>,
-    /// Term of the leader; the worker refuses polls of earlier terms.
-    pub fence: u64,
+    /// The worker refuses the poll if it has seen a higher token.
+    pub fence: FencingToken,
     /// Ends of runs up to this number are committed, so the worker may forget them.
     pub acknowledged: u64,
     /// Time for which the worker may delay its answer while no run ends.
@@ -57,7 +59,7 @@
     Answered(PollAnswer),
     /// Another incarnation answers at the address.
     OtherIncarnation,
-    /// The worker has seen a higher term.
+    /// The worker has seen a higher fencing token.
     Fenced,
     /// No answer came.
     Unanswered,
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -4,8 +4,9 @@
 use tarragon_workflow::{RunEnd, StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
-    DispatchConfig, FinishedRun, dispatcher_throttle::FULL_RATE, listed_end::ListedEnd,
-    run_view::RunView, unusable::Unusable, worker_speed::WorkerSpeed,
+    DispatchConfig, FencingToken, FinishedRun, dispatcher_throttle::FULL_RATE,
+    earlier_lease::EarlierLease, listed_end::ListedEnd, run_view::RunView, unusable::Unusable,
+    worker_speed::WorkerSpeed,
 };
 
 /// Slowest rate of a worker's clock relative to the leader's, in percent.
@@ -22,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerState {
     pub(crate) record: WorkerRecord,
+    /// Token of the calls to this incarnation.
+    pub(crate) fence: FencingToken,
     /// Time of the last heartbeat or answer.
     pub(crate) last_contact: Millis,
     /// Time at which the worker leaves, if it announced that.
@@ -32,8 +35,8 @@
     clock: Option<(u64, Millis)>,
     /// Latest end of a lease that may have been granted, on the worker's clock.
     lease_until_ms: u64,
-    /// Time at which this host became the leader.
-    leading_since: Millis,
+    /// Leases that earlier calls may have granted.
+    pub(crate) earlier_lease: EarlierLease,
     /// Time at which the last answered poll was sent; `None` before the first answer.
     pub(crate) confirmed_at: Option<Millis>,
     /// No poll is sent before this time.
@@ -88,16 +91,22 @@
 }
 
 impl WorkerState {
-    pub(crate) fn new(record: WorkerRecord, now: Millis, leading_since: Millis) -> Self {
+    pub(crate) fn new(
+        record: WorkerRecord,
+        fence: FencingToken,
+        now: Millis,
+        earlier_lease: EarlierLease,
+    ) -> Self {
         let last_proposed_end = record.acknowledged;
         Self {
             record,
+            fence,
             last_contact: now,
             leaves_at: None,
             is_synced: false,
             clock: None,
             lease_until_ms: 0,
-            leading_since,
+            earlier_lease,
             confirmed_at: None,
             next_poll_at: now,
             poll_failures: 0,
@@ -144,10 +153,10 @@
     }
 
     /// Records a reading of the worker's clock.
-    pub(crate) fn record_clock(&mut self, clock_ms: u64, now: Millis, cfg: &DispatchConfig) {
+    pub(crate) fn record_clock(&mut self, clock_ms: u64, now: Millis) {
         if self.clock.is_none() {
-            // An earlier leader may have granted a lease up to this time.
-            let until = clock_ms.saturating_add(cfg.lease.0);
+            // From the first answered poll on, the worker refuses earlier calls.
+            let until = clock_ms.saturating_add(self.earlier_lease.longest.0);
             self.lease_until_ms = self.lease_until_ms.max(until);
         }
         self.clock = Some((clock_ms, now));
@@ -173,11 +182,12 @@
 
     /// Returns whether every lease that the worker may hold has certainly expired.
     ///
-    /// An earlier leader granted its last lease before this host became the leader.
-    pub(crate) fn has_lease_certainly_expired(&self, now: Millis, cfg: &DispatchConfig) -> bool {
+    /// Before the first reading of its clock, the last earlier call may have granted the longest lease.
+    pub(crate) fn has_lease_certainly_expired(&self, now: Millis) -> bool {
         let Some(least) = self.least_clock_ms(now) else {
-            let longest = cfg.lease.0 * 100 / SLOWEST_CLOCK_PERCENT + LEASE_MARGIN.0;
-            return now.since(self.leading_since).0 > longest;
+            let longest = self.earlier_lease.longest.0 * 100 / SLOWEST_CLOCK_PERCENT;
+            let ends_by = self.earlier_lease.granted_until + Millis(longest) + LEASE_MARGIN;
+            return now > ends_by;
         };
         least > self.lease_until_ms.saturating_add(LEASE_MARGIN.0)
     }
--- a/lib/dispatch/tests/lapsed_lease.rs
+++ b/lib/dispatch/tests/lapsed_lease.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, incarnation, step, task, worker};
-use tarragon_dispatch::{Input, OrderOutcome, Refusal, RunStatus};
+use tarragon_dispatch::{FencingToken, Input, OrderOutcome, Refusal, RunStatus};
 use tarragon_names::Millis;
 use tarragon_workflow::{StepSpec, TaskKey};
 use yare::parameterized;
@@ -62,7 +62,7 @@
 /// Result of an order that was sent in the term 1.
 fn refused_start() -> Input {
     Input::StartOrderFinished {
-        fence: 1,
+        fence: FencingToken::new(1, 1),
         incarnation: incarnation("w1"),
         task: task(1, 0, 0),
         run: 1,
@@ -72,7 +72,7 @@
 
 fn refused_stop() -> Input {
     Input::StopOrderFinished {
-        fence: 1,
+        fence: FencingToken::new(1, 1),
         incarnation: incarnation("w1"),
         task: task(1, 0, 0),
         run: 1,
@@ -82,7 +82,7 @@
 
 fn refused_rate() -> Input {
     Input::ThrottleOrderFinished {
-        fence: 1,
+        fence: FencingToken::new(1, 1),
         incarnation: incarnation("w1"),
         task: task(1, 0, 0),
         run: 1,
--- a/lib/dispatch/tests/restarted_worker_lease.rs
+++ b/lib/dispatch/tests/restarted_worker_lease.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{EPOCH_MS, Harness, step, task, worker};
-use tarragon_dispatch::{OrderOutcome, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder};
+use tarragon_dispatch::{
+    FencingToken, OrderOutcome, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder,
+};
 use tarragon_names::Millis;
 use tarragon_workflow::{Command, RunEvent, StepSpec, TaskKey, WorkerRecord};
 use yare::parameterized;
@@ -37,7 +39,7 @@
 /// The next incarnation. Its clock starts at 0, and it knows no fencing token.
 struct NextIncarnation {
     started_at: u64,
-    fence: u64,
+    fence: Option<FencingToken>,
     lease_until_ms: u64,
 }
 
@@ -47,7 +49,7 @@
         harness.advance(20);
         Self {
             started_at: harness.now,
-            fence: 0,
+            fence: None,
             lease_until_ms: 0,
         }
     }
@@ -60,11 +62,11 @@
 
     /// Extends the lease, unless the caller's fencing token is lower than the highest that was seen. A
     /// start order extends it also if it starts nothing.
-    fn receive(&mut self, harness: &Harness, fence: u64, lease_until_ms: Option<u64>) {
-        if fence < self.fence {
+    fn receive(&mut self, harness: &Harness, fence: FencingToken, lease_until_ms: Option<u64>) {
+        if Some(fence) < self.fence {
             return;
         }
-        self.fence = fence;
+        self.fence = Some(fence);
         let longest = harness.now - self.started_at + MAX_LEASE_MS;
         let until = lease_until_ms.map_or(0, |until| until.min(longest));
         self.lease_until_ms = self.lease_until_ms.max(until);
@@ -80,7 +82,7 @@
 
     /// Receives the open poll and answers with these runs.
     fn answer_poll(&mut self, harness: &mut Harness, running: &[TaskKey]) {
-        let call = harness.polls.iter().find(|call| self.is_meant(call));
+        let call = harness.polls.iter().find(|call| Self::is_meant(call));
         let call = call.expect("a poll of the incarnation is open").clone();
         self.receive_poll(harness, &call);
         let running = running.iter().map(|task| RunStatus {
@@ -100,7 +102,7 @@
         harness.finish_poll(NAME, PollOutcome::Answered(answer));
     }
 
-    fn is_meant(&self, call: &PollCall) -> bool {
+    fn is_meant(call: &PollCall) -> bool {
         call.incarnation == Self::record().incarnation
     }
 }
@@ -110,16 +112,8 @@
     records.any(|record| matches!(record, RunEvent::Lost { task, .. } if *task == lost))
 }
 
-/// Guards against a run that goes on while its task runs again elsewhere: a call for the incarnation
-/// before grants the next one a longer lease than the leader counts with, because its end is a reading
-/// of the earlier clock.
-#[parameterized(
-    start_before_the_first_poll = { Call::Start, Arrival::BeforeFirstPoll },
-    poll_before_the_first_poll = { Call::Poll, Arrival::BeforeFirstPoll },
-    start_before_the_cut = { Call::Start, Arrival::BeforeCut },
-    poll_before_the_cut = { Call::Poll, Arrival::BeforeCut },
-)]
-fn run_is_not_lost_before_the_lease_of_the_next_incarnation_ends(call: Call, arrival: Arrival) {
+/// Lets a worker restart and start a run, receive a call for the incarnation before, and be cut off.
+fn cut_off_after_restart(call: Call, arrival: Arrival) -> (Harness, NextIncarnation, TaskKey) {
     let mut harness = Harness::new(&[worker(NAME, 8)]);
     harness.advance(UPTIME_MS);
     harness.answer_poll(NAME, &[], &[]);
@@ -152,7 +146,11 @@
         harness.advance(80);
         receive_late(&mut next, &harness);
     }
+    (harness, next, running)
+}
 
+/// Lets the worker stay silent until its run is declared lost, and checks that its lease has ended.
+fn check_lease_when_lost(mut harness: Harness, next: &NextIncarnation, running: TaskKey) {
     let cut_at = harness.now;
     while !is_lost(&harness, running) {
         assert!(harness.now < cut_at + MAX_SILENCE_MS, "the task waits");
@@ -166,6 +164,32 @@
     assert!(harness.now >= ends_at, "{} before {ends_at}", harness.now);
 }
 
+/// Guards against a run that goes on while its task runs again elsewhere: a call for the incarnation
+/// before grants the next one a longer lease than the leader counts with, because its end is a reading
+/// of the earlier clock.
+#[parameterized(
+    start_before_the_first_poll = { Call::Start, Arrival::BeforeFirstPoll },
+    poll_before_the_first_poll = { Call::Poll, Arrival::BeforeFirstPoll },
+    start_before_the_cut = { Call::Start, Arrival::BeforeCut },
+    poll_before_the_cut = { Call::Poll, Arrival::BeforeCut },
+)]
+fn run_is_not_lost_before_the_lease_of_the_next_incarnation_ends(call: Call, arrival: Arrival) {
+    let (harness, next, running) = cut_off_after_restart(call, arrival);
+    check_lease_when_lost(harness, &next, running);
+}
+
+/// Guards against the same when another host is elected right after the restart and never reaches the
+/// worker.
+#[parameterized(
+    start = { Call::Start },
+    poll = { Call::Poll },
+)]
+fn next_leader_waits_for_the_lease_of_a_restarted_worker(call: Call) {
+    let (mut harness, next, running) = cut_off_after_restart(call, Arrival::BeforeFirstPoll);
+    harness.elect_new_leader();
+    check_lease_when_lost(harness, &next, running);
+}
+
 /// Guards against a run that is declared lost while its start order may still reach the next incarnation
 /// of its worker, which has not answered yet.
 #[test]
--- a/lib/dispatch/tests/returning_workers/exchange.rs
+++ b/lib/dispatch/tests/returning_workers/exchange.rs
@@ -18,11 +18,6 @@
 /// reached the leader, and their acknowledgement does not reach the worker.
 const CUT_AFTER_ENDS_PERCENT: u64 = 10;
 
-/// Time for which a restarted worker has to be reachable before orders for its earlier incarnation
-/// arrive, in milliseconds. Until the leader knows of the restart and has told the worker to refuse
-/// them, nothing shuts them out; see docs/incidents/late-order.md.
-const MIN_REACHABLE_MS: u64 = 4_000;
-
 impl Simulation {
     pub(super) fn handle(&mut self, event: Event) {
         match event {
@@ -72,7 +67,7 @@
             return;
         }
         let worker = &mut self.workers[index];
-        if worker.admit_fence(call.fence) {
+        if worker.admit(call.fence, &call.incarnation) {
             self.observer
                 .received(worker.incarnation(), call.acknowledged);
             worker.poll(&call, now);
@@ -85,14 +80,14 @@
     }
 
     /// Lets a poll take effect whose answer nobody awaits any more. One for an earlier incarnation is
-    /// dropped: its acknowledgement would count for the ends of the present one, which no leader can
-    /// prevent.
+    /// dropped before the first call for the present one: its acknowledgement would count for the ends of
+    /// the present one, which no leader can prevent.
     fn late_poll_arrives(&mut self, index: usize, call: &PollCall) {
         let now = self.now();
         let is_lost = self.loses_calls(index);
         let worker = &mut self.workers[index];
-        let is_meant = worker.is_up && call.incarnation == *worker.incarnation();
-        if is_meant && !is_lost && worker.admit_fence(call.fence) {
+        let is_meant = call.incarnation == *worker.incarnation() || worker.is_reached;
+        if worker.is_up && is_meant && !is_lost && worker.admit(call.fence, &call.incarnation) {
             self.observer
                 .received(worker.incarnation(), call.acknowledged);
             worker.poll(call, now);
@@ -101,7 +96,7 @@
 
     fn finish_poll(&mut self, call: &PollCall, at: u64, outcome: PollOutcome) {
         let input = poll_input(call, outcome);
-        self.schedule_input(call.fence, at, input);
+        self.schedule_input(call.fence.term(), at, input);
     }
 
     /// Lets the polls time out that a crashed worker has not answered.
@@ -135,8 +130,7 @@
         let index = self.index_of(&order.incarnation.worker);
         let worker = &self.workers[index];
         let is_for_present = order.incarnation == *worker.incarnation();
-        let is_early = now < worker.reachable_since + MIN_REACHABLE_MS;
-        if !is_for_present && is_early && self.intensity != Intensity::LateOrdersAtOnce {
+        if !is_for_present && !worker.is_reached && self.intensity != Intensity::LateOrdersAtOnce {
             return;
         }
         let outcome = if !worker.is_up {
@@ -211,7 +205,7 @@
         else {
             return;
         };
-        self.schedule_input(fence, at, input);
+        self.schedule_input(fence.term(), at, input);
     }
 
     /// Sends the heartbeat of a worker if it is due. The leader that receives it records the worker
--- a/lib/dispatch/tests/returning_workers/model_worker.rs
+++ b/lib/dispatch/tests/returning_workers/model_worker.rs
@@ -1,7 +1,8 @@
 use std::collections::BTreeMap;
 
 use tarragon_dispatch::{
-    FinishedRun, OrderOutcome, PollAnswer, PollCall, Refusal, RunStatus, StartOrder, StopOrder,
+    FencingToken, FinishedRun, OrderOutcome, PollAnswer, PollCall, Refusal, RunStatus, StartOrder,
+    StopOrder,
 };
 use tarragon_names::Name;
 use tarragon_workflow::{RunEnd, StepSpec, TaskKey, WorkerIncarnation, WorkerRecord};
@@ -10,7 +11,7 @@
 use crate::common::{EPOCH_MS, worker};
 
 /// Longest lease that a worker accepts, in milliseconds.
-const MAX_LEASE_MS: u64 = 8_000;
+const MAX_LEASE_MS: u64 = 10_000;
 
 /// Number of ends in an answer, so low that answers are often truncated.
 const MAX_LISTED_ENDS: usize = 3;
@@ -72,10 +73,11 @@
     pub next_heartbeat_at: u64,
     /// Whether this incarnation has announced itself.
     pub is_announced: bool,
-    /// Time of the last start or the end of the last cut.
-    pub reachable_since: u64,
+    /// Whether a call for this incarnation was carried out. Before that, nothing shuts out the calls for
+    /// the incarnation before.
+    pub is_reached: bool,
     last_number: u64,
-    fence: u64,
+    fence: Option<FencingToken>,
     lease_until_ms: Option<u64>,
     /// Highest run that was stopped or has ended, by task.
     refused: BTreeMap<TaskKey, u32>,
@@ -97,9 +99,9 @@
             polls: Vec::new(),
             next_heartbeat_at: 0,
             is_announced: false,
-            reachable_since: 0,
+            is_reached: false,
             last_number: 0,
-            fence: 0,
+            fence: None,
             lease_until_ms: None,
             refused: BTreeMap::new(),
             clock_ms: draw.below(1_000_000),
@@ -122,13 +124,13 @@
         self.record.incarnation.started_ms = EPOCH_MS + now;
         self.clock_ms = draw.below(1_000);
         self.clock_set_at = now;
-        self.fence = 0;
+        self.fence = None;
         self.last_number = 0;
         self.lease_until_ms = None;
         self.refused.clear();
         self.next_heartbeat_at = now;
         self.is_announced = false;
-        self.reachable_since = now;
+        self.is_reached = false;
     }
 
     /// Ends the incarnation with its runs; their ends are never listed.
@@ -140,9 +142,6 @@
 
     /// Ends a cut whose time is over.
     pub fn end_cut(&mut self, now: u64) {
-        if self.cut.is_some() {
-            self.reachable_since = now;
-        }
         self.cut = self.cut.filter(|cut| now < cut.until);
     }
 
@@ -164,10 +163,11 @@
         }
     }
 
-    /// Records the term of a caller; returns false if a later one is known.
-    pub fn admit_fence(&mut self, fence: u64) -> bool {
-        let is_admitted = fence >= self.fence;
-        self.fence = self.fence.max(fence);
+    /// Records the token of a call for an incarnation; returns false if a higher one is known.
+    pub fn admit(&mut self, fence: FencingToken, meant_for: &WorkerIncarnation) -> bool {
+        let is_admitted = Some(fence) >= self.fence;
+        self.fence = self.fence.max(Some(fence));
+        self.is_reached |= is_admitted && meant_for == self.incarnation();
         is_admitted
     }
 
@@ -181,7 +181,7 @@
         now: u64,
         draw: &mut Draw,
     ) -> (OrderOutcome, bool) {
-        if !self.admit_fence(order.fence) {
+        if !self.admit(order.fence, &order.incarnation) {
             return (OrderOutcome::Refused(Refusal::Fence), false);
         }
         if order.lease_until_ms <= self.clock_ms(now) {
@@ -215,7 +215,7 @@
     }
 
     pub fn stop(&mut self, order: &StopOrder, now: u64, draw: &mut Draw) -> OrderOutcome {
-        if !self.admit_fence(order.fence) {
+        if !self.admit(order.fence, &order.incarnation) {
             return OrderOutcome::Refused(Refusal::Fence);
         }
         if let Some(run) = self.runs.get_mut(&(order.task, order.run)) {
@@ -232,7 +232,7 @@
         *highest = run.max(*highest);
     }
 
-    /// Takes a poll of an admitted term: forgets the acknowledged ends and renews the lease.
+    /// Takes a poll with an admitted token: forgets the acknowledged ends and renews the lease.
     pub fn poll(&mut self, call: &PollCall, now: u64) {
         self.ends.retain(|end| end.number > call.acknowledged);
         if let Some(until_ms) = call.lease_until_ms {
--- a/lib/dispatch/tests/returning_workers/simulation.rs
+++ b/lib/dispatch/tests/returning_workers/simulation.rs
@@ -33,8 +33,8 @@
 pub enum Intensity {
     /// Never; tasks still fail by their own fault.
     Calm,
-    /// Often, but a late order reaches a restarted worker only after the leader could tell it to
-    /// refuse the order.
+    /// Often, but a start order for the incarnation before reaches a restarted worker only after the
+    /// first call for the present one.
     Faulty,
     /// Like `Faulty`, and late orders reach a restarted worker at once.
     LateOrdersAtOnce,
--- a/lib/dispatch/tests/returning_workers_search.rs
+++ b/lib/dispatch/tests/returning_workers_search.rs
@@ -18,8 +18,11 @@
 /// was done. 33, 237: the late end of an earlier run brought back an older checkpoint. 958, 1368: the
 /// members of a gang resumed from different checkpoints, because a late end changed it between their
 /// start orders. 7927: a task waited for ever, because the log refused the record of its end and its
-/// worker had restarted.
-const KNOWN_SEEDS: &[u64] = &[17, 33, 36, 74, 173, 237, 958, 1_368, 7_927];
+/// worker had restarted. 1770, 2302, 2800: a restarted worker carried out a start order for the
+/// incarnation before, because its calls had the same fencing token.
+const KNOWN_SEEDS: &[u64] = &[
+    17, 33, 36, 74, 173, 237, 958, 1_368, 1_770, 2_302, 2_800, 7_927,
+];
 
 /// Seeds in which a late order reaches a restarted worker and runs a task again. Whether one shows it
 /// depends on all decisions before.
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, incarnation, step, task, worker};
-use tarragon_dispatch::{Input, OrderOutcome, PollOutcome, Refusal};
+use tarragon_dispatch::{FencingToken, Input, OrderOutcome, PollOutcome, Refusal};
 use tarragon_names::Millis;
 use tarragon_workflow::{Command, JobKey, JobPhase, RunEnd, RunEvent, StepSpec};
 use yare::parameterized;
@@ -145,7 +145,8 @@
     harness.elect_new_leader();
     harness.answer_poll("w2", &[(b, 1)], &[]);
     harness.advance(20);
-    let mut stopped = harness.stops.iter().map(|order| (order.task, order.fence));
+    let stops = harness.stops.iter();
+    let mut stopped = stops.map(|order| (order.task, order.fence.term()));
     assert!(stopped.any(|stop| stop == (b, 2)));
 }
 
@@ -291,12 +292,13 @@
     let term = harness.term;
     harness.input(Input::BecameLeader { term });
     harness.input(Input::PollFinished {
-        fence: term - 1,
+        fence: FencingToken::new(term - 1, 1),
         incarnation: incarnation("w1"),
         outcome: tarragon_dispatch::PollOutcome::Unanswered,
     });
     harness.advance(20);
-    let open = harness.polls.iter().filter(|call| call.fence == term);
+    let polls = harness.polls.iter();
+    let open = polls.filter(|call| call.fence.term() == term);
     assert_eq!(
         open.count(),
         1,
--- a/lib/entry/src/entry_timing.rs
+++ b/lib/entry/src/entry_timing.rs
@@ -79,6 +79,7 @@
     pub fn dispatch_config(&self) -> DispatchConfig {
         DispatchConfig {
             lease: Millis(self.bounds.max_worker_lease.0 * 8 / 10),
+            max_lease: self.bounds.max_worker_lease,
             stop_time: self.bounds.run_stop_time,
             remove_after: Millis(self.bounds.heartbeat_interval.0 * 6),
             relay_silence_limit: self.bounds.recovery_time,
--- a/lib/entry/src/worker_order.rs
+++ b/lib/entry/src/worker_order.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use tarragon_delivery::Urgency;
 use tarragon_dispatch::{
-    Input, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder, ThrottleOrder,
+    FencingToken, Input, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder, ThrottleOrder,
 };
 use tarragon_names::{Millis, WorkerName};
 use tarragon_workflow::{TaskKey, WorkerIncarnation};
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct OrderKey {
     pub(crate) urgency: Urgency,
-    fence: u64,
+    fence: FencingToken,
     incarnation: WorkerIncarnation,
     /// Task and number of the run; `None` for a poll.
     run: Option<(TaskKey, u32)>,
--- a/lib/workflow/src/worker_records.rs
+++ b/lib/workflow/src/worker_records.rs
@@ -36,7 +36,9 @@
         self.removed.values()
     }
 
-    pub(crate) fn put(&mut self, record: &WorkerRecord) -> Answer {
+    /// Puts the record of an incarnation at `now_ms`. An earlier incarnation that it replaces counts as
+    /// removed; those that were removed before `oldest_ms` are forgotten.
+    pub(crate) fn put(&mut self, record: &WorkerRecord, now_ms: u64, oldest_ms: u64) -> Answer {
         let incarnation = &record.incarnation;
         let known = self.by_name.get(&incarnation.worker);
         if known.is_some_and(|known| known.incarnation.started_ms > incarnation.started_ms) {
@@ -50,16 +52,31 @@
             record.acknowledged = removed.acknowledged;
             record.is_draining |= removed.is_draining;
         }
-        self.by_name
-            .insert(record.incarnation.worker.clone(), record);
+        let incarnation = record.incarnation.clone();
+        let replaced = self.by_name.insert(incarnation.worker.clone(), record);
+        if let Some(replaced) = replaced.filter(|known| known.incarnation != incarnation) {
+            self.forget_removed(oldest_ms);
+            self.keep_removed(replaced, now_ms);
+        }
         Answer::Done
     }
 
+    /// Returns whether an earlier incarnation of the worker is remembered.
+    pub(crate) fn is_restarted(&self, incarnation: &WorkerIncarnation) -> bool {
+        let first = WorkerIncarnation {
+            worker: incarnation.worker.clone(),
+            started_ms: 0,
+        };
+        self.removed
+            .range(first..incarnation.clone())
+            .next()
+            .is_some()
+    }
+
     /// Removes the record of an incarnation at `now_ms`, and forgets the records that were removed before
     /// `oldest_ms`.
     pub(crate) fn remove(&mut self, incarnation: &WorkerIncarnation, now_ms: u64, oldest_ms: u64) {
-        self.removed
-            .retain(|_, worker| worker.removed_ms >= oldest_ms);
+        self.forget_removed(oldest_ms);
         let known = self.by_name.get(&incarnation.worker);
         if known.is_none_or(|known| known.incarnation != *incarnation) {
             return;
@@ -67,15 +84,24 @@
         let Some(record) = self.by_name.remove(&incarnation.worker) else {
             return;
         };
+        self.keep_removed(record, now_ms);
+    }
+
+    fn forget_removed(&mut self, oldest_ms: u64) {
+        self.removed
+            .retain(|_, worker| worker.removed_ms >= oldest_ms);
+    }
+
+    fn keep_removed(&mut self, record: WorkerRecord, now_ms: u64) {
         // Without the time of its start, an incarnation cannot be told from the next one.
-        if incarnation.started_ms > 0 {
+        if record.incarnation.started_ms > 0 {
             let removed = RemovedWorker {
                 incarnation: record.incarnation,
                 is_draining: record.is_draining,
                 acknowledged: record.acknowledged,
                 removed_ms: now_ms,
             };
-            self.removed.insert(incarnation.clone(), removed);
+            self.removed.insert(removed.incarnation.clone(), removed);
         }
     }
 
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -76,7 +76,7 @@
                     .filter_map(|event| self.apply_event(event, now_ms));
                 Answer::Recorded(effects.collect())
             }
-            Command::PutWorker(record) => self.workers.lock().put(record),
+            Command::PutWorker(record) => self.put_worker(record, now_ms),
             Command::RemoveWorker(incarnation) => self.remove_worker(incarnation, now_ms),
             Command::StartWave { key, wave } => self.start_wave(*key, wave, now_ms),
             Command::MachineDone { key, machine } => {
@@ -161,6 +161,12 @@
         self.workers.lock().by_name().get(name).cloned()
     }
 
+    /// Returns whether an earlier incarnation of the worker was recorded, as far as the state remembers. Calls
+    /// that were meant for it may reach this one.
+    pub fn is_restarted(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.workers.lock().is_restarted(incarnation)
+    }
+
     /// Returns all waves of upkeep, including completed ones, whose machines may be dropped.
     pub fn waves(&self) -> BTreeMap<WaveKey, Wave> {
         self.waves.lock().clone()
@@ -379,6 +385,13 @@
         *self.going_down.lock() = going_down;
     }
 
+    /// Puts the record of a worker. What is known of an earlier incarnation is kept for as long as an ended
+    /// job.
+    fn put_worker(&self, record: &WorkerRecord, now_ms: u64) -> Answer {
+        let oldest_ms = now_ms.saturating_sub(self.retention_ms);
+        self.workers.lock().put(record, now_ms, oldest_ms)
+    }
+
     /// Removes the record of a worker. What it announced and what was acknowledged to it is kept for as
     /// long as an ended job.
     fn remove_worker(&self, incarnation: &WorkerIncarnation, now_ms: u64) -> Answer {
--- a/lib/workflow/tests/worker_records.rs
+++ b/lib/workflow/tests/worker_records.rs
@@ -129,3 +129,32 @@
     let removed = removed.iter().map(|worker| worker.incarnation.started_ms);
     assert_eq!(removed.collect::<Vec<_>>(), [SECOND_MS]);
 }
+
+/// Guards against a leader that takes a restarted worker for one that has always been up, and counts with
+/// too short a lease.
+#[parameterized(
+    replaced = { &[ready(FIRST_MS), ready(SECOND_MS)], true },
+    removed_and_back = { &[ready(FIRST_MS), removal(FIRST_MS), ready(SECOND_MS)], true },
+    returned_as_the_same = { &[ready(SECOND_MS), removal(SECOND_MS), ready(SECOND_MS)], false },
+    announced_late = { &[ready(SECOND_MS), ready(FIRST_MS)], false },
+    first_one = { &[ready(SECOND_MS)], false },
+)]
+fn earlier_incarnation_is_remembered(commands: &[Command], is_restarted: bool) {
+    let state = WorkflowState::new(RETENTION_MS);
+    for command in commands {
+        state.apply(1, command);
+    }
+    let restored = WorkflowState::new(RETENTION_MS);
+    restored.restore(state.snapshot());
+    assert_eq!(restored.is_restarted(&incarnation(SECOND_MS)), is_restarted);
+}
+
+/// Guards against a state that grows with every restart of a worker.
+#[test]
+fn replaced_incarnation_is_forgotten_after_the_retention() {
+    let state = WorkflowState::new(RETENTION_MS);
+    for restart in 1..=20 {
+        state.apply(restart * RETENTION_MS, &ready(restart));
+    }
+    assert!(state.snapshot().removed_workers.len() <= 2);
+}
