dispatch: a run is not lost while its start may reach the next incarnation

A start order without an answer may still be carried out by the next incarnation of its worker, so the run is stopped there before its task starts elsewhere. If that incarnation is cut off before it answers a first poll, its lease counted as over at once: the leader had then been elected long ago, and no reading of the clock spoke against it. The run was declared lost at the first poll that failed, and the task could run twice.

The leases of such a worker now count from the time at which the last such order can arrive.

--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -6,7 +6,7 @@
 use crate::{
     DecisionEvent, Dispatcher, FencingToken,
     earlier_lease::EarlierLease,
-    run_view::{RunView, StartState, StopState},
+    run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
     worker_state::WorkerState,
 };
 
@@ -134,6 +134,11 @@
     ) {
         let now = self.now;
         let worker = &previous.worker;
+        if !outstanding.is_empty()
+            && let Some(state) = self.workers.get_mut(worker)
+        {
+            state.earlier_lease.granted_until = now + START_ORDER_LIFETIME;
+        }
         for (task, mut view) in outstanding {
             view.start = StartState::Inherited;
             view.transferred_from = Some(previous.clone());
