dispatch: polls of a worker that may have restarted acknowledge nothing

An acknowledgement covers the ends up to a number, and the numbers start anew with each incarnation. A poll that is repeated because the one before failed reaches the next incarnation of a worker before the leader knows of it, and made it forget an end that no leader had seen: the task ran again after an end that counts as acknowledged (TWICE).

A poll of a worker that has not answered the one before, or no poll of this term, now acknowledges nothing; the ends are listed once more, which the leader knows by their numbers. poll_that_may_reach_the_next_incarnation_acknowledges_nothing fails in both cases before this change.

A poll that was sent while the worker still answered, and is carried out seconds late, can still do this before the first call for the next incarnation.

--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -361,7 +361,13 @@
                 address: state.record.address.clone(),
                 lease_until_ms,
                 fence: state.fence,
-                acknowledged: state.record.acknowledged,
+                // A worker that does not answer may have restarted. The acknowledgement would make its
+                // next incarnation forget an end with that number.
+                acknowledged: if is_responsive {
+                    state.record.acknowledged
+                } else {
+                    0
+                },
                 wait: if is_responsive {
                     cfg.poll_wait
                 } else {
--- a/lib/dispatch/tests/restarts.rs
+++ b/lib/dispatch/tests/restarts.rs
@@ -180,3 +180,29 @@
     }
     assert_eq!(harness.starts[0].run, 2);
 }
+
+/// Guards against a restarted worker that forgets an end which no leader has seen: an acknowledgement for
+/// the incarnation before counts for the ends of the next one as well.
+#[parameterized(
+    after_a_failed_poll = { false },
+    of_a_new_leader = { true },
+)]
+fn poll_that_may_reach_the_next_incarnation_acknowledges_nothing(is_new_leader: bool) {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
+    harness.submit(1, vec![step(1, 4)]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    harness.answer_poll(NAME, &[], &[(7, task(1, 0, 0), 1, RunEnd::Done)]);
+    harness.advance(20);
+    assert_eq!(harness.polls[0].acknowledged, 7);
+    if is_new_leader {
+        harness.elect_new_leader();
+    } else {
+        harness.time_out_poll(NAME);
+        harness.advance(500);
+    }
+    assert_eq!(harness.polls[0].acknowledged, 0);
+    harness.answer_poll(NAME, &[], &[(7, task(1, 0, 0), 1, RunEnd::Done)]);
+    harness.advance(20);
+    assert_eq!(harness.polls[0].acknowledged, 7);
+    assert_eq!(harness.proposed.len(), 2, "placed and ended once");
+}
