dispatch: inputs and terms in files of their own

The handling of inputs, with the rule which results of calls count, and the begin and the end of a term move out; no logic changes.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -10,15 +10,13 @@
 };
 
 use crate::{
-    AdviceRelays, DecisionEvent, DispatchConfig, FencingToken, Input, OrderOutcome, Output,
-    PollOutcome, Refusal,
+    AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
     late_orders::LateOrders,
     retry_outcomes::RetryOutcomes,
-    run_rate::RunRate,
-    run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
+    run_view::{StartState, StopState},
     step_plan::StepPlan,
     worker_speed::WorkerSpeed,
     worker_table::WorkerTable,
@@ -259,171 +257,7 @@
         counts
     }
 
-    fn handle_input(&mut self, input: Input) {
-        self.report_refused_token(&input);
-        match input {
-            Input::BecameLeader { term } => self.start_leading(term),
-            Input::LostLeadership => self.stop_leading(),
-            Input::HostSeen { host, is_large, .. } => {
-                self.relays.host_seen(&host, is_large, self.now);
-            }
-            Input::HostStops(host) => self.relays.host_stopped(&host),
-            _ if self.term.is_none() => {}
-            // The result of a call that was sent in an earlier term says nothing about calls of the
-            // current term.
-            Input::PollFinished { fence, .. }
-            | Input::StartOrderFinished { fence, .. }
-            | Input::StopOrderFinished { fence, .. }
-            | Input::ThrottleOrderFinished { fence, .. }
-                if self.term != Some(fence.term()) => {}
-            Input::Applied(command, answer) => self.applied(&command, &answer),
-            Input::NotProposed(commands) => self.not_proposed(&commands),
-            Input::HeartbeatReceived {
-                incarnation,
-                leaves_in,
-            } => self.heartbeat_received(&incarnation, leaves_in),
-            Input::PollFinished {
-                fence,
-                incarnation,
-                outcome,
-            } => {
-                let is_superseded = self.is_superseded(&incarnation, fence);
-                let outcome = match outcome {
-                    PollOutcome::Fenced if is_superseded => PollOutcome::NotSent,
-                    outcome => outcome,
-                };
-                self.poll_finished(&incarnation, outcome);
-            }
-            Input::StartOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            } => {
-                let outcome = self.outcome_in_term(&incarnation, fence, outcome);
-                self.start_order_finished(&incarnation, task, run, outcome);
-            }
-            Input::StopOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            } => {
-                let outcome = self.outcome_in_term(&incarnation, fence, outcome);
-                self.stop_order_finished(&incarnation, task, run, outcome);
-            }
-            Input::ThrottleOrderFinished {
-                incarnation,
-                task,
-                run,
-                outcome,
-                ..
-            } => self.throttle_order_finished(&incarnation, task, run, outcome),
-            Input::AdviceFinished { request_id, answer } => self.finish_advice(request_id, answer),
-            Input::AvoidWorker(worker) => self.avoid_worker(&worker),
-            Input::Tick => self.tick(),
-        }
-    }
-
-    /// Returns whether a call with this token was sent before the record of the incarnation was removed
-    /// and put again.
-    fn is_superseded(&self, incarnation: &WorkerIncarnation, fence: FencingToken) -> bool {
-        let state = self.workers.get(&incarnation.worker);
-        let state = state.filter(|state| state.incarnation() == incarnation);
-        state.is_some_and(|state| state.fence != fence)
-    }
-
-    /// Returns what the outcome of an order says in this term: an order that was refused because a later
-    /// order of this host overtook it says nothing about other leaders.
-    fn outcome_in_term(
-        &self,
-        incarnation: &WorkerIncarnation,
-        fence: FencingToken,
-        outcome: OrderOutcome,
-    ) -> OrderOutcome {
-        let is_fenced = outcome == OrderOutcome::Refused(Refusal::Fence);
-        if is_fenced && self.is_superseded(incarnation, fence) {
-            OrderOutcome::NotSent
-        } else {
-            outcome
-        }
-    }
-
-    /// Becomes the leader. Runs that an earlier leader placed are looked for on their workers
-    /// before anything is placed there.
-    fn start_leading(&mut self, term: u64) {
-        self.forget_all();
-        self.term = Some(term);
-        self.leading_since = self.now;
-        self.read_priorities();
-        for record in self.workflow_state.workers() {
-            self.add_worker(record);
-        }
-        let mut jobs = Vec::new();
-        let mut placements = Vec::new();
-        self.workflow_state.for_each_job(|job| {
-            let placed = job.placements();
-            // A job that was cancelled or has failed may still have runs. The earlier leader may not
-            // have reached their workers, so their stops are ordered again.
-            if !job.phase.is_final() || !placed.is_empty() {
-                jobs.push(job.key);
-            }
-            placements.extend(placed);
-        });
-        for (task, placement) in placements {
-            let spec = self.run_spec(&task);
-            // An order to start the run may still reach a later incarnation under the same name.
-            if let Some(state) = self.workers.get_mut(&placement.incarnation.worker) {
-                let mut view = RunView::new(placement.run, spec, self.now);
-                view.start = StartState::Inherited;
-                view.start_may_arrive_until = self.now + START_ORDER_LIFETIME;
-                if view.spec.is_best_effort {
-                    view.rate = RunRate::unknown();
-                }
-                state.insert_run(task, view);
-                self.placed.insert((task, placement.incarnation.worker));
-            } else {
-                self.record_lost(task, placement.run, None);
-            }
-        }
-        for job in jobs {
-            self.refresh_job(job);
-        }
-        self.needs_placement = true;
-        self.emit(DecisionEvent::new(
-            "dispatch_started",
-            format!("term {term}, {} workers", self.workers.len()),
-        ));
-    }
-
-    fn stop_leading(&mut self) {
-        if self.term.is_some() {
-            self.emit(DecisionEvent::new("dispatch_stopped", String::new()));
-        }
-        self.term = None;
-        self.forget_all();
-    }
-
-    fn forget_all(&mut self) {
-        self.workers.clear();
-        self.last_incarnation = 0;
-        self.open_polls.clear();
-        self.placed.clear();
-        self.plans.clear();
-        self.new_steps.clear();
-        self.gang_claims = (u32::MAX, Claims::new());
-        self.headroom = Headroom::default();
-        self.late_orders.clear();
-        self.unaccepted_stops = 0;
-        self.scheduled_jobs.clear();
-        self.pending_requests.clear();
-        self.relays = AdviceRelays::default();
-        self.records.clear();
-    }
-
-    fn applied(&mut self, command: &Command, answer: &Answer) {
+    pub(crate) fn applied(&mut self, command: &Command, answer: &Answer) {
         if let Answer::Recorded(effects) = answer {
             self.report_effects(effects);
         }
@@ -457,7 +291,7 @@
         self.needs_placement = true;
     }
 
-    fn read_priorities(&mut self) {
+    pub(crate) fn read_priorities(&mut self) {
         let configuration = self.workflow_state.configuration();
         let priorities = configuration.queues.iter().map(|queue| queue.priority);
         self.lowest_priority = priorities.max().unwrap_or(0);
@@ -472,7 +306,7 @@
         });
     }
 
-    fn not_proposed(&mut self, commands: &[Command]) {
+    pub(crate) fn not_proposed(&mut self, commands: &[Command]) {
         for command in commands {
             let Command::RunEvents(records) = command else {
                 continue;
