dispatch: results of orders as one type

The three inputs that report the result of an order had the same five fields, spelled out at each place that builds or reads one. FinishedOrder holds them.

--- a/cli/src/bench/dispatch_simulation.rs
+++ b/cli/src/bench/dispatch_simulation.rs
@@ -9,8 +9,8 @@
 };
 
 use tarragon_dispatch::{
-    AdviceAnswer, DispatchConfig, Dispatcher, FinishedRun, Input, OrderOutcome, Output, PollAnswer,
-    PollCall, PollOutcome, RunStatus, StartOrder,
+    AdviceAnswer, DispatchConfig, Dispatcher, FinishedOrder, FinishedRun, Input, OrderOutcome,
+    Output, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder,
 };
 use tarragon_names::{
     DomainName, HostName, Millis, Name, PoolName, RackName, Resources, WorkerName,
@@ -365,13 +365,13 @@
                 if sim_worker.running.remove(&key).is_some() {
                     self.list_end(&worker, order.task, order.run, RunEnd::Stopped);
                 }
-                let input = Input::StopOrderFinished {
+                let input = Input::StopOrderFinished(FinishedOrder {
                     fence: order.fence,
                     incarnation: order.incarnation,
                     task: order.task,
                     run: order.run,
                     outcome: OrderOutcome::Accepted,
-                };
+                });
                 self.schedule(ROUND_TRIP_MS, SimEvent::Input(input));
             }
             Output::RequestAdvice(request) => {
@@ -422,13 +422,13 @@
             ROUND_TRIP_MS / 2 + estimate,
             SimEvent::RunEnds(worker, order.task, order.run),
         );
-        let input = Input::StartOrderFinished {
+        let input = Input::StartOrderFinished(FinishedOrder {
             fence: order.fence,
             incarnation: order.incarnation,
             task: order.task,
             run: order.run,
             outcome: OrderOutcome::Accepted,
-        };
+        });
         self.schedule(ROUND_TRIP_MS, SimEvent::Input(input));
     }
 
--- a/lib/dispatch/src/dispatcher_inputs.rs
+++ b/lib/dispatch/src/dispatcher_inputs.rs
@@ -2,7 +2,7 @@
 
 use tarragon_workflow::WorkerIncarnation;
 
-use crate::{Dispatcher, FencingToken, Input, OrderOutcome, PollOutcome, Refusal};
+use crate::{Dispatcher, FencingToken, FinishedOrder, Input, OrderOutcome, PollOutcome, Refusal};
 
 impl Dispatcher {
     pub(crate) fn handle_input(&mut self, input: Input) {
@@ -17,11 +17,11 @@
             _ if self.term.is_none() => {}
             // The result of a call that was sent in an earlier term says nothing about calls of the
             // current term.
-            Input::PollFinished { fence, .. }
-            | Input::StartOrderFinished { fence, .. }
-            | Input::StopOrderFinished { fence, .. }
-            | Input::ThrottleOrderFinished { fence, .. }
-                if self.term != Some(fence.term()) => {}
+            Input::PollFinished { fence, .. } if self.term != Some(fence.term()) => {}
+            Input::StartOrderFinished(order)
+            | Input::StopOrderFinished(order)
+            | Input::ThrottleOrderFinished(order)
+                if self.term != Some(order.fence.term()) => {}
             Input::Applied(command, answer) => self.applied(&command, &answer),
             Input::NotProposed(commands) => self.not_proposed(&commands),
             Input::HeartbeatReceived {
@@ -40,33 +40,20 @@
                 };
                 self.poll_finished(&incarnation, outcome);
             }
-            Input::StartOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            } => {
-                let outcome = self.outcome_in_term(&incarnation, fence, outcome);
-                self.start_order_finished(&incarnation, task, run, outcome);
+            Input::StartOrderFinished(order) => {
+                let outcome = self.outcome_in_term(&order);
+                self.start_order_finished(&order.incarnation, order.task, order.run, outcome);
             }
-            Input::StopOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            } => {
-                let outcome = self.outcome_in_term(&incarnation, fence, outcome);
-                self.stop_order_finished(&incarnation, task, run, outcome);
+            Input::StopOrderFinished(order) => {
+                let outcome = self.outcome_in_term(&order);
+                self.stop_order_finished(&order.incarnation, order.task, order.run, outcome);
+            }
+            Input::ThrottleOrderFinished(order) => {
+                let FinishedOrder {
+                    task, run, outcome, ..
+                } = order;
+                self.throttle_order_finished(&order.incarnation, task, run, outcome);
             }
-            Input::ThrottleOrderFinished {
-                incarnation,
-                task,
-                run,
-                outcome,
-                ..
-            } => self.throttle_order_finished(&incarnation, task, run, outcome),
             Input::AdviceFinished { request_id, answer } => self.finish_advice(request_id, answer),
             Input::AvoidWorker(worker) => self.avoid_worker(&worker),
             Input::Tick => self.tick(),
@@ -83,17 +70,12 @@
 
     /// Returns what the outcome of an order says in this term: an order that was refused because a later
     /// order of this host overtook it says nothing about other leaders.
-    fn outcome_in_term(
-        &self,
-        incarnation: &WorkerIncarnation,
-        fence: FencingToken,
-        outcome: OrderOutcome,
-    ) -> OrderOutcome {
-        let is_fenced = outcome == OrderOutcome::Refused(Refusal::Fence);
-        if is_fenced && self.is_superseded(incarnation, fence) {
+    fn outcome_in_term(&self, order: &FinishedOrder) -> OrderOutcome {
+        let is_fenced = order.outcome == OrderOutcome::Refused(Refusal::Fence);
+        if is_fenced && self.is_superseded(&order.incarnation, order.fence) {
             OrderOutcome::NotSent
         } else {
-            outcome
+            order.outcome
         }
     }
 }
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -6,7 +6,8 @@
 use tarragon_workflow::{Command, TaskKey, WorkerIncarnation, WorkflowState};
 
 use crate::{
-    DecisionEvent, Dispatcher, Input, OrderOutcome, Output, Refusal, StartOrder, StopOrder,
+    DecisionEvent, Dispatcher, FinishedOrder, Input, OrderOutcome, Output, Refusal, StartOrder,
+    StopOrder,
     backoff::backoff,
     loss_cause::LossCause,
     run_view::{START_ORDER_LIFETIME, StartState, StopState},
@@ -67,31 +68,16 @@
     /// Reports an order that a worker refused because it has seen a higher token: that of a later leader,
     /// or that of its present incarnation. The refusal counts also after this host has lost the lead.
     pub(crate) fn report_refused_token(&mut self, input: &Input) {
-        let (kind, fence, incarnation, task, run, outcome) = match input {
-            Input::StartOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            } => ("start", fence, incarnation, task, run, outcome),
-            Input::StopOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            } => ("stop", fence, incarnation, task, run, outcome),
-            Input::ThrottleOrderFinished {
-                fence,
-                incarnation,
-                task,
-                run,
-                outcome,
-            } => ("rate", fence, incarnation, task, run, outcome),
+        let (kind, order) = match input {
+            Input::StartOrderFinished(order) => ("start", order),
+            Input::StopOrderFinished(order) => ("stop", order),
+            Input::ThrottleOrderFinished(order) => ("rate", order),
             _ => return,
         };
-        if *outcome == OrderOutcome::Refused(Refusal::Fence) {
+        let FinishedOrder {
+            fence, incarnation, ..
+        } = order;
+        if order.outcome == OrderOutcome::Refused(Refusal::Fence) {
             let state = self.workers.get(&incarnation.worker);
             let is_for_earlier_incarnation = state
                 .is_some_and(|state| state.fence > *fence && state.fence.term() == fence.term());
@@ -102,8 +88,8 @@
             };
             let detail = format!("{kind} order with token {fence}, {incarnation}");
             let event = DecisionEvent::new(name, detail);
-            let event = event.task(*task, *run).worker(&incarnation.worker);
-            self.emit(event.warning());
+            let event = event.task(order.task, order.run);
+            self.emit(event.worker(&incarnation.worker).warning());
         }
     }
 
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -1,8 +1,8 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::{DomainName, HostName, Millis, Name, WorkerName};
-use tarragon_workflow::{Answer, Command, TaskKey, WorkerIncarnation};
+use tarragon_workflow::{Answer, Command, WorkerIncarnation};
 
-use crate::{FencingToken, OrderOutcome, PollOutcome};
+use crate::{FencingToken, FinishedOrder, PollOutcome};
 
 /// Answer of the advice service: workers that may run a step.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -55,44 +55,11 @@
         outcome: PollOutcome,
     },
     /// An order to start a run was answered or timed out.
-    StartOrderFinished {
-        /// Fencing token of the order.
-        fence: FencingToken,
-        /// Incarnation that the order was meant for.
-        incarnation: WorkerIncarnation,
-        /// Task that the order was for.
-        task: TaskKey,
-        /// Number of the run, counted per task.
-        run: u32,
-        /// Result of the order.
-        outcome: OrderOutcome,
-    },
+    StartOrderFinished(FinishedOrder),
     /// An order to stop a run was answered or timed out.
-    StopOrderFinished {
-        /// Fencing token of the order.
-        fence: FencingToken,
-        /// Incarnation that the order was meant for.
-        incarnation: WorkerIncarnation,
-        /// Task that the order was for.
-        task: TaskKey,
-        /// Number of the run, counted per task.
-        run: u32,
-        /// Result of the order.
-        outcome: OrderOutcome,
-    },
+    StopOrderFinished(FinishedOrder),
     /// An order to change the rate of a run was answered or timed out.
-    ThrottleOrderFinished {
-        /// Fencing token of the order.
-        fence: FencingToken,
-        /// Incarnation that the order was meant for.
-        incarnation: WorkerIncarnation,
-        /// Task that the order was for.
-        task: TaskKey,
-        /// Number of the run, counted per task.
-        run: u32,
-        /// Result of the order.
-        outcome: OrderOutcome,
-    },
+    ThrottleOrderFinished(FinishedOrder),
     /// A request for advice was answered or timed out.
     AdviceFinished {
         /// Number of the request, from [`crate::AdviceRequest`].
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -52,6 +52,6 @@
 pub use dispatcher::Dispatcher;
 pub use fencing_token::FencingToken;
 pub use input::{AdviceAnswer, Input};
-pub use order::{OrderOutcome, Refusal, StartOrder, StopOrder, ThrottleOrder};
+pub use order::{FinishedOrder, OrderOutcome, Refusal, StartOrder, StopOrder, ThrottleOrder};
 pub use output::{AdviceRequest, Output};
 pub use poll::{FinishedRun, PollAnswer, PollCall, PollOutcome, RunStatus};
--- a/lib/dispatch/src/order.rs
+++ b/lib/dispatch/src/order.rs
@@ -119,3 +119,18 @@
         }
     }
 }
+
+/// Result of an order about a run, as the host that sent the order reports it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FinishedOrder {
+    /// Fencing token of the order.
+    pub fence: FencingToken,
+    /// Incarnation that the order was meant for.
+    pub incarnation: WorkerIncarnation,
+    /// Task that the order was for.
+    pub task: TaskKey,
+    /// Number of the run, counted per task.
+    pub run: u32,
+    /// What came of the order.
+    pub outcome: OrderOutcome,
+}
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -6,9 +6,9 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use tarragon_dispatch::{
-    AdviceAnswer, AdviceRequest, DecisionEvent, DispatchConfig, Dispatcher, FinishedRun, Input,
-    OrderOutcome, Output, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder, StopOrder,
-    ThrottleOrder,
+    AdviceAnswer, AdviceRequest, DecisionEvent, DispatchConfig, Dispatcher, FinishedOrder,
+    FinishedRun, Input, OrderOutcome, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
+    StartOrder, StopOrder, ThrottleOrder,
 };
 use tarragon_names::{
     DomainName, HostName, Millis, Name, PoolName, RackName, Resources, WorkerName,
@@ -347,13 +347,13 @@
     pub fn answer_starts(&mut self, outcome: OrderOutcome) -> Vec<StartOrder> {
         let starts = std::mem::take(&mut self.starts);
         for order in &starts {
-            self.input(Input::StartOrderFinished {
+            self.input(Input::StartOrderFinished(FinishedOrder {
                 fence: order.fence,
                 incarnation: order.incarnation.clone(),
                 task: order.task,
                 run: order.run,
                 outcome,
-            });
+            }));
         }
         starts
     }
@@ -362,13 +362,13 @@
     pub fn answer_stops(&mut self, outcome: OrderOutcome) -> Vec<StopOrder> {
         let stops = std::mem::take(&mut self.stops);
         for order in &stops {
-            self.input(Input::StopOrderFinished {
+            self.input(Input::StopOrderFinished(FinishedOrder {
                 fence: order.fence,
                 incarnation: order.incarnation.clone(),
                 task: order.task,
                 run: order.run,
                 outcome,
-            });
+            }));
         }
         stops
     }
--- a/lib/dispatch/tests/gangs.rs
+++ b/lib/dispatch/tests/gangs.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, step, task, worker};
-use tarragon_dispatch::{Input, OrderOutcome, StartOrder};
+use tarragon_dispatch::{FinishedOrder, Input, OrderOutcome, StartOrder};
 use tarragon_names::Name;
 use tarragon_workflow::{Command, RunEnd, RunEvent, StepSpec};
 use yare::parameterized;
@@ -61,13 +61,13 @@
     assert_eq!(second.len(), 2);
     stop_first_run(&mut harness, &first[0], 3, "late");
     let unanswered = &second[1];
-    harness.input(Input::StartOrderFinished {
+    harness.input(Input::StartOrderFinished(FinishedOrder {
         fence: unanswered.fence,
         incarnation: unanswered.incarnation.clone(),
         task: unanswered.task,
         run: unanswered.run,
         outcome: OrderOutcome::Unanswered,
-    });
+    }));
     let again = take_starts(&mut harness);
     assert_eq!((again.len(), again[0].task), (1, unanswered.task));
     assert_eq!(again[0].checkpoint, second[0].checkpoint);
@@ -106,13 +106,13 @@
     };
     harness.commit(Command::RunEvents(vec![done]));
     for order in &second {
-        harness.input(Input::StartOrderFinished {
+        harness.input(Input::StartOrderFinished(FinishedOrder {
             fence: order.fence,
             incarnation: order.incarnation.clone(),
             task: order.task,
             run: order.run,
             outcome: OrderOutcome::Unanswered,
-        });
+        }));
     }
     harness.advance(2_000);
     let mut starts = harness.starts.iter();
--- a/lib/dispatch/tests/lapsed_lease.rs
+++ b/lib/dispatch/tests/lapsed_lease.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, incarnation, step, task, worker};
-use tarragon_dispatch::{FencingToken, Input, OrderOutcome, Refusal, RunStatus};
+use tarragon_dispatch::{FencingToken, FinishedOrder, Input, OrderOutcome, Refusal, RunStatus};
 use tarragon_names::Millis;
 use tarragon_workflow::{StepSpec, TaskKey};
 use yare::parameterized;
@@ -61,33 +61,33 @@
 
 /// Result of an order that was sent in the term 1.
 fn refused_start() -> Input {
-    Input::StartOrderFinished {
+    Input::StartOrderFinished(FinishedOrder {
         fence: FencingToken::new(1, 1),
         incarnation: incarnation("w1"),
         task: task(1, 0, 0),
         run: 1,
         outcome: OrderOutcome::Refused(Refusal::Fence),
-    }
+    })
 }
 
 fn refused_stop() -> Input {
-    Input::StopOrderFinished {
+    Input::StopOrderFinished(FinishedOrder {
         fence: FencingToken::new(1, 1),
         incarnation: incarnation("w1"),
         task: task(1, 0, 0),
         run: 1,
         outcome: OrderOutcome::Refused(Refusal::Fence),
-    }
+    })
 }
 
 fn refused_rate() -> Input {
-    Input::ThrottleOrderFinished {
+    Input::ThrottleOrderFinished(FinishedOrder {
         fence: FencingToken::new(1, 1),
         incarnation: incarnation("w1"),
         task: task(1, 0, 0),
         run: 1,
         outcome: OrderOutcome::Refused(Refusal::Fence),
-    }
+    })
 }
 
 /// Guards against a stale leader that operators cannot see: most refusals of its term come when it has
--- a/lib/dispatch/tests/returning_workers/exchange.rs
+++ b/lib/dispatch/tests/returning_workers/exchange.rs
@@ -202,12 +202,10 @@
             (at, outcome)
         };
         let input = input(outcome);
-        let (Input::StartOrderFinished { fence, .. } | Input::StopOrderFinished { fence, .. }) =
-            input
-        else {
+        let (Input::StartOrderFinished(order) | Input::StopOrderFinished(order)) = &input else {
             return;
         };
-        self.schedule_input(fence.term(), at, input);
+        self.schedule_input(order.fence.term(), at, input);
     }
 
     /// Sends the heartbeat of a worker if it is due. The leader that receives it records the worker
--- a/lib/dispatch/tests/returning_workers/simulation.rs
+++ b/lib/dispatch/tests/returning_workers/simulation.rs
@@ -1,6 +1,8 @@
 use std::{collections::VecDeque, sync::Arc};
 
-use tarragon_dispatch::{Input, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder};
+use tarragon_dispatch::{
+    FinishedOrder, Input, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder,
+};
 use tarragon_names::Name;
 use tarragon_workflow::{Command, JobPhase, JobSpec, WorkflowState};
 
@@ -426,21 +428,21 @@
 }
 
 pub(super) fn start_input(order: &StartOrder, outcome: OrderOutcome) -> Input {
-    Input::StartOrderFinished {
+    Input::StartOrderFinished(FinishedOrder {
         fence: order.fence,
         incarnation: order.incarnation.clone(),
         task: order.task,
         run: order.run,
         outcome,
-    }
+    })
 }
 
 pub(super) fn stop_input(order: &StopOrder, outcome: OrderOutcome) -> Input {
-    Input::StopOrderFinished {
+    Input::StopOrderFinished(FinishedOrder {
         fence: order.fence,
         incarnation: order.incarnation.clone(),
         task: order.task,
         run: order.run,
         outcome,
-    }
+    })
 }
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, incarnation, step, task, worker};
-use tarragon_dispatch::{FencingToken, Input, OrderOutcome, PollOutcome, Refusal};
+use tarragon_dispatch::{FencingToken, FinishedOrder, Input, OrderOutcome, PollOutcome, Refusal};
 use tarragon_names::Millis;
 use tarragon_workflow::{Command, JobKey, JobPhase, RunEnd, RunEvent, StepSpec};
 use yare::parameterized;
@@ -202,13 +202,13 @@
         OrderOutcome::Accepted,
         OrderOutcome::Refused(Refusal::Capacity),
     ]) {
-        harness.input(Input::StartOrderFinished {
+        harness.input(Input::StartOrderFinished(FinishedOrder {
             fence: order.fence,
             incarnation: order.incarnation.clone(),
             task: order.task,
             run: order.run,
             outcome,
-        });
+        }));
     }
     assert_eq!(harness.stops.len(), 1);
     assert_eq!(harness.stops[0].task, starts[0].task);
--- a/lib/dispatch/tests/throttling.rs
+++ b/lib/dispatch/tests/throttling.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Harness, step, task, worker};
-use tarragon_dispatch::{Input, OrderOutcome, RunStatus, ThrottleOrder};
+use tarragon_dispatch::{FinishedOrder, Input, OrderOutcome, RunStatus, ThrottleOrder};
 use tarragon_names::Millis;
 use tarragon_workflow::{StepSpec, TaskKey};
 use yare::parameterized;
@@ -50,13 +50,13 @@
 fn answer_throttles(harness: &mut Harness, outcome: OrderOutcome) -> Vec<ThrottleOrder> {
     let throttles = std::mem::take(&mut harness.throttles);
     for order in &throttles {
-        harness.input(Input::ThrottleOrderFinished {
+        harness.input(Input::ThrottleOrderFinished(FinishedOrder {
             fence: order.fence,
             incarnation: order.incarnation.clone(),
             task: order.task,
             run: order.run,
             outcome,
-        });
+        }));
     }
     throttles
 }
--- a/lib/entry/src/worker_order.rs
+++ b/lib/entry/src/worker_order.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 use tarragon_delivery::Urgency;
 use tarragon_dispatch::{
-    FencingToken, Input, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder, ThrottleOrder,
+    FencingToken, FinishedOrder, Input, OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder,
+    ThrottleOrder,
 };
 use tarragon_names::{Millis, WorkerName};
 use tarragon_workflow::{TaskKey, WorkerIncarnation};
@@ -140,31 +141,31 @@
                 outcome,
             },
             (Urgency::Start, Some((task, run)), OrderResult::Order(outcome)) => {
-                Input::StartOrderFinished {
+                Input::StartOrderFinished(FinishedOrder {
                     fence,
                     incarnation,
                     task,
                     run,
                     outcome,
-                }
+                })
             }
             (Urgency::Stop, Some((task, run)), OrderResult::Order(outcome)) => {
-                Input::StopOrderFinished {
+                Input::StopOrderFinished(FinishedOrder {
                     fence,
                     incarnation,
                     task,
                     run,
                     outcome,
-                }
+                })
             }
             (Urgency::Throttle, Some((task, run)), OrderResult::Order(outcome)) => {
-                Input::ThrottleOrderFinished {
+                Input::ThrottleOrderFinished(FinishedOrder {
                     fence,
                     incarnation,
                     task,
                     run,
                     outcome,
-                }
+                })
             }
             _ => return None,
         })
