--- a/lib/dispatch/tests/returning_workers/exchange.rs
+++ b/lib/dispatch/tests/returning_workers/exchange.rs
@@ -18,6 +18,11 @@
 /// reached the leader, and their acknowledgement does not reach the worker.
 const CUT_AFTER_ENDS_PERCENT: u64 = 10;
 
+/// Time for which a restarted worker has to be reachable before late orders for its earlier incarnation
+/// arrive although the leader has not called it, in milliseconds. Nothing shuts them out until then; see
+/// docs/incidents/late-order.md.
+const MIN_REACHABLE_MS: u64 = 4_000;
+
 impl Simulation {
     pub(super) fn handle(&mut self, event: Event) {
         match event {
@@ -130,9 +135,9 @@
         let index = self.index_of(&order.incarnation.worker);
         let worker = &self.workers[index];
         let is_for_present = order.incarnation == *worker.incarnation();
-        // Nothing shuts out an order that may come late; see docs/incidents/late-order.md.
-        let may_be_late = answer == Answer::Lost && !is_for_present && !worker.is_reached;
-        if may_be_late && self.intensity != Intensity::LateOrdersAtOnce {
+        let is_early = !worker.is_reached && now < worker.reachable_since + MIN_REACHABLE_MS;
+        let may_be_late = answer == Answer::Lost && !is_for_present;
+        if may_be_late && is_early && self.intensity != Intensity::LateOrdersAtOnce {
             return;
         }
         let outcome = if !worker.is_up {
--- a/lib/dispatch/tests/returning_workers/model_worker.rs
+++ b/lib/dispatch/tests/returning_workers/model_worker.rs
@@ -76,6 +76,8 @@
     /// Whether a call for this incarnation was carried out. Before that, nothing shuts out the calls for
     /// the incarnation before.
     pub is_reached: bool,
+    /// Time of the last start or the end of the last cut.
+    pub reachable_since: u64,
     last_number: u64,
     fence: Option<FencingToken>,
     lease_until_ms: Option<u64>,
@@ -100,6 +102,7 @@
             next_heartbeat_at: 0,
             is_announced: false,
             is_reached: false,
+            reachable_since: 0,
             last_number: 0,
             fence: None,
             lease_until_ms: None,
@@ -131,6 +134,7 @@
         self.next_heartbeat_at = now;
         self.is_announced = false;
         self.is_reached = false;
+        self.reachable_since = now;
     }
 
     /// Ends the incarnation with its runs; their ends are never listed.
@@ -142,6 +146,9 @@
 
     /// Ends a cut whose time is over.
     pub fn end_cut(&mut self, now: u64) {
+        if self.cut.is_some() {
+            self.reachable_since = now;
+        }
         self.cut = self.cut.filter(|cut| now < cut.until);
     }
 
