dispatch: calls after a silence shut out the orders sent before it

Callers saw tasks that ran twice, or again after they were done, when a start order without an answer reached a worker that had restarted under its name. The token rose only with the record of the restart, so until the heartbeat was committed each poll that got through carried the token of the late order and did not shut it out. The token now rises when a worker falls silent, and no start order goes to a silent worker; a run that was not ordered yet leaves it at once. A refusal for a token of before the silence says nothing about other leaders, so polls go on.

--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -304,16 +304,15 @@
             if !state.takes_orders() {
                 return;
             }
+            let is_silent = state.poll_failures > 0;
             let mut due = Vec::new();
             for (task, view) in state.runs.iter_mut().filter(|(_, view)| !view.is_ended) {
                 if let StopState::Requested { at } = view.stop {
-                    let is_unsent = view.start_attempts == 0
-                        && matches!(view.start, StartState::Unanswered { .. });
                     if view.start == StartState::Committing || now < at {
                         continue;
                     }
-                    if is_unsent {
-                        unsent.push((*task, worker.clone()));
+                    if view.is_unordered() {
+                        unsent.push((*task, view.run, worker.clone()));
                     } else {
                         view.stop = StopState::Sent;
                         stops.push(StopOrder {
@@ -325,6 +324,11 @@
                             timeout: cfg.order_timeout,
                         });
                     }
+                } else if is_silent {
+                    // The worker may have restarted, and would carry a start order out late.
+                    if view.is_unordered() {
+                        unsent.push((*task, view.run, worker.clone()));
+                    }
                 } else if let StartState::Unanswered { again_at } = view.start
                     && view.stop == StopState::NotRequested
                     && again_at <= now
@@ -360,8 +364,9 @@
                 }
             }
         });
-        for (task, worker) in unsent {
+        for (task, run, worker) in unsent {
             self.lose_run(task, &worker, LossCause::NotOrdered);
+            self.stop_gang(task.step, run);
         }
         self.outputs.extend(stops.into_iter().map(Output::Stop));
         self.outputs.extend(starts.into_iter().map(Output::Start));
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -70,6 +70,7 @@
                     let detail = format!("poll sent {} ms ago", now.since(sent_at).0);
                     let event = DecisionEvent::new("worker_silent", detail);
                     self.emit(event.worker(&incarnation.worker).warning());
+                    self.raise_fence(&incarnation.worker);
                 }
                 return;
             }
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -90,11 +90,20 @@
         }
     }
 
-    /// Returns the token of the calls to the incarnation that is added next, which is higher than all
-    /// earlier ones.
+    /// Returns a token that is higher than all earlier ones.
     fn next_fence(&mut self) -> FencingToken {
-        self.last_incarnation += 1;
-        FencingToken::new(self.term.unwrap_or_default(), self.last_incarnation)
+        self.last_token += 1;
+        FencingToken::new(self.term.unwrap_or_default(), self.last_token)
+    }
+
+    /// Gives the next calls to a worker a higher token, so that the first one that gets through shuts out
+    /// all that were sent before. A worker that does not answer may have restarted, and takes late calls
+    /// until then.
+    pub(crate) fn raise_fence(&mut self, worker: &WorkerName) {
+        let fence = self.next_fence();
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.fence = fence;
+        }
     }
 
     /// Removes a worker whose incarnation has ended; all its runs ended with it.
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -129,6 +129,12 @@
         !self.is_ended && (is_unlisted || self.has_outstanding_start(now))
     }
 
+    /// Returns whether the run was never ordered to start.
+    pub(crate) fn is_unordered(&self) -> bool {
+        let is_unsent = matches!(self.start, StartState::Unanswered { .. });
+        is_unsent && self.start_attempts == 0 && !self.has_unanswered_start
+    }
+
     /// Returns whether the worker refuses start orders for the run that arrive from now on.
     pub(crate) fn is_refused(&self) -> bool {
         self.transferred_from.is_none() || matches!(self.stop, StopState::Accepted { .. })
--- a/lib/dispatch/tests/returning_workers/simulation.rs
+++ b/lib/dispatch/tests/returning_workers/simulation.rs
@@ -36,7 +36,7 @@
     /// Never; tasks still fail by their own fault.
     Calm,
     /// Often, but a start order for the incarnation before that has lost its answer reaches a restarted
-    /// worker only after the first call for the present one.
+    /// worker only after the first poll that does.
     Faulty,
     /// Like `Faulty`, and late orders reach a restarted worker at once.
     LateOrdersAtOnce,
--- a/lib/dispatch/tests/unnoticed_restart.rs
+++ b/lib/dispatch/tests/unnoticed_restart.rs
@@ -101,6 +101,7 @@
     harness.advance(200);
     assert!(harness.starts.is_empty(), "the worker is silent");
 
+    harness.advance(200);
     harness.answer_poll(NAME, &[], &[]);
     harness.advance(40);
     let again = harness.starts.first().expect("the worker answers again");
