dispatch: an incarnation that does not announce itself is shut out and waited for

Callers saw a task run on a worker while it ran again elsewhere: the worker had restarted and answered polls, but no heartbeat of it came through. The leader now calls such an incarnation again at once with a higher token, and removes it only when the longest lease since that answer is over.

After the answered call nothing can extend the lease but the leader itself, which grants none.

--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -10,6 +10,7 @@
     DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
     StopOrder,
     backoff::backoff,
+    earlier_lease::longest_on_slow_clock,
     listed_end::ListedEnd,
     loss_cause::LossCause,
     run_view::{StartState, StopState},
@@ -105,22 +106,31 @@
         self.throttle_best_effort(&incarnation.worker);
     }
 
-    /// Handles the answer of a later incarnation under the same name. Its heartbeat is awaited: until
-    /// then its capacity is not known, and it cannot be told to refuse the orders that may still
-    /// arrive.
+    /// Handles the answer of a later incarnation under the same name. It is called once more at once, with
+    /// a token that shuts out the calls for the incarnation before. Then its heartbeat is awaited: until
+    /// that its capacity is not known, and nothing can be placed there.
     fn worker_restarted(&mut self, incarnation: &WorkerIncarnation) {
-        let now = self.now;
+        let (now, cfg) = (self.now, self.cfg);
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
         };
-        let seen_at = *state.restart_seen_at.get_or_insert(now);
-        if now.since(seen_at) >= self.cfg.remove_after {
-            self.remove_incarnation(incarnation, "another incarnation answers");
+        state.suspend_polls(now);
+        if state.restart_seen_at.is_none() {
+            state.restart_seen_at = Some(now);
+            state.next_poll_at = now;
+            self.raise_fence(&incarnation.worker);
+            let event = DecisionEvent::new("worker_restarted", String::new());
+            self.emit(event.worker(&incarnation.worker).warning());
             return;
         }
-        state.suspend_polls(now);
-        let event = DecisionEvent::new("worker_restarted", String::new());
-        self.emit(event.worker(&incarnation.worker).warning());
+        let shut_out_at = *state.shut_out_at.get_or_insert(now);
+        // Until then it may hold a lease from a call for the incarnation before.
+        let gone_at = shut_out_at + longest_on_slow_clock(cfg.max_lease).max(cfg.remove_after);
+        if now >= gone_at {
+            self.remove_incarnation(incarnation, "another incarnation answers");
+        } else {
+            state.next_poll_at = state.next_poll_at.min(gone_at);
+        }
     }
 
     /// Proposes records for the listed ends that were not proposed yet.
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -4,17 +4,15 @@
 use tarragon_workflow::{RunEnd, StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
-    DispatchConfig, FencingToken, FinishedRun, dispatcher_throttle::FULL_RATE,
-    earlier_lease::EarlierLease, listed_end::ListedEnd, run_view::RunView, unusable::Unusable,
+    DispatchConfig, FencingToken, FinishedRun,
+    dispatcher_throttle::FULL_RATE,
+    earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT},
+    listed_end::ListedEnd,
+    run_view::RunView,
+    unusable::Unusable,
     worker_speed::WorkerSpeed,
 };
 
-/// Slowest rate of a worker's clock relative to the leader's, in percent.
-const SLOWEST_CLOCK_PERCENT: u64 = 98;
-
-/// Margin added to the computed end of a lease.
-const LEASE_MARGIN: Millis = Millis(200);
-
 /// Time for which a worker is not polled after it refused the term of the leader or its incarnation
 /// ended.
 const POLL_SUSPENSION: Millis = Millis(5_000);
@@ -67,6 +65,8 @@
     pub(crate) going_down_since: Option<Millis>,
     /// Time at which a later incarnation under the same name answered first.
     pub(crate) restart_seen_at: Option<Millis>,
+    /// Time at which it answered a call that shuts out those for the incarnation before.
+    pub(crate) shut_out_at: Option<Millis>,
     /// Whether the lease has expired and all runs on the worker were declared lost.
     pub(crate) is_lease_expired: bool,
     /// Duration of runs on this worker, relative to their estimates.
@@ -122,6 +122,7 @@
             is_unindexed: true,
             going_down_since: None,
             restart_seen_at: None,
+            shut_out_at: None,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
             last_success_at: Millis(0),
@@ -185,9 +186,7 @@
     /// Before the first reading of its clock, the last earlier call may have granted the longest lease.
     pub(crate) fn has_lease_certainly_expired(&self, now: Millis) -> bool {
         let Some(least) = self.least_clock_ms(now) else {
-            let longest = self.earlier_lease.longest.0 * 100 / SLOWEST_CLOCK_PERCENT;
-            let ends_by = self.earlier_lease.granted_until + Millis(longest) + LEASE_MARGIN;
-            return now > ends_by;
+            return now > self.earlier_lease.ends_by();
         };
         least > self.lease_until_ms.saturating_add(LEASE_MARGIN.0)
     }
