dispatch: a silent worker may have restarted with a run that no poll has listed

The worker had restarted, carried out a start order and was cut off before its first heartbeat or poll. The leader saw only a silent worker and declared the run lost 8.4 s after the last reading of the earlier clock; the next incarnation shortens the lease to the platform's 10 s, counted from the order on. A run on a silent worker is now lost only when the longest lease since its last start order is over, unless a poll has listed it, which shows that it ended with the earlier incarnation.

--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -335,6 +335,7 @@
                 {
                     view.start = StartState::Sent;
                     view.start_attempts += 1;
+                    view.start_sent_at = now;
                     view.start_may_arrive_until = now + START_ORDER_LIFETIME;
                     let timeout = if view.start_attempts == 1 {
                         cfg.first_start_timeout
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -290,6 +290,7 @@
     fn expire_leases(&mut self) {
         let (now, cfg) = (self.now, self.cfg);
         let mut expired = Vec::new();
+        let mut lost = Vec::new();
         let mut gone = Vec::new();
         for (worker, state) in self.workers.iter_mut() {
             if state.poll_failures == 0 || !state.has_lease_certainly_expired(now) {
@@ -298,27 +299,24 @@
             if !state.is_lease_expired {
                 state.is_lease_expired = true;
                 state.is_synced = false;
-                expired.push(worker.clone());
+                let detail = format!("{}, {}", state.incarnation(), state.lease_detail(now));
+                expired.push((worker.clone(), detail));
             } else if now.since(state.last_contact) >= cfg.remove_after && state.runs.is_empty() {
                 state.last_contact = now;
                 gone.push(state.record.incarnation.clone());
             }
-        }
-        for worker in expired {
-            let Some(state) = self.workers.get(&worker) else {
-                continue;
-            };
-            let detail = format!("{}, {}", state.incarnation(), state.lease_detail(now));
             let runs = state.runs.iter();
-            let lost = runs
-                .filter(|(_, view)| view.start != StartState::Committing)
-                .map(|(task, _)| *task)
-                .collect::<Vec<_>>();
+            let ended = runs.filter(|(_, view)| {
+                view.start != StartState::Committing && now > view.may_run_unnoticed_until(&cfg)
+            });
+            lost.extend(ended.map(|(task, _)| (*task, worker.clone())));
+        }
+        for (worker, detail) in expired {
             let event = DecisionEvent::new("worker_lease_over", detail);
             self.emit(event.worker(&worker).warning());
-            for task in lost {
-                self.lose_run(task, &worker, LossCause::LeaseOver);
-            }
+        }
+        for (task, worker) in lost {
+            self.lose_run(task, &worker, LossCause::LeaseOver);
         }
         for incarnation in gone {
             self.remove_incarnation(&incarnation, "silent after its lease expired");
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,7 +1,10 @@
 use tarragon_names::{Millis, Name};
 use tarragon_workflow::WorkerIncarnation;
 
-use crate::{run_progress::RunProgress, run_rate::RunRate, run_spec::RunSpec};
+use crate::{
+    DispatchConfig, earlier_lease::longest_on_slow_clock, run_progress::RunProgress,
+    run_rate::RunRate, run_spec::RunSpec,
+};
 
 /// Highest run number of a task that may be preempted, so that every task ends eventually.
 const MAX_PREEMPTED_RUN: u32 = 3;
@@ -53,6 +56,8 @@
     pub(crate) failed_stops: u32,
     /// Time at which the stop was requested first.
     pub(crate) stop_requested_at: Millis,
+    /// Time at which the last start order was sent.
+    pub(crate) start_sent_at: Millis,
     /// Whether one of these start orders got no answer.
     pub(crate) has_unanswered_start: bool,
     /// Time until which a start order that was sent and has no answer may arrive; 0 if there is none.
@@ -93,6 +98,7 @@
             unsent_orders: 0,
             failed_stops: 0,
             stop_requested_at: Millis(0),
+            start_sent_at: Millis(0),
             has_unanswered_start: false,
             start_may_arrive_until: Millis(0),
             transferred_from: None,
@@ -129,6 +135,16 @@
         !self.is_ended && (is_unlisted || self.has_outstanding_start(now))
     }
 
+    /// Returns until when the run may go on on a silent worker that has restarted unnoticed: the next
+    /// incarnation has carried the start order out in time, and took the longest lease. 0 if a poll has
+    /// listed the run, which then ended with its incarnation.
+    pub(crate) fn may_run_unnoticed_until(&self, cfg: &DispatchConfig) -> Millis {
+        if self.start_attempts == 0 || self.is_listed {
+            return Millis(0);
+        }
+        self.start_sent_at + cfg.order_timeout + longest_on_slow_clock(cfg.max_lease)
+    }
+
     /// Returns whether the run was never ordered to start.
     pub(crate) fn is_unordered(&self) -> bool {
         let is_unsent = matches!(self.start, StartState::Unanswered { .. });
