dispatch: a new leader waits for calls to the incarnation before

The leader before had recorded the restart of a worker and had not heard of a run since. The new leader took the run for one of the present incarnation and counted its lease from the election, although a late call could still start it or extend its lease.

--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -36,6 +36,11 @@
             if let Some(state) = self.workers.get_mut(&placement.incarnation.worker) {
                 let mut view = RunView::new(placement.run, spec, self.now);
                 view.start = StartState::Inherited;
+                if *state.incarnation() != placement.incarnation {
+                    // The earlier leader recorded the restart and has not heard of the run since.
+                    state.earlier_lease.granted_until = self.now + START_ORDER_LIFETIME;
+                    view.transferred_from = Some(placement.incarnation.clone());
+                }
                 view.start_may_arrive_until = self.now + START_ORDER_LIFETIME;
                 if view.spec.is_best_effort {
                     view.rate = RunRate::unknown();
