--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod decision_event;
 mod dispatcher;
 mod dispatcher_advice;
+mod dispatcher_health;
 mod dispatcher_inputs;
 mod dispatcher_jobs;
 mod dispatcher_leadership;
