workflow: earlier incarnations count as such whatever their start times

Callers saw a task run twice: a worker was removed and came back with an earlier start time, because its wall clock had gone back. The leader counted with the lease that it grants (8 s) in place of the longest that the worker takes (10 s) for a call for the incarnation before.

Cause: is_restarted looked only at remembered incarnations with an earlier start time. It now holds for any other one. At worst the leader counts with the longer lease for a worker that did not restart.

--- a/lib/workflow/src/worker_records.rs
+++ b/lib/workflow/src/worker_records.rs
@@ -61,16 +61,15 @@
         Answer::Done
     }
 
-    /// Returns whether an earlier incarnation of the worker is remembered.
+    /// Returns whether another incarnation of the worker is remembered. It may be an earlier one even if it
+    /// has a later start time, because that is a time on a wall clock.
     pub(crate) fn is_restarted(&self, incarnation: &WorkerIncarnation) -> bool {
-        let first = WorkerIncarnation {
+        let of_worker = |started_ms| WorkerIncarnation {
             worker: incarnation.worker.clone(),
-            started_ms: 0,
+            started_ms,
         };
-        self.removed
-            .range(first..incarnation.clone())
-            .next()
-            .is_some()
+        let mut remembered = self.removed.range(of_worker(0)..=of_worker(u64::MAX));
+        remembered.any(|(other, _)| other != incarnation)
     }
 
     /// Removes the record of an incarnation at `now_ms`, and forgets the records that were removed before
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -161,8 +161,8 @@
         self.workers.lock().by_name().get(name).cloned()
     }
 
-    /// Returns whether an earlier incarnation of the worker was recorded, as far as the state remembers. Calls
-    /// that were meant for it may reach this one.
+    /// Returns whether another incarnation of the worker was recorded, as far as the state remembers. It may
+    /// be an earlier one, and calls that were meant for it may reach this one.
     pub fn is_restarted(&self, incarnation: &WorkerIncarnation) -> bool {
         self.workers.lock().is_restarted(incarnation)
     }
--- a/lib/workflow/tests/worker_records.rs
+++ b/lib/workflow/tests/worker_records.rs
@@ -149,6 +149,16 @@
     assert_eq!(restored.is_restarted(&incarnation(SECOND_MS)), is_restarted);
 }
 
+/// Guards against the same when the clock of the worker went back between its two starts.
+#[test]
+fn earlier_incarnation_with_a_later_start_time_is_remembered() {
+    let state = WorkflowState::new(RETENTION_MS);
+    for command in [ready(SECOND_MS), removal(SECOND_MS), ready(FIRST_MS)] {
+        state.apply(1, &command);
+    }
+    assert!(state.is_restarted(&incarnation(FIRST_MS)));
+}
+
 /// Guards against a state that grows with every restart of a worker.
 #[test]
 fn replaced_incarnation_is_forgotten_after_the_retention() {
