workflow, dispatch, entry: an answered poll proves the order of incarnations

Callers saw tasks that waited or ran twice after the wall clock of a worker had gone back between two of its starts: the heartbeats of the next incarnation had no effect until its record was removed for its silence, and the removal declared runs lost that the next incarnation had accepted. After that, a delayed heartbeat of the incarnation before replaced the present one.

Cause: the start time alone told which of two incarnations is later.

A poll that was sent for a recorded incarnation and is answered by another one proves that the other one is later: the recorded one had announced itself before the poll, and two incarnations never run at the same time. The leader proposes Command::PutSuccession (the last variant, so that the encoding of the others stays), and WorkerRecords then takes the record of the later one and refuses the earlier one. Without a proof a later start time still counts as later; a wrong replacement is undone by the next poll. The heartbeat tracker asks the state (is_outdated) in place of its own copy of the rule. The command is proposed only if the start times contradict it, because hosts of the release before cannot read it.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -278,7 +278,8 @@
             Command::MachineOrdered { .. }
             | Command::MachineRefused { .. }
             | Command::MachineDone { .. } => self.update_going_down(),
-            Command::StartWave { .. } => {}
+            // The next announcement of the later incarnation replaces the record of the earlier one.
+            Command::StartWave { .. } | Command::PutSuccession(_) => {}
         }
     }
 
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -78,6 +78,7 @@
             incarnation.started_ms != 0 && started != incarnation.started_ms
         });
         if is_restarted {
+            self.record_succession(incarnation, answer.started_ms);
             self.worker_restarted(incarnation);
             return;
         }
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatcher_polls;
 mod dispatcher_preempt;
 mod dispatcher_report;
+mod dispatcher_successions;
 mod dispatcher_throttle;
 mod dispatcher_workers;
 mod earlier_lease;
--- a/lib/entry/src/heartbeat_tracker.rs
+++ b/lib/entry/src/heartbeat_tracker.rs
@@ -32,21 +32,21 @@
         report: &WorkerReport,
     ) -> HeartbeatEffect {
         let mut record = report.record.clone();
+        if workflow_state.is_outdated(&record.incarnation) {
+            return HeartbeatEffect::Stale;
+        }
         let known = workflow_state.worker(&record.incarnation.worker);
-        if let Some(known) = &known {
-            if known.incarnation.started_ms > record.incarnation.started_ms {
+        if let Some(known) = &known
+            && known.incarnation == record.incarnation
+        {
+            // Once an incarnation has announced that it leaves, it stays draining.
+            record.is_draining |= known.is_draining;
+            record.acknowledged = known.acknowledged;
+            if !self.record_sequence(report) {
                 return HeartbeatEffect::Stale;
             }
-            if known.incarnation == record.incarnation {
-                // Once an incarnation has announced that it leaves, it stays draining.
-                record.is_draining |= known.is_draining;
-                record.acknowledged = known.acknowledged;
-                if !self.record_sequence(report) {
-                    return HeartbeatEffect::Stale;
-                }
-                if *known == record {
-                    return HeartbeatEffect::Unchanged;
-                }
+            if *known == record {
+                return HeartbeatEffect::Unchanged;
             }
         }
         let others = workflow_state.workers();
@@ -56,7 +56,9 @@
             .filter(|other| other.address == record.address);
         let mut commands = Vec::new();
         for other in others {
-            // Two incarnations cannot share an address, so the one that started earlier has ended.
+            // Two incarnations cannot share an address, so the one that started earlier has ended. If the
+            // wall clock went back between their starts, the later one waits here until a poll for the
+            // other one, which now meets the later one, has its record removed.
             if other.incarnation.started_ms > record.incarnation.started_ms {
                 return HeartbeatEffect::Stale;
             }
--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -32,7 +32,8 @@
         let snapshot = self.0.snapshot();
         let histories = snapshot.histories();
         let removed_workers = snapshot.removed_workers.clone();
-        record::encode(&(snapshot, histories, removed_workers))
+        let successions = snapshot.successions.clone();
+        record::encode(&(snapshot, histories, removed_workers, successions))
             .map_err(|e| Failure::new(Code::Internal, e.to_string()))
     }
 
@@ -51,8 +52,10 @@
     let (mut snapshot, rest) = record::decode_first::<WorkflowSnapshot>(state)?;
     let (histories, rest) = decode_next(rest)?;
     snapshot.restore_histories(histories);
-    let (removed_workers, _) = decode_next(rest)?;
+    let (removed_workers, rest) = decode_next(rest)?;
     snapshot.removed_workers = removed_workers.unwrap_or_default();
+    let (successions, _) = decode_next(rest)?;
+    snapshot.successions = successions.unwrap_or_default();
     Ok(snapshot)
 }
 
--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -5,9 +5,10 @@
 use tarragon_entry::WorkflowLog;
 use tarragon_names::{DomainName, Millis, Name, PoolName, Resources, WorkerName};
 use tarragon_replica::StateMachine;
+use tarragon_wire::record;
 use tarragon_workflow::{
     Command, Configuration, JobKey, JobPhase, JobSpec, Queue, RunEnd, RunEvent, StepKey, StepSpec,
-    TaskKey, WorkerIncarnation, WorkerRecord, WorkflowState,
+    Succession, TaskKey, WorkerIncarnation, WorkerRecord, WorkflowState,
 };
 use yare::parameterized;
 
@@ -149,23 +150,25 @@
     assert_eq!(checkpoint.flatten(), Some(Name::from("new")));
 }
 
+fn put(incarnation: WorkerIncarnation, is_draining: bool) -> Command {
+    Command::PutWorker(WorkerRecord {
+        incarnation,
+        address: Name::from("w1:80"),
+        domain: DomainName::from("d"),
+        pool: PoolName::from("p"),
+        capacity: Resources::new(1, 1, 0),
+        labels: Vec::new(),
+        rack: None,
+        is_draining,
+        acknowledged: 0,
+    })
+}
+
 /// Guards against a worker that is no longer known to leave after a restart of the hosts, when its record
 /// was removed before and an earlier announcement arrives.
 #[test]
 fn removed_worker_survives_a_snapshot() {
-    let put = |is_draining| {
-        Command::PutWorker(WorkerRecord {
-            incarnation: incarnation(1),
-            address: Name::from("w1:80"),
-            domain: DomainName::from("d"),
-            pool: PoolName::from("p"),
-            capacity: Resources::new(1, 1, 0),
-            labels: Vec::new(),
-            rack: None,
-            is_draining,
-            acknowledged: 0,
-        })
-    };
+    let put = |is_draining| put(incarnation(1), is_draining);
     let state = state_after_two_failed_runs();
     state.apply(2, &put(true));
     state.apply(2, &Command::RemoveWorker(incarnation(1)));
@@ -177,6 +180,54 @@
     assert_eq!(record.map(|record| record.is_draining), Some(true));
 }
 
+/// Incarnation that follows `incarnation(1)` and names an earlier start time.
+fn successor() -> WorkerIncarnation {
+    WorkerIncarnation {
+        started_ms: 4,
+        ..incarnation(1)
+    }
+}
+
+/// State in which the successor is recorded.
+fn state_after_a_succession() -> WorkflowState {
+    let state = state_after_two_failed_runs();
+    let succession = Succession {
+        earlier: incarnation(1),
+        later_started_ms: successor().started_ms,
+    };
+    state.apply(2, &put(incarnation(1), false));
+    state.apply(2, &Command::PutSuccession(succession));
+    state.apply(2, &put(successor(), false));
+    state
+}
+
+/// Guards against a delayed heartbeat that counts after a restart of the hosts, because the order of the
+/// incarnations was lost.
+#[test]
+fn succession_survives_a_snapshot() {
+    let log = WorkflowLog(Arc::new(state_after_a_succession()));
+    let snapshot = log.snapshot().expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&snapshot).expect("the snapshot is read");
+    assert_eq!(restored.0.snapshot(), log.0.snapshot());
+    restored.0.apply(3, &put(incarnation(1), false));
+    let record = restored.0.worker(&successor().worker);
+    assert_eq!(record.map(|record| record.incarnation), Some(successor()));
+}
+
+/// Guards against a host that cannot read the snapshot of the release before, which stored no successions.
+#[test]
+fn snapshot_without_successions_is_read() {
+    let mut expected = state_after_a_succession().snapshot();
+    let histories = expected.histories();
+    let removed_workers = expected.removed_workers.clone();
+    let stored = record::encode(&(&expected, histories, removed_workers)).expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&stored).expect("the snapshot is read");
+    expected.successions.clear();
+    assert_eq!(restored.0.snapshot(), expected);
+}
+
 /// Guards against a snapshot that loses which runs have failed, so that an end that is listed again
 /// counts again after a restart, and against a host that cannot read the snapshot of the release before.
 #[parameterized(
--- a/lib/workflow/src/command.rs
+++ b/lib/workflow/src/command.rs
@@ -2,7 +2,8 @@
 use tarragon_names::Name;
 
 use crate::{
-    Configuration, JobKey, JobSpec, RunEvent, Wave, WaveKey, WorkerIncarnation, WorkerRecord,
+    Configuration, JobKey, JobSpec, RunEvent, Succession, Wave, WaveKey, WorkerIncarnation,
+    WorkerRecord,
 };
 
 /// A change of the replicated state, as stored in the log.
@@ -63,4 +64,7 @@
         /// Name of the machine.
         machine: Name,
     },
+    /// Records which incarnation of a worker has followed another one. Has no effect if the earlier one is
+    /// not remembered.
+    PutSuccession(Succession),
 }
--- a/lib/workflow/src/worker_records.rs
+++ b/lib/workflow/src/worker_records.rs
@@ -2,7 +2,7 @@
 
 use tarragon_names::WorkerName;
 
-use crate::{Answer, RemovedWorker, WorkerIncarnation, WorkerRecord};
+use crate::{Answer, RemovedWorker, Succession, WorkerIncarnation, WorkerRecord};
 
 /// Records of the workers, and what is kept of the removed ones.
 ///
@@ -12,19 +12,26 @@
 pub(crate) struct WorkerRecords {
     by_name: BTreeMap<WorkerName, WorkerRecord>,
     removed: BTreeMap<WorkerIncarnation, RemovedWorker>,
+    /// Successions of recorded and removed incarnations, by the earlier one.
+    successions: BTreeMap<WorkerIncarnation, Succession>,
 }
 
 impl WorkerRecords {
     pub(crate) fn new(
         by_name: BTreeMap<WorkerName, WorkerRecord>,
         removed: Vec<RemovedWorker>,
+        successions: Vec<Succession>,
     ) -> Self {
         let removed = removed.into_iter();
+        let successions = successions.into_iter();
         Self {
             by_name,
             removed: removed
                 .map(|worker| (worker.incarnation.clone(), worker))
                 .collect(),
+            successions: successions
+                .map(|succession| (succession.earlier.clone(), succession))
+                .collect(),
         }
     }
 
@@ -36,14 +43,52 @@
         self.removed.values()
     }
 
+    pub(crate) fn successions(&self) -> impl Iterator<Item = &Succession> {
+        self.successions.values()
+    }
+
+    /// Returns whether an incarnation is known to have ended: another one has followed it, or a later one
+    /// is recorded. Without a proof, the one that started later counts as the later one.
+    pub(crate) fn is_outdated(&self, incarnation: &WorkerIncarnation) -> bool {
+        if self.successions.contains_key(incarnation) {
+            return true;
+        }
+        let Some(known) = self.by_name.get(&incarnation.worker) else {
+            return false;
+        };
+        let succession = self.successions.get(&known.incarnation);
+        let is_successor = succession
+            .is_some_and(|succession| succession.later_started_ms == incarnation.started_ms);
+        known.incarnation.started_ms > incarnation.started_ms && !is_successor
+    }
+
+    /// Records a succession.
+    pub(crate) fn put_succession(&mut self, succession: &Succession) {
+        let (earlier, later) = (&succession.earlier, succession.later());
+        // Without the time of its start, an incarnation cannot be told from the next one.
+        let is_told = earlier.started_ms > 0 && later.started_ms > 0 && later != *earlier;
+        if !is_told || !self.is_remembered(earlier) {
+            return;
+        }
+        // The later one has just answered, so a proof that it had ended was wrong.
+        self.successions.remove(&later);
+        self.successions.insert(earlier.clone(), succession.clone());
+    }
+
+    fn is_remembered(&self, incarnation: &WorkerIncarnation) -> bool {
+        let known = self.by_name.get(&incarnation.worker);
+        self.removed.contains_key(incarnation)
+            || known.is_some_and(|known| known.incarnation == *incarnation)
+    }
+
     /// Puts the record of an incarnation at `now_ms`. An earlier incarnation that it replaces counts as
     /// removed; those that were removed before `oldest_ms` are forgotten.
     pub(crate) fn put(&mut self, record: &WorkerRecord, now_ms: u64, oldest_ms: u64) -> Answer {
         let incarnation = &record.incarnation;
-        let known = self.by_name.get(&incarnation.worker);
-        if known.is_some_and(|known| known.incarnation.started_ms > incarnation.started_ms) {
+        if self.is_outdated(incarnation) {
             return Answer::NotNewer;
         }
+        let known = self.by_name.get(&incarnation.worker);
         let mut record = record.clone();
         if let Some(known) = known.filter(|known| known.incarnation == record.incarnation) {
             record.acknowledged = known.acknowledged;
@@ -55,8 +100,8 @@
         let incarnation = record.incarnation.clone();
         let replaced = self.by_name.insert(incarnation.worker.clone(), record);
         if let Some(replaced) = replaced.filter(|known| known.incarnation != incarnation) {
-            self.forget_removed(oldest_ms);
             self.keep_removed(replaced, now_ms);
+            self.forget_removed(oldest_ms);
         }
         Answer::Done
     }
@@ -89,6 +134,9 @@
     fn forget_removed(&mut self, oldest_ms: u64) {
         self.removed
             .retain(|_, worker| worker.removed_ms >= oldest_ms);
+        let mut successions = std::mem::take(&mut self.successions);
+        successions.retain(|earlier, _| self.is_remembered(earlier));
+        self.successions = successions;
     }
 
     fn keep_removed(&mut self, record: WorkerRecord, now_ms: u64) {
--- a/lib/workflow/src/workflow_snapshot.rs
+++ b/lib/workflow/src/workflow_snapshot.rs
@@ -4,13 +4,14 @@
 use tarragon_names::{Name, WorkerName};
 
 use crate::{
-    Configuration, Job, JobKey, Queue, RemovedWorker, TaskHistory, Wave, WaveKey, WorkerRecord,
+    Configuration, Job, JobKey, Queue, RemovedWorker, Succession, TaskHistory, Wave, WaveKey,
+    WorkerRecord,
 };
 
 /// Serializable copy of a whole [`WorkflowState`](crate::WorkflowState).
 ///
-/// Its serialized form is followed by those of its [`histories`](Self::histories) and of
-/// [`removed_workers`](Self::removed_workers).
+/// Its serialized form is followed by those of its [`histories`](Self::histories), of
+/// [`removed_workers`](Self::removed_workers) and of [`successions`](Self::successions).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkflowSnapshot {
     /// Configuration in force at the time of the snapshot.
@@ -28,6 +29,9 @@
     /// What is kept of the workers whose records were removed.
     #[serde(skip)]
     pub removed_workers: Vec<RemovedWorker>,
+    /// Successions of incarnations of which a record or a removed one is kept.
+    #[serde(skip)]
+    pub successions: Vec<Succession>,
 }
 
 impl WorkflowSnapshot {
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -98,6 +98,10 @@
                     phase => phase,
                 })
             }
+            Command::PutSuccession(succession) => {
+                self.workers.lock().put_succession(succession);
+                Answer::Done
+            }
         }
     }
 
@@ -167,6 +171,12 @@
         self.workers.lock().is_restarted(incarnation)
     }
 
+    /// Returns whether an incarnation is known to have ended, because another one has followed it or a later
+    /// one is recorded. Its announcements have no effect.
+    pub fn is_outdated(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.workers.lock().is_outdated(incarnation)
+    }
+
     /// Returns all waves of upkeep, including completed ones, whose machines may be dropped.
     pub fn waves(&self) -> BTreeMap<WaveKey, Wave> {
         self.waves.lock().clone()
@@ -197,10 +207,11 @@
         let mut jobs = Vec::new();
         self.for_each_job(|job| jobs.push(job.clone()));
         let queues = self.queues.read();
-        let (workers, removed_workers) = {
+        let (workers, removed_workers, successions) = {
             let workers = self.workers.lock();
             let removed = workers.removed().cloned().collect();
-            (workers.by_name().clone(), removed)
+            let successions = workers.successions().cloned().collect();
+            (workers.by_name().clone(), removed, successions)
         };
         WorkflowSnapshot {
             configuration: (**self.configuration.read()).clone(),
@@ -213,6 +224,7 @@
             waves: self.waves.lock().clone(),
             now_ms: self.now_ms.load(Ordering::Relaxed),
             removed_workers,
+            successions,
         }
     }
 
@@ -229,7 +241,11 @@
             let key = job.key;
             self.jobs.with(&key, |jobs| jobs.insert(job));
         }
-        *self.workers.lock() = WorkerRecords::new(snapshot.workers, snapshot.removed_workers);
+        *self.workers.lock() = WorkerRecords::new(
+            snapshot.workers,
+            snapshot.removed_workers,
+            snapshot.successions,
+        );
         *self.waves.lock() = snapshot.waves;
         self.update_going_down();
         self.now_ms.store(snapshot.now_ms, Ordering::Relaxed);
--- a/lib/workflow/tests/worker_records.rs
+++ b/lib/workflow/tests/worker_records.rs
@@ -2,8 +2,8 @@
 
 use tarragon_names::{DomainName, Name, PoolName, Resources, WorkerName};
 use tarragon_workflow::{
-    Command, JobKey, RunEnd, RunEvent, StepKey, TaskKey, WorkerIncarnation, WorkerRecord,
-    WorkflowState,
+    Answer, Command, JobKey, RunEnd, RunEvent, StepKey, Succession, TaskKey, WorkerIncarnation,
+    WorkerRecord, WorkflowState,
 };
 use yare::parameterized;
 
@@ -168,3 +168,101 @@
     }
     assert!(state.snapshot().removed_workers.len() <= 2);
 }
+
+/// Records that the incarnation with the start time `later_ms` has followed the one with `earlier_ms`.
+fn succession(earlier_ms: u64, later_ms: u64) -> Command {
+    Command::PutSuccession(Succession {
+        earlier: incarnation(earlier_ms),
+        later_started_ms: later_ms,
+    })
+}
+
+/// Guards against a worker that stays shut out after its clock went back, and against announcements of an
+/// incarnation that has ended.
+#[parameterized(
+    without_a_proof = { &[ready(SECOND_MS), ready(FIRST_MS)], SECOND_MS },
+    with_a_proof = {
+        &[ready(SECOND_MS), succession(SECOND_MS, FIRST_MS), ready(FIRST_MS)],
+        FIRST_MS
+    },
+    late_announcement_of_the_former = {
+        &[ready(SECOND_MS), succession(SECOND_MS, FIRST_MS), ready(FIRST_MS), ready(SECOND_MS)],
+        FIRST_MS
+    },
+    former_is_removed_before_the_proof = {
+        &[
+            ready(SECOND_MS),
+            removal(SECOND_MS),
+            succession(SECOND_MS, FIRST_MS),
+            ready(FIRST_MS),
+            ready(SECOND_MS),
+        ],
+        FIRST_MS
+    },
+    proof_about_another_incarnation = {
+        &[ready(SECOND_MS), succession(SECOND_MS + 1, FIRST_MS), ready(FIRST_MS)],
+        SECOND_MS
+    },
+    later_proof_against_an_earlier_one = {
+        &[
+            ready(SECOND_MS),
+            succession(SECOND_MS, FIRST_MS),
+            ready(FIRST_MS),
+            succession(FIRST_MS, SECOND_MS),
+            ready(SECOND_MS),
+            ready(FIRST_MS),
+        ],
+        SECOND_MS
+    },
+    proof_about_an_unknown_start_time = {
+        &[ready(SECOND_MS), succession(SECOND_MS, UNKNOWN_MS), ready(UNKNOWN_MS)],
+        SECOND_MS
+    },
+)]
+fn proof_decides_which_incarnation_is_recorded(commands: &[Command], recorded_ms: u64) {
+    let record = record_after(commands).expect("the worker is known");
+    assert_eq!(record.incarnation, incarnation(recorded_ms));
+}
+
+/// Guards against ends that are listed and proposed again by an incarnation that a late announcement of an
+/// earlier one had replaced.
+#[test]
+fn acknowledged_number_survives_a_wrong_replacement() {
+    let commands = [
+        ready(FIRST_MS),
+        end_of_run(7),
+        ready(SECOND_MS),
+        succession(SECOND_MS, FIRST_MS),
+        ready(FIRST_MS),
+    ];
+    let record = record_after(&commands).expect("the worker is known");
+    assert_eq!(record.acknowledged, 7);
+}
+
+/// Guards against a refused announcement that is reported as recorded.
+#[test]
+fn announcement_of_a_succeeded_incarnation_is_not_newer() {
+    let state = WorkflowState::new(RETENTION_MS);
+    for command in [ready(SECOND_MS), succession(SECOND_MS, FIRST_MS)] {
+        state.apply(1, &command);
+    }
+    assert!(state.is_outdated(&incarnation(SECOND_MS)));
+    assert_eq!(state.apply(1, &ready(SECOND_MS)), Answer::NotNewer);
+}
+
+/// Guards against a state that grows with every clock that goes back.
+#[test]
+fn succession_is_forgotten_with_its_earlier_incarnation() {
+    let state = WorkflowState::new(RETENTION_MS);
+    for restart in 1..=20 {
+        let (earlier_ms, later_ms) = (200 - restart, 199 - restart);
+        let at_ms = restart * RETENTION_MS;
+        state.apply(at_ms, &ready(earlier_ms));
+        state.apply(at_ms, &succession(earlier_ms, later_ms));
+        state.apply(at_ms, &ready(later_ms));
+    }
+    let snapshot = state.snapshot();
+    assert_eq!(snapshot.workers[&worker()].incarnation, incarnation(179));
+    assert!(snapshot.removed_workers.len() <= 2);
+    assert!(snapshot.successions.len() <= 2);
+}
