tests: heartbeats after a wall clock went back

The workers of the tests can carry out calls for other incarnations, as those of the platform do; the default is as before.

--- a/lib/entry/tests/common/workers.rs
+++ b/lib/entry/tests/common/workers.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::BTreeMap,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
@@ -27,11 +27,13 @@
 }
 
 /// Workers that run every task until it is stopped, and that check for which incarnation an order
-/// is meant. A worker that is not listed answers nothing.
+/// is meant, unless the test lets them know only their names. A worker that is not listed answers nothing.
 #[derive(Debug, Default)]
 pub struct Workers {
     by_name: Mutex<BTreeMap<WorkerName, FakeWorker>>,
     start_count: AtomicUsize,
+    /// Whether a call names only the worker, so that each of its incarnations carries it out.
+    is_called_by_name: AtomicBool,
     /// Tasks that are not running, with the cause and the time of their end.
     away: Mutex<BTreeMap<TaskKey, (Cause, Instant)>>,
 }
@@ -92,6 +94,16 @@
         self.start_count.load(Ordering::Relaxed)
     }
 
+    /// Lets each incarnation of a worker carry out the calls for the others.
+    pub fn let_calls_name_workers(&self) {
+        self.is_called_by_name.store(true, Ordering::Relaxed);
+    }
+
+    fn is_meant(&self, worker: &FakeWorker, incarnation: &WorkerIncarnation) -> bool {
+        worker.started_ms == incarnation.started_ms
+            || self.is_called_by_name.load(Ordering::Relaxed)
+    }
+
     fn order<F>(
         &self,
         incarnation: &WorkerIncarnation,
@@ -102,7 +114,7 @@
     {
         let outcome = match self.by_name.lock().get_mut(&incarnation.worker) {
             None => OrderOutcome::Unanswered,
-            Some(worker) if worker.started_ms != incarnation.started_ms => {
+            Some(worker) if !self.is_meant(worker, incarnation) => {
                 OrderOutcome::Refused(Refusal::OtherIncarnation)
             }
             Some(worker) => {
@@ -118,7 +130,7 @@
         let Some(worker) = workers.get_mut(&call.incarnation.worker) else {
             return PollOutcome::Unanswered;
         };
-        if worker.started_ms != call.incarnation.started_ms {
+        if !self.is_meant(worker, &call.incarnation) {
             return PollOutcome::OtherIncarnation;
         }
         worker.finished.retain(|end| end.number > call.acknowledged);
