dispatch, workflow: late heartbeats of removed incarnations with later start times

Callers could see tasks run twice: the record of a worker was removed for its silence, the worker came back with an earlier start time, because its wall clock had gone back, and a delayed heartbeat of the removed incarnation then replaced it. Its runs were declared lost while they went on.

Cause: no poll for the removed incarnation was answered, so nothing proved the order of the two, and the later start time won.

An incarnation that answers a poll which was sent after the removal also follows the removed one. After two answers in a row (the first one may belong to a poll from before the removal) the leader proposes the succession, only for removed incarnations that would otherwise win.

late_heartbeat_of_an_incarnation_that_was_removed_for_its_silence_has_no_effect failed before in both cases. A heartbeat that arrives before the second answer still replaces the present incarnation, until the next poll.

--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -103,6 +103,9 @@
         self.record_ends(incarnation, &answer.finished);
         self.reconcile_runs(incarnation, &answer, sent_at);
         self.throttle_best_effort(&incarnation.worker);
+        if !was_unresponsive {
+            self.record_removed_successions(incarnation, answer.started_ms);
+        }
     }
 
     /// Handles the answer of a later incarnation under the same name. Its heartbeat is awaited: until
--- a/lib/dispatch/src/dispatcher_successions.rs
+++ b/lib/dispatch/src/dispatcher_successions.rs
@@ -26,11 +26,33 @@
         if !self.workflow_state.is_outdated(&succession.later()) {
             return;
         }
-        let event = DecisionEvent::new(
-            "worker_succession",
-            format!("{polled} by {later_started_ms}"),
-        );
-        self.emit(event.worker(&polled.worker));
+        self.propose_succession(succession);
+    }
+
+    /// Proposes to record that an incarnation which has answered two polls in a row follows those whose
+    /// records were removed before: the second poll was sent after their removal.
+    ///
+    /// Only what keeps a late heartbeat of a removed one from replacing this one is proposed.
+    pub(crate) fn record_removed_successions(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        answering_started_ms: Option<u64>,
+    ) {
+        if answering_started_ms != Some(incarnation.started_ms) || incarnation.started_ms == 0 {
+            return;
+        }
+        for earlier in self.workflow_state.rivals(incarnation) {
+            self.propose_succession(Succession {
+                earlier,
+                later_started_ms: incarnation.started_ms,
+            });
+        }
+    }
+
+    fn propose_succession(&mut self, succession: Succession) {
+        let (earlier, later) = (&succession.earlier, succession.later_started_ms);
+        let event = DecisionEvent::new("worker_succession", format!("{earlier} by {later}"));
+        self.emit(event.worker(&earlier.worker));
         self.outputs
             .push(Output::Propose(Command::PutSuccession(succession)));
     }
--- a/lib/dispatch/tests/start_times_that_go_back.rs
+++ b/lib/dispatch/tests/start_times_that_go_back.rs
@@ -247,3 +247,45 @@
     answer_as_next(&mut harness);
     assert_eq!(harness.uncommitted, Vec::new());
 }
+
+/// Lets the recorded incarnation answer its open poll without runs.
+fn answer_as_recorded(harness: &mut Harness) {
+    harness.answer_poll(NAME, &[], &[]);
+    harness.advance(20);
+}
+
+/// Guards against a delayed heartbeat that brings back an incarnation whose record was removed before the
+/// next one announced itself, so that no poll for it was answered.
+#[parameterized(
+    same_leader = { false },
+    new_leader = { true },
+)]
+fn late_heartbeat_of_an_incarnation_that_was_removed_for_its_silence_has_no_effect(
+    has_new_leader: bool,
+) {
+    let mut harness = Harness::new(&[first()]);
+    harness.time_out_poll(NAME);
+    harness.commit(Command::RemoveWorker(first().incarnation));
+    announce(&mut harness, next());
+    answer_as_recorded(&mut harness);
+    answer_as_recorded(&mut harness);
+    if has_new_leader {
+        harness.elect_new_leader();
+    }
+    announce(&mut harness, first());
+    assert_eq!(recorded(&harness), Some(next().incarnation));
+}
+
+/// Guards against a worker that is shut out because of an answer to a poll that was sent before it had
+/// announced itself.
+#[test]
+fn answer_to_a_poll_from_before_a_removal_proves_nothing() {
+    let mut harness = Harness::new(&[next()]);
+    announce(&mut harness, first());
+    harness.commit(Command::RemoveWorker(first().incarnation));
+    announce(&mut harness, next());
+    let of_next = next().incarnation;
+    answer_poll_for(&mut harness, &of_next, &[]);
+    announce(&mut harness, first());
+    assert_eq!(recorded(&harness), Some(first().incarnation));
+}
--- a/lib/workflow/src/worker_records.rs
+++ b/lib/workflow/src/worker_records.rs
@@ -117,6 +117,19 @@
         remembered.any(|(other, _)| other != incarnation)
     }
 
+    /// Returns the remembered incarnations of the worker that would replace this one if they announced
+    /// themselves again.
+    pub(crate) fn rivals(&self, incarnation: &WorkerIncarnation) -> Vec<WorkerIncarnation> {
+        let last = WorkerIncarnation {
+            worker: incarnation.worker.clone(),
+            started_ms: u64::MAX,
+        };
+        let later = self.removed.range(incarnation.clone()..=last);
+        let later = later.map(|(other, _)| other);
+        let rivals = later.filter(|other| *other != incarnation && !self.is_outdated(other));
+        rivals.cloned().collect()
+    }
+
     /// Removes the record of an incarnation at `now_ms`, and forgets the records that were removed before
     /// `oldest_ms`.
     pub(crate) fn remove(&mut self, incarnation: &WorkerIncarnation, now_ms: u64, oldest_ms: u64) {
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -177,6 +177,12 @@
         self.workers.lock().is_outdated(incarnation)
     }
 
+    /// Returns the incarnations of the worker whose records were removed, and which would replace this one
+    /// if they announced themselves again.
+    pub fn rivals(&self, incarnation: &WorkerIncarnation) -> Vec<WorkerIncarnation> {
+        self.workers.lock().rivals(incarnation)
+    }
+
     /// Returns all waves of upkeep, including completed ones, whose machines may be dropped.
     pub fn waves(&self) -> BTreeMap<WaveKey, Wave> {
         self.waves.lock().clone()
