--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -80,6 +80,7 @@
             incarnation.started_ms != 0 && started != incarnation.started_ms
         });
         if is_restarted {
+            self.record_succession(incarnation, answer.started_ms);
             self.worker_restarted(incarnation);
             return;
         }
@@ -104,6 +105,9 @@
         self.record_ends(incarnation, &answer.finished);
         self.reconcile_runs(incarnation, &answer, sent_at);
         self.throttle_best_effort(&incarnation.worker);
+        if !was_unresponsive {
+            self.record_removed_successions(incarnation, answer.started_ms);
+        }
     }
 
     /// Handles the answer of a later incarnation under the same name. It is called once more at once, with
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -98,6 +98,10 @@
                     phase => phase,
                 })
             }
+            Command::PutSuccession(succession) => {
+                self.workers.lock().put_succession(succession);
+                Answer::Done
+            }
         }
     }
 
@@ -161,12 +165,24 @@
         self.workers.lock().by_name().get(name).cloned()
     }
 
-    /// Returns whether an earlier incarnation of the worker was recorded, as far as the state remembers. Calls
-    /// that were meant for it may reach this one.
+    /// Returns whether another incarnation of the worker was recorded, as far as the state remembers. It may
+    /// be an earlier one, and calls that were meant for it may reach this one.
     pub fn is_restarted(&self, incarnation: &WorkerIncarnation) -> bool {
         self.workers.lock().is_restarted(incarnation)
     }
 
+    /// Returns whether an incarnation is known to have ended, because another one has followed it or a later
+    /// one is recorded. Its announcements have no effect.
+    pub fn is_outdated(&self, incarnation: &WorkerIncarnation) -> bool {
+        self.workers.lock().is_outdated(incarnation)
+    }
+
+    /// Returns the incarnations of the worker whose records were removed, and which would replace this one
+    /// if they announced themselves again.
+    pub fn rivals(&self, incarnation: &WorkerIncarnation) -> Vec<WorkerIncarnation> {
+        self.workers.lock().rivals(incarnation)
+    }
+
     /// Returns all waves of upkeep, including completed ones, whose machines may be dropped.
     pub fn waves(&self) -> BTreeMap<WaveKey, Wave> {
         self.waves.lock().clone()
@@ -197,10 +213,11 @@
         let mut jobs = Vec::new();
         self.for_each_job(|job| jobs.push(job.clone()));
         let queues = self.queues.read();
-        let (workers, removed_workers) = {
+        let (workers, removed_workers, successions) = {
             let workers = self.workers.lock();
             let removed = workers.removed().cloned().collect();
-            (workers.by_name().clone(), removed)
+            let successions = workers.successions().cloned().collect();
+            (workers.by_name().clone(), removed, successions)
         };
         WorkflowSnapshot {
             configuration: (**self.configuration.read()).clone(),
@@ -213,6 +230,7 @@
             waves: self.waves.lock().clone(),
             now_ms: self.now_ms.load(Ordering::Relaxed),
             removed_workers,
+            successions,
         }
     }
 
@@ -229,7 +247,11 @@
             let key = job.key;
             self.jobs.with(&key, |jobs| jobs.insert(job));
         }
-        *self.workers.lock() = WorkerRecords::new(snapshot.workers, snapshot.removed_workers);
+        *self.workers.lock() = WorkerRecords::new(
+            snapshot.workers,
+            snapshot.removed_workers,
+            snapshot.successions,
+        );
         *self.waves.lock() = snapshot.waves;
         self.update_going_down();
         self.now_ms.store(snapshot.now_ms, Ordering::Relaxed);
