dispatch: tokens are numbered for each worker, in 20 bits as before

With one count for all workers of a term, each silence of any worker used a number up, and beyond the last one all tokens are equal. 24 bits in place of 20 would also have made workers refuse hosts of the release before for 16 times as many terms. A worker's number now rises alone, and a record that is put begins above the numbers of all removed ones.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -55,8 +55,8 @@
     pub(crate) health: HealthTable,
     pub(crate) term: Option<u64>,
     pub(crate) leading_since: Millis,
-    /// Number of the token that was given out last in this term.
-    pub(crate) last_token: u64,
+    /// Highest number of a token in this term of which the record of the worker was removed.
+    pub(crate) last_removed_token: u64,
     pub(crate) workers: WorkerTable,
     /// Open polls with the times at which they were sent. A poll stays open while the record of its
     /// worker is removed and put again, so that its result is not taken for that of a later poll.
@@ -131,7 +131,7 @@
             health: HealthTable::new(health),
             term: None,
             leading_since: Millis(0),
-            last_token: 0,
+            last_removed_token: 0,
             workers: WorkerTable::default(),
             open_polls: BTreeMap::new(),
             placed: BTreeSet::new(),
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -71,7 +71,7 @@
 
     fn forget_all(&mut self) {
         self.workers.clear();
-        self.last_token = 0;
+        self.last_removed_token = 0;
         self.open_polls.clear();
         self.placed.clear();
         self.plans.clear();
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -63,7 +63,7 @@
             .worker(&record.incarnation.worker),
         );
         self.health.add_worker(&record.incarnation.worker);
-        let fence = self.next_fence();
+        let fence = self.first_fence();
         let earlier_lease = self.earlier_lease(&record.incarnation);
         let mut state = WorkerState::new(record, fence, self.now, earlier_lease);
         let is_going_down = self.workflow_state.is_going_down(state.incarnation());
@@ -90,19 +90,18 @@
         }
     }
 
-    /// Returns a token that is higher than all earlier ones.
-    fn next_fence(&mut self) -> FencingToken {
-        self.last_token += 1;
-        FencingToken::new(self.term.unwrap_or_default(), self.last_token)
+    /// Returns the first token for a worker whose record was put. It is higher than all tokens for earlier
+    /// records of the worker in this term.
+    fn first_fence(&self) -> FencingToken {
+        FencingToken::new(self.term.unwrap_or_default(), self.last_removed_token + 1)
     }
 
     /// Gives the next calls to a worker a higher token, so that the first one that gets through shuts out
     /// all that were sent before. A worker that does not answer may have restarted, and takes late calls
     /// until then.
     pub(crate) fn raise_fence(&mut self, worker: &WorkerName) {
-        let fence = self.next_fence();
         if let Some(state) = self.workers.get_mut(worker) {
-            state.fence = fence;
+            state.fence = state.fence.next();
         }
     }
 
@@ -111,6 +110,7 @@
         let Some(state) = self.workers.remove(worker) else {
             return;
         };
+        self.last_removed_token = self.last_removed_token.max(state.fence.number());
         let lost = state.runs.iter().filter(|(_, view)| !view.is_ended);
         let lost = lost.map(|(task, view)| (*task, view.run, view.checkpoint.clone()));
         let lost = lost.collect::<Vec<_>>();
--- a/lib/dispatch/src/fencing_token.rs
+++ b/lib/dispatch/src/fencing_token.rs
@@ -1,9 +1,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// Bits of the token that number the tokens of a term. The rest of the 53 bits that JSON numbers represent
-/// exactly holds the term.
-const NUMBER_BITS: u32 = 24;
+/// Bits of the token that number the tokens of a term.
+const NUMBER_BITS: u32 = 20;
 
 /// Highest number within a term that a token can hold.
 const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
@@ -17,7 +16,7 @@
 #[derive(
     Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
-#[display("{}.{}", self.term(), self.0 & MAX_NUMBER)]
+#[display("{}.{}", self.term(), self.number())]
 #[serde(transparent)]
 pub struct FencingToken(u64);
 
@@ -32,6 +31,16 @@
         self.0 >> NUMBER_BITS
     }
 
+    /// Returns the number of the token within its term.
+    pub(crate) fn number(self) -> u64 {
+        self.0 & MAX_NUMBER
+    }
+
+    /// Returns the next token of the term.
+    pub(crate) fn next(self) -> Self {
+        Self::new(self.term(), self.number() + 1)
+    }
+
     /// Returns the token as the number that workers compare.
     pub fn value(self) -> u64 {
         self.0
