dispatch: a poll after an unreported one grants and acknowledges nothing

A poll whose delivering host died counts as not sent, although it may have reached the worker, which may have restarted since. The next polls carried an acknowledgement that makes the next incarnation forget an end that no leader has seen, and a lease on the earlier clock.

--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -361,7 +361,9 @@
                 return;
             }
             open_polls.insert(state.incarnation().clone(), now);
-            let is_responsive = state.is_synced && state.poll_failures == 0;
+            // A poll that counts as not sent may have been carried out all the same.
+            let is_responsive =
+                state.is_synced && state.poll_failures == 0 && state.unsent_polls == 0;
             // The lease of a worker that does not answer is not extended, so that its expiry is not
             // put off.
             let lease_until_ms = if is_responsive {
