dispatch: runs leave silent workers before any order of the pass is sent

Members of a gang were started and stopped in the same pass when another member was on a worker that had just fallen silent: the loss was handled after the start orders had been collected.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -202,6 +202,7 @@
             }
             if is_sole_leader {
                 let changed = self.workers.take_changed();
+                self.leave_silent_workers(&changed);
                 self.send_due_orders(&changed);
                 self.stop_late_orders();
                 self.send_due_polls(&changed);
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -293,7 +293,24 @@
         }
     }
 
-    /// Sends the orders that are due.
+    /// Declares the runs lost that were placed on silent workers and not ordered yet. Such a worker may have
+    /// restarted, and would carry a start order out late.
+    pub(crate) fn leave_silent_workers(&mut self, changed: &BTreeSet<WorkerName>) {
+        let mut unordered = Vec::new();
+        self.workers.for_each_mut(changed, |worker, state| {
+            if state.poll_failures > 0 {
+                let runs = state.runs.iter();
+                let runs = runs.filter(|(_, view)| !view.is_ended && view.is_unordered());
+                unordered.extend(runs.map(|(task, view)| (*task, view.run, worker.clone())));
+            }
+        });
+        for (task, run, worker) in unordered {
+            self.lose_run(task, &worker, LossCause::NotOrdered);
+            self.stop_gang(task.step, run);
+        }
+    }
+
+    /// Sends the orders that are due. A silent worker gets no start orders.
     pub(crate) fn send_due_orders(&mut self, changed: &BTreeSet<WorkerName>) {
         let (now, cfg) = (self.now, self.cfg);
         let workflow_state = Arc::clone(&self.workflow_state);
@@ -312,7 +329,7 @@
                         continue;
                     }
                     if view.is_unordered() {
-                        unsent.push((*task, view.run, worker.clone()));
+                        unsent.push((*task, worker.clone()));
                     } else {
                         view.stop = StopState::Sent;
                         stops.push(StopOrder {
@@ -324,18 +341,13 @@
                             timeout: cfg.order_timeout,
                         });
                     }
-                } else if is_silent {
-                    // The worker may have restarted, and would carry a start order out late.
-                    if view.is_unordered() {
-                        unsent.push((*task, view.run, worker.clone()));
-                    }
                 } else if let StartState::Unanswered { again_at } = view.start
+                    && !is_silent
                     && view.stop == StopState::NotRequested
                     && again_at <= now
                 {
                     view.start = StartState::Sent;
                     view.start_attempts += 1;
-                    view.start_sent_at = now;
                     view.start_may_arrive_until = now + START_ORDER_LIFETIME;
                     let timeout = if view.start_attempts == 1 {
                         cfg.first_start_timeout
@@ -365,9 +377,8 @@
                 }
             }
         });
-        for (task, run, worker) in unsent {
+        for (task, worker) in unsent {
             self.lose_run(task, &worker, LossCause::NotOrdered);
-            self.stop_gang(task.step, run);
         }
         self.outputs.extend(stops.into_iter().map(Output::Stop));
         self.outputs.extend(starts.into_iter().map(Output::Start));
