dispatch: the lease of an unnoticed incarnation counts from the last call with one

Callers saw a task run on a cut off worker while its next run was at work. The worker now keeps the time of the last such call or answer. Each further incarnation that answers is shut out by itself, since it has not seen the token of the one before.

--- a/lib/dispatch/src/dispatcher_inputs.rs
+++ b/lib/dispatch/src/dispatcher_inputs.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Returns whether a call with this token was sent before the record of the incarnation was removed
-    /// and put again.
+    /// Returns whether a call with this token was sent before the worker fell silent, or before its record
+    /// was removed and put again.
     fn is_superseded(&self, incarnation: &WorkerIncarnation, fence: FencingToken) -> bool {
         let state = self.workers.get(&incarnation.worker);
         let state = state.filter(|state| state.incarnation() == incarnation);
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -106,6 +106,7 @@
         };
         if outcome.is_answer() {
             state.last_contact = now;
+            state.last_lease_call_at = now;
         }
         let Some(view) = state.runs.get_mut(&task).filter(|view| view.run == run) else {
             return;
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -76,12 +76,12 @@
                 return;
             }
         };
-        let is_restarted = answer.started_ms.is_some_and(|started| {
-            incarnation.started_ms != 0 && started != incarnation.started_ms
-        });
-        if is_restarted {
+        if let Some(started_ms) = answer.started_ms
+            && incarnation.started_ms != 0
+            && started_ms != incarnation.started_ms
+        {
             self.record_succession(incarnation, answer.started_ms);
-            self.worker_restarted(incarnation);
+            self.worker_restarted(incarnation, started_ms);
             return;
         }
         state.record_clock(answer.clock_ms, now);
@@ -110,17 +110,20 @@
         }
     }
 
-    /// Handles the answer of a later incarnation under the same name. It is called once more at once, with
-    /// a token that shuts out the calls for the incarnation before. Then its heartbeat is awaited: until
-    /// that its capacity is not known, and nothing can be placed there.
-    fn worker_restarted(&mut self, incarnation: &WorkerIncarnation) {
+    /// Handles the answer of a later incarnation under the same name, which started at `started_ms`. It is
+    /// called once more at once, with a token that shuts out the calls for the incarnations before. Then
+    /// its heartbeat is awaited: its capacity is not known before, and nothing can be placed there.
+    fn worker_restarted(&mut self, incarnation: &WorkerIncarnation, started_ms: u64) {
         let (now, cfg) = (self.now, self.cfg);
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
         };
         state.suspend_polls(now);
-        if state.restart_seen_at.is_none() {
-            state.restart_seen_at = Some(now);
+        if state.restarted_ms != Some(started_ms) {
+            state.restarted_ms = Some(started_ms);
+            state.shut_out_at = None;
+            // The call that was answered may have granted a lease.
+            state.last_lease_call_at = now;
             state.next_poll_at = now;
             self.raise_fence(&incarnation.worker);
             let event = DecisionEvent::new("worker_restarted", String::new());
@@ -309,9 +312,11 @@
                 state.last_contact = now;
                 gone.push(state.record.incarnation.clone());
             }
+            let is_unnoticed_over = now > state.unnoticed_lease_ends_by(&cfg);
             let runs = state.runs.iter();
             let ended = runs.filter(|(_, view)| {
-                view.start != StartState::Committing && now > view.may_run_unnoticed_until(&cfg)
+                let is_over = is_unnoticed_over || !view.may_be_on_unnoticed_incarnation();
+                is_over && view.start != StartState::Committing
             });
             lost.extend(ended.map(|(task, _)| (*task, worker.clone())));
         }
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -56,8 +56,6 @@
     pub(crate) failed_stops: u32,
     /// Time at which the stop was requested first.
     pub(crate) stop_requested_at: Millis,
-    /// Time at which the last start order was sent.
-    pub(crate) start_sent_at: Millis,
     /// Whether one of these start orders got no answer.
     pub(crate) has_unanswered_start: bool,
     /// Time until which a start order that was sent and has no answer may arrive; 0 if there is none.
@@ -98,7 +96,6 @@
             unsent_orders: 0,
             failed_stops: 0,
             stop_requested_at: Millis(0),
-            start_sent_at: Millis(0),
             has_unanswered_start: false,
             start_may_arrive_until: Millis(0),
             transferred_from: None,
@@ -131,24 +128,20 @@
     /// Returns whether the run may be on the next incarnation of the worker, or may still start there. An
     /// accepted order does not tell which incarnation has accepted it; a poll that lists the run does.
     pub(crate) fn may_be_on_next_incarnation(&self, now: Millis) -> bool {
-        let is_unlisted = self.start_attempts > 0 && !self.is_listed;
-        !self.is_ended && (is_unlisted || self.has_outstanding_start(now))
+        let is_possible = self.may_be_on_unnoticed_incarnation() || self.has_outstanding_start(now);
+        !self.is_ended && is_possible
     }
 
-    /// Returns until when the run may go on on a silent worker that has restarted unnoticed: the next
-    /// incarnation has carried the start order out in time, and took the longest lease. 0 if a poll has
-    /// listed the run, which then ended with its incarnation.
-    pub(crate) fn may_run_unnoticed_until(&self, cfg: &DispatchConfig) -> Millis {
-        if self.start_attempts == 0 || self.is_listed {
-            return Millis(0);
-        }
-        self.start_sent_at + cfg.order_timeout + longest_on_slow_clock(cfg.max_lease)
+    /// Returns whether the run may be on an incarnation of its worker that nobody has noticed yet. One that
+    /// a poll has listed ended with the incarnation that listed it.
+    pub(crate) fn may_be_on_unnoticed_incarnation(&self) -> bool {
+        self.start_attempts > 0 && !self.is_listed
     }
 
     /// Returns whether the run was never ordered to start.
     pub(crate) fn is_unordered(&self) -> bool {
-        let is_unsent = matches!(self.start, StartState::Unanswered { .. });
-        is_unsent && self.start_attempts == 0 && !self.has_unanswered_start
+        let is_due = matches!(self.start, StartState::Unanswered { .. });
+        is_due && self.start_attempts == 0 && !self.has_unanswered_start
     }
 
     /// Returns whether the worker refuses start orders for the run that arrive from now on.
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -6,7 +6,7 @@
 use crate::{
     DispatchConfig, FencingToken, FinishedRun,
     dispatcher_throttle::FULL_RATE,
-    earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT},
+    earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT, longest_on_slow_clock},
     listed_end::ListedEnd,
     run_view::RunView,
     unusable::Unusable,
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerState {
     pub(crate) record: WorkerRecord,
-    /// Token of the calls to this incarnation.
+    /// Token of the calls to the worker.
     pub(crate) fence: FencingToken,
     /// Time of the last heartbeat or answer.
     pub(crate) last_contact: Millis,
@@ -33,6 +33,8 @@
     clock: Option<(u64, Millis)>,
     /// Latest end of a lease that may have been granted, on the worker's clock.
     lease_until_ms: u64,
+    /// Latest time at which a call with a lease was sent or may have been answered.
+    pub(crate) last_lease_call_at: Millis,
     /// Leases that earlier calls may have granted.
     pub(crate) earlier_lease: EarlierLease,
     /// Time at which the last answered poll was sent; `None` before the first answer.
@@ -63,11 +65,12 @@
     pub(crate) is_unindexed: bool,
     /// Time at which the upkeep of the worker's machine was ordered; `None` if no order is open.
     pub(crate) going_down_since: Option<Millis>,
-    /// Time at which a later incarnation under the same name answered first.
-    pub(crate) restart_seen_at: Option<Millis>,
-    /// Time at which it answered a call that shuts out those for the incarnation before.
+    /// Start time of the later incarnation under the same name that has answered a poll.
+    pub(crate) restarted_ms: Option<u64>,
+    /// Time at which it answered a call that shuts out those for the incarnations before.
     pub(crate) shut_out_at: Option<Millis>,
-    /// Whether the lease has expired and all runs on the worker were declared lost.
+    /// Whether the lease has expired. The runs on the worker were declared lost, but for those that may be
+    /// on an incarnation that nobody has noticed yet.
     pub(crate) is_lease_expired: bool,
     /// Duration of runs on this worker, relative to their estimates.
     pub(crate) speed: WorkerSpeed,
@@ -106,6 +109,7 @@
             is_synced: false,
             clock: None,
             lease_until_ms: 0,
+            last_lease_call_at: Millis(0),
             earlier_lease,
             confirmed_at: None,
             next_poll_at: now,
@@ -121,7 +125,7 @@
             indexed: None,
             is_unindexed: true,
             going_down_since: None,
-            restart_seen_at: None,
+            restarted_ms: None,
             shut_out_at: None,
             is_lease_expired: false,
             speed: WorkerSpeed::default(),
@@ -142,7 +146,7 @@
 
     /// Returns whether the incarnation may still carry out orders.
     pub(crate) fn takes_orders(&self) -> bool {
-        !self.is_lease_expired && self.restart_seen_at.is_none()
+        !self.is_lease_expired && self.restarted_ms.is_none()
     }
 
     /// Returns whether the worker confirmed its runs recently: its last poll was answered, and sent
@@ -178,9 +182,16 @@
     pub(crate) fn grant_lease(&mut self, now: Millis, lease: Millis) -> Option<u64> {
         let until = self.least_clock_ms(now)?.saturating_add(lease.0);
         self.lease_until_ms = self.lease_until_ms.max(until);
+        self.last_lease_call_at = now;
         Some(until)
     }
 
+    /// Time by which every lease of an incarnation that nobody has noticed yet has ended. It took the longest
+    /// one from a call for the incarnation before.
+    pub(crate) fn unnoticed_lease_ends_by(&self, cfg: &DispatchConfig) -> Millis {
+        self.last_lease_call_at + cfg.order_timeout + longest_on_slow_clock(cfg.max_lease)
+    }
+
     /// Returns whether every lease that the worker may hold has certainly expired.
     ///
     /// Before the first reading of its clock, the last earlier call may have granted the longest lease.
--- a/lib/dispatch/tests/unnoticed_restart.rs
+++ b/lib/dispatch/tests/unnoticed_restart.rs
@@ -5,7 +5,7 @@
 use common::{EPOCH_MS, Harness, step, task, worker};
 use tarragon_dispatch::{OrderOutcome, PollAnswer, PollOutcome, Refusal, RunStatus};
 use tarragon_names::Millis;
-use tarragon_workflow::{Command, RunEvent, StepSpec, TaskKey};
+use tarragon_workflow::{Command, RunEnd, RunEvent, StepSpec, TaskKey};
 use yare::parameterized;
 
 const NAME: &str = "w1";
@@ -13,6 +13,9 @@
 /// Longest lease that a worker takes, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// The same on a clock that is 2% slow, in milliseconds.
+const LONGEST_LEASE_MS: u64 = MAX_LEASE_MS * 102 / 100;
+
 /// Time for which a call without an answer may still be carried out, in milliseconds.
 const LATE_CALL_MS: u64 = 30_000;
 
@@ -33,6 +36,10 @@
 
 /// Answer to the open poll by an incarnation that started later than the recorded one.
 fn answer_as_next_incarnation(harness: &mut Harness, running: &[TaskKey]) {
+    answer_as_incarnation(harness, EPOCH_MS + 1, running);
+}
+
+fn answer_as_incarnation(harness: &mut Harness, started_ms: u64, running: &[TaskKey]) {
     while harness.polls.is_empty() {
         harness.advance(20);
     }
@@ -44,7 +51,7 @@
         usage_or_tail_ms: None,
     });
     let answer = PollAnswer {
-        started_ms: Some(EPOCH_MS + 1),
+        started_ms: Some(started_ms),
         clock_ms: 0,
         running: running.collect(),
         finished: Vec::new(),
@@ -152,7 +159,119 @@
     let accepted_at = harness.now;
     harness.answer_starts(outcome);
     wait_until_lost(&mut harness, task(1, 0, 0));
-    assert!(harness.now >= accepted_at + MAX_LEASE_MS);
+    assert!(harness.now >= accepted_at + LONGEST_LEASE_MS);
+}
+
+/// Guards against a lease that is counted from the start order of the run alone: each later call with a
+/// lease extends it.
+#[parameterized(
+    start_of_another_run = { true },
+    poll_after_a_late_answer = { false },
+)]
+fn later_call_extends_the_lease_of_an_unnoticed_incarnation(is_start: bool) {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
+    harness.submit(1, vec![long_step()]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    harness.advance(1_500);
+    if is_start {
+        harness.submit(2, vec![long_step()]);
+        assert_eq!(harness.answer_starts(OrderOutcome::Accepted).len(), 1);
+    } else {
+        harness.answer_poll(NAME, &[], &[]);
+        assert!(harness.polls[0].lease_until_ms.is_some());
+    }
+    let extended_at = harness.now;
+    wait_until_lost(&mut harness, task(1, 0, 0));
+    assert!(harness.now >= extended_at + LONGEST_LEASE_MS);
+}
+
+/// Guards against a lease that is counted from the sending of an order that a host delivered late.
+#[test]
+fn lease_counts_from_the_accepted_answer() {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
+    harness.submit(1, vec![long_step()]);
+    harness.advance(950);
+    let accepted_at = harness.now;
+    harness.answer_starts(OrderOutcome::Accepted);
+    wait_until_lost(&mut harness, task(1, 0, 0));
+    assert!(harness.now >= accepted_at + LONGEST_LEASE_MS);
+}
+
+/// Guards against a run that is lost before the lease from an answered poll ends: the next incarnation is
+/// cut off after its first answer.
+#[test]
+fn incarnation_that_answered_once_is_waited_for() {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
+    harness.submit(1, vec![long_step()]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    harness.advance(1_500);
+    answer_as_next_incarnation(&mut harness, &[task(1, 0, 0)]);
+    let seen_at = harness.now;
+    wait_until_lost(&mut harness, task(1, 0, 0));
+    assert!(harness.now >= seen_at + LONGEST_LEASE_MS);
+}
+
+/// Guards against an end that no leader has seen and that a restarted worker forgets: a poll whose result
+/// a delivering host did not report may have reached the worker, so the next one acknowledges nothing and
+/// grants nothing.
+#[test]
+fn poll_after_an_unreported_one_grants_and_acknowledges_nothing() {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
+    harness.submit(1, vec![step(1, 4)]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    harness.answer_poll(NAME, &[(task(1, 0, 0), 1)], &[]);
+    harness.answer_poll(NAME, &[], &[(1, task(1, 0, 0), 1, RunEnd::Done)]);
+    harness.advance(2_000);
+    harness.finish_poll(NAME, PollOutcome::NotSent);
+    harness.advance(200);
+    let next = &harness.polls[0];
+    assert_eq!((next.acknowledged, next.lease_until_ms), (0, None));
+}
+
+/// Guards against members of a gang that are started and stopped in the same pass, because another member
+/// is on a silent worker.
+#[test]
+fn gang_with_a_member_on_a_silent_worker_is_not_started() {
+    let mut harness = Harness::new(&[worker(NAME, 8), worker("w2", 8)]);
+    harness.is_log_paused = true;
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 6)
+    };
+    harness.submit(1, vec![gang]);
+    harness.time_out_poll("w2");
+    harness.resume_log();
+    harness.advance(40);
+    assert!(harness.starts.is_empty(), "the gang is not whole");
+    assert_eq!(harness.lost_runs(), 2);
+}
+
+/// Guards against a third incarnation that runs a late order: it has not seen the token that shut out the
+/// calls for the first one.
+#[test]
+fn each_later_incarnation_is_shut_out() {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
+    harness.submit(1, vec![long_step()]);
+    harness.answer_starts(OrderOutcome::Unanswered);
+    answer_as_next_incarnation(&mut harness, &[]);
+    answer_as_next_incarnation(&mut harness, &[]);
+    let shut_out = harness.polls.last().map(|call| call.fence);
+    answer_as_incarnation(&mut harness, EPOCH_MS + 2, &[]);
+    harness.advance(40);
+    assert!(harness.polls.last().map(|call| call.fence) > shut_out);
+}
+
+/// Guards against a run that a new leader declares lost too early: the worker restarted unnoticed under
+/// the leader before and has carried out its start order, with the longest lease.
+#[test]
+fn next_leader_counts_the_lease_of_an_unnoticed_incarnation() {
+    let mut harness = Harness::new(&[worker(NAME, 8)]);
+    harness.submit(1, vec![long_step()]);
+    harness.answer_starts(OrderOutcome::Accepted);
+    harness.elect_new_leader();
+    let elected_at = harness.now;
+    wait_until_lost(&mut harness, task(1, 0, 0));
+    assert!(harness.now >= elected_at + MAX_LEASE_MS);
 }
 
 /// Guards against a silent worker whose confirmed runs wait longer than their lease.
@@ -183,8 +302,7 @@
         }
         harness.advance(20);
     }
-    // The lease is counted on a clock that is 2% slow.
-    assert!(harness.now >= shut_out_at + MAX_LEASE_MS * 102 / 100);
+    assert!(harness.now >= shut_out_at + LONGEST_LEASE_MS);
 }
 
 /// Guards against a run that a new leader declares lost while a call for the incarnation before can still
@@ -195,7 +313,7 @@
     let mut harness = restarted_before_an_election();
     let elected_at = harness.now;
     wait_until_lost(&mut harness, task(1, 0, 0));
-    assert!(harness.now >= elected_at + LATE_CALL_MS + MAX_LEASE_MS);
+    assert!(harness.now >= elected_at + LATE_CALL_MS + LONGEST_LEASE_MS);
 }
 
 /// Guards against a task that waits although no order can start its run any more.
