dispatch: a new leader waits for runs that were placed lately

The worker had restarted unnoticed and carried out a start order of the leader before. The new one knew only the record of the earlier incarnation and declared the run lost 8.4 s after its election, where the lease takes 10 s.

Each host with a replica now remembers for five seconds which runs were placed, while it follows. A run that was placed earlier has been listed by a poll, or its worker was silent and got no calls with leases, so 8.4 s from the election on are enough; for the others the new leader waits 11 s.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -15,6 +15,7 @@
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
     late_orders::LateOrders,
+    recent_placements::RecentPlacements,
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
     step_plan::StepPlan,
@@ -88,6 +89,7 @@
     pub(crate) needs_placement: bool,
     pub(crate) headroom: Headroom,
     pub(crate) late_orders: LateOrders,
+    pub(crate) recent_placements: RecentPlacements,
     /// Number of stop orders that were not accepted within the timeout of an order.
     pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
@@ -151,6 +153,7 @@
             needs_placement: false,
             headroom: Headroom::default(),
             late_orders: LateOrders::default(),
+            recent_placements: RecentPlacements::default(),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
             is_sole_leader: false,
--- a/lib/dispatch/src/dispatcher_inputs.rs
+++ b/lib/dispatch/src/dispatcher_inputs.rs
@@ -1,12 +1,15 @@
 //! What each input is handled by, and which results of calls still count.
 
-use tarragon_workflow::WorkerIncarnation;
+use tarragon_workflow::{Command, WorkerIncarnation};
 
 use crate::{Dispatcher, FencingToken, FinishedOrder, Input, OrderOutcome, PollOutcome, Refusal};
 
 impl Dispatcher {
     pub(crate) fn handle_input(&mut self, input: Input) {
         self.report_refused_token(&input);
+        if let Input::Applied(Command::RunEvents(records), _) = &input {
+            self.recent_placements.record(records, self.now);
+        }
         match input {
             Input::BecameLeader { term } => self.start_leading(term),
             Input::LostLeadership => self.stop_leading(),
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -41,6 +41,13 @@
                     state.earlier_lease.granted_until = self.now + START_ORDER_LIFETIME;
                     view.transferred_from = Some(placement.incarnation.clone());
                 }
+                if self
+                    .recent_placements
+                    .contains(&task, placement.run, self.now)
+                {
+                    view.is_unconfirmed = true;
+                    state.last_lease_call_at = self.now;
+                }
                 view.start_may_arrive_until = self.now + START_ORDER_LIFETIME;
                 if view.spec.is_best_effort {
                     view.rate = RunRate::unknown();
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod output;
 mod packing;
 mod poll;
+mod recent_placements;
 mod retry_outcomes;
 mod run_progress;
 mod run_rate;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -63,6 +63,8 @@
     /// Earlier incarnation of the worker on which the run was placed; `None` if it is the present
     /// one.
     pub(crate) transferred_from: Option<WorkerIncarnation>,
+    /// Whether an earlier leader placed the run so lately that no poll may have listed it.
+    pub(crate) is_unconfirmed: bool,
     /// Whether a poll of the present incarnation has listed the run.
     pub(crate) is_listed: bool,
     pub(crate) ticket: Option<Name>,
@@ -99,6 +101,7 @@
             has_unanswered_start: false,
             start_may_arrive_until: Millis(0),
             transferred_from: None,
+            is_unconfirmed: false,
             is_listed: false,
             ticket: None,
             placed_at: now,
@@ -135,7 +138,7 @@
     /// Returns whether the run may be on an incarnation of its worker that nobody has noticed yet. One that
     /// a poll has listed ended with the incarnation that listed it.
     pub(crate) fn may_be_on_unnoticed_incarnation(&self) -> bool {
-        self.start_attempts > 0 && !self.is_listed
+        (self.start_attempts > 0 || self.is_unconfirmed) && !self.is_listed
     }
 
     /// Returns whether the run was never ordered to start.
