agreement, replica: the leader reports members that answer but take no entries

Operators saw nothing on the leader while the disk of another voter stayed full: the voter answers heartbeats, so it is neither silent nor replaced, and only its own `tarragon_disk_full` told of it. A group of three then lost its majority for writes with the next voter, without notice.

Cause: the leader judged members by the time since their last answer alone.

Evidence: `driver lagging_member` uses only what existed before and fails on the unchanged code ("expected within 20s: the lagging member is counted"). The tests of the agreement use the new types and do not build there.

--- a/lib/agreement/src/progress.rs
+++ b/lib/agreement/src/progress.rs
@@ -1,6 +1,8 @@
 use std::collections::VecDeque;
 
-use tarragon_names::{LogIndex, Millis};
+use tarragon_names::{LogIndex, MemberId, Millis};
+
+use crate::{Member, MemberProgress};
 
 /// How a leader sends entries to a member.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -42,6 +44,23 @@
         }
     }
 
+    /// Describes the progress of `member` at the time `now`.
+    pub(crate) fn describe(&self, id: MemberId, member: &Member, now: Millis) -> MemberProgress {
+        let snapshot_sent_at = match self.mode {
+            Mode::Snapshot(sent_at) => Some(sent_at),
+            Mode::Probe | Mode::Replicate => None,
+        };
+        MemberProgress {
+            id,
+            host: member.host.clone(),
+            role: member.role,
+            match_index: self.match_index,
+            silent_for: now.since(self.last_contact),
+            has_unacknowledged: snapshot_sent_at.is_some() || !self.in_flight.is_empty(),
+            snapshot_sent_at,
+        }
+    }
+
     /// Processes an answer with a matching index. `base` is the index directly before the leader's
     /// first entry in memory.
     pub(crate) fn on_match(&mut self, index: LogIndex, base: LogIndex) {
--- a/lib/agreement/src/replica.rs
+++ b/lib/agreement/src/replica.rs
@@ -5,9 +5,9 @@
 use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 
 use crate::{
-    Action, Config, Event, MemberStatus, Members, PeerMsg, Recovered, ReplicaRole, SnapshotMeta,
-    campaign::Campaign, core::Core, jitter::Jitter, leader::Leader, log::Log,
-    vote_state::VoteState,
+    Action, Config, Event, MemberStatus, Members, PeerMsg, Recovered, ReplicaRole,
+    ReplicationStatus, SnapshotMeta, campaign::Campaign, core::Core, jitter::Jitter,
+    leader::Leader, log::Log, vote_state::VoteState,
 };
 
 /// Current role of a replica, with the state of that role.
@@ -194,6 +194,23 @@
             .collect()
     }
 
+    /// State of the replication to the other members at the time `now`; `None` if this replica is not
+    /// the leader.
+    pub fn replication_status(&self, now: Millis) -> Option<ReplicationStatus> {
+        let RoleState::Leader(leader) = &self.role_state else {
+            return None;
+        };
+        let members = self.core.log.members().by_id.iter();
+        Some(ReplicationStatus {
+            term: self.term(),
+            at: now,
+            last_index: self.core.log.last_index(),
+            members: members
+                .filter_map(|(id, member)| Some(leader.progress(*id)?.describe(*id, member, now)))
+                .collect(),
+        })
+    }
+
     fn dispatch(&mut self, event: Event) {
         match event {
             Event::Tick => self.on_tick(),
--- a/lib/agreement/tests/group/main.rs
+++ b/lib/agreement/tests/group/main.rs
@@ -4,6 +4,7 @@
 mod fakes;
 mod follower;
 mod full_disk;
+mod lagging_member;
 mod random;
 mod replication;
 mod scenarios;
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     AbortOnPanic, ApplySink, Clock, Growth, GrowthRoom, LeaderLease, Links, ReplicaHandle,
-    StateLimits, StateMachine, input::Input, proposal_batch::ProposalBatch,
-    store_writer::StoreWriter, waiters::Waiters,
+    StateLimits, StateMachine, input::Input, lag_monitor::LagMonitor,
+    proposal_batch::ProposalBatch, store_writer::StoreWriter, waiters::Waiters,
 };
 
 /// Inputs that may be queued for the replica's thread. Bounds memory use under overload.
@@ -93,6 +93,7 @@
     room_snapshot_at: Millis,
     /// Whether a proposal was refused for want of room since the latest snapshot, which may free some.
     is_room_wanted: bool,
+    lag_monitor: LagMonitor,
     /// Whether the replica was told that the disk refuses writes.
     is_disk_full: bool,
 }
@@ -110,6 +111,7 @@
     ) -> (ReplicaHandle<S>, JoinHandle<()>) {
         let (tx, rx) = sync_channel(MAX_QUEUED_INPUTS);
         let id = parts.replica.id();
+        let lag_monitor = LagMonitor::new(Arc::clone(&parts.events), Arc::clone(&parts.metrics));
         let driver = Self {
             parts,
             writer: StoreWriter::new(store),
@@ -124,6 +126,7 @@
             snapshot_retry_at: Millis(0),
             room_snapshot_at: Millis(0),
             is_room_wanted: false,
+            lag_monitor,
             is_disk_full: false,
         };
         let spawned = thread::Builder::new()
@@ -201,6 +204,8 @@
         self.sync()?;
         self.save_snapshot_if_due()?;
         self.update_size_metrics();
+        let now = self.parts.clock.now();
+        self.lag_monitor.observe(&self.parts.replica, now);
         self.parts.sink.lease_updated(self.leader_lease());
         Ok(true)
     }
--- a/lib/replica/src/lib.rs
+++ b/lib/replica/src/lib.rs
@@ -12,6 +12,7 @@
 mod growth_room;
 mod handle;
 mod input;
+mod lag_monitor;
 mod leader_lease;
 mod link_observer;
 mod link_queue;
--- a/lib/replica/tests/driver/group.rs
+++ b/lib/replica/tests/driver/group.rs
@@ -10,13 +10,13 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
-use tarragon_agreement::{Config, Member, Members, Replica, Role, SnapshotMeta};
+use tarragon_agreement::{Config, Member, Members, PeerMsg, Replica, Role, SnapshotMeta};
 use tarragon_codes::Outcome;
 use tarragon_discovery::LeaderHint;
-use tarragon_names::{HostName, LogIndex, MemberId, Term};
+use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 use tarragon_replica::{
-    ApplySink, Growth, LeaderLease, LinkObserver, LinkTiming, Links, ReplicaDriver, ReplicaHandle,
-    ReplicaParts, StateLimits, StateMachine, SystemClock,
+    ApplySink, Clock, Growth, LeaderLease, LinkObserver, LinkTiming, Links, ReplicaDriver,
+    ReplicaHandle, ReplicaParts, ReplicaStatus, StateLimits, StateMachine, SystemClock,
 };
 use tarragon_storage::LogStore;
 use tarragon_telemetry::{Event, EventId, EventSink, Metrics};
@@ -33,6 +33,8 @@
 
 const HOST: &str = "a";
 
+const LEARNER_HOST: &str = "b";
+
 /// Waits until a condition holds, and panics after [`WAIT_TIMEOUT`].
 pub fn wait_until<F>(condition: &str, holds: F)
 where
@@ -122,7 +124,31 @@
     }
 }
 
-/// A group of one voter.
+/// Clock that only the test moves.
+#[derive(Debug)]
+pub struct TestClock(AtomicU64);
+
+impl Clock for TestClock {
+    fn now(&self) -> Millis {
+        Millis(self.0.load(Ordering::SeqCst))
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.now().0
+    }
+}
+
+impl TestClock {
+    pub fn start() -> Arc<Self> {
+        Arc::new(Self(AtomicU64::new(1)))
+    }
+
+    pub fn advance(&self, ms: u64) {
+        self.0.fetch_add(ms, Ordering::SeqCst);
+    }
+}
+
+/// A group of one voter, and of a learner whose part the test plays.
 pub struct Group {
     handle: ReplicaHandle<Sum>,
     thread: Option<JoinHandle<()>>,
@@ -134,15 +160,31 @@
 
 impl Group {
     pub fn start(disk: &DiskState) -> Self {
+        let voters = Self::members(&[(HOST, Role::Voter)]);
+        Self::start_members(disk, voters, Arc::new(SystemClock::start()))
+    }
+
+    /// Starts the group with a learner, on a clock that the test moves.
+    pub fn start_with_learner(disk: &DiskState, clock: Arc<TestClock>) -> Self {
+        let members = Self::members(&[(HOST, Role::Voter), (LEARNER_HOST, Role::Learner)]);
+        Self::start_members(disk, members, clock)
+    }
+
+    fn members(hosts: &[(&str, Role)]) -> Members {
+        let ids = (1..).map(MemberId);
+        let members = hosts.iter().map(|(host, role)| Member {
+            host: HostName::from(*host),
+            role: *role,
+        });
+        Members {
+            by_id: ids.zip(members).collect(),
+        }
+    }
+
+    fn start_members(disk: &DiskState, members: Members, clock: Arc<dyn Clock>) -> Self {
         let mut store = DiskStore(disk.clone());
-        let member = Member {
-            host: HostName::from(HOST),
-            role: Role::Voter,
-        };
         let meta = SnapshotMeta {
-            members: Members {
-                by_id: BTreeMap::from([(MemberId(1), member)]),
-            },
+            members,
             ..SnapshotMeta::default()
         };
         store.save_snapshot(&meta, &Bytes::new()).expect("room");
@@ -164,7 +206,7 @@
             replica: Replica::new(Config::default(), recovered, 1),
             limits: StateLimits::new(1 << 30, 1 << 30),
             state: Arc::new(Sum::default()),
-            clock: Arc::new(SystemClock::start()),
+            clock,
             links: Arc::new(links),
             sink: Arc::clone(&sink) as _,
             leader_hint: Arc::new(LeaderHint::default()),
@@ -211,6 +253,26 @@
         sent.expect("the queue has room");
     }
 
+    /// Answers the leader as the learner, which holds the entries up to `index`, and waits until the
+    /// answer is handled.
+    pub fn answer_as_learner(&self, index: LogIndex) {
+        let term = self.status().term;
+        let msg = PeerMsg::AppendReply {
+            term,
+            matched: true,
+            index,
+            round: 0,
+        };
+        let host = HostName::from(LEARNER_HOST);
+        self.handle.receive(host, MemberId(2), msg);
+        self.status();
+    }
+
+    pub fn status(&self) -> ReplicaStatus {
+        let status = self.runtime.block_on(self.handle.status(CALL_TIMEOUT));
+        status.expect("the thread answers")
+    }
+
     /// Reads as the leader.
     pub fn read(&self) -> Outcome<()> {
         self.runtime.block_on(self.handle.read(CALL_TIMEOUT))
--- a/lib/replica/tests/driver/main.rs
+++ b/lib/replica/tests/driver/main.rs
@@ -2,6 +2,7 @@
 
 mod disk_store;
 mod group;
+mod lagging_member;
 
 use disk_store::DiskState;
 use group::{Group, wait_until};
--- a/lib/telemetry/src/metrics.rs
+++ b/lib/telemetry/src/metrics.rs
@@ -98,6 +98,8 @@
     snapshot_bytes: IntGauge = gauge("tarragon_snapshot_bytes");
     /// Whether the disk of this replica refuses writes, so that it neither votes nor leads.
     disk_full: IntGauge = gauge("tarragon_disk_full");
+    /// Members that answer this leader but acknowledge no entries.
+    lagging_members: IntGauge = gauge("tarragon_lagging_members");
     /// Limit of log and snapshot together, in bytes.
     state_limit_bytes: IntGauge = gauge("tarragon_state_limit_bytes");
     /// Time of making and saving a snapshot.
