--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -45,7 +45,7 @@
                     .recent_placements
                     .contains(&task, placement.run, self.now)
                 {
-                    view.is_unconfirmed = true;
+                    view.start_attempts = 1;
                     state.last_lease_call_at = self.now;
                 }
                 view.start_may_arrive_until = self.now + START_ORDER_LIFETIME;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,10 +1,7 @@
 use tarragon_names::{Millis, Name};
 use tarragon_workflow::WorkerIncarnation;
 
-use crate::{
-    DispatchConfig, earlier_lease::longest_on_slow_clock, run_progress::RunProgress,
-    run_rate::RunRate, run_spec::RunSpec,
-};
+use crate::{run_progress::RunProgress, run_rate::RunRate, run_spec::RunSpec};
 
 /// Highest run number of a task that may be preempted, so that every task ends eventually.
 const MAX_PREEMPTED_RUN: u32 = 3;
@@ -48,7 +45,8 @@
     pub(crate) spec: RunSpec,
     pub(crate) start: StartState,
     pub(crate) stop: StopState,
-    /// Number of start orders that were sent.
+    /// Number of start orders that were sent. One of an earlier leader counts only if it was sent so lately
+    /// that no poll may have listed the run.
     pub(crate) start_attempts: u32,
     /// Number of orders in a row that did not leave the host that was to send them.
     pub(crate) unsent_orders: u32,
@@ -63,8 +61,6 @@
     /// Earlier incarnation of the worker on which the run was placed; `None` if it is the present
     /// one.
     pub(crate) transferred_from: Option<WorkerIncarnation>,
-    /// Whether an earlier leader placed the run so lately that no poll may have listed it.
-    pub(crate) is_unconfirmed: bool,
     /// Whether a poll of the present incarnation has listed the run.
     pub(crate) is_listed: bool,
     pub(crate) ticket: Option<Name>,
@@ -101,7 +97,6 @@
             has_unanswered_start: false,
             start_may_arrive_until: Millis(0),
             transferred_from: None,
-            is_unconfirmed: false,
             is_listed: false,
             ticket: None,
             placed_at: now,
@@ -138,7 +133,7 @@
     /// Returns whether the run may be on an incarnation of its worker that nobody has noticed yet. One that
     /// a poll has listed ended with the incarnation that listed it.
     pub(crate) fn may_be_on_unnoticed_incarnation(&self) -> bool {
-        (self.start_attempts > 0 || self.is_unconfirmed) && !self.is_listed
+        self.start_attempts > 0 && !self.is_listed
     }
 
     /// Returns whether the run was never ordered to start.
