--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -56,7 +56,7 @@
     pub(crate) health: HealthTable,
     pub(crate) term: Option<u64>,
     pub(crate) leading_since: Millis,
-    /// Highest number of a token in this term of which the record of the worker was removed.
+    /// Highest number of the token of a worker whose record was removed in this term.
     pub(crate) last_removed_token: u64,
     pub(crate) workers: WorkerTable,
     /// Open polls with the times at which they were sent. A poll stays open while the record of its
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -131,7 +131,7 @@
             return;
         }
         let shut_out_at = *state.shut_out_at.get_or_insert(now);
-        // Until then it may hold a lease from a call for the incarnation before.
+        // It may hold a lease from an earlier call until then.
         let gone_at = shut_out_at + longest_on_slow_clock(cfg.max_lease).max(cfg.remove_after);
         if now >= gone_at {
             self.remove_incarnation(incarnation, "another incarnation answers");
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -116,6 +116,19 @@
     }
 }
 
+/// Status of the first runs of these tasks, each at work.
+pub fn first_runs(tasks: &[TaskKey]) -> Vec<RunStatus> {
+    let tasks = tasks.iter();
+    let runs = tasks.map(|task| RunStatus {
+        task: *task,
+        run: 1,
+        checkpoint: None,
+        percent: 10,
+        usage_or_tail_ms: None,
+    });
+    runs.collect()
+}
+
 impl Harness {
     /// A leader with these workers, each of which has answered its first poll.
     pub fn new(workers: &[WorkerRecord]) -> Self {
--- a/lib/dispatch/tests/restarted_worker_lease.rs
+++ b/lib/dispatch/tests/restarted_worker_lease.rs
@@ -3,9 +3,9 @@
 
 mod common;
 
-use common::{EPOCH_MS, Harness, step, task, worker};
+use common::{EPOCH_MS, Harness, first_runs, step, task, worker};
 use tarragon_dispatch::{
-    FencingToken, OrderOutcome, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder,
+    FencingToken, OrderOutcome, PollAnswer, PollCall, PollOutcome, StartOrder,
 };
 use tarragon_names::Millis;
 use tarragon_workflow::{Command, RunEvent, StepSpec, TaskKey, WorkerRecord};
@@ -85,17 +85,10 @@
         let call = harness.polls.iter().find(|call| Self::is_meant(call));
         let call = call.expect("a poll of the incarnation is open").clone();
         self.receive_poll(harness, &call);
-        let running = running.iter().map(|task| RunStatus {
-            task: *task,
-            run: 1,
-            checkpoint: None,
-            percent: 10,
-            usage_or_tail_ms: None,
-        });
         let answer = PollAnswer {
             started_ms: Some(EPOCH_MS + UPTIME_MS),
             clock_ms: harness.now - self.started_at,
-            running: running.collect(),
+            running: first_runs(running),
             finished: Vec::new(),
             is_truncated: false,
         };
--- a/lib/dispatch/tests/returning_workers_search.rs
+++ b/lib/dispatch/tests/returning_workers_search.rs
@@ -50,22 +50,32 @@
     (from.expect("a number")..to.expect("a number")).collect()
 }
 
-/// Guards against ends, orders and records that count wrongly because they come late or again: a job
-/// that fails or completes without cause or not at all, a task that runs twice, beyond its attempts or
-/// after it is done, and a checkpoint that is lost or differs between the members of a gang.
-#[test]
-fn jobs_end_as_their_tasks_did() {
-    let mut total = Summary::default();
+/// Plays these seeds, checks that none breaks a rule, and returns what they went through.
+fn check_seeds(seeds: &[u64], intensity: Intensity) -> Vec<Summary> {
     let mut failed = Vec::new();
-    let seeds = seeds_or(KNOWN_SEEDS);
+    let mut summaries = Vec::new();
     for seed in seeds.iter().copied() {
-        let (violations, summary) = Simulation::new(seed, Intensity::Faulty, None).run();
+        let (violations, summary) = Simulation::new(seed, intensity, None).run();
         for violation in &violations {
             println!("seed {seed}: {:?}: {}", violation.rule, violation.detail);
         }
         if !violations.is_empty() {
             failed.push(seed);
         }
+        summaries.push(summary);
+    }
+    assert_eq!(failed, Vec::<u64>::new(), "seeds that broke a rule");
+    summaries
+}
+
+/// Guards against ends, orders and records that count wrongly because they come late or again: a job
+/// that fails or completes without cause or not at all, a task that runs twice, beyond its attempts or
+/// after it is done, and a checkpoint that is lost or differs between the members of a gang.
+#[test]
+fn jobs_end_as_their_tasks_did() {
+    let seeds = seeds_or(KNOWN_SEEDS);
+    let mut total = Summary::default();
+    for summary in check_seeds(&seeds, Intensity::Faulty) {
         total.starts += summary.starts;
         total.returns += summary.returns;
         total.returns_with_listed_ends += summary.returns_with_listed_ends;
@@ -74,7 +84,6 @@
         total.rest_ms = total.rest_ms.max(summary.rest_ms);
     }
     println!("{total:?}");
-    assert_eq!(failed, Vec::<u64>::new(), "seeds that broke a rule");
     if seeds == KNOWN_SEEDS {
         assert!(
             total.returns_with_listed_ends > 0,
@@ -86,34 +95,14 @@
 /// Guards against the same when the start times of workers go back.
 #[test]
 fn jobs_end_as_their_tasks_did_although_clocks_go_back() {
-    let mut failed = Vec::new();
-    for seed in seeds_or(SEEDS_OF_CLOCKS) {
-        let (violations, _) = Simulation::new(seed, Intensity::ClocksGoBack, None).run();
-        for violation in &violations {
-            println!("seed {seed}: {:?}: {}", violation.rule, violation.detail);
-        }
-        if !violations.is_empty() {
-            failed.push(seed);
-        }
-    }
-    assert_eq!(failed, Vec::<u64>::new(), "seeds that broke a rule");
+    check_seeds(&seeds_or(SEEDS_OF_CLOCKS), Intensity::ClocksGoBack);
 }
 
 /// Guards against a task that runs again on a restarted worker, because a start order for the
 /// incarnation before reaches it before the first poll does.
 #[test]
 fn late_order_does_not_reach_a_restarted_worker() {
-    let mut failed = Vec::new();
-    for seed in seeds_or(SEEDS_OF_LATE_ORDERS) {
-        let (violations, _) = Simulation::new(seed, Intensity::LateOrdersAtOnce, None).run();
-        for violation in &violations {
-            println!("seed {seed}: {:?}: {}", violation.rule, violation.detail);
-        }
-        if !violations.is_empty() {
-            failed.push(seed);
-        }
-    }
-    assert_eq!(failed, Vec::<u64>::new(), "seeds that broke a rule");
+    check_seeds(&seeds_or(SEEDS_OF_LATE_ORDERS), Intensity::LateOrdersAtOnce);
 }
 
 /// Guards against a check that finds nothing.
--- a/lib/dispatch/tests/start_times_that_go_back.rs
+++ b/lib/dispatch/tests/start_times_that_go_back.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{EPOCH_MS, Harness, step, task, worker};
-use tarragon_dispatch::{Input, OrderOutcome, PollAnswer, PollOutcome, RunStatus};
+use common::{EPOCH_MS, Harness, first_runs, step, task, worker};
+use tarragon_dispatch::{Input, OrderOutcome, PollAnswer, PollOutcome};
 use tarragon_names::Millis;
 use tarragon_workflow::{Command, JobPhase, StepSpec, TaskKey, WorkerIncarnation, WorkerRecord};
 use yare::parameterized;
@@ -36,16 +36,7 @@
     let answer = PollAnswer {
         started_ms: Some(next().incarnation.started_ms),
         clock_ms: harness.now,
-        running: running
-            .iter()
-            .map(|task| RunStatus {
-                task: *task,
-                run: 1,
-                checkpoint: None,
-                percent: 0,
-                usage_or_tail_ms: None,
-            })
-            .collect(),
+        running: first_runs(running),
         finished: Vec::new(),
         is_truncated: false,
     };
--- a/lib/dispatch/tests/unnoticed_restart.rs
+++ b/lib/dispatch/tests/unnoticed_restart.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{EPOCH_MS, Harness, step, task, worker};
-use tarragon_dispatch::{OrderOutcome, PollAnswer, PollOutcome, Refusal, RunStatus};
+use common::{EPOCH_MS, Harness, first_runs, step, task, worker};
+use tarragon_dispatch::{OrderOutcome, PollAnswer, PollOutcome, Refusal};
 use tarragon_names::Millis;
 use tarragon_workflow::{Command, RunEnd, RunEvent, StepSpec, TaskKey};
 use yare::parameterized;
@@ -43,17 +43,10 @@
     while harness.polls.is_empty() {
         harness.advance(20);
     }
-    let running = running.iter().map(|task| RunStatus {
-        task: *task,
-        run: 1,
-        checkpoint: None,
-        percent: 10,
-        usage_or_tail_ms: None,
-    });
     let answer = PollAnswer {
         started_ms: Some(started_ms),
         clock_ms: 0,
-        running: running.collect(),
+        running: first_runs(running),
         finished: Vec::new(),
         is_truncated: false,
     };
