tests: one cell that is ready, and one check for lost runs

The start of a cell stood in the tests of upkeep and of start times, and the search for a lost run in two tests of restarts. Each stands once, in the common module of its crate.

Run: unnoticed_restart (20), restarted_worker_lease (7) and start_times_that_go_back (15) of dispatch, start_times_that_go_back (2) and upkeep (5) of entry: all pass.

--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -442,6 +442,12 @@
         self.proposed.iter().filter(is_lost).count()
     }
 
+    /// Returns whether a run of the task was recorded as lost.
+    pub fn is_lost(&self, lost: TaskKey) -> bool {
+        let mut records = self.proposed.iter();
+        records.any(|record| matches!(record, RunEvent::Lost { task, .. } if *task == lost))
+    }
+
     /// Number of events with this name.
     pub fn event_count(&self, name: &str) -> usize {
         let events = self.events.iter();
--- a/lib/dispatch/tests/restarted_worker_lease.rs
+++ b/lib/dispatch/tests/restarted_worker_lease.rs
@@ -8,7 +8,7 @@
     FencingToken, OrderOutcome, PollAnswer, PollCall, PollOutcome, StartOrder,
 };
 use tarragon_names::Millis;
-use tarragon_workflow::{Command, RunEvent, StepSpec, TaskKey, WorkerRecord};
+use tarragon_workflow::{Command, StepSpec, TaskKey, WorkerRecord};
 use yare::parameterized;
 
 const NAME: &str = "w1";
@@ -100,11 +100,6 @@
     }
 }
 
-fn is_lost(harness: &Harness, lost: TaskKey) -> bool {
-    let mut records = harness.proposed.iter();
-    records.any(|record| matches!(record, RunEvent::Lost { task, .. } if *task == lost))
-}
-
 /// Lets a worker restart and start a run, receive a call for the incarnation before, and be cut off.
 fn cut_off_after_restart(call: Call, arrival: Arrival) -> (Harness, NextIncarnation, TaskKey) {
     let mut harness = Harness::new(&[worker(NAME, 8)]);
@@ -145,7 +140,7 @@
 /// Lets the worker stay silent until its run is declared lost, and checks that its lease has ended.
 fn check_lease_when_lost(mut harness: Harness, next: &NextIncarnation, running: TaskKey) {
     let cut_at = harness.now;
-    while !is_lost(&harness, running) {
+    while !harness.is_lost(running) {
         assert!(harness.now < cut_at + MAX_SILENCE_MS, "the task waits");
         if !harness.polls.is_empty() {
             harness.time_out_poll(NAME);
@@ -204,5 +199,5 @@
     }
     next.receive_start(&harness, &late_start);
     assert!(next.lease_until_ms > 0, "the order starts the run");
-    assert!(!is_lost(&harness, task(1, 0, 0)));
+    assert!(!harness.is_lost(task(1, 0, 0)));
 }
--- a/lib/dispatch/tests/unnoticed_restart.rs
+++ b/lib/dispatch/tests/unnoticed_restart.rs
@@ -5,7 +5,7 @@
 use common::{EPOCH_MS, Harness, first_runs, step, task, worker};
 use tarragon_dispatch::{OrderOutcome, PollAnswer, PollOutcome, Refusal};
 use tarragon_names::Millis;
-use tarragon_workflow::{Command, RunEnd, RunEvent, StepSpec, TaskKey};
+use tarragon_workflow::{Command, RunEnd, StepSpec, TaskKey};
 use yare::parameterized;
 
 const NAME: &str = "w1";
@@ -29,11 +29,6 @@
     }
 }
 
-fn is_lost(harness: &Harness, lost: TaskKey) -> bool {
-    let mut records = harness.proposed.iter();
-    records.any(|record| matches!(record, RunEvent::Lost { task, .. } if *task == lost))
-}
-
 /// Answer to the open poll by an incarnation that started later than the recorded one.
 fn answer_as_next_incarnation(harness: &mut Harness, running: &[TaskKey]) {
     answer_as_incarnation(harness, EPOCH_MS + 1, running);
@@ -56,7 +51,7 @@
 /// Lets the polls of the worker fail until the run is declared lost.
 fn wait_until_lost(harness: &mut Harness, lost: TaskKey) {
     let begun = harness.now;
-    while !is_lost(harness, lost) {
+    while !harness.is_lost(lost) {
         assert!(harness.now < begun + MAX_WAIT_MS, "the task waits for good");
         if !harness.polls.is_empty() {
             harness.time_out_poll(NAME);
@@ -118,7 +113,7 @@
     harness.resume_log();
     harness.advance(40);
     assert!(harness.starts.is_empty(), "the worker is silent");
-    assert!(is_lost(&harness, task(1, 0, 0)));
+    assert!(harness.is_lost(task(1, 0, 0)));
 }
 
 /// Guards against a worker without polls and leases: it refuses an order that was sent before its silence
@@ -294,7 +289,7 @@
     harness.answer_starts(OrderOutcome::Accepted);
     answer_as_next_incarnation(&mut harness, &[task(1, 0, 0)]);
     let shut_out_at = harness.now;
-    while !is_lost(&harness, task(1, 0, 0)) {
+    while !harness.is_lost(task(1, 0, 0)) {
         assert!(harness.now < shut_out_at + MAX_WAIT_MS, "the task waits");
         if !harness.polls.is_empty() {
             answer_as_next_incarnation(&mut harness, &[task(1, 0, 0)]);
@@ -321,7 +316,7 @@
     let mut harness = restarted_before_an_election();
     harness.advance(100);
     harness.answer_poll(NAME, &[], &[]);
-    assert!(is_lost(&harness, task(1, 0, 0)));
+    assert!(harness.is_lost(task(1, 0, 0)));
 }
 
 /// A new leader over a worker whose restart is recorded and whose run is not confirmed since.
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -133,6 +133,19 @@
 }
 
 impl Cell {
+    /// Starts the hosts 1 to 3 with disks and 4 without, and waits until all know the leader.
+    pub async fn ready(number: u8) -> Self {
+        let mut cell = Self::new(number);
+        for host in 1..=4 {
+            cell.start(host, host <= 3, true, &[1, 2, 3]).await;
+        }
+        wait_until("all hosts find the leader", || {
+            cell.all_ready() && cell.leader().is_some()
+        })
+        .await;
+        cell
+    }
+
     pub fn new(number: u8) -> Self {
         Self {
             number,
--- a/lib/entry/tests/start_times_that_go_back.rs
+++ b/lib/entry/tests/start_times_that_go_back.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Cell, wait_until};
+use common::Cell;
 use tarragon_entry::{Request, WorkerReport};
 use tarragon_names::WorkerName;
 use tokio::time::{Instant, sleep};
@@ -18,16 +18,9 @@
 /// Time between two heartbeats of a worker.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Starts the hosts 1 to 3 with disks and 4 without, with a queue.
-async fn ready_cell(number: u8) -> Cell {
-    let mut cell = Cell::new(number);
-    for host in 1..=4 {
-        cell.start(host, host <= 3, true, &[1, 2, 3]).await;
-    }
-    wait_until("all hosts find the leader", || {
-        cell.all_ready() && cell.leader().is_some()
-    })
-    .await;
+/// A cell that is ready, with a queue.
+async fn configured_cell(number: u8) -> Cell {
+    let cell = Cell::ready(number).await;
     cell.configure(4).await;
     cell
 }
@@ -70,7 +63,7 @@
 /// removed for its silence, and against a delayed heartbeat of the former one that then counts.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn restarted_worker_is_recorded_before_its_former_incarnation_is_removed() {
-    let mut cell = ready_cell(61).await;
+    let mut cell = configured_cell(61).await;
     cell.platform.workers.let_calls_name_workers();
     let former = cell.place_worker("m-1", "w1", "a");
     announce_until_taken(&cell, &former).await;
@@ -87,7 +80,7 @@
 /// Guards against a worker that stays shut out by one with a later start time that had its address before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn worker_takes_over_the_address_of_another_one() {
-    let mut cell = ready_cell(62).await;
+    let mut cell = configured_cell(62).await;
     let former = cell.place_worker("m-1", "w1", "a");
     announce_until_taken(&cell, &former).await;
     // Calls for the worker that had the address meet an incarnation that they are not meant for.
--- a/lib/entry/tests/upkeep.rs
+++ b/lib/entry/tests/upkeep.rs
@@ -18,19 +18,6 @@
 /// Time in which a leader checks the open waves several times.
 const SEVERAL_CHECKS: Duration = Duration::from_secs(3);
 
-/// Starts the hosts 1 to 3 with disks and 4 without, and waits until all know the leader.
-async fn ready_cell(number: u8) -> Cell {
-    let mut cell = Cell::new(number);
-    for host in 1..=4 {
-        cell.start(host, host <= 3, true, &[1, 2, 3]).await;
-    }
-    wait_until("all hosts find the leader", || {
-        cell.all_ready() && cell.leader().is_some()
-    })
-    .await;
-    cell
-}
-
 async fn wait_for_completion(cell: &Cell) {
     while !cell.is_wave_completed(4, WAVE).await {
         sleep(Duration::from_millis(100)).await;
@@ -41,7 +28,7 @@
 /// a round goes on with its orders beside the next leader.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn leader_that_stood_still_sends_no_further_order() {
-    let mut cell = ready_cell(31).await;
+    let mut cell = Cell::ready(31).await;
     let machines = ["m-1", "m-2", "m-3", "m-4"];
     for machine in machines {
         cell.platform.add_machine(machine, None);
@@ -69,7 +56,7 @@
 /// next leader knows of the order only from the log.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn next_leader_repeats_an_order_before_it_sends_another() {
-    let mut cell = ready_cell(32).await;
+    let mut cell = Cell::ready(32).await;
     for machine in ["m-1", "m-2"] {
         cell.platform.add_machine(machine, None);
     }
@@ -102,7 +89,7 @@
 /// ended still counted as available, since its worker had started shortly before the wave.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn upkeep_waits_for_the_task_that_the_upkeep_before_ended() {
-    let mut cell = ready_cell(33).await;
+    let mut cell = Cell::ready(33).await;
     cell.configure(4).await;
     cell.start_worker(4, "m-1", "w-1", "here").await;
     cell.start_worker(4, "m-2", "w-2", "here").await;
@@ -145,7 +132,7 @@
 /// confirmed a second time while another incarnation runs under the worker's name.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn repeated_order_leaves_the_next_incarnation_of_the_worker_alone() {
-    let mut cell = ready_cell(34).await;
+    let mut cell = Cell::ready(34).await;
     cell.configure(4).await;
     cell.start_worker(4, "m-1", "w-1", "here").await;
     cell.platform.hold_answers();
@@ -172,7 +159,7 @@
 /// list had an entry that could not be read, so the machine was taken for removed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn wave_waits_for_a_machine_whose_entry_cannot_be_read() {
-    let mut cell = ready_cell(35).await;
+    let mut cell = Cell::ready(35).await;
     cell.platform.add_machine("m-1", None);
     cell.platform.set_readable("m-1", false);
     cell.start_wave(4, WAVE, &["m-1"], 1).await;
