membership, entry: a voter that stays full is replaced while a spare is there

Operators saw a cell of three with a spare host that refused all writes after the loss of one voter: the disk of another voter had been full for long, but since that voter answers heartbeats it was kept.

Cause: only silence made a voter lost.

choose_change also replaces a voter that lags and has acknowledged nothing for the last 10 s (LagTracker::stalled), once no other change is due. The voters that answer, are up to date and not stalled have to be a majority of the present voters, so they commit the removal and go on if the promotion fails; the spare has to answer, be up to date and take entries. With a majority full nothing is changed. One acknowledged entry keeps the voter for another 10 s. A replaced voter is a learner, and learners are promoted only into a free place, so room on its disk causes no swap back; full again it is a stalled learner, which is not promoted at all. tarragond is not changed (docs/design/storage.md).

--- a/lib/agreement/src/lag_tracker.rs
+++ b/lib/agreement/src/lag_tracker.rs
@@ -57,4 +57,11 @@
         let lagging = self.members.iter().filter(|(_, lag)| lag.is_lagging());
         lagging.map(|(id, _)| *id)
     }
+
+    /// Returns the members that lag and have acknowledged nothing for the last ten seconds, in ascending
+    /// order of identity. A member that is catching up is not among them.
+    pub fn stalled(&self) -> impl Iterator<Item = MemberId> + '_ {
+        let stalled = self.members.iter().filter(|(_, lag)| lag.is_stalled());
+        stalled.map(|(id, _)| *id)
+    }
 }
--- a/lib/agreement/src/member_lag.rs
+++ b/lib/agreement/src/member_lag.rs
@@ -17,6 +17,8 @@
     stalled_since: Option<Millis>,
     /// Time at which the first snapshot since the last acknowledgement was sent.
     first_snapshot_sent_at: Option<Millis>,
+    /// Whether it has acknowledged nothing for `LAG_AFTER` of what was sent.
+    is_stalled: bool,
     /// Index at which a lagging member counts as caught up; `None` for a member that does not lag.
     catch_up_to: Option<LogIndex>,
 }
@@ -26,6 +28,10 @@
         self.catch_up_to.is_some()
     }
 
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.is_stalled
+    }
+
     /// Takes the current progress of the member; returns whether its lag begins (true) or ends (false),
     /// or `None` if neither.
     pub(crate) fn observe(
@@ -42,6 +48,7 @@
                 ..Self::default()
             };
         }
+        self.is_stalled = self.has_stalled(member, last_index, now);
         if let Some(target) = self.catch_up_to {
             if member.match_index >= target {
                 self.catch_up_to = None;
@@ -53,7 +60,7 @@
             }
             return None;
         }
-        if !self.is_stalled(member, last_index, now) {
+        if !self.is_stalled {
             return None;
         }
         self.catch_up_to = Some(last_index);
@@ -61,7 +68,7 @@
     }
 
     /// Returns whether the member has acknowledged nothing for `LAG_AFTER` of what was sent.
-    fn is_stalled(&mut self, member: &MemberProgress, last_index: LogIndex, now: Millis) -> bool {
+    fn has_stalled(&mut self, member: &MemberProgress, last_index: LogIndex, now: Millis) -> bool {
         if member.match_index >= last_index || member.silent_for >= MAX_MEMBER_SILENCE {
             self.stalled_since = None;
             return false;
--- a/lib/agreement/tests/lag_tracker.rs
+++ b/lib/agreement/tests/lag_tracker.rs
@@ -156,3 +156,23 @@
     assert!(tracker.observe(status.as_ref()).is_empty());
     assert_eq!(tracker.lagging().count(), 0);
 }
+
+/// Guards against the replacement of a lagging member that takes entries again, and against one that is
+/// never replaced because it took some.
+#[parameterized(
+    standing_still = { &[at(0), at(10_000)], true },
+    taking_a_part = { &[at(0), at(10_000), matched(10_250, 500)], false },
+    stopped_again = { &[at(0), at(10_000), matched(10_250, 500), matched(20_249, 500)], false },
+    stopped_again_for_long = {
+        &[at(0), at(10_000), matched(10_250, 500), matched(20_250, 500)], true
+    },
+    silent_meanwhile = { &[at(0), at(10_000), silent(11_000, 1_000)], false },
+    not_lagging_yet = { &[at(0), at(9_999)], false },
+)]
+fn stalled_member_stands_still(samples: &[Sample], is_stalled: bool) {
+    let mut tracker = LagTracker::default();
+    for sample in samples {
+        tracker.observe(Some(&sample.status()));
+    }
+    assert_eq!(tracker.stalled().count() == 1, is_stalled);
+}
--- a/lib/entry/src/voter_manager.rs
+++ b/lib/entry/src/voter_manager.rs
@@ -2,7 +2,7 @@
 
 use parking_lot::Mutex;
 use tarragon_codes::Outcome;
-use tarragon_membership::{GroupState, next_change};
+use tarragon_membership::{GroupState, choose_change};
 use tarragon_names::{DomainName, HostName, MemberId, Millis};
 use tarragon_replica::ReplicaHandle;
 use tarragon_telemetry::{Event, EventSink};
@@ -107,13 +107,14 @@
         let change = {
             let announced_ids = self.announced_ids.lock();
             let domains = self.domains.lock();
-            next_change(&GroupState {
+            let group = GroupState {
                 status: &status.member_status,
                 domains: &domains,
                 announced_ids: &announced_ids,
                 target_voters: self.target_voters,
                 replace_after: self.replace_after,
-            })
+            };
+            choose_change(&group, &status.stalled)
         };
         let Some(change) = change else { return };
         let detail = format!("{change:?}");
--- a/lib/membership/src/replacement.rs
+++ b/lib/membership/src/replacement.rs
@@ -68,7 +68,12 @@
         && member
             .silent_for
             .is_some_and(|silent| silent < MAX_MEMBER_SILENCE)
-        && member
-            .match_index
-            .is_some_and(|matched| LogIndex(matched.0 + MAX_LEARNER_LAG_ENTRIES) >= newest)
+        && is_up_to_date(member, newest)
+}
+
+/// Returns whether the member lacks few entries at most.
+pub(crate) fn is_up_to_date(member: &MemberStatus, newest: LogIndex) -> bool {
+    member
+        .match_index
+        .is_some_and(|matched| LogIndex(matched.0 + MAX_LEARNER_LAG_ENTRIES) >= newest)
 }
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -253,7 +253,9 @@
                 self.step(Event::AddLearner { token, id, host })
             }
             Input::Inspect(inspection) => {
-                inspection(&self.parts.replica, self.parts.clock.now());
+                let now = self.parts.clock.now();
+                let stalled = self.lag_monitor.stalled();
+                inspection(&self.parts.replica, stalled, now);
                 Ok(())
             }
             Input::Propose { .. } | Input::Stop => Ok(()),
--- a/lib/replica/src/handle.rs
+++ b/lib/replica/src/handle.rs
@@ -113,13 +113,14 @@
     /// Returns the state of the replica group as known to this replica.
     pub async fn status(&self, call_timeout: Duration) -> Outcome<ReplicaStatus> {
         let (tx, rx) = oneshot::channel();
-        self.send(Input::Inspect(Box::new(move |replica, now| {
+        self.send(Input::Inspect(Box::new(move |replica, stalled, now| {
             let _send_result = tx.send(Ok(ReplicaStatus {
                 id: replica.id(),
                 term: replica.term(),
                 leader: replica.leader_host(),
                 members: replica.members().clone(),
                 member_status: replica.member_status(now),
+                stalled,
             }));
         })))?;
         wait_for(rx, call_timeout).await
--- a/lib/replica/src/input.rs
+++ b/lib/replica/src/input.rs
@@ -7,8 +7,9 @@
     waiters::{CompletionWaiter, ProposalWaiter},
 };
 
-/// Callback that reads the replica on the replica's thread; it also gets the current time.
-type Inspection = Box<dyn FnOnce(&Replica, Millis) + Send>;
+/// Callback that reads the replica on the replica's thread; it also gets the stalled members and the
+/// current time.
+type Inspection = Box<dyn FnOnce(&Replica, Vec<MemberId>, Millis) + Send>;
 
 /// Input of the replica's thread, sent through a `ReplicaHandle`.
 pub(crate) enum Input<S>
--- a/lib/replica/src/lag_monitor.rs
+++ b/lib/replica/src/lag_monitor.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use tarragon_agreement::{LagTracker, Replica};
-use tarragon_names::Millis;
+use tarragon_names::{MemberId, Millis};
 use tarragon_telemetry::{Event, EventSink, Metrics};
 
 /// Time between two observations of the members. Short beside the time after which a member lags.
@@ -49,4 +49,9 @@
         let lagging = self.tracker.lagging().count();
         self.metrics.lagging_members.set(lagging as i64);
     }
+
+    /// Returns the members that were stalled at the last observation.
+    pub(crate) fn stalled(&self) -> Vec<MemberId> {
+        self.tracker.stalled().collect()
+    }
 }
--- a/lib/replica/src/status.rs
+++ b/lib/replica/src/status.rs
@@ -14,4 +14,7 @@
     pub members: Members,
     /// Replication state of each member; only the leader knows the others.
     pub member_status: Vec<MemberStatus>,
+    /// Members that answer but have acknowledged no entries for a time; empty if this replica is not the
+    /// leader.
+    pub stalled: Vec<MemberId>,
 }
