replica, entry: hosts that follow learn which runs were placed lately

The sink is now told of commands that are applied while the host does not lead, and passes the placements on (Input::RunsPlaced); the harness delivers them in the same form.

Evidence: unconfirmed_runs (entry), with real replicas, failed with the call left out of the replica (the run was lost together with the lease) and passes with it.

--- a/lib/dispatch/src/dispatcher_inputs.rs
+++ b/lib/dispatch/src/dispatcher_inputs.rs
@@ -1,15 +1,12 @@
 //! What each input is handled by, and which results of calls still count.
 
-use tarragon_workflow::{Command, WorkerIncarnation};
+use tarragon_workflow::WorkerIncarnation;
 
 use crate::{Dispatcher, FencingToken, FinishedOrder, Input, OrderOutcome, PollOutcome, Refusal};
 
 impl Dispatcher {
     pub(crate) fn handle_input(&mut self, input: Input) {
         self.report_refused_token(&input);
-        if let Input::Applied(Command::RunEvents(records), _) = &input {
-            self.recent_placements.record(records, self.now);
-        }
         match input {
             Input::BecameLeader { term } => self.start_leading(term),
             Input::LostLeadership => self.stop_leading(),
@@ -17,6 +14,7 @@
                 self.relays.host_seen(&host, is_large, self.now);
             }
             Input::HostStops(host) => self.relays.host_stopped(&host),
+            Input::RunsPlaced(runs) => self.recent_placements.record(&runs, self.now),
             _ if self.term.is_none() => {}
             // The result of a call that was sent in an earlier term says nothing about calls of the
             // current term.
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::{DomainName, HostName, Millis, Name, WorkerName};
-use tarragon_workflow::{Answer, Command, WorkerIncarnation};
+use tarragon_workflow::{Answer, Command, TaskKey, WorkerIncarnation};
 
 use crate::{FencingToken, FinishedOrder, PollOutcome};
 
@@ -25,6 +25,8 @@
     LostLeadership,
     /// A command was committed and applied with this answer.
     Applied(Command, Answer),
+    /// Another leader placed these runs, each a task and a number, as this host has just applied.
+    RunsPlaced(Vec<(TaskKey, u32)>),
     /// Commands of the dispatcher were refused by the log and have no effect.
     NotProposed(Vec<Command>),
     /// A worker sent a heartbeat.
--- a/lib/dispatch/src/recent_placements.rs
+++ b/lib/dispatch/src/recent_placements.rs
@@ -1,16 +1,16 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use tarragon_names::Millis;
-use tarragon_workflow::{RunEvent, TaskKey};
+use tarragon_workflow::TaskKey;
 
 /// Time after which a placed run has been listed by a poll, or its worker counts as silent and gets no
 /// calls with leases. Later the shorter bound on leases holds for it.
 const MAX_AGE: Millis = Millis(5_000);
 
-/// Runs that were placed lately, as this host has applied their records, also while another host led.
+/// Runs that other leaders placed lately, as this host has applied their records.
 ///
-/// They are not in the log with their times. A host that has restarted or installed a snapshot since does
-/// not know them.
+/// They are not in the log with their times. To a host that has restarted since, all runs that it reads
+/// again count as placed lately; one that has installed a snapshot does not know them.
 #[derive(Debug, Default)]
 pub(crate) struct RecentPlacements {
     by_task: BTreeMap<TaskKey, (u32, Millis)>,
@@ -19,14 +19,12 @@
 }
 
 impl RecentPlacements {
-    /// Takes the placements among `records`, which were applied at `now`.
-    pub(crate) fn record(&mut self, records: &[RunEvent], now: Millis) {
+    /// Records runs whose placements were applied at `now`.
+    pub(crate) fn record(&mut self, runs: &[(TaskKey, u32)], now: Millis) {
         self.expire(now);
-        for record in records {
-            if let RunEvent::Placed { task, run, .. } = record {
-                self.by_task.insert(*task, (*run, now));
-                self.order.push_back((now, *task));
-            }
+        for (task, run) in runs {
+            self.by_task.insert(*task, (*run, now));
+            self.order.push_back((now, *task));
         }
     }
 
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -220,11 +220,13 @@
             self.proposed.extend(records.iter().cloned());
         }
         let answer = self.workflow_state.apply(self.unix_ms(), &command);
-        let applied = Input::Applied(command, answer);
-        let (now, now_ms) = (Millis(self.now), self.unix_ms());
-        self.follower
-            .step(now, now_ms, false, vec![applied.clone()]);
-        self.input(applied);
+        if let Command::RunEvents(records) = &command {
+            let placed = records.iter().filter_map(RunEvent::placed_run).collect();
+            let placed = vec![Input::RunsPlaced(placed)];
+            let (now, now_ms) = (Millis(self.now), self.unix_ms());
+            self.follower.step(now, now_ms, false, placed);
+        }
+        self.input(Input::Applied(command, answer));
     }
 
     pub fn resume_log(&mut self) {
--- a/lib/entry/src/dispatch_sink.rs
+++ b/lib/entry/src/dispatch_sink.rs
@@ -1,7 +1,7 @@
 use tarragon_dispatch::Input;
 use tarragon_names::{LogIndex, Term};
 use tarragon_replica::{ApplySink, LeaderLease};
-use tarragon_workflow::{Answer, Command};
+use tarragon_workflow::{Answer, Command, RunEvent};
 
 use crate::{WorkflowLog, dispatch_handle::DispatchHandle};
 
@@ -14,6 +14,17 @@
         self.0.send(Input::Applied(command.clone(), answer.clone()));
     }
 
+    fn followed(&self, command: &Command) {
+        let Command::RunEvents(records) = command else {
+            return;
+        };
+        let placed = records.iter().filter_map(RunEvent::placed_run);
+        let placed = placed.collect::<Vec<_>>();
+        if !placed.is_empty() {
+            self.0.send(Input::RunsPlaced(placed));
+        }
+    }
+
     fn became_leader(&self, term: Term) {
         self.0.send(Input::BecameLeader { term: term.0 });
     }
--- a/lib/host/src/leader_sink.rs
+++ b/lib/host/src/leader_sink.rs
@@ -49,6 +49,8 @@
         self.scheduler.send_blocking(event);
     }
 
+    fn followed(&self, _: &Command) {}
+
     fn became_leader(&self, term: Term) {
         self.polls.became_leader(term);
         self.cell_clock.start_term_from(self.cell.now_ms());
--- a/lib/replica/src/apply_sink.rs
+++ b/lib/replica/src/apply_sink.rs
@@ -14,6 +14,9 @@
     /// A committed command was applied while this host leads.
     fn applied(&self, index: LogIndex, command: &S::Command, answer: &S::Answer);
 
+    /// A committed command was applied while this host does not lead.
+    fn followed(&self, command: &S::Command);
+
     /// This host became the leader, and the state contains every command committed before.
     fn became_leader(&self, term: Term);
 
--- a/lib/replica/src/driver.rs
+++ b/lib/replica/src/driver.rs
@@ -396,6 +396,8 @@
                 self.parts
                     .sink
                     .applied(entry.index, &record.command, &answer);
+            } else {
+                self.parts.sink.followed(&record.command);
             }
             result = Some(answer);
         }
--- a/lib/replica/tests/driver/group.rs
+++ b/lib/replica/tests/driver/group.rs
@@ -84,6 +84,8 @@
 impl ApplySink<Sum> for Sink {
     fn applied(&self, _: LogIndex, _: &u64, _: &u64) {}
 
+    fn followed(&self, _: &u64) {}
+
     fn became_leader(&self, _: Term) {
         let unsynced = self.disk.unsynced_entries();
         self.unsynced.lock().get_or_insert(unsynced);
--- a/lib/workflow/src/run_event.rs
+++ b/lib/workflow/src/run_event.rs
@@ -43,3 +43,13 @@
         checkpoint: Option<Name>,
     },
 }
+
+impl RunEvent {
+    /// Returns the task and the number of a run that was placed; `None` for another event.
+    pub fn placed_run(&self) -> Option<(TaskKey, u32)> {
+        match self {
+            Self::Placed { task, run, .. } => Some((*task, *run)),
+            Self::Ended { .. } | Self::Lost { .. } => None,
+        }
+    }
+}
