workflow, entry, platform: teams with keys, checked by the leader

Change: the configuration carries a table of teams. Commands and requests of configurations without teams keep their form.

--- a/cli/src/bench/dispatch_simulation.rs
+++ b/cli/src/bench/dispatch_simulation.rs
@@ -562,5 +562,6 @@
             is_powered_off: false,
         }],
         max_body_bytes: 1_000_000,
+        ..Configuration::default()
     }
 }
--- a/lib/codes/src/code.rs
+++ b/lib/codes/src/code.rs
@@ -54,6 +54,10 @@
     NoSuchTarget = 1007, 404, "List the known names and check the spelling.";
     /// request took too long to arrive
     SlowRequest = 1008, 408, "Send the whole request within the time limit.";
+    /// unknown key, or none
+    UnknownKey = 1009, 401, "Send a key of your team that is in force as 'Authorization: Bearer KEY'.";
+    /// job of another team
+    OtherTeam = 1010, 403, "Use a key of the team that submitted the job.";
     /// no catalogue entry for this name
     NoEntry = 2101, 404, "Ask an operator for a catalogue entry that covers the name.";
     /// revision conflict
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -266,7 +266,7 @@
             self.report_effects(effects);
         }
         match command {
-            Command::PutConfiguration(_) => {
+            Command::PutConfiguration(_) | Command::PutTeamConfiguration { .. } => {
                 self.read_priorities();
                 for plan in self.plans.values_mut() {
                     if let Some(queue) = self.workflow_state.queue(&plan.queue.name) {
@@ -275,7 +275,9 @@
                 }
                 self.needs_placement = true;
             }
-            Command::Submit { job, .. } | Command::Cancel { job } => self.refresh_job(*job),
+            Command::Submit { job, .. }
+            | Command::SubmitForTeam { job, .. }
+            | Command::Cancel { job } => self.refresh_job(*job),
             Command::RunEvents(records) => self.orders_applied(records),
             Command::PutWorker(record) => self.worker_put(record),
             Command::RemoveWorker(incarnation) => self.worker_removed(incarnation),
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -102,6 +102,7 @@
             is_powered_off: false,
         }],
         max_body_bytes: 1_000_000,
+        ..Configuration::default()
     }
 }
 
--- a/lib/entry/src/leader_calls.rs
+++ b/lib/entry/src/leader_calls.rs
@@ -90,5 +90,6 @@
 }
 
 fn is_large(request: &Request) -> bool {
-    matches!(request, Request::PutConfiguration(c) if is_large_configuration(&c.text))
+    let configuration = request.configuration();
+    configuration.is_some_and(|c| is_large_configuration(&c.text))
 }
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -3,11 +3,12 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_discovery::LeaderHint;
 use tarragon_dispatch::Input;
-use tarragon_names::{Name, WorkerName};
+use tarragon_names::{Name, TeamName, WorkerName};
 use tarragon_replica::{Clock, LeaderLease, ReplicaHandle};
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_workflow::{
-    Answer, Command, Configuration, JobKey, JobSpec, Queue, Wave, WaveKey, WorkflowState,
+    Answer, Command, Configuration, JobKey, JobPhase, JobSpec, KeyDigest, Queue, TeamTable, Wave,
+    WaveKey, WorkflowState,
 };
 
 use crate::{
@@ -26,6 +27,17 @@
 /// Time after which a refused caller may try again, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
 
+/// What a caller's request refers to.
+#[derive(Debug)]
+struct ResolvedCall {
+    queue: Queue,
+    job: Option<JobKey>,
+    /// Team of the caller; `None` if the call needs no key and carries none.
+    team: Option<TeamName>,
+    /// Teams of the configuration that the request was resolved with.
+    teams: Arc<TeamTable>,
+}
+
 /// Handles requests while this host leads.
 #[derive(Debug)]
 pub(crate) struct LeaderService {
@@ -54,12 +66,19 @@
             });
         }
         match request {
-            Request::Submit { host, path, spec } => self.submit(&host, &path, spec).await,
-            Request::ReadStatus { host, path } => {
-                self.if_still_leader(self.read_status(&host, &path))
-            }
-            Request::Cancel { host, path } => self.cancel(&host, &path).await,
+            Request::WithKey { key, request } => self.answer_caller(Some(key), *request).await,
             Request::PutConfiguration(configuration) => self.put_configuration(configuration).await,
+            Request::PutTeamConfiguration {
+                configuration,
+                teams,
+            } => {
+                let teams = Arc::new(teams);
+                self.put_configuration(Configuration {
+                    teams,
+                    ..configuration
+                })
+                .await
+            }
             Request::ReadConfiguration => {
                 let configuration = self.workflow_state.configuration();
                 self.if_still_leader(Ok(Reply::Configuration(configuration.text.clone())))
@@ -69,7 +88,19 @@
             Request::StartWave { key, wave } => self.start_wave(key, wave).await,
             Request::CheckWave(key) => self.if_still_leader(self.check_wave(key)),
             Request::Hello(hello) => self.register_host(hello).await,
-            Request::Advise(_) => Err(Failure::of(Code::NoSuchCall)),
+            request => self.answer_caller(None, request).await,
+        }
+    }
+
+    /// Answers a request of a caller, with the key that it carries.
+    async fn answer_caller(&self, key: Option<KeyDigest>, request: Request) -> Outcome<Reply> {
+        match request {
+            Request::Submit { host, path, spec } => self.submit(&host, &path, key, spec).await,
+            Request::ReadStatus { host, path } => {
+                self.if_still_leader(self.read_status(&host, &path, key))
+            }
+            Request::Cancel { host, path } => self.cancel(&host, &path, key).await,
+            _ => Err(Failure::of(Code::NoSuchCall)),
         }
     }
 
@@ -92,8 +123,10 @@
         }
     }
 
-    /// Returns the queue of a request, and the job if the path names one.
-    fn resolve(&self, host: &str, path: &str) -> Outcome<(Queue, Option<JobKey>)> {
+    /// Returns the queue of a caller's request, the job if the path names one, and the caller's team.
+    ///
+    /// The lease of the leader proves that the configuration is the newest one, for keys as for queues.
+    fn resolve(&self, host: &str, path: &str, key: Option<KeyDigest>) -> Outcome<ResolvedCall> {
         let configuration = self.workflow_state.configuration();
         if configuration.version == 0 {
             let failure = Failure::new(Code::CatalogueNotFresh, "no configuration yet");
@@ -102,26 +135,58 @@
         let Some((queue, rest)) = configuration.resolve(host, path) else {
             return Err(Failure::of(Code::NoEntry));
         };
+        let teams = Arc::clone(&configuration.teams);
+        let team = teams.authenticate(&queue.name, key.as_ref())?;
+        let team = team.map(|team| team.name.clone());
         let job = if rest.is_empty() {
             None
         } else {
             Some(rest.parse()?)
         };
-        Ok((queue.clone(), job))
+        Ok(ResolvedCall {
+            queue: queue.clone(),
+            job,
+            team,
+            teams,
+        })
     }
 
-    async fn submit(&self, host: &str, path: &str, spec: JobSpec) -> Outcome<Reply> {
-        let (queue, job) = match self.resolve(host, path) {
-            Ok(resolved) => resolved,
+    /// Returns the state of a job that the caller may see; `None` if there is no such job.
+    fn visible_phase(&self, call: &ResolvedCall, job: JobKey) -> Outcome<Option<JobPhase>> {
+        let known = self
+            .workflow_state
+            .with_job(job, |job| (job.phase, job.team.clone()));
+        let Some((phase, owner)) = known else {
+            return Ok(None);
+        };
+        call.teams.check_owner(owner.as_ref(), call.team.as_ref())?;
+        Ok(Some(phase))
+    }
+
+    async fn submit(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<KeyDigest>,
+        spec: JobSpec,
+    ) -> Outcome<Reply> {
+        let call = match self.resolve(host, path, key) {
+            Ok(call) => call,
             Err(failure) => return self.if_still_leader(Err(failure)),
         };
-        let Some(job) = job else {
+        let Some(job) = call.job else {
             return Err(Failure::new(Code::Malformed, "the path names no job"));
         };
-        if self.workflow_state.with_job(job, |_| ()).is_some() {
-            return self.if_still_leader(Ok(Reply::Done));
+        match self.visible_phase(&call, job) {
+            Ok(None) => {}
+            known => return self.if_still_leader(known.map(|_| Reply::Done)),
         }
         spec.check()?;
+        if let Some(team) = call.team.as_ref().and_then(|team| call.teams.get(team))
+            && let Err(failure) = team.check_job(&spec)
+        {
+            return self.if_still_leader(Err(failure));
+        }
         if self.workflow_state.job_count() >= MAX_JOBS {
             return self.if_still_leader(Err(
                 Failure::of(Code::TooManyRequests).retry_after(RETRY_AFTER_MS)
@@ -136,43 +201,56 @@
             Err(failure) => return self.if_still_leader(Err(failure)),
         };
         let spec_text = spec.to_string();
-        let command = Command::Submit {
-            job,
-            queue: queue.name.clone(),
-            spec,
+        let ResolvedCall { queue, team, .. } = call;
+        let event = Event::info("job_accepted").request(Name::from(job.to_string()));
+        let version = self.workflow_state.configuration().version;
+        let owner = team.as_ref().map(|team| format!(", team {team}"));
+        let detail = format!(
+            "queue {}, configuration {version}, {spec_text}{}",
+            queue.name,
+            owner.unwrap_or_default()
+        );
+        let queue = queue.name;
+        let command = match team {
+            Some(team) => Command::SubmitForTeam {
+                job,
+                queue,
+                team,
+                spec,
+            },
+            None => Command::Submit { job, queue, spec },
         };
         if self.propose(command).await? == Answer::NoSuchQueue {
             return Err(Failure::of(Code::NoEntry));
         }
-        let event = Event::info("job_accepted").request(Name::from(job.to_string()));
-        let version = self.workflow_state.configuration().version;
-        let detail = format!("queue {}, configuration {version}, {spec_text}", queue.name);
         self.events.emit(&event.detail(detail));
         Ok(Reply::Done)
     }
 
-    fn read_status(&self, host: &str, path: &str) -> Outcome<Reply> {
-        let (queue, job) = self.resolve(host, path)?;
-        let Some(job) = job else {
-            let unplaced = self.workflow_state.pending_job_count(&queue.name);
-            let unstarted = self.unstarted_jobs.count(&queue.name);
+    fn read_status(&self, host: &str, path: &str, key: Option<KeyDigest>) -> Outcome<Reply> {
+        let call = self.resolve(host, path, key)?;
+        let Some(job) = call.job else {
+            let unplaced = self.workflow_state.pending_job_count(&call.queue.name);
+            let unstarted = self.unstarted_jobs.count(&call.queue.name);
             return Ok(Reply::PendingCount(unplaced + unstarted));
         };
-        let phase = self.workflow_state.with_job(job, |job| job.phase);
+        let phase = self.visible_phase(&call, job)?;
         let phase = phase.ok_or_else(|| Failure::of(Code::NoSuchJob))?;
         Ok(Reply::Phase(phase))
     }
 
-    async fn cancel(&self, host: &str, path: &str) -> Outcome<Reply> {
-        let (_, job) = match self.resolve(host, path) {
-            Ok(resolved) => resolved,
+    async fn cancel(&self, host: &str, path: &str, key: Option<KeyDigest>) -> Outcome<Reply> {
+        let call = match self.resolve(host, path, key) {
+            Ok(call) => call,
             Err(failure) => return self.if_still_leader(Err(failure)),
         };
-        let Some(job) = job else {
+        let Some(job) = call.job else {
             return Err(Failure::new(Code::Malformed, "the path names no job"));
         };
-        if self.workflow_state.with_job(job, |_| ()).is_none() {
-            return self.if_still_leader(Err(Failure::of(Code::NoSuchJob)));
+        match self.visible_phase(&call, job) {
+            Ok(Some(_)) => {}
+            Ok(None) => return self.if_still_leader(Err(Failure::of(Code::NoSuchJob))),
+            Err(failure) => return self.if_still_leader(Err(failure)),
         }
         let answer = self.propose(Command::Cancel { job }).await?;
         let event = Event::info("job_cancelled").request(Name::from(job.to_string()));
@@ -189,9 +267,7 @@
         if version <= self.workflow_state.configuration().version {
             return self.if_still_leader(Ok(Reply::Done));
         }
-        let answer = self
-            .propose(Command::PutConfiguration(configuration))
-            .await?;
+        let answer = self.propose(put_command(configuration)).await?;
         let version_in_force = self.workflow_state.configuration().version;
         let event = Event::info("configuration_put");
         let detail = format!("version {version}: {answer}, version {version_in_force} in force");
@@ -317,3 +393,15 @@
             .await
     }
 }
+
+/// The command that puts a configuration.
+fn put_command(configuration: Configuration) -> Command {
+    if configuration.teams.is_empty() {
+        return Command::PutConfiguration(configuration);
+    }
+    let teams = TeamTable::clone(&configuration.teams);
+    Command::PutTeamConfiguration {
+        configuration,
+        teams,
+    }
+}
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -1,7 +1,9 @@
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::AdviceRequest;
 use tarragon_names::{DomainName, HostName, MemberId, Millis, Name};
-use tarragon_workflow::{Configuration, JobSpec, Wave, WaveKey, WorkerRecord};
+use tarragon_workflow::{
+    Configuration, JobSpec, KeyDigest, TeamTable, Wave, WaveKey, WorkerRecord,
+};
 
 /// Announcement of a host to the leader.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -77,15 +79,64 @@
     Hello(Hello),
     /// The leader requests advice through another host.
     Advise(AdviceRequest),
+    /// A caller's request that carries a key.
+    WithKey {
+        /// Digest of the key.
+        key: KeyDigest,
+        /// The request.
+        request: Box<Request>,
+    },
+    /// Like `PutConfiguration`, for a configuration with teams.
+    PutTeamConfiguration {
+        /// The configuration without its teams.
+        configuration: Configuration,
+        /// Its teams.
+        teams: TeamTable,
+    },
 }
 
 impl Request {
+    /// The request that puts a configuration.
+    pub fn put_configuration(configuration: Configuration) -> Self {
+        if configuration.teams.is_empty() {
+            return Self::PutConfiguration(configuration);
+        }
+        let teams = TeamTable::clone(&configuration.teams);
+        Self::PutTeamConfiguration {
+            configuration,
+            teams,
+        }
+    }
+
+    /// A caller's request with the key that it carries, if any.
+    #[must_use]
+    pub fn with_key(self, key: Option<KeyDigest>) -> Self {
+        match key {
+            Some(key) => Self::WithKey {
+                key,
+                request: Box::new(self),
+            },
+            None => self,
+        }
+    }
+
+    /// Configuration that the request puts.
+    pub(crate) fn configuration(&self) -> Option<&Configuration> {
+        match self {
+            Self::PutConfiguration(configuration)
+            | Self::PutTeamConfiguration { configuration, .. } => Some(configuration),
+            _ => None,
+        }
+    }
+
     /// Job that a caller's request is about, as its path names it.
     pub(crate) fn job(&self) -> Option<Name> {
-        let (Self::Submit { path, .. } | Self::ReadStatus { path, .. } | Self::Cancel { path, .. }) =
-            self
-        else {
-            return None;
+        let path = match self {
+            Self::WithKey { request, .. } => return request.job(),
+            Self::Submit { path, .. }
+            | Self::ReadStatus { path, .. }
+            | Self::Cancel { path, .. } => path,
+            _ => return None,
         };
         let job = path.rsplit('/').next().filter(|job| !job.is_empty())?;
         Some(Name::from(job))
@@ -97,6 +148,7 @@
             Self::Submit { .. }
             | Self::Cancel { .. }
             | Self::PutConfiguration(_)
+            | Self::PutTeamConfiguration { .. }
             | Self::Announce(_)
             | Self::Leave(_)
             | Self::StartWave { .. }
@@ -105,6 +157,7 @@
             | Self::ReadConfiguration
             | Self::CheckWave(_)
             | Self::Advise(_) => false,
+            Self::WithKey { request, .. } => request.changes_state(),
         }
     }
 
@@ -114,7 +167,8 @@
             Self::Submit { .. } => "submit",
             Self::ReadStatus { .. } => "look",
             Self::Cancel { .. } => "cancel",
-            Self::PutConfiguration(_) => "put_configuration",
+            Self::PutConfiguration(_) | Self::PutTeamConfiguration { .. } => "put_configuration",
+            Self::WithKey { request, .. } => request.kind(),
             Self::ReadConfiguration => "read_configuration",
             Self::Announce(_) => "announce",
             Self::Leave(_) => "leave",
--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -18,8 +18,10 @@
 
     fn growth(command: &Command) -> Growth {
         match command {
-            Command::Submit { .. } => Growth::Work,
-            Command::PutConfiguration(_) | Command::StartWave { .. } => Growth::Settings,
+            Command::Submit { .. } | Command::SubmitForTeam { .. } => Growth::Work,
+            Command::PutConfiguration(_)
+            | Command::PutTeamConfiguration { .. }
+            | Command::StartWave { .. } => Growth::Settings,
             _ => Growth::None,
         }
     }
@@ -33,7 +35,8 @@
         let histories = snapshot.histories();
         let removed_workers = snapshot.removed_workers.clone();
         let successions = snapshot.successions.clone();
-        record::encode(&(snapshot, histories, removed_workers, successions))
+        let teams = snapshot.teams.clone();
+        record::encode(&(snapshot, histories, removed_workers, successions, teams))
             .map_err(|e| Failure::new(Code::Internal, e.to_string()))
     }
 
@@ -54,8 +57,10 @@
     snapshot.restore_histories(histories);
     let (removed_workers, rest) = decode_next(rest)?;
     snapshot.removed_workers = removed_workers.unwrap_or_default();
-    let (successions, _) = decode_next(rest)?;
+    let (successions, rest) = decode_next(rest)?;
     snapshot.successions = successions.unwrap_or_default();
+    let (teams, _) = decode_next(rest)?;
+    snapshot.teams = teams.unwrap_or_default();
     Ok(snapshot)
 }
 
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -423,6 +423,7 @@
             queues: vec![queue],
             pools: vec![pool],
             max_body_bytes: 1_000_000,
+            ..Configuration::default()
         })
     }
 
--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -85,6 +85,7 @@
         queues: vec![queue],
         pools: Vec::new(),
         max_body_bytes: 1,
+        ..Configuration::default()
     };
     state.apply(1, &Command::PutConfiguration(configuration));
     let spec = JobSpec {
--- a/lib/workflow/src/command.rs
+++ b/lib/workflow/src/command.rs
@@ -1,9 +1,9 @@
 use serde::{Deserialize, Serialize};
-use tarragon_names::Name;
+use tarragon_names::{Name, TeamName};
 
 use crate::{
-    Configuration, JobKey, JobSpec, RunEvent, Succession, Wave, WaveKey, WorkerIncarnation,
-    WorkerRecord,
+    Configuration, JobKey, JobSpec, RunEvent, Succession, TeamTable, Wave, WaveKey,
+    WorkerIncarnation, WorkerRecord,
 };
 
 /// A change of the replicated state, as stored in the log.
@@ -67,4 +67,22 @@
     /// Records which incarnation of a worker has followed another one. Has no effect if the earlier one is
     /// not remembered.
     PutSuccession(Succession),
+    /// Like `PutConfiguration`, for a configuration with teams.
+    PutTeamConfiguration {
+        /// The configuration without its teams.
+        configuration: Configuration,
+        /// Its teams.
+        teams: TeamTable,
+    },
+    /// Like `Submit`, for a job of a team.
+    SubmitForTeam {
+        /// Key chosen by the caller.
+        job: JobKey,
+        /// Name of the queue.
+        queue: Name,
+        /// Team of the caller.
+        team: TeamName,
+        /// Description from the caller.
+        spec: JobSpec,
+    },
 }
--- a/lib/workflow/src/configuration.rs
+++ b/lib/workflow/src/configuration.rs
@@ -1,7 +1,9 @@
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use tarragon_names::Name;
 
-use crate::{Queue, WorkerPool};
+use crate::{Queue, TeamTable, WorkerPool};
 
 /// One version of the operator's whole configuration.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -16,6 +18,10 @@
     pub pools: Vec<WorkerPool>,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: u64,
+    /// Teams of callers. They are sent and stored beside the configuration, so that a configuration
+    /// without teams has the form that earlier releases read.
+    #[serde(skip)]
+    pub teams: Arc<TeamTable>,
 }
 
 impl Configuration {
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
-use tarragon_names::Name;
+use tarragon_names::{Name, TeamName};
 
 use crate::{
     JobKey, JobPhase, JobSpec, Occurrence, Placement, RunEffect, RunEnd, RunEvent, StepKey,
@@ -24,6 +24,9 @@
     pub key: JobKey,
     /// Name of the queue that the job was submitted to.
     pub queue: Name,
+    /// Team that the job was accepted for; `None` if calls needed no key. Snapshots store it apart.
+    #[serde(skip)]
+    pub team: Option<TeamName>,
     /// Description from the caller; emptied to save memory once the job has ended and no run is
     /// left.
     pub spec: Arc<JobSpec>,
@@ -38,10 +41,17 @@
 }
 
 impl Job {
-    pub(crate) fn new(key: JobKey, queue: Name, spec: JobSpec, accepted_ms: u64) -> Self {
+    pub(crate) fn new(
+        key: JobKey,
+        queue: Name,
+        team: Option<TeamName>,
+        spec: JobSpec,
+        accepted_ms: u64,
+    ) -> Self {
         Self {
             key,
             queue,
+            team,
             spec: Arc::new(spec),
             phase: JobPhase::Pending,
             accepted_ms,
--- a/lib/workflow/src/workflow_snapshot.rs
+++ b/lib/workflow/src/workflow_snapshot.rs
@@ -4,14 +4,15 @@
 use tarragon_names::{Name, WorkerName};
 
 use crate::{
-    Configuration, Job, JobKey, Queue, RemovedWorker, Succession, TaskHistory, Wave, WaveKey,
-    WorkerRecord,
+    Configuration, Job, JobKey, Queue, RemovedWorker, Succession, TaskHistory, TeamRecords, Wave,
+    WaveKey, WorkerRecord,
 };
 
 /// Serializable copy of a whole [`WorkflowState`](crate::WorkflowState).
 ///
 /// Its serialized form is followed by those of its [`histories`](Self::histories), of
-/// [`removed_workers`](Self::removed_workers) and of [`successions`](Self::successions).
+/// [`removed_workers`](Self::removed_workers), [`successions`](Self::successions) and
+/// [`teams`](Self::teams).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkflowSnapshot {
     /// Configuration in force at the time of the snapshot.
@@ -32,6 +33,9 @@
     /// Successions of incarnations of which a record or a removed one is kept.
     #[serde(skip)]
     pub successions: Vec<Succession>,
+    /// Teams, and the teams of the jobs.
+    #[serde(skip)]
+    pub teams: TeamRecords,
 }
 
 impl WorkflowSnapshot {
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -7,13 +7,13 @@
 };
 
 use parking_lot::{Mutex, RwLock};
-use tarragon_names::{Name, WorkerName};
+use tarragon_names::{Name, TeamName, WorkerName};
 use tarragon_shard::Sharded;
 
 use crate::{
     Answer, Command, Configuration, Job, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEffect,
-    RunEvent, Wave, WaveKey, WorkerIncarnation, WorkerRecord, WorkflowSnapshot,
-    job_table::JobTable, worker_records::WorkerRecords,
+    RunEvent, Team, TeamRecords, TeamTable, Wave, WaveKey, WorkerIncarnation, WorkerRecord,
+    WorkflowSnapshot, job_table::JobTable, worker_records::WorkerRecords,
 };
 
 /// Number of shards of the job table.
@@ -23,12 +23,16 @@
 /// reads every job, so small ones stay until there are enough of them.
 const MAX_REMOVED_QUEUE_BYTES: usize = 256 << 10;
 
+/// Number of removed teams above which those without jobs are dropped. Dropping them reads every job,
+/// so a few may stay.
+const MAX_REMOVED_TEAMS: usize = 1_000;
+
 /// Maximum attempts for a job whose queue is unknown. Such a job exists only if the log is damaged.
 const FALLBACK_MAX_ATTEMPTS: u32 = 1;
 
 /// Replicated state of the jobs, the configuration, the workers and the waves of upkeep.
 ///
-/// Lock order: configuration, queues, jobs, workers, waves, incarnations going down. Each lock is held only for one
+/// Lock order: configuration, queues, teams, jobs, workers, waves, incarnations going down. Each lock is held only for one
 /// operation.
 #[derive(Debug)]
 pub struct WorkflowState {
@@ -37,6 +41,8 @@
     retention_ms: u64,
     configuration: RwLock<Arc<Configuration>>,
     queues: RwLock<BTreeMap<Name, Arc<Queue>>>,
+    /// Teams of the configuration in force, and removed ones that jobs may still belong to.
+    teams: RwLock<BTreeMap<TeamName, Arc<Team>>>,
     jobs: Sharded<JobTable>,
     workers: Mutex<WorkerRecords>,
     waves: Mutex<BTreeMap<WaveKey, Wave>>,
@@ -52,6 +58,7 @@
             retention_ms,
             configuration: RwLock::default(),
             queues: RwLock::default(),
+            teams: RwLock::default(),
             jobs: Sharded::new(JOB_SHARDS, |_| JobTable::default()),
             workers: Mutex::default(),
             waves: Mutex::default(),
@@ -68,7 +75,20 @@
         let now_ms = at_ms.max(self.now_ms.fetch_max(at_ms, Ordering::Relaxed));
         match command {
             Command::PutConfiguration(configuration) => self.put_configuration(configuration),
-            Command::Submit { job, queue, spec } => self.submit(*job, queue, spec, now_ms),
+            Command::PutTeamConfiguration {
+                configuration,
+                teams,
+            } => self.put_configuration(&Configuration {
+                teams: Arc::new(teams.clone()),
+                ..configuration.clone()
+            }),
+            Command::Submit { job, queue, spec } => self.submit(*job, queue, None, spec, now_ms),
+            Command::SubmitForTeam {
+                job,
+                queue,
+                team,
+                spec,
+            } => self.submit(*job, queue, Some(team), spec, now_ms),
             Command::Cancel { job } => self.cancel(*job, now_ms),
             Command::RunEvents(events) => {
                 let effects = events
@@ -116,6 +136,18 @@
         self.queues.read().get(name).cloned()
     }
 
+    /// Returns a team by its name, even if it was removed from the configuration and jobs still belong
+    /// to it. Its last cap and weight bind those jobs.
+    pub fn team(&self, name: &TeamName) -> Option<Arc<Team>> {
+        self.teams.read().get(name).cloned()
+    }
+
+    /// Returns the known teams: those of the configuration in force, and removed ones that jobs may
+    /// still belong to.
+    pub fn teams(&self) -> Vec<Arc<Team>> {
+        self.teams.read().values().cloned().collect()
+    }
+
     /// Calls `f` on a job, under the lock of its shard; None if the job is unknown.
     pub fn with_job<F, R>(&self, key: JobKey, f: F) -> Option<R>
     where
@@ -212,6 +244,7 @@
     pub fn snapshot(&self) -> WorkflowSnapshot {
         let mut jobs = Vec::new();
         self.for_each_job(|job| jobs.push(job.clone()));
+        let teams = self.team_records(&jobs);
         let queues = self.queues.read();
         let (workers, removed_workers, successions) = {
             let workers = self.workers.lock();
@@ -231,12 +264,42 @@
             now_ms: self.now_ms.load(Ordering::Relaxed),
             removed_workers,
             successions,
+            teams,
+        }
+    }
+
+    fn team_records(&self, jobs: &[Job]) -> TeamRecords {
+        let teams = self.teams();
+        let positions = teams.iter().map(|team| &team.name).zip(0..);
+        let positions = positions.collect::<BTreeMap<_, _>>();
+        let jobs = jobs.iter().filter_map(|job| {
+            let position = positions.get(job.team.as_ref()?)?;
+            Some((job.key, *position))
+        });
+        TeamRecords {
+            configured: TeamTable::clone(&self.configuration.read().teams),
+            jobs: jobs.collect(),
+            teams: teams.iter().map(|team| Team::clone(team)).collect(),
         }
     }
 
+    fn restore_teams(&self, records: TeamRecords) {
+        let teams = records.teams.into_iter().map(Arc::new).collect::<Vec<_>>();
+        for (key, position) in records.jobs {
+            let team = teams.get(position as usize).map(|team| team.name.clone());
+            self.jobs
+                .with(&key, |jobs| jobs.update(key, |job| job.team = team));
+        }
+        let teams = teams.into_iter().map(|team| (team.name.clone(), team));
+        *self.teams.write() = teams.collect();
+    }
+
     /// Replaces the whole state. Must be called on the thread that applies commands.
     pub fn restore(&self, snapshot: WorkflowSnapshot) {
-        *self.configuration.write() = Arc::new(snapshot.configuration);
+        *self.configuration.write() = Arc::new(Configuration {
+            teams: Arc::new(snapshot.teams.configured.clone()),
+            ..snapshot.configuration
+        });
         *self.queues.write() = snapshot
             .queues
             .into_iter()
@@ -247,6 +310,7 @@
             let key = job.key;
             self.jobs.with(&key, |jobs| jobs.insert(job));
         }
+        self.restore_teams(snapshot.teams);
         *self.workers.lock() = WorkerRecords::new(
             snapshot.workers,
             snapshot.removed_workers,
@@ -270,12 +334,32 @@
             queues.insert(queue.name.clone(), Arc::new(queue.clone()));
         }
         *current = Arc::new(configuration.clone());
+        let mut teams = self.teams.write();
+        for team in configuration.teams.iter() {
+            teams.insert(team.name.clone(), Arc::new(team.clone()));
+        }
+        drop(teams);
         drop(queues);
         drop(current);
         self.drop_unused_queues(configuration);
+        self.drop_unused_teams(configuration);
         Answer::Done
     }
 
+    /// Drops the teams that neither the configuration in force names nor any job belongs to, if there
+    /// are many removed ones.
+    fn drop_unused_teams(&self, configuration: &Configuration) {
+        let configured = &configuration.teams;
+        let is_removed = |name: &&TeamName| configured.get(name).is_none();
+        if self.teams.read().keys().filter(is_removed).count() <= MAX_REMOVED_TEAMS {
+            return;
+        }
+        let mut used = BTreeSet::new();
+        self.for_each_job(|job| used.extend(job.team.clone()));
+        let mut teams = self.teams.write();
+        teams.retain(|name, _| configured.get(name).is_some() || used.contains(name));
+    }
+
     /// Drops the queues that neither the configuration in force names nor any job belongs to, if the
     /// removed ones are large together.
     fn drop_unused_queues(&self, configuration: &Configuration) {
@@ -299,9 +383,16 @@
         queues.retain(|name, _| configured.contains(name) || used.contains(name));
     }
 
-    fn submit(&self, key: JobKey, queue: &Name, spec: &JobSpec, now_ms: u64) -> Answer {
+    fn submit(
+        &self,
+        key: JobKey,
+        queue: &Name,
+        team: Option<&TeamName>,
+        spec: &JobSpec,
+        now_ms: u64,
+    ) -> Answer {
         let is_queue_known = self.queues.read().contains_key(queue);
-        let new = Job::new(key, queue.clone(), spec.clone(), now_ms);
+        let new = Job::new(key, queue.clone(), team.cloned(), spec.clone(), now_ms);
         let oldest_retained_ms = now_ms.saturating_sub(self.retention_ms);
         self.jobs.with(&key, |jobs| {
             // The caller resent a job that is already known.
--- a/lib/workflow/tests/run_ends.rs
+++ b/lib/workflow/tests/run_ends.rs
@@ -26,6 +26,7 @@
         }],
         pools: Vec::new(),
         max_body_bytes: 1,
+        ..Configuration::default()
     }
 }
 
--- a/lib/workflow/tests/workflow_state.rs
+++ b/lib/workflow/tests/workflow_state.rs
@@ -33,6 +33,7 @@
             is_powered_off: false,
         }],
         max_body_bytes: 1,
+        ..Configuration::default()
     }
 }
 
