dispatch, queue: caps and shares of teams

Cause: starts of a team went beyond its cap, and a burst of one team took the workers from the others.

Change: the quotas of the product's queue also serve the dispatcher. What a worker may still run counts against the cap of its team, runs that the leader does not expect included; a gang takes the cap whole or waits without holding it. Within a queue priority, teams that use less of their share are placed first; a team far beyond its share gives way to all others.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
     step_plan::StepPlan,
+    team_quotas::TeamQuotas,
     worker_speed::WorkerSpeed,
     worker_table::WorkerTable,
 };
@@ -80,6 +81,7 @@
     pub(crate) mean_speed: WorkerSpeed,
     /// Priority of the least urgent queue.
     pub(crate) lowest_priority: u32,
+    pub(crate) team_quotas: TeamQuotas,
     /// Steps planned since the last placement of all steps; they are placed at once, without
     /// waiting for the next one.
     pub(crate) new_steps: Vec<StepKey>,
@@ -148,6 +150,7 @@
             retry_outcomes: RetryOutcomes::default(),
             mean_speed: WorkerSpeed::default(),
             lowest_priority: 0,
+            team_quotas: TeamQuotas::default(),
             new_steps: Vec::new(),
             gang_claims: (u32::MAX, Claims::new()),
             needs_placement: false,
@@ -268,6 +271,7 @@
         match command {
             Command::PutConfiguration(_) | Command::PutTeamConfiguration { .. } => {
                 self.read_priorities();
+                self.update_quotas();
                 for plan in self.plans.values_mut() {
                     if let Some(queue) = self.workflow_state.queue(&plan.queue.name) {
                         plan.queue = queue;
--- a/lib/dispatch/src/dispatcher_advice.rs
+++ b/lib/dispatch/src/dispatcher_advice.rs
@@ -170,7 +170,7 @@
         } else {
             affordable
         };
-        let wanted = plan.waiting.len() as u64 * 1_000 * NAMED_WORKERS_PERCENT
+        let wanted = u64::from(self.startable_tasks(plan)) * 1_000 * NAMED_WORKERS_PERCENT
             / 100
             / self.approval_rate(&plan.queue.name);
         let mut workers = self.nameable_workers(plan, claims, wanted, least);
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -97,9 +97,9 @@
                 None => (0..spec.steps[key.step as usize].count).collect(),
             };
             let due_ms = job.accepted_ms.max(spec.due_ms(key.occurrence));
-            (waiting, spec, job.queue.clone(), due_ms)
+            (waiting, spec, job.queue.clone(), job.team.clone(), due_ms)
         });
-        let Some((mut waiting, spec, queue, due_ms)) = waiting else {
+        let Some((mut waiting, spec, queue, team, due_ms)) = waiting else {
             return;
         };
         waiting.retain(|index| {
@@ -128,6 +128,7 @@
             key,
             queue,
             spec,
+            team,
             due_ms,
             objective_ms: due_ms + allowed_ms,
             waiting,
@@ -222,7 +223,11 @@
         let Some((step, queue)) = found.flatten() else {
             return RunSpec::default();
         };
-        RunSpec::new(&step, self.workflow_state.queue(&queue).as_deref())
+        RunSpec::new(
+            &step,
+            self.workflow_state.queue(&queue).as_deref(),
+            self.team_of(task.step.job),
+        )
     }
 
     pub(crate) fn orders_applied(&mut self, records: &[RunEvent]) {
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -6,6 +6,7 @@
     headroom::Headroom,
     run_rate::RunRate,
     run_view::{RunView, START_ORDER_LIFETIME, StartState},
+    team_quotas::TeamQuotas,
 };
 
 impl Dispatcher {
@@ -19,6 +20,7 @@
         for record in self.workflow_state.workers() {
             self.add_worker(record);
         }
+        self.update_quotas();
         let mut jobs = Vec::new();
         let mut placements = Vec::new();
         self.workflow_state.for_each_job(|job| {
@@ -78,6 +80,7 @@
 
     fn forget_all(&mut self) {
         self.workers.clear();
+        self.team_quotas = TeamQuotas::default();
         self.last_removed_token = 0;
         self.open_polls.clear();
         self.placed.clear();
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -1,6 +1,9 @@
 //! Placement of waiting steps on workers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+};
 
 use tarragon_names::{Name, WorkerName};
 use tarragon_workflow::{RunEvent, StepKey, TaskKey};
@@ -37,21 +40,27 @@
 impl Dispatcher {
     /// Places all waiting steps that fit, the most urgent first.
     pub(crate) fn place(&mut self) {
-        let (now, now_ms) = (self.now, self.now_ms);
-        let mut order = self
+        let now = self.now;
+        let order = self
             .plans
             .values()
             .filter(|plan| !plan.waiting.is_empty() && plan.not_before <= now)
-            .map(|plan| plan.rank(now_ms))
+            .map(|plan| self.rank(plan))
             .collect::<Vec<_>>();
-        order.sort_unstable();
-        self.update_headroom(order.iter().map(|(priority, .., key)| (*priority, *key)));
+        self.update_headroom(order.iter().map(|rank| (rank.priority, rank.key)));
+        let mut order = order.into_iter().map(Reverse).collect::<BinaryHeap<_>>();
         let mut claims = Claims::new();
         let mut claims_priority = u32::MAX;
-        for (priority, .., key) in order {
-            self.place_step(key, &mut claims);
+        while let Some(Reverse(rank)) = order.pop() {
+            let current = self.plans.get(&rank.key).map(|plan| self.rank(plan));
+            // The team has used more of its share since the steps were ordered.
+            if let Some(current) = current.filter(|current| *current > rank) {
+                order.push(Reverse(current));
+                continue;
+            }
+            self.place_step(rank.key, &mut claims);
             if !claims.is_empty() {
-                claims_priority = claims_priority.min(priority);
+                claims_priority = claims_priority.min(rank.priority);
             }
         }
         self.gang_claims = (claims_priority, claims);
@@ -60,6 +69,10 @@
     /// Places newly planned steps, without a placement of all steps.
     pub(crate) fn place_new_steps(&mut self) {
         for key in std::mem::take(&mut self.new_steps) {
+            if self.must_wait_for_share(&key) {
+                self.needs_placement = true;
+                continue;
+            }
             let Some(plan) = self.plans.get(&key) else {
                 continue;
             };
@@ -116,7 +129,7 @@
         let Some(plan) = self.plans.get(&key) else {
             return;
         };
-        if plan.waiting.is_empty() {
+        if plan.waiting.is_empty() || self.must_wait_for_cap(&key) {
             return;
         }
         self.workers.update_index(self.now);
@@ -149,7 +162,7 @@
         let plan = self.plans.get(key)?;
         let step = plan.step();
         let need = step.reserved();
-        let count = plan.waiting.len() as u32;
+        let count = self.startable_tasks(plan);
         let candidates = self.candidates(key, candidate_set, claims);
         let fit = |candidates: Vec<Candidate>| {
             if step.gang {
@@ -293,7 +306,7 @@
         };
         let step = plan.step().clone();
         let need = step.reserved();
-        let spec = RunSpec::new(&step, Some(&*plan.queue));
+        let spec = RunSpec::new(&step, Some(&*plan.queue), plan.team.clone());
         let waited = self.now_ms.saturating_sub(plan.due_ms);
         let mut tasks = std::mem::take(&mut plan.waiting).into_iter();
         let mut placements = Vec::new();
@@ -311,7 +324,7 @@
             let Some(state) = self.workers.get_mut(&worker) else {
                 continue;
             };
-            let mut view = RunView::new(run, spec, self.now);
+            let mut view = RunView::new(run, spec.clone(), self.now);
             view.ticket = ticket;
             view.resume_from = checkpoint;
             state.insert_run(task, view);
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use tarragon_names::{Millis, Resources, WorkerName};
+use tarragon_names::{Millis, WorkerName};
 use tarragon_workflow::{JobKey, RunEvent, StepSpec, WorkerIncarnation};
 
 use crate::{
@@ -14,6 +14,7 @@
     listed_end::ListedEnd,
     loss_cause::LossCause,
     run_view::{StartState, StopState},
+    unexpected_runs::UnexpectedRuns,
     worker_speed::WorkerSpeed,
     worker_state::WorkerState,
 };
@@ -194,20 +195,21 @@
     /// Resources of the listed runs whose capacity the leader counts as free: runs that it does not
     /// expect on the worker, and runs that it has declared ended. They occupy the worker until their
     /// ends are listed. A run of an unknown job may occupy all of it.
-    fn unexpected_resources(&self, state: &WorkerState, running: &[RunStatus]) -> Resources {
+    fn unexpected_runs(&self, state: &WorkerState, running: &[RunStatus]) -> UnexpectedRuns {
         let is_expected = |status: &&RunStatus| {
             let view = state.runs.get(&status.task);
             view.is_some_and(|view| view.run == status.run && !view.is_ended)
         };
-        let unexpected = running.iter().filter(|status| !is_expected(status));
-        let needs = unexpected.map(|status| {
-            let need = self.workflow_state.with_job(status.task.step.job, |job| {
+        let mut unexpected = UnexpectedRuns::default();
+        for status in running.iter().filter(|status| !is_expected(status)) {
+            let known = self.workflow_state.with_job(status.task.step.job, |job| {
                 let step = job.spec.steps.get(status.task.step.step as usize);
-                step.map(StepSpec::reserved)
+                (step.map(StepSpec::reserved), job.team.clone())
             });
-            need.flatten().unwrap_or(state.record.capacity)
-        });
-        needs.sum()
+            let (need, team) = known.unwrap_or_default();
+            unexpected.add(need.unwrap_or(state.record.capacity), team);
+        }
+        unexpected
     }
 
     /// Compares the runs that a worker lists with those that the leader expects there: confirms
@@ -222,11 +224,11 @@
         let Some(state) = self.workers.get(&incarnation.worker) else {
             return;
         };
-        let unexpected = self.unexpected_resources(state, &answer.running);
+        let unexpected = self.unexpected_runs(state, &answer.running);
         let Some(state) = self.workers.get_mut(&incarnation.worker) else {
             return;
         };
-        state.unexpected = unexpected;
+        state.set_unexpected(unexpected);
         let mut listed = BTreeSet::new();
         let mut unknown_runs = Vec::new();
         for status in &answer.running {
@@ -339,6 +341,7 @@
         self.workers.mark_all_changed();
         self.next_expiry_at = self.now + self.cfg.expiry_interval;
         self.needs_placement = true;
+        self.update_quotas();
         self.expire_leases();
         let speeds = self.workers.iter().map(|(_, state)| state.speed.0);
         self.mean_speed = WorkerSpeed(speeds.sum::<u64>() / (self.workers.len() as u64).max(1));
--- a/lib/dispatch/src/dispatcher_preempt.rs
+++ b/lib/dispatch/src/dispatcher_preempt.rs
@@ -55,12 +55,13 @@
             now_ms + (self.cfg.stop_time + END_REPORT_SLACK + plan.step().estimate).0;
         let may_preempt =
             plan.queue.priority < lowest_priority && capacity_at_ms <= plan.objective_ms;
-        if !may_preempt || now < plan.next_preemption_at || self.are_stops_stuck() {
+        let gives_way = self.rank(plan).gives_way;
+        if !may_preempt || gives_way || now < plan.next_preemption_at || self.are_stops_stuck() {
             return false;
         }
         let step = plan.step();
         let (need, priority) = (step.reserved(), plan.queue.priority);
-        let count = plan.waiting.len() as u32;
+        let count = self.startable_tasks(plan);
         let candidates = self.candidates(&key, candidate_set, claims);
         let mut preemption_candidates = candidates
             .into_iter()
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -1,5 +1,7 @@
 //! Workers that are announced, return, restart or are removed.
 
+use std::sync::Arc;
+
 use tarragon_names::WorkerName;
 use tarragon_workflow::{TaskKey, WorkerIncarnation, WorkerRecord};
 
@@ -65,7 +67,13 @@
         self.health.add_worker(&record.incarnation.worker);
         let fence = self.first_fence();
         let earlier_lease = self.earlier_lease(&record.incarnation);
-        let mut state = WorkerState::new(record, fence, self.now, earlier_lease);
+        let mut state = WorkerState::new(
+            record,
+            fence,
+            self.now,
+            earlier_lease,
+            Arc::clone(self.team_quotas.usage()),
+        );
         let is_going_down = self.workflow_state.is_going_down(state.incarnation());
         state.going_down_since = is_going_down.then_some(self.now);
         self.workers
--- a/lib/dispatch/src/run_spec.rs
+++ b/lib/dispatch/src/run_spec.rs
@@ -1,4 +1,4 @@
-use tarragon_names::{Millis, Resources};
+use tarragon_names::{Millis, Resources, TeamName};
 use tarragon_workflow::{Queue, StepSpec};
 
 /// Queue priority of a run whose queue is not known; every other priority is more urgent.
@@ -9,8 +9,10 @@
     clippy::struct_excessive_bools,
     reason = "each is an independent property of the step"
 )]
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RunSpec {
+    /// Team of the job; `None` if calls needed no key.
+    pub(crate) team: Option<TeamName>,
     /// Resources that a run occupies on its worker.
     pub(crate) need: Resources,
     /// Expected duration of a run; zero for a run that lasts until its job is cancelled.
@@ -30,8 +32,9 @@
 }
 
 impl RunSpec {
-    pub(crate) fn new(step: &StepSpec, queue: Option<&Queue>) -> Self {
+    pub(crate) fn new(step: &StepSpec, queue: Option<&Queue>, team: Option<TeamName>) -> Self {
         Self {
+            team,
             need: step.reserved(),
             estimate: if step.long_running {
                 Millis(0)
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -3,7 +3,7 @@
     sync::Arc,
 };
 
-use tarragon_names::{Millis, Resources, WorkerName};
+use tarragon_names::{Millis, Resources, TeamName, WorkerName};
 use tarragon_workflow::{JobSpec, Queue, StepKey, StepSpec};
 
 use crate::{advice::Advice, wait::Wait};
@@ -17,6 +17,8 @@
     pub(crate) key: StepKey,
     pub(crate) queue: Arc<Queue>,
     pub(crate) spec: Arc<JobSpec>,
+    /// Team of the job; `None` if calls needed no key.
+    pub(crate) team: Option<TeamName>,
     /// Unix time at which the job was accepted or, if later, its occurrence was due.
     pub(crate) due_ms: u64,
     /// Unix time by which the job must end to count in full.
@@ -67,11 +69,9 @@
         )
     }
 
-    /// Sort key for placement: urgent queues come first; within a queue priority, jobs that can no
-    /// longer meet their objective come last.
-    pub(crate) fn rank(&self, now_ms: u64) -> (u32, bool, u64, StepKey) {
+    /// Returns whether the job can no longer meet its objective.
+    pub(crate) fn is_late(&self, now_ms: u64) -> bool {
         let left = self.objective_ms.saturating_sub(now_ms);
-        let is_late = left < self.step().estimate.0;
-        (self.queue.priority, is_late, self.due_ms, self.key)
+        left < self.step().estimate.0
     }
 }
--- a/lib/dispatch/src/wait.rs
+++ b/lib/dispatch/src/wait.rs
@@ -8,6 +8,10 @@
     Placement,
     #[display("capacity that is left to more urgent steps")]
     Headroom,
+    #[display("capacity below the cap of its team")]
+    TeamCap,
+    #[display("capacity beyond the share of its team")]
+    TeamShare,
     #[display("a relay")]
     Relay,
     #[display("advice")]
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -1,6 +1,7 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use tarragon_names::{Millis, PoolName, Resources};
+use tarragon_queue::Quotas;
 use tarragon_workflow::{RunEnd, StepKey, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
@@ -8,7 +9,9 @@
     dispatcher_throttle::FULL_RATE,
     earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT, longest_on_slow_clock},
     listed_end::ListedEnd,
+    run_spec::RunSpec,
     run_view::RunView,
+    unexpected_runs::UnexpectedRuns,
     unusable::Unusable,
     worker_speed::WorkerSpeed,
 };
@@ -50,8 +53,10 @@
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Resources of the runs that have not ended.
     used: Resources,
-    /// Resources of the runs that the worker lists although the leader expects none there.
-    pub(crate) unexpected: Resources,
+    unexpected: UnexpectedRuns,
+    /// Usage of the teams on all workers. `insert_run`, `remove_run`, `set_ended`, `set_unexpected` and
+    /// `release_usage` keep it consistent with the runs on this one.
+    team_usage: Arc<Quotas>,
     /// Resources reserved for steps that wait for tickets or for preempted runs to end.
     pub(crate) reserved: BTreeMap<StepKey, Resources>,
     /// Resources that steps with an open request for advice may use here. Other requests name other
@@ -99,6 +104,7 @@
         fence: FencingToken,
         now: Millis,
         earlier_lease: EarlierLease,
+        team_usage: Arc<Quotas>,
     ) -> Self {
         let last_proposed_end = record.acknowledged;
         Self {
@@ -118,7 +124,8 @@
             last_proposed_end,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
-            unexpected: Resources::ZERO,
+            unexpected: UnexpectedRuns::default(),
+            team_usage,
             reserved: BTreeMap::new(),
             asked: BTreeMap::new(),
             preemptible: BTreeMap::new(),
@@ -221,7 +228,7 @@
     pub(crate) fn insert_run(&mut self, task: TaskKey, view: RunView) {
         self.remove_run(&task);
         if !view.is_ended {
-            self.used += view.spec.need;
+            self.occupy(&view.spec);
         }
         self.runs.insert(task, view);
     }
@@ -266,12 +273,46 @@
         let Some(view) = self.runs.get_mut(task) else {
             return;
         };
-        if view.is_ended != is_ended {
-            view.is_ended = is_ended;
-            if is_ended {
-                self.used = self.used.saturating_sub(&view.spec.need);
-            } else {
-                self.used += view.spec.need;
+        if view.is_ended == is_ended {
+            return;
+        }
+        view.is_ended = is_ended;
+        let spec = view.spec.clone();
+        if !is_ended {
+            self.occupy(&spec);
+            return;
+        }
+        self.used = self.used.saturating_sub(&spec.need);
+        if let Some(team) = &spec.team {
+            self.team_usage.subtract_usage(team, &spec.need);
+        }
+    }
+
+    fn occupy(&mut self, spec: &RunSpec) {
+        self.used += spec.need;
+        if let Some(team) = &spec.team {
+            self.team_usage.add_usage(team, &spec.need);
+        }
+    }
+
+    /// Replaces the runs that the worker lists although the leader expects none there.
+    pub(crate) fn set_unexpected(&mut self, unexpected: UnexpectedRuns) {
+        for (team, resources) in &unexpected.by_team {
+            self.team_usage.add_usage(team, resources);
+        }
+        for (team, resources) in &self.unexpected.by_team {
+            self.team_usage.subtract_usage(team, resources);
+        }
+        self.unexpected = unexpected;
+    }
+
+    /// Takes the runs of the worker from the usage of their teams, when the worker is removed.
+    pub(crate) fn release_usage(&mut self) {
+        self.set_unexpected(UnexpectedRuns::default());
+        let runs = self.runs.values().filter(|view| !view.is_ended);
+        for spec in runs.map(|view| &view.spec) {
+            if let Some(team) = &spec.team {
+                self.team_usage.subtract_usage(team, &spec.need);
             }
         }
     }
@@ -286,7 +327,7 @@
     /// Capacity that no run uses, whether the leader expects it there or not.
     fn unoccupied(&self) -> Resources {
         let free = self.record.capacity.saturating_sub(&self.used);
-        free.saturating_sub(&self.unexpected)
+        free.saturating_sub(&self.unexpected.total)
     }
 
     /// Capacity that no run uses and no step has reserved or asked for.
--- a/lib/dispatch/src/worker_table.rs
+++ b/lib/dispatch/src/worker_table.rs
@@ -121,6 +121,7 @@
     pub(crate) fn remove(&mut self, worker: &WorkerName) -> Option<WorkerState> {
         self.changed.remove(worker);
         let mut state = self.by_name.remove(worker)?;
+        state.release_usage();
         if let Some(capacity) = self.capacity_by_pool.get_mut(&state.record.pool) {
             *capacity = capacity.saturating_sub(state.record.capacity.cpu_milli);
         }
--- a/lib/queue/src/quotas.rs
+++ b/lib/queue/src/quotas.rs
@@ -23,15 +23,17 @@
     }
 
     /// Sets the quota of a team and returns its quota and usage.
-    pub(crate) fn set(&self, team: &TeamName, quota: Quota) -> TeamUsage {
+    pub fn set(&self, team: &TeamName, quota: Quota) -> TeamUsage {
         self.change(team, |team| team.quota = quota)
     }
 
-    pub(crate) fn add_usage(&self, team: &TeamName, resources: &Resources) -> TeamUsage {
+    /// Adds resources to the usage of a team and returns its quota and usage.
+    pub fn add_usage(&self, team: &TeamName, resources: &Resources) -> TeamUsage {
         self.change(team, |team| team.used += *resources)
     }
 
-    pub(crate) fn subtract_usage(&self, team: &TeamName, resources: &Resources) -> TeamUsage {
+    /// Takes resources from the usage of a team and returns its quota and usage.
+    pub fn subtract_usage(&self, team: &TeamName, resources: &Resources) -> TeamUsage {
         self.change(team, |team| {
             team.used = team.used.saturating_sub(resources);
         })
--- a/lib/queue/src/team_usage.rs
+++ b/lib/queue/src/team_usage.rs
@@ -37,6 +37,18 @@
         !self.used.fits(&self.quota.guaranteed)
     }
 
+    /// Number of tasks of `need` each that the ceiling allows in addition.
+    pub fn tasks_below_ceiling(&self, need: &Resources) -> u64 {
+        let Some(ceiling) = self.quota.ceiling else {
+            return u64::MAX;
+        };
+        let left = ceiling.saturating_sub(&self.used);
+        let tasks = |left: u64, need: u64| left.checked_div(need).unwrap_or(u64::MAX);
+        tasks(left.cpu_milli, need.cpu_milli)
+            .min(tasks(left.memory_mb, need.memory_mb))
+            .min(tasks(left.accelerators, need.accelerators))
+    }
+
     /// Whether the ceiling allows the team to use `more` in addition.
     pub fn ceiling_allows(&self, more: &Resources) -> bool {
         self.quota.ceiling_allows(&(self.used + *more))
