dispatch: less urgent steps leave the cap to a gang that waits for it

Cause: a team at its cap filled each freed piece with small steps, so that a gang of the same team never found its whole need below the cap.

Change: a step waits if a more urgent one of its team waits for the cap. Teams that use less of their share always go first, not only beyond it: a step of several tasks took a team from two thirds of its share far over it.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
+    capped_teams::CappedTeams,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
@@ -82,6 +83,8 @@
     /// Priority of the least urgent queue.
     pub(crate) lowest_priority: u32,
     pub(crate) team_quotas: TeamQuotas,
+    /// Teams with steps that wait for their cap, as of the last placement of all steps.
+    pub(crate) capped_teams: CappedTeams,
     /// Steps planned since the last placement of all steps; they are placed at once, without
     /// waiting for the next one.
     pub(crate) new_steps: Vec<StepKey>,
@@ -151,6 +154,7 @@
             mean_speed: WorkerSpeed::default(),
             lowest_priority: 0,
             team_quotas: TeamQuotas::default(),
+            capped_teams: CappedTeams::default(),
             new_steps: Vec::new(),
             gang_claims: (u32::MAX, Claims::new()),
             needs_placement: false,
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -81,6 +81,7 @@
     fn forget_all(&mut self) {
         self.workers.clear();
         self.team_quotas = TeamQuotas::default();
+        self.capped_teams.clear();
         self.last_removed_token = 0;
         self.open_polls.clear();
         self.placed.clear();
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -49,6 +49,7 @@
             .collect::<Vec<_>>();
         self.update_headroom(order.iter().map(|rank| (rank.priority, rank.key)));
         let mut order = order.into_iter().map(Reverse).collect::<BinaryHeap<_>>();
+        self.capped_teams.clear();
         let mut claims = Claims::new();
         let mut claims_priority = u32::MAX;
         while let Some(Reverse(rank)) = order.pop() {
--- a/lib/dispatch/src/dispatcher_teams.rs
+++ b/lib/dispatch/src/dispatcher_teams.rs
@@ -52,12 +52,18 @@
         allowed
     }
 
-    /// Returns whether a step must wait because its team is at its cap, and reports it once.
+    /// Returns whether a step must wait because its team is at its cap, or leaves the rest of the cap to a
+    /// more urgent step of the team. Reports it once.
     pub(crate) fn must_wait_for_cap(&mut self, key: &StepKey) -> bool {
         let Some(plan) = self.plans.get(key) else {
             return true;
         };
-        if self.startable_tasks(plan) > 0 {
+        let priority = plan.queue.priority;
+        if let Some(team) = &plan.team
+            && self.startable_tasks(plan) == 0
+        {
+            self.capped_teams.add(team, priority);
+        } else if !self.capped_teams.must_wait(plan.team.as_ref(), priority) {
             return false;
         }
         if plan.wait != Wait::TeamCap {
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod advice_relays;
 mod backoff;
+mod capped_teams;
 mod config;
 mod decision_event;
 mod dispatcher;
--- a/lib/dispatch/src/placement_rank.rs
+++ b/lib/dispatch/src/placement_rank.rs
@@ -7,7 +7,7 @@
     pub(crate) gives_way: bool,
     /// Priority of the queue; 0 is the most urgent.
     pub(crate) priority: u32,
-    /// Parts of its share that the team uses beyond it; 0 within the share, or without teams.
+    /// Parts of its share that the team uses; 0 without teams.
     pub(crate) share_parts: u64,
     /// Whether the job can no longer meet its objective.
     pub(crate) is_late: bool,
--- a/lib/dispatch/src/team_quotas.rs
+++ b/lib/dispatch/src/team_quotas.rs
@@ -93,16 +93,13 @@
     }
 
     /// Position of a team's work in the order of placement: whether it gives way to all other teams, and
-    /// the parts of its share that it uses. Both are the least for a team within its share.
+    /// the parts of its share that it uses.
     pub(crate) fn order(&self, team: Option<&TeamName>) -> (bool, u64) {
         let Some(team) = team.filter(|_| self.has_teams) else {
             return (false, 0);
         };
         let usage = self.team(team);
         let share = usage.dominant_share();
-        if share <= FULL_SHARE {
-            return (false, 0);
-        }
         let (used, guaranteed) = (usage.used.cpu_milli, usage.quota.guaranteed.cpu_milli);
         let tolerated = self.capacity.cpu_milli / 100 * TOLERATED_EXCESS_PERCENT;
         let is_excessive =
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -11,11 +11,12 @@
     StartOrder, StopOrder, ThrottleOrder,
 };
 use tarragon_names::{
-    DomainName, HostName, Millis, Name, PoolName, RackName, Resources, WorkerName,
+    DomainName, HostName, Millis, Name, PoolName, RackName, Resources, TeamName, WorkerName,
 };
 use tarragon_workflow::{
     AdviceTerms, Command, Configuration, JobKey, JobPhase, JobSpec, Queue, RunEnd, RunEvent,
-    StepKey, StepSpec, TaskKey, WorkerIncarnation, WorkerPool, WorkerRecord, WorkflowState,
+    StepKey, StepSpec, TaskKey, Team, TeamTable, WorkerIncarnation, WorkerPool, WorkerRecord,
+    WorkflowState,
 };
 
 pub const QUEUE: &str = "queue";
@@ -258,6 +259,36 @@
         self.submit_to(QUEUE, job, steps);
     }
 
+    /// Puts a configuration with these teams.
+    pub fn put_teams(&mut self, version: u64, teams: Vec<Team>) {
+        let configuration = Configuration {
+            version,
+            ..configuration(None)
+        };
+        let teams = TeamTable::new(teams, Vec::new()).expect("the teams differ");
+        self.commit(Command::PutTeamConfiguration {
+            configuration,
+            teams,
+        });
+        self.advance(100);
+    }
+
+    /// Submits a job of a team.
+    pub fn submit_for(&mut self, team: &str, queue: &str, job: u64, steps: Vec<StepSpec>) {
+        let spec = JobSpec {
+            payload: Name::from("work"),
+            steps,
+            ..JobSpec::default()
+        };
+        self.commit(Command::SubmitForTeam {
+            job: JobKey(job),
+            queue: Name::from(queue),
+            team: TeamName::from(team),
+            spec,
+        });
+        self.advance(5);
+    }
+
     pub fn submit_to(&mut self, queue: &str, job: u64, steps: Vec<StepSpec>) {
         let spec = JobSpec {
             payload: Name::from("work"),
