--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
+    capped_teams::CappedTeams,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
@@ -19,6 +20,7 @@
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
     step_plan::StepPlan,
+    team_quotas::TeamQuotas,
     worker_speed::WorkerSpeed,
     worker_table::WorkerTable,
 };
@@ -80,6 +82,9 @@
     pub(crate) mean_speed: WorkerSpeed,
     /// Priority of the least urgent queue.
     pub(crate) lowest_priority: u32,
+    pub(crate) team_quotas: TeamQuotas,
+    /// Teams with steps that wait for their cap, as of the last placement of all steps.
+    pub(crate) capped_teams: CappedTeams,
     /// Steps planned since the last placement of all steps; they are placed at once, without
     /// waiting for the next one.
     pub(crate) new_steps: Vec<StepKey>,
@@ -148,6 +153,8 @@
             retry_outcomes: RetryOutcomes::default(),
             mean_speed: WorkerSpeed::default(),
             lowest_priority: 0,
+            team_quotas: TeamQuotas::default(),
+            capped_teams: CappedTeams::default(),
             new_steps: Vec::new(),
             gang_claims: (u32::MAX, Claims::new()),
             needs_placement: false,
@@ -266,8 +273,9 @@
             self.report_effects(effects);
         }
         match command {
-            Command::PutConfiguration(_) => {
+            Command::PutConfiguration(_) | Command::PutTeamConfiguration { .. } => {
                 self.read_priorities();
+                self.update_quotas();
                 for plan in self.plans.values_mut() {
                     if let Some(queue) = self.workflow_state.queue(&plan.queue.name) {
                         plan.queue = queue;
@@ -275,7 +283,9 @@
                 }
                 self.needs_placement = true;
             }
-            Command::Submit { job, .. } | Command::Cancel { job } => self.refresh_job(*job),
+            Command::Submit { job, .. }
+            | Command::SubmitForTeam { job, .. }
+            | Command::Cancel { job } => self.refresh_job(*job),
             Command::RunEvents(records) => self.orders_applied(records),
             Command::PutWorker(record) => self.worker_put(record),
             Command::RemoveWorker(incarnation) => self.worker_removed(incarnation),
