dispatch: judge failed runs of a worker against the rate at which runs fail everywhere

A failed run pauses its worker only if the failures of the worker are improbable at the rate of all workers: at one percent at most by chance, in a row or among its last eight runs. Below one failed run in a hundred, each failed run pauses its worker as before. One worker adds at most one failure in five of its runs to the rate, so a few bad workers can't hide behind their own failures, and three failures in a row are always enough.

With the rule switched off, the three cases of ordinary_failures_pause_hardly_any_worker fail.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
     AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
+    failure_rate::FailureRate,
     headroom::Headroom,
     late_orders::LateOrders,
     recent_placements::RecentPlacements,
@@ -76,6 +77,8 @@
     pub(crate) records: Vec<RunEvent>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) retry_outcomes: RetryOutcomes,
+    /// Rate at which runs fail on all workers.
+    pub(crate) failure_rate: FailureRate,
     /// Mean of the speeds of all workers.
     pub(crate) mean_speed: WorkerSpeed,
     /// Priority of the least urgent queue.
@@ -146,6 +149,7 @@
             records: Vec::new(),
             outputs: Vec::new(),
             retry_outcomes: RetryOutcomes::default(),
+            failure_rate: FailureRate::default(),
             mean_speed: WorkerSpeed::default(),
             lowest_priority: 0,
             new_steps: Vec::new(),
--- a/lib/dispatch/src/dispatcher_health.rs
+++ b/lib/dispatch/src/dispatcher_health.rs
@@ -18,9 +18,7 @@
         let job = JobId(task.step.job.0);
         match end {
             RunEnd::Done => {
-                if let Some(state) = self.workers.get_mut(worker) {
-                    state.failures_in_a_row = 0;
-                }
+                self.record_outcome(worker, false);
                 self.pause_workers_at_fault(task, worker);
                 let decisions = self.health.record_success(worker, job, self.now);
                 self.apply_health_decisions(decisions);
@@ -34,6 +32,7 @@
                     }
                     workers.insert(worker.clone());
                 }
+                self.record_outcome(worker, true);
                 self.pause_failing_worker(worker);
                 let decisions = self.health.record_failure(worker, job, self.now, true);
                 self.apply_health_decisions(decisions);
@@ -42,6 +41,19 @@
         }
     }
 
+    fn record_outcome(&mut self, worker: &WorkerName, is_failure: bool) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            self.failure_rate.record(&mut state.outcomes, is_failure);
+        }
+    }
+
+    /// Returns whether the latest failures on a worker are more than ordinary ones.
+    fn has_improbable_failures(&self, worker: &WorkerName) -> bool {
+        let state = self.workers.get(worker);
+        self.failure_rate.is_low()
+            || state.is_some_and(|state| self.failure_rate.is_improbable(state.outcomes))
+    }
+
     /// Places nothing on a worker for a while after a run failed there of a job that failed on no
     /// other worker, and longer after each further such job with no success in between.
     ///
@@ -50,6 +62,9 @@
     /// again it is unknown who is at fault, so a limit holds: many jobs that fail everywhere would
     /// pause all workers, and with them the further attempts that tell.
     fn pause_suspected_worker(&mut self, worker: &WorkerName, failed_jobs: usize) {
+        if !self.has_improbable_failures(worker) {
+            return;
+        }
         let now = self.now;
         let others = self.workers.iter().filter(|(name, _)| *name != worker);
         let suspected = others.filter(|(_, state)| state.is_suspected(now));
@@ -66,8 +81,8 @@
     /// Places nothing for a while on the workers on which a task failed that succeeded on another
     /// one.
     ///
-    /// The task does not fail everywhere, so those workers were at fault, and no limit holds. Other
-    /// tasks of its job may still fail everywhere.
+    /// The task does not fail everywhere, so those workers were at fault unless their failures are
+    /// ordinary ones, and no limit holds. Other tasks of its job may still fail everywhere.
     fn pause_workers_at_fault(&mut self, task: &TaskKey, succeeded_on: &WorkerName) {
         let until = self.now + FAILED_RUN_PAUSE;
         let plan = self.plans.get_mut(&task.step);
@@ -78,6 +93,9 @@
             self.retry_outcomes.record(true);
         }
         for worker in failed_on {
+            if !self.has_improbable_failures(&worker) {
+                continue;
+            }
             if let Some(state) = self.workers.get_mut(&worker) {
                 state.failing_until = state.failing_until.max(until);
             }
@@ -90,14 +108,12 @@
     /// Where many workers are bad, a job fails on several of them and looks to the health table
     /// like one that fails everywhere.
     fn pause_failing_worker(&mut self, worker: &WorkerName) {
-        let (now, blame_workers) = (self.now, self.retry_outcomes.blame_workers());
-        let Some(state) = self.workers.get_mut(worker) else {
+        if !self.retry_outcomes.blame_workers() || !self.has_improbable_failures(worker) {
             return;
-        };
-        state.failures_in_a_row += 1;
-        if blame_workers {
-            let until = now + failed_run_pause(state.failures_in_a_row as usize);
-            state.failing_until = state.failing_until.max(until);
+        }
+        if let Some(state) = self.workers.get_mut(worker) {
+            let pause = failed_run_pause(state.outcomes.failures_in_a_row as usize);
+            state.failing_until = state.failing_until.max(self.now + pause);
         }
     }
 
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod dispatcher_throttle;
 mod dispatcher_workers;
 mod earlier_lease;
+mod failure_rate;
 mod fencing_token;
 mod headroom;
 mod input;
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -7,6 +7,7 @@
     DispatchConfig, FencingToken, FinishedRun,
     dispatcher_throttle::FULL_RATE,
     earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT, longest_on_slow_clock},
+    failure_rate::RecentOutcomes,
     listed_end::ListedEnd,
     run_view::RunView,
     unusable::Unusable,
@@ -85,8 +86,8 @@
     pub(crate) avoid_until: Millis,
     /// End of the pause after a failed run of a job that may fail everywhere.
     pub(crate) paused_until: Millis,
-    /// Number of failed runs since the last successful one.
-    pub(crate) failures_in_a_row: u32,
+    /// Outcomes of the latest runs.
+    pub(crate) outcomes: RecentOutcomes,
     /// End of the pause after a failed run that is most likely the fault of the worker.
     pub(crate) failing_until: Millis,
     /// Time of the next probe, while the worker is quarantined.
@@ -134,7 +135,7 @@
             below_target_since: None,
             avoid_until: Millis(0),
             paused_until: Millis(0),
-            failures_in_a_row: 0,
+            outcomes: RecentOutcomes::default(),
             failing_until: Millis(0),
             set_aside_until: Millis(0),
         }
