dispatch: learn the speed of workers from runs of one step and choose by it

The duration of a run is compared with the runs of its step on other workers, each corrected by the known speed of its worker, when the step has ended. The estimate decides only where no run on another worker exists. Each worker keeps its last 16 observations of each kind, and the mean of their middle half, so that stragglers do not count. Steps shorter than 200 ms are left out: orders and reports take most of their time.

A step takes the slowest workers on which it ends in time, or the fastest if none is fast enough; where it has ample time and less than a quarter of the pool is free, slow workers come last as before. Gangs take workers of one speed if these hold all members. Workers within 12% of the mean count as alike, and the order among them is the same as before.

Workers whose failures in a row are improbable come last. Before, they came last in failing_jobs.rs by accident: without a successful run they kept the initial speed, and runs that ended at once made all others look fast.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -19,8 +19,9 @@
     recent_placements::RecentPlacements,
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
+    step_durations::StepDurations,
     step_plan::StepPlan,
-    worker_speed::WorkerSpeed,
+    worker_speed::MeanSpeed,
     worker_table::WorkerTable,
 };
 
@@ -80,7 +81,9 @@
     /// Rate at which runs fail on all workers.
     pub(crate) failure_rate: FailureRate,
     /// Mean of the speeds of all workers.
-    pub(crate) mean_speed: WorkerSpeed,
+    pub(crate) mean_speed: MeanSpeed,
+    /// Durations of the runs of open steps.
+    pub(crate) step_durations: StepDurations,
     /// Priority of the least urgent queue.
     pub(crate) lowest_priority: u32,
     /// Steps planned since the last placement of all steps; they are placed at once, without
@@ -150,7 +153,8 @@
             outputs: Vec::new(),
             retry_outcomes: RetryOutcomes::default(),
             failure_rate: FailureRate::default(),
-            mean_speed: WorkerSpeed::default(),
+            mean_speed: MeanSpeed::default(),
+            step_durations: StepDurations::default(),
             lowest_priority: 0,
             new_steps: Vec::new(),
             gang_claims: (u32::MAX, Claims::new()),
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -70,6 +70,7 @@
     }
 
     fn remove_plan(&mut self, key: &StepKey) {
+        self.learn_speeds(key);
         self.release_reservation(key);
         self.plans.remove(key);
     }
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use tarragon_names::{Millis, Resources, WorkerName};
-use tarragon_workflow::{JobKey, RunEvent, StepSpec, WorkerIncarnation};
+use tarragon_workflow::{JobKey, RunEnd, RunEvent, StepSpec, WorkerIncarnation};
 
 use crate::{
     DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
@@ -14,7 +14,6 @@
     listed_end::ListedEnd,
     loss_cause::LossCause,
     run_view::{StartState, StopState},
-    worker_speed::WorkerSpeed,
     worker_state::WorkerState,
 };
 
@@ -161,6 +160,11 @@
                 checkpoint: finished_run.checkpoint.clone(),
             });
             self.report_end(incarnation, finished_run, listed);
+            if let Some(listed) = listed.filter(|listed| listed.is_comparable)
+                && finished_run.end == RunEnd::Done
+            {
+                self.record_duration(&finished_run.task, &incarnation.worker, listed.ran);
+            }
             if listed.is_some_and(|listed| listed.is_first) {
                 self.record_health(&finished_run.task, &incarnation.worker, finished_run.end);
             }
@@ -340,8 +344,7 @@
         self.next_expiry_at = self.now + self.cfg.expiry_interval;
         self.needs_placement = true;
         self.expire_leases();
-        let speeds = self.workers.iter().map(|(_, state)| state.speed.0);
-        self.mean_speed = WorkerSpeed(speeds.sum::<u64>() / (self.workers.len() as u64).max(1));
+        self.update_mean_speed();
         self.relays.forget(self.now, self.cfg.relay_silence_limit);
         self.expire_pending_requests();
         let due = self.scheduled_jobs.iter().copied().collect::<Vec<JobKey>>();
