--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns whether a step waits because the free capacity is left to more urgent steps.
-    fn must_leave_headroom(&self, plan: &StepPlan) -> bool {
+    pub(crate) fn must_leave_headroom(&self, plan: &StepPlan) -> bool {
         if plan.step().best_effort || plan.step().long_running {
             return false;
         }
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -240,7 +240,8 @@
                     if !matches!(view.start, StartState::Present { .. }) {
                         view.start = StartState::Present { since: now };
                     }
-                    if status.checkpoint.is_some() {
+                    if status.checkpoint.is_some() && view.checkpoint != status.checkpoint {
+                        view.checkpoint_percent = status.percent;
                         view.checkpoint.clone_from(&status.checkpoint);
                     }
                     view.progress.record(status.percent, now);
