--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -14,14 +14,16 @@
     capped_teams::CappedTeams,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
+    failure_rate::FailureRate,
     headroom::Headroom,
     late_orders::LateOrders,
     recent_placements::RecentPlacements,
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
+    step_durations::StepDurations,
     step_plan::StepPlan,
     team_quotas::TeamQuotas,
-    worker_speed::WorkerSpeed,
+    worker_speed::MeanSpeed,
     worker_table::WorkerTable,
 };
 
@@ -78,8 +80,12 @@
     pub(crate) records: Vec<RunEvent>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) retry_outcomes: RetryOutcomes,
+    /// Rate at which runs fail on all workers.
+    pub(crate) failure_rate: FailureRate,
     /// Mean of the speeds of all workers.
-    pub(crate) mean_speed: WorkerSpeed,
+    pub(crate) mean_speed: MeanSpeed,
+    /// Durations of the runs of open steps.
+    pub(crate) step_durations: StepDurations,
     /// Priority of the least urgent queue.
     pub(crate) lowest_priority: u32,
     pub(crate) team_quotas: TeamQuotas,
@@ -105,6 +111,8 @@
     pub(crate) sole_leader_since: Millis,
     /// Time of the next check for expired leases and overdue runs.
     pub(crate) next_expiry_at: Millis,
+    /// Time of the next search for runs that fall behind.
+    pub(crate) next_straggler_search_at: Millis,
     /// Earliest time of the next report on waiting steps.
     pub(crate) next_report_at: Millis,
     pub(crate) now: Millis,
@@ -151,7 +159,9 @@
             records: Vec::new(),
             outputs: Vec::new(),
             retry_outcomes: RetryOutcomes::default(),
-            mean_speed: WorkerSpeed::default(),
+            failure_rate: FailureRate::default(),
+            mean_speed: MeanSpeed::default(),
+            step_durations: StepDurations::default(),
             lowest_priority: 0,
             team_quotas: TeamQuotas::default(),
             capped_teams: CappedTeams::default(),
@@ -166,6 +176,7 @@
             is_sole_leader: false,
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
+            next_straggler_search_at: Millis(0),
             next_report_at: Millis(0),
             now: Millis(0),
             now_ms: 0,
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use tarragon_names::{Millis, WorkerName};
-use tarragon_workflow::{JobKey, RunEvent, StepSpec, WorkerIncarnation};
+use tarragon_workflow::{JobKey, RunEnd, RunEvent, StepSpec, WorkerIncarnation};
 
 use crate::{
     DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
@@ -15,7 +15,6 @@
     loss_cause::LossCause,
     run_view::{StartState, StopState},
     unexpected_runs::UnexpectedRuns,
-    worker_speed::WorkerSpeed,
     worker_state::WorkerState,
 };
 
@@ -162,6 +161,11 @@
                 checkpoint: finished_run.checkpoint.clone(),
             });
             self.report_end(incarnation, finished_run, listed);
+            if let Some(listed) = listed.filter(|listed| listed.is_comparable)
+                && finished_run.end == RunEnd::Done
+            {
+                self.record_duration(&finished_run.task, &incarnation.worker, listed.ran);
+            }
             if listed.is_some_and(|listed| listed.is_first) {
                 self.record_health(&finished_run.task, &incarnation.worker, finished_run.end);
             }
@@ -238,7 +242,8 @@
                     if !matches!(view.start, StartState::Present { .. }) {
                         view.start = StartState::Present { since: now };
                     }
-                    if status.checkpoint.is_some() {
+                    if status.checkpoint.is_some() && view.checkpoint != status.checkpoint {
+                        view.checkpoint_percent = status.percent;
                         view.checkpoint.clone_from(&status.checkpoint);
                     }
                     view.progress.record(status.percent, now);
@@ -343,8 +348,7 @@
         self.needs_placement = true;
         self.update_quotas();
         self.expire_leases();
-        let speeds = self.workers.iter().map(|(_, state)| state.speed.0);
-        self.mean_speed = WorkerSpeed(speeds.sum::<u64>() / (self.workers.len() as u64).max(1));
+        self.update_mean_speed();
         self.relays.forget(self.now, self.cfg.relay_silence_limit);
         self.expire_pending_requests();
         let due = self.scheduled_jobs.iter().copied().collect::<Vec<JobKey>>();
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -70,6 +70,8 @@
     pub(crate) resume_from: Option<Name>,
     /// Last checkpoint that a poll has listed.
     pub(crate) checkpoint: Option<Name>,
+    /// Progress when this checkpoint was listed first, in percent.
+    pub(crate) checkpoint_percent: u64,
     pub(crate) progress: RunProgress,
     pub(crate) rate: RunRate,
     /// CPU in use in thousandths of a core or, for a latency-sensitive run, its tail latency in
@@ -102,6 +104,7 @@
             placed_at: now,
             resume_from: None,
             checkpoint: None,
+            checkpoint_percent: 0,
             progress: RunProgress::default(),
             rate: RunRate::of_new_run(),
             usage_or_tail_ms: None,
@@ -110,6 +113,18 @@
         }
     }
 
+    /// Returns whether the time since the placement tells how fast the worker is.
+    ///
+    /// The members of a gang take as long as the slowest one, a best-effort run may be throttled, a
+    /// resumed run has less work, and the placement of an earlier leader has no known time.
+    pub(crate) fn has_comparable_duration(&self) -> bool {
+        self.spec.estimate.0 > 0
+            && !self.spec.is_gang
+            && !self.spec.is_best_effort
+            && self.resume_from.is_none()
+            && self.start_may_arrive_until == Millis(0)
+    }
+
     pub(crate) fn request_stop(&mut self, now: Millis) {
         if self.stop == StopState::NotRequested {
             self.stop = StopState::Requested { at: now };
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -8,6 +8,7 @@
     DispatchConfig, FencingToken, FinishedRun,
     dispatcher_throttle::FULL_RATE,
     earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT, longest_on_slow_clock},
+    failure_rate::RecentOutcomes,
     listed_end::ListedEnd,
     run_spec::RunSpec,
     run_view::RunView,
@@ -77,7 +78,7 @@
     /// Whether the lease has expired. The runs on the worker were declared lost, but for those that may be
     /// on an incarnation that nobody has noticed yet.
     pub(crate) is_lease_expired: bool,
-    /// Duration of runs on this worker, relative to their estimates.
+    /// Duration of runs on this worker, compared with those on other workers.
     pub(crate) speed: WorkerSpeed,
     /// Time at which the last successful run was reported.
     pub(crate) last_success_at: Millis,
@@ -90,8 +91,8 @@
     pub(crate) avoid_until: Millis,
     /// End of the pause after a failed run of a job that may fail everywhere.
     pub(crate) paused_until: Millis,
-    /// Number of failed runs since the last successful one.
-    pub(crate) failures_in_a_row: u32,
+    /// Outcomes of the latest runs.
+    pub(crate) outcomes: RecentOutcomes,
     /// End of the pause after a failed run that is most likely the fault of the worker.
     pub(crate) failing_until: Millis,
     /// Time of the next probe, while the worker is quarantined.
@@ -141,7 +142,7 @@
             below_target_since: None,
             avoid_until: Millis(0),
             paused_until: Millis(0),
-            failures_in_a_row: 0,
+            outcomes: RecentOutcomes::default(),
             failing_until: Millis(0),
             set_aside_until: Millis(0),
         }
@@ -253,17 +254,17 @@
         if view.run != ended.run {
             return None;
         }
+        let is_first = view.listed_end.replace(ended.number).is_none();
         let listed = ListedEnd {
             is_expected: !view.is_ended,
-            is_first: view.listed_end.replace(ended.number).is_none(),
+            is_first,
+            is_comparable: is_first && view.has_comparable_duration(),
             ran: now.since(view.placed_at),
             usage_or_tail_ms: view.usage_or_tail_ms,
         };
-        let estimate = view.spec.estimate;
         self.set_ended(&ended.task, true);
         if listed.is_first && ended.end == RunEnd::Done {
             self.last_success_at = now;
-            self.speed.record_run(listed.ran, estimate);
         }
         Some(listed)
     }
