workflow, entry, platform: close gaps in keys and owners, index the routes

The route of a request is looked up by host and prefix length, longest first, instead of among all routes. The leader counts refused calls by team and cause.

--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -136,6 +136,7 @@
             clock: Arc::clone(self.clock),
             leader_hint: Arc::clone(self.leader_hint),
             events: Arc::clone(&self.parts.events),
+            metrics: self.parts.metrics.clone(),
             voter_manager,
             unstarted_jobs,
             task_admission: TaskAdmission::new(self.cfg.state_limits),
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -5,7 +5,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_dispatch::{OrderOutcome, PollOutcome};
 
-use crate::worker_order::OrderResult;
+use crate::{refused_calls::RefusedCalls, worker_order::OrderResult};
 
 /// Upper bounds of the buckets of all histograms in seconds; the latency objectives of the
 /// requests lie between 0.25 s and 3 s.
@@ -19,6 +19,8 @@
     registry: Registry,
     /// Requests answered, by kind and result code; the code of a success is 0.
     pub requests: IntCounterVec,
+    /// Calls of callers that the leader refused for their team.
+    pub refused_calls: RefusedCalls,
     /// Seconds from the arrival of a request on this host to its answer, by kind.
     pub request_time: HistogramVec,
     /// Calls to workers and to the advice service, by kind and outcome.
@@ -72,6 +74,16 @@
                     &["kind", "code"],
                 ),
             )?,
+            refused_calls: RefusedCalls::new(register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new(
+                        "tarragon_entry_refused_calls_total",
+                        "Calls refused for their key, for the team of their job or for a cap",
+                    ),
+                    &["team", "cause"],
+                ),
+            )?),
             request_time: register(
                 &registry,
                 histogram_by_kind("tarragon_entry_request_seconds", "Time of a request"),
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -7,15 +7,15 @@
 use tarragon_replica::{Clock, LeaderLease, ReplicaHandle};
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_workflow::{
-    Answer, Command, Configuration, JobKey, JobPhase, JobSpec, KeyDigest, Queue, TeamTable, Wave,
-    WaveKey, WorkflowState,
+    Answer, Command, Configuration, JobKey, JobPhase, JobSpec, KeyDigest, TeamTable, Wave, WaveKey,
+    WorkflowState,
 };
 
 use crate::{
-    Hello, Reply, Request, WorkerReport, WorkflowLog,
+    EntryMetrics, Hello, RefusalCause, Reply, Request, WorkerReport, WorkflowLog,
     dispatch_handle::DispatchHandle,
     heartbeat_tracker::{HeartbeatEffect, HeartbeatTracker},
-    task_admission::TaskAdmission,
+    task_admission::{TaskAdmission, TaskReservation},
     unstarted_jobs::UnstartedJobs,
     voter_manager::VoterManager,
 };
@@ -30,7 +30,8 @@
 /// What a caller's request refers to.
 #[derive(Debug)]
 struct ResolvedCall {
-    queue: Queue,
+    /// Name of the queue.
+    queue: Name,
     job: Option<JobKey>,
     /// Team of the caller; `None` if the call needs no key and carries none.
     team: Option<TeamName>,
@@ -47,6 +48,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) leader_hint: Arc<LeaderHint>,
     pub(crate) events: Arc<dyn EventSink>,
+    pub(crate) metrics: EntryMetrics,
     pub(crate) voter_manager: Arc<VoterManager>,
     pub(crate) unstarted_jobs: Arc<UnstartedJobs>,
     pub(crate) task_admission: TaskAdmission,
@@ -136,7 +138,8 @@
             return Err(Failure::of(Code::NoEntry));
         };
         let teams = Arc::clone(&configuration.teams);
-        let team = teams.authenticate(&queue.name, key.as_ref())?;
+        let team = teams.authenticate(&queue.name, key.as_ref());
+        let team = team.inspect_err(|_| self.count_refusal(None, RefusalCause::UnknownKey))?;
         let team = team.map(|team| team.name.clone());
         let job = if rest.is_empty() {
             None
@@ -144,7 +147,7 @@
             Some(rest.parse()?)
         };
         Ok(ResolvedCall {
-            queue: queue.clone(),
+            queue: queue.name.clone(),
             job,
             team,
             teams,
@@ -159,10 +162,17 @@
         let Some((phase, owner)) = known else {
             return Ok(None);
         };
-        call.teams.check_owner(owner.as_ref(), call.team.as_ref())?;
+        let owner = owner.and_then(|owner| self.workflow_state.team(&owner));
+        let team = call.team.as_ref();
+        let checked = call.teams.check_owner(owner.as_deref(), team);
+        checked.inspect_err(|_| self.count_refusal(team, RefusalCause::OtherTeam))?;
         Ok(Some(phase))
     }
 
+    fn count_refusal(&self, team: Option<&TeamName>, cause: RefusalCause) {
+        self.metrics.refused_calls.count(team, cause);
+    }
+
     async fn submit(
         &self,
         host: &str,
@@ -182,56 +192,60 @@
             known => return self.if_still_leader(known.map(|_| Reply::Done)),
         }
         spec.check()?;
-        if let Some(team) = call.team.as_ref().and_then(|team| call.teams.get(team))
-            && let Err(failure) = team.check_job(&spec)
-        {
-            return self.if_still_leader(Err(failure));
-        }
-        if self.workflow_state.job_count() >= MAX_JOBS {
-            return self.if_still_leader(Err(
-                Failure::of(Code::TooManyRequests).retry_after(RETRY_AFTER_MS)
-            ));
-        }
-        let tasks = spec.tasks();
-        let reserved = self
-            .task_admission
-            .reserve(&self.workflow_state, job, tasks);
-        let _reservation = match reserved {
+        let _reservation = match self.admit(&call, job, &spec) {
             Ok(reservation) => reservation,
             Err(failure) => return self.if_still_leader(Err(failure)),
         };
-        let spec_text = spec.to_string();
-        let ResolvedCall { queue, team, .. } = call;
-        let event = Event::info("job_accepted").request(Name::from(job.to_string()));
-        let version = self.workflow_state.configuration().version;
-        let owner = team.as_ref().map(|team| format!(", team {team}"));
-        let detail = format!(
-            "queue {}, configuration {version}, {spec_text}{}",
-            queue.name,
-            owner.unwrap_or_default()
-        );
-        let queue = queue.name;
-        let command = match team {
-            Some(team) => Command::SubmitForTeam {
-                job,
-                queue,
-                team,
-                spec,
-            },
-            None => Command::Submit { job, queue, spec },
-        };
-        if self.propose(command).await? == Answer::NoSuchQueue {
-            return Err(Failure::of(Code::NoEntry));
+        let detail = self.submission_detail(&call, &spec);
+        match self.propose(submit_command(&call, job, spec)).await? {
+            Answer::NoSuchQueue => return Err(Failure::of(Code::NoEntry)),
+            Answer::NoSuchTeam => {
+                // The key may belong to another team by now, so the caller tries again.
+                let failure = Failure::new(Code::CatalogueNotFresh, "the team was just removed");
+                return Err(failure.retry_after(RETRY_AFTER_MS));
+            }
+            _ => {}
         }
+        // A submission of another team with the same job may have been committed just before this one.
+        self.visible_phase(&call, job)?;
+        let event = Event::info("job_accepted").request(Name::from(job.to_string()));
         self.events.emit(&event.detail(detail));
         Ok(Reply::Done)
     }
 
+    /// Reserves room for a new job, or refuses one that exceeds the cap of its team or for which there
+    /// is no room.
+    fn admit(
+        &self,
+        call: &ResolvedCall,
+        job: JobKey,
+        spec: &JobSpec,
+    ) -> Outcome<TaskReservation<'_>> {
+        if let Some(team) = call.team.as_ref().and_then(|team| call.teams.get(team)) {
+            let checked = team.check_job(spec);
+            checked.inspect_err(|_| self.count_refusal(Some(&team.name), RefusalCause::Cap))?;
+        }
+        if self.workflow_state.job_count() >= MAX_JOBS {
+            return Err(Failure::of(Code::TooManyRequests).retry_after(RETRY_AFTER_MS));
+        }
+        let tasks = spec.tasks();
+        self.task_admission
+            .reserve(&self.workflow_state, job, tasks)
+    }
+
+    fn submission_detail(&self, call: &ResolvedCall, spec: &JobSpec) -> String {
+        let version = self.workflow_state.configuration().version;
+        let queue = &call.queue;
+        let team = call.team.as_ref().map(|team| format!(", team {team}"));
+        let team = team.unwrap_or_default();
+        format!("queue {queue}, configuration {version}, {spec}{team}")
+    }
+
     fn read_status(&self, host: &str, path: &str, key: Option<KeyDigest>) -> Outcome<Reply> {
         let call = self.resolve(host, path, key)?;
         let Some(job) = call.job else {
-            let unplaced = self.workflow_state.pending_job_count(&call.queue.name);
-            let unstarted = self.unstarted_jobs.count(&call.queue.name);
+            let unplaced = self.workflow_state.pending_job_count(&call.queue);
+            let unstarted = self.unstarted_jobs.count(&call.queue);
             return Ok(Reply::PendingCount(unplaced + unstarted));
         };
         let phase = self.visible_phase(&call, job)?;
@@ -394,6 +408,20 @@
     }
 }
 
+/// The command that adds a job for the team of its caller.
+fn submit_command(call: &ResolvedCall, job: JobKey, spec: JobSpec) -> Command {
+    let queue = call.queue.clone();
+    match call.team.clone() {
+        Some(team) => Command::SubmitForTeam {
+            job,
+            queue,
+            team,
+            spec,
+        },
+        None => Command::Submit { job, queue, spec },
+    }
+}
+
 /// The command that puts a configuration.
 fn put_command(configuration: Configuration) -> Command {
     if configuration.teams.is_empty() {
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod link_monitor;
 mod mesh;
 mod order_batch;
+mod refused_calls;
 mod reply;
 mod request;
 mod task_admission;
@@ -44,6 +45,7 @@
     AdviceCalls, ExternalServices, MachineCalls, MachineOutcome, WorkerCalls,
 };
 pub use formation::{bootstrap_members, member_id_of, open_store};
+pub use refused_calls::{RefusalCause, RefusedCalls};
 pub use reply::{MemberView, Reply};
 pub use request::{Hello, Request, WorkerReport};
 pub use workflow_log::WorkflowLog;
--- a/lib/entry/src/reply.rs
+++ b/lib/entry/src/reply.rs
@@ -1,3 +1,4 @@
+use derive_more::Debug;
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::AdviceAnswer;
 use tarragon_names::{HostName, MemberId, Name, Term};
@@ -21,7 +22,8 @@
     Phase(JobPhase),
     /// Number of accepted jobs of a queue that are still pending.
     PendingCount(u64),
-    /// Text of the configuration in force, as the operator sent it.
+    /// Text of the configuration in force, as the operator sent it. It may contain keys of teams.
+    #[debug("Configuration({} bytes)", _0.len())]
     Configuration(Name),
     /// The caller had better repeat the request at this address, which is that of the leader.
     Redirect(Name),
--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -6,7 +6,7 @@
 use tarragon_names::LogIndex;
 use tarragon_replica::{Growth, StateMachine};
 use tarragon_wire::{WireError, record};
-use tarragon_workflow::{Answer, Command, WorkflowSnapshot, WorkflowState};
+use tarragon_workflow::{Answer, Command, TeamRecords, WorkflowSnapshot, WorkflowState};
 
 /// State machine of the replicated log: applies commands to the jobs and the configuration.
 #[derive(Clone, Debug)]
@@ -36,8 +36,15 @@
         let removed_workers = snapshot.removed_workers.clone();
         let successions = snapshot.successions.clone();
         let teams = snapshot.teams.clone();
-        record::encode(&(snapshot, histories, removed_workers, successions, teams))
-            .map_err(|e| Failure::new(Code::Internal, e.to_string()))
+        let parts = (snapshot, histories, removed_workers, successions);
+        // A state without teams has the form that earlier releases write.
+        let encoded = if teams == TeamRecords::default() {
+            record::encode(&parts)
+        } else {
+            let (snapshot, histories, removed_workers, successions) = parts;
+            record::encode(&(snapshot, histories, removed_workers, successions, teams))
+        };
+        encoded.map_err(|e| Failure::new(Code::Internal, e.to_string()))
     }
 
     fn restore(&self, state: &[u8]) -> Outcome<()> {
--- a/lib/workflow/src/answer.rs
+++ b/lib/workflow/src/answer.rs
@@ -24,6 +24,9 @@
     /// The queue of the job was dropped before the job was submitted; nothing was changed.
     #[display("no such queue")]
     NoSuchQueue,
+    /// The team of the job was dropped before the job was submitted; nothing was changed.
+    #[display("no such team")]
+    NoSuchTeam,
     /// The job ended before it could be cancelled.
     #[display("ended before as {_0}")]
     EndedBefore(JobPhase),
--- a/lib/workflow/src/configuration.rs
+++ b/lib/workflow/src/configuration.rs
@@ -1,16 +1,19 @@
 use std::sync::Arc;
 
+use derive_more::Debug;
 use serde::{Deserialize, Serialize};
 use tarragon_names::Name;
 
-use crate::{Queue, TeamTable, WorkerPool};
+use crate::{Queue, RouteIndex, TeamTable, WorkerPool};
 
 /// One version of the operator's whole configuration.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Configuration {
     /// Version chosen by the operator; only a higher one replaces the configuration in force.
     pub version: u64,
-    /// Text as the operator sent it, returned unchanged when the configuration is read.
+    /// Text as the operator sent it, returned unchanged when the configuration is read. It may contain
+    /// keys of teams, so it must not get into logs and errors.
+    #[debug("{} bytes", text.len())]
     pub text: Name,
     /// Queues of jobs, one for each route.
     pub queues: Vec<Queue>,
@@ -22,6 +25,10 @@
     /// without teams has the form that earlier releases read.
     #[serde(skip)]
     pub teams: Arc<TeamTable>,
+    /// Index of the queues by route.
+    #[debug(skip)]
+    #[serde(skip)]
+    pub route_index: RouteIndex,
 }
 
 impl Configuration {
@@ -29,11 +36,9 @@
     ///
     /// If several prefixes match, the longest one wins.
     pub fn resolve<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
-        let matching = self
-            .queues
-            .iter()
-            .filter(|queue| queue.host.as_str() == host && path.starts_with(queue.prefix.as_str()));
-        let queue = matching.max_by_key(|queue| queue.prefix.len())?;
-        Some((queue, &path[queue.prefix.len()..]))
+        let position = self.route_index.position(&self.queues, host, path)?;
+        let queue = self.queues.get(position)?;
+        let rest = path.get(queue.prefix.len()..)?;
+        Some((queue, rest))
     }
 }
--- a/lib/workflow/src/team_table.rs
+++ b/lib/workflow/src/team_table.rs
@@ -26,17 +26,26 @@
 
 impl TeamTable {
     /// Creates a table, and refuses teams that share a name or a key.
+    ///
+    /// Without teams the table is empty, whatever the queues allow, because a configuration without
+    /// teams is stored without its table.
     pub fn new(teams: Vec<Team>, anonymous_queues: Vec<Name>) -> Outcome<Self> {
+        if teams.is_empty() {
+            return Ok(Self::default());
+        }
         let mut names = BTreeSet::new();
         let mut keys = HashMap::new();
         for team in &teams {
             if !names.insert(&team.name) {
-                let cause = format!("team {} appears twice", team.name);
+                let cause = format!("team {:?} appears twice", team.name.as_str());
                 return Err(Failure::new(Code::BadEntry, cause));
             }
             for key in &team.keys {
-                if let Some(other) = keys.insert(key, &team.name) {
-                    let cause = format!("teams {other} and {} share a key", team.name);
+                if let Some(other) = keys.insert(key, &team.name)
+                    && other != &team.name
+                {
+                    let (one, other) = (other.as_str(), team.name.as_str());
+                    let cause = format!("teams {one:?} and {other:?} share a key");
                     return Err(Failure::new(Code::BadEntry, cause));
                 }
             }
@@ -80,16 +89,29 @@
         team.map(Some).ok_or_else(|| Failure::of(Code::UnknownKey))
     }
 
-    /// Refuses a call of `caller` for a job of another team. A job whose team is not configured any
-    /// more may be seen by every accepted call, since its team may have been renamed.
-    pub fn check_owner(&self, owner: Option<&TeamName>, caller: Option<&TeamName>) -> Outcome<()> {
-        let (Some(owner), Some(caller)) = (owner, caller) else {
+    /// Refuses a call of the team `caller` for a job of `owner`, as it was last configured. A call
+    /// without a team reaches only jobs without one; otherwise a caller could leave out its key to
+    /// reach jobs of other teams through a queue that allows anonymous calls.
+    ///
+    /// A team that was renamed keeps its jobs: the owner is no longer configured, and the caller has one
+    /// of its keys.
+    pub fn check_owner(&self, owner: Option<&Team>, caller: Option<&TeamName>) -> Outcome<()> {
+        let Some(owner) = owner.filter(|_| !self.is_empty()) else {
             return Ok(());
         };
-        if owner != caller && self.teams.contains_key(owner) {
-            return Err(Failure::of(Code::OtherTeam));
+        let is_owner =
+            caller.is_some_and(|caller| *caller == owner.name || self.is_successor(caller, owner));
+        if is_owner {
+            Ok(())
+        } else {
+            Err(Failure::of(Code::OtherTeam))
         }
-        Ok(())
+    }
+
+    /// Returns whether `team` has a key of a team that is no longer configured.
+    fn is_successor(&self, team: &TeamName, removed: &Team) -> bool {
+        let mut keys = removed.keys.iter();
+        !self.teams.contains_key(&removed.name) && keys.any(|k| self.by_key.get(k) == Some(team))
     }
 }
 
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -23,9 +23,9 @@
 /// reads every job, so small ones stay until there are enough of them.
 const MAX_REMOVED_QUEUE_BYTES: usize = 256 << 10;
 
-/// Number of removed teams above which those without jobs are dropped. Dropping them reads every job,
-/// so a few may stay.
-const MAX_REMOVED_TEAMS: usize = 1_000;
+/// Size of the removed teams above which those without jobs are dropped, in bytes. Dropping them reads
+/// every job, so small ones stay until there are enough of them.
+const MAX_REMOVED_TEAM_BYTES: usize = 256 << 10;
 
 /// Maximum attempts for a job whose queue is unknown. Such a job exists only if the log is damaged.
 const FALLBACK_MAX_ATTEMPTS: u32 = 1;
@@ -346,16 +346,24 @@
         Answer::Done
     }
 
-    /// Drops the teams that neither the configuration in force names nor any job belongs to, if there
-    /// are many removed ones.
+    /// Drops the teams that neither the configuration in force names nor any job belongs to, if the
+    /// removed ones are large together.
     fn drop_unused_teams(&self, configuration: &Configuration) {
         let configured = &configuration.teams;
-        let is_removed = |name: &&TeamName| configured.get(name).is_none();
-        if self.teams.read().keys().filter(is_removed).count() <= MAX_REMOVED_TEAMS {
+        let mut removed = self.teams();
+        removed.retain(|team| configured.get(&team.name).is_none());
+        let removed_bytes = removed.iter().map(|team| team.state_bytes()).sum::<usize>();
+        if removed_bytes <= MAX_REMOVED_TEAM_BYTES {
             return;
         }
         let mut used = BTreeSet::new();
-        self.for_each_job(|job| used.extend(job.team.clone()));
+        self.for_each_job(|job| {
+            if let Some(team) = &job.team
+                && !used.contains(team)
+            {
+                used.insert(team.clone());
+            }
+        });
         let mut teams = self.teams.write();
         teams.retain(|name, _| configured.get(name).is_some() || used.contains(name));
     }
@@ -392,6 +400,7 @@
         now_ms: u64,
     ) -> Answer {
         let is_queue_known = self.queues.read().contains_key(queue);
+        let is_team_known = team.is_none_or(|team| self.teams.read().contains_key(team));
         let new = Job::new(key, queue.clone(), team.cloned(), spec.clone(), now_ms);
         let oldest_retained_ms = now_ms.saturating_sub(self.retention_ms);
         self.jobs.with(&key, |jobs| {
@@ -403,6 +412,9 @@
             if !is_queue_known {
                 return Answer::NoSuchQueue;
             }
+            if !is_team_known {
+                return Answer::NoSuchTeam;
+            }
             jobs.retain(|job| {
                 let is_over = job.phase.is_final() && job.occurrences.is_empty();
                 !is_over || job.ended_ms >= oldest_retained_ms
