--- a/lib/workflow/src/route_index.rs
+++ b/lib/workflow/src/route_index.rs
@@ -14,7 +14,10 @@
 /// It is not a part of the value of a configuration: all indexes are equal, and a clone is empty, because
 /// the queues of a copy may be replaced.
 #[derive(Debug, Default)]
-pub struct RouteIndex(OnceLock<HashMap<Name, HostRoutes>>);
+pub struct RouteIndex(OnceLock<Box<HostTable>>);
+
+/// Routes by host name.
+type HostTable = HashMap<Name, HostRoutes>;
 
 /// Routes of one host name.
 #[derive(Debug, Default)]
@@ -29,7 +32,7 @@
     /// Returns the position of the queue with the longest prefix that `path` begins with. If several
     /// queues have it, the last one counts.
     pub(crate) fn position(&self, queues: &[Queue], host: &str, path: &str) -> Option<usize> {
-        let hosts = self.0.get_or_init(|| Self::build(queues));
+        let hosts = self.0.get_or_init(|| Box::new(Self::build(queues)));
         let routes = hosts.get(host)?;
         let mut lengths = routes.lengths.range(Reverse(path.len())..);
         lengths.find_map(|Reverse(length)| {
@@ -39,8 +42,8 @@
         })
     }
 
-    fn build(queues: &[Queue]) -> HashMap<Name, HostRoutes> {
-        let mut hosts = HashMap::<Name, HostRoutes>::new();
+    fn build(queues: &[Queue]) -> HostTable {
+        let mut hosts = HostTable::new();
         for (position, queue) in queues.iter().enumerate() {
             let routes = hosts.entry(queue.host.clone()).or_default();
             routes.by_prefix.insert(queue.prefix.clone(), position);
