--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use tarragon_entry::WorkflowLog;
-use tarragon_names::{DomainName, Millis, Name, PoolName, Resources, WorkerName};
+use tarragon_entry::{Request, WorkflowLog};
+use tarragon_names::{DomainName, Millis, Name, PoolName, Resources, TeamName, WorkerName};
 use tarragon_replica::StateMachine;
 use tarragon_wire::record;
 use tarragon_workflow::{
-    Command, Configuration, JobKey, JobPhase, JobSpec, Queue, RunEnd, RunEvent, StepKey, StepSpec,
-    Succession, TaskKey, WorkerIncarnation, WorkerRecord, WorkflowState,
+    Command, Configuration, JobKey, JobPhase, JobSpec, KeyDigest, Queue, RunEnd, RunEvent, StepKey,
+    StepSpec, Succession, TaskKey, Team, TeamTable, WorkerIncarnation, WorkerRecord, WorkflowState,
 };
 use yare::parameterized;
 
@@ -65,9 +65,8 @@
     }
 }
 
-/// State with one job of one task, to which these events were applied.
-fn state_after(events: Vec<RunEvent>) -> WorkflowState {
-    let state = WorkflowState::new(RETENTION_MS);
+/// Configuration with one queue and no teams.
+fn configuration() -> Configuration {
     let queue = Queue {
         name: Name::from("q"),
         host: Name::from("h"),
@@ -79,19 +78,28 @@
         target_latency: Millis(0),
         advice: None,
     };
-    let configuration = Configuration {
+    Configuration {
         version: 1,
         text: Name::from("one"),
         queues: vec![queue],
         pools: Vec::new(),
         max_body_bytes: 1,
         ..Configuration::default()
-    };
-    state.apply(1, &Command::PutConfiguration(configuration));
-    let spec = JobSpec {
+    }
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
         steps: vec![step(1)],
         ..JobSpec::default()
-    };
+    }
+}
+
+/// State with one job of one task, to which these events were applied.
+fn state_after(events: Vec<RunEvent>) -> WorkflowState {
+    let state = WorkflowState::new(RETENTION_MS);
+    state.apply(1, &Command::PutConfiguration(configuration()));
+    let spec = spec();
     let (job, queue) = (JobKey(1), Name::from("q"));
     state.apply(1, &Command::Submit { job, queue, spec });
     state.apply(2, &Command::RunEvents(events));
@@ -314,3 +322,102 @@
     });
     assert_eq!(count.flatten(), Some(2));
 }
+
+fn team(name: &str, key: &str) -> Team {
+    Team {
+        name: TeamName::from(name),
+        keys: vec![KeyDigest::of(key.as_bytes())],
+        weight: 2,
+        cap: Resources::new(3, 4, 5),
+    }
+}
+
+fn put_teams(state: &WorkflowState, version: u64, teams: Vec<Team>) {
+    let configuration = Configuration {
+        version,
+        ..configuration()
+    };
+    let teams = TeamTable::new(teams, vec![Name::from("q")]).expect("valid teams");
+    let command = Command::PutTeamConfiguration {
+        configuration,
+        teams,
+    };
+    state.apply(version, &command);
+}
+
+/// State with a job without a team, one of a team in force, and one of a removed team.
+fn state_with_teams() -> WorkflowState {
+    let state = state_after_two_failed_runs();
+    put_teams(&state, 2, vec![team("a", "ka"), team("removed", "kr")]);
+    for (job, team) in [(2, "removed"), (3, "a")] {
+        let command = Command::SubmitForTeam {
+            job: JobKey(job),
+            queue: Name::from("q"),
+            team: TeamName::from(team),
+            spec: spec(),
+        };
+        state.apply(2, &command);
+    }
+    put_teams(&state, 3, vec![team("a", "ka2")]);
+    state
+}
+
+/// Guards against jobs that lose their team, and against a removed team that loses its cap and weight,
+/// after a restart of the hosts.
+#[test]
+fn teams_survive_a_snapshot() {
+    let log = WorkflowLog(Arc::new(state_with_teams()));
+    let snapshot = log.snapshot().expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&snapshot).expect("the snapshot is read");
+    assert_eq!(restored.0.snapshot(), log.0.snapshot());
+    assert_eq!(restored.0.configuration(), log.0.configuration());
+    let removed = TeamName::from("removed");
+    let record = restored.0.team(&removed);
+    assert_eq!(record.as_deref(), Some(&team("removed", "kr")));
+    for (job, owner) in [
+        (1, None),
+        (2, Some(removed)),
+        (3, Some(TeamName::from("a"))),
+    ] {
+        let found = restored.0.with_job(JobKey(job), |job| job.team.clone());
+        assert_eq!(found, Some(owner), "job {job}");
+    }
+}
+
+/// Guards against a host that cannot read the snapshot of the release before, which stored no teams, or
+/// that keeps the teams that it knew before.
+#[test]
+fn snapshot_without_teams_is_read() {
+    let expected = state_after_a_succession().snapshot();
+    let (histories, removed) = (expected.histories(), expected.removed_workers.clone());
+    let parts = (&expected, histories, removed, expected.successions.clone());
+    let stored = record::encode(&parts).expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(state_with_teams()));
+    restored.restore(&stored).expect("the snapshot is read");
+    assert_eq!(restored.0.snapshot(), expected);
+    assert!(restored.0.teams().is_empty());
+    assert_eq!(restored.snapshot().expect("a snapshot"), stored);
+}
+
+/// Guards against entries, messages and snapshots that hosts of the release before cannot read although
+/// the configuration has no teams. The bytes of the configuration are in the snapshot of that release.
+#[test]
+fn bytes_without_teams_are_those_of_the_earlier_release() {
+    let earlier = earlier_release();
+    let encode = |command: &Command| record::encode(command).expect("an entry").to_vec();
+    let encoded = encode(&Command::PutConfiguration(configuration()));
+    let (variant, rest) = encoded.split_first().expect("bytes");
+    assert_eq!(*variant, 0);
+    assert!(earlier.starts_with(rest), "{rest:?}");
+    let submission = Command::Submit {
+        job: JobKey(1),
+        queue: Name::from("q"),
+        spec: spec(),
+    };
+    assert_eq!(encode(&submission)[..4], [1, 1, 1, b'q']);
+    let request = Request::put_configuration(configuration()).with_key(None);
+    assert_eq!(request, Request::PutConfiguration(configuration()));
+    let request = record::encode(&request).expect("a message");
+    assert_eq!((request[0], &request[1..]), (3, rest));
+}
