--- a/lib/workflow/src/team_table.rs
+++ b/lib/workflow/src/team_table.rs
@@ -86,7 +86,8 @@
             return Err(Failure::new(Code::UnknownKey, "the call has no key"));
         };
         let team = self.by_key.get(key).and_then(|name| self.teams.get(name));
-        team.map(Some).ok_or_else(|| Failure::of(Code::UnknownKey))
+        let team = team.ok_or_else(|| Failure::new(Code::UnknownKey, "the key is not in force"))?;
+        Ok(Some(team))
     }
 
     /// Refuses a call of the team `caller` for a job of `owner`, as it was last configured. A call
@@ -100,12 +101,15 @@
             return Ok(());
         };
         let is_owner =
-            caller.is_some_and(|caller| *caller == owner.name || self.is_successor(caller, owner));
+            caller.is_some_and(|team| *team == owner.name || self.is_successor(team, owner));
         if is_owner {
-            Ok(())
-        } else {
-            Err(Failure::of(Code::OtherTeam))
+            return Ok(());
         }
+        let cause = match caller {
+            Some(team) => format!("the job is of another team than {:?}", team.as_str()),
+            None => "the job is of a team, and the call has no key".to_owned(),
+        };
+        Err(Failure::new(Code::OtherTeam, cause))
     }
 
     /// Returns whether `team` has a key of a team that is no longer configured.
