--- a/lib/workflow/src/team_table.rs
+++ b/lib/workflow/src/team_table.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 use tarragon_codes::{Code, Failure, Outcome};
@@ -12,9 +12,12 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "TeamSettings", into = "TeamSettings")]
 pub struct TeamTable {
-    teams: BTreeMap<TeamName, Team>,
-    by_key: HashMap<KeyDigest, TeamName>,
-    anonymous_queues: BTreeSet<Name>,
+    /// Teams in the order of their names.
+    teams: Vec<Team>,
+    /// Positions of the teams.
+    by_name: HashMap<TeamName, usize>,
+    by_key: HashMap<KeyDigest, usize>,
+    anonymous_queues: HashSet<Name>,
 }
 
 /// Serialized form of a table; the rest follows from it.
@@ -63,12 +66,16 @@
 
     /// Iterates over the teams by name.
     pub fn iter(&self) -> impl Iterator<Item = &Team> {
-        self.teams.values()
+        self.teams.iter()
     }
 
     /// Returns a team by its name.
     pub fn get(&self, name: &TeamName) -> Option<&Team> {
-        self.teams.get(name)
+        self.teams.get(*self.by_name.get(name)?)
+    }
+
+    fn team_with(&self, key: &KeyDigest) -> Option<&Team> {
+        self.teams.get(*self.by_key.get(key)?)
     }
 
     /// Returns the team of a call for a queue; `None` if it needs no team.
@@ -85,7 +92,7 @@
             }
             return Err(Failure::new(Code::UnknownKey, "the call has no key"));
         };
-        let team = self.by_key.get(key).and_then(|name| self.teams.get(name));
+        let team = self.team_with(key);
         let team = team.ok_or_else(|| Failure::new(Code::UnknownKey, "the key is not in force"))?;
         Ok(Some(team))
     }
@@ -115,20 +122,22 @@
     /// Returns whether `team` has a key of a team that is no longer configured.
     fn is_successor(&self, team: &TeamName, removed: &Team) -> bool {
         let mut keys = removed.keys.iter();
-        !self.teams.contains_key(&removed.name) && keys.any(|k| self.by_key.get(k) == Some(team))
+        self.get(&removed.name).is_none()
+            && keys.any(|key| self.team_with(key).is_some_and(|known| known.name == *team))
     }
 }
 
 impl From<TeamSettings> for TeamTable {
     fn from(settings: TeamSettings) -> Self {
-        let teams = settings.teams.into_iter();
-        let teams = teams.map(|team| (team.name.clone(), team));
-        let teams = teams.collect::<BTreeMap<_, _>>();
-        let keys = teams.values().flat_map(|team| {
+        let mut teams = settings.teams;
+        teams.sort_by(|one, other| one.name.cmp(&other.name));
+        let names = teams.iter().map(|team| team.name.clone()).zip(0..);
+        let keys = teams.iter().zip(0..).flat_map(|(team, position)| {
             let keys = team.keys.iter();
-            keys.map(|key| (*key, team.name.clone()))
+            keys.map(move |key| (*key, position))
         });
         Self {
+            by_name: names.collect(),
             by_key: keys.collect(),
             teams,
             anonymous_queues: settings.anonymous_queues.into_iter().collect(),
@@ -138,9 +147,13 @@
 
 impl From<TeamTable> for TeamSettings {
     fn from(table: TeamTable) -> Self {
+        let anonymous_queues = table.anonymous_queues.into_iter();
+        let mut anonymous_queues = anonymous_queues.collect::<Vec<_>>();
+        // All replicas write the same bytes.
+        anonymous_queues.sort_unstable();
         Self {
-            teams: table.teams.into_values().collect(),
-            anonymous_queues: table.anonymous_queues.into_iter().collect(),
+            teams: table.teams,
+            anonymous_queues,
         }
     }
 }
