--- a/lib/workflow/src/team_table.rs
+++ b/lib/workflow/src/team_table.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 use tarragon_codes::{Code, Failure, Outcome};
@@ -12,9 +12,12 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "TeamSettings", into = "TeamSettings")]
 pub struct TeamTable {
-    teams: BTreeMap<TeamName, Team>,
-    by_key: HashMap<KeyDigest, TeamName>,
-    anonymous_queues: BTreeSet<Name>,
+    /// Teams in the order of their names.
+    teams: Vec<Team>,
+    /// Positions of the teams.
+    by_name: HashMap<TeamName, usize>,
+    by_key: HashMap<KeyDigest, usize>,
+    anonymous_queues: HashSet<Name>,
 }
 
 /// Serialized form of a table; the rest follows from it.
@@ -26,17 +29,26 @@
 
 impl TeamTable {
     /// Creates a table, and refuses teams that share a name or a key.
+    ///
+    /// Without teams the table is empty, whatever the queues allow, because a configuration without
+    /// teams is stored without its table.
     pub fn new(teams: Vec<Team>, anonymous_queues: Vec<Name>) -> Outcome<Self> {
+        if teams.is_empty() {
+            return Ok(Self::default());
+        }
         let mut names = BTreeSet::new();
         let mut keys = HashMap::new();
         for team in &teams {
             if !names.insert(&team.name) {
-                let cause = format!("team {} appears twice", team.name);
+                let cause = format!("team {:?} appears twice", team.name.as_str());
                 return Err(Failure::new(Code::BadEntry, cause));
             }
             for key in &team.keys {
-                if let Some(other) = keys.insert(key, &team.name) {
-                    let cause = format!("teams {other} and {} share a key", team.name);
+                if let Some(other) = keys.insert(key, &team.name)
+                    && other != &team.name
+                {
+                    let (one, other) = (other.as_str(), team.name.as_str());
+                    let cause = format!("teams {one:?} and {other:?} share a key");
                     return Err(Failure::new(Code::BadEntry, cause));
                 }
             }
@@ -54,12 +66,16 @@
 
     /// Iterates over the teams by name.
     pub fn iter(&self) -> impl Iterator<Item = &Team> {
-        self.teams.values()
+        self.teams.iter()
     }
 
     /// Returns a team by its name.
     pub fn get(&self, name: &TeamName) -> Option<&Team> {
-        self.teams.get(name)
+        self.teams.get(*self.by_name.get(name)?)
+    }
+
+    fn team_with(&self, key: &KeyDigest) -> Option<&Team> {
+        self.teams.get(*self.by_key.get(key)?)
     }
 
     /// Returns the team of a call for a queue; `None` if it needs no team.
@@ -76,33 +92,52 @@
             }
             return Err(Failure::new(Code::UnknownKey, "the call has no key"));
         };
-        let team = self.by_key.get(key).and_then(|name| self.teams.get(name));
-        team.map(Some).ok_or_else(|| Failure::of(Code::UnknownKey))
+        let team = self.team_with(key);
+        let team = team.ok_or_else(|| Failure::new(Code::UnknownKey, "the key is not in force"))?;
+        Ok(Some(team))
     }
 
-    /// Refuses a call of `caller` for a job of another team. A job whose team is not configured any
-    /// more may be seen by every accepted call, since its team may have been renamed.
-    pub fn check_owner(&self, owner: Option<&TeamName>, caller: Option<&TeamName>) -> Outcome<()> {
-        let (Some(owner), Some(caller)) = (owner, caller) else {
+    /// Refuses a call of the team `caller` for a job of `owner`, as it was last configured. A call
+    /// without a team reaches only jobs without one; otherwise a caller could leave out its key to
+    /// reach jobs of other teams through a queue that allows anonymous calls.
+    ///
+    /// A team that was renamed keeps its jobs: the owner is no longer configured, and the caller has one
+    /// of its keys.
+    pub fn check_owner(&self, owner: Option<&Team>, caller: Option<&TeamName>) -> Outcome<()> {
+        let Some(owner) = owner.filter(|_| !self.is_empty()) else {
             return Ok(());
         };
-        if owner != caller && self.teams.contains_key(owner) {
-            return Err(Failure::of(Code::OtherTeam));
+        let is_owner =
+            caller.is_some_and(|team| *team == owner.name || self.is_successor(team, owner));
+        if is_owner {
+            return Ok(());
         }
-        Ok(())
+        let cause = match caller {
+            Some(team) => format!("the job is of another team than {:?}", team.as_str()),
+            None => "the job is of a team, and the call has no key".to_owned(),
+        };
+        Err(Failure::new(Code::OtherTeam, cause))
+    }
+
+    /// Returns whether `team` has a key of a team that is no longer configured.
+    fn is_successor(&self, team: &TeamName, removed: &Team) -> bool {
+        let mut keys = removed.keys.iter();
+        self.get(&removed.name).is_none()
+            && keys.any(|key| self.team_with(key).is_some_and(|known| known.name == *team))
     }
 }
 
 impl From<TeamSettings> for TeamTable {
     fn from(settings: TeamSettings) -> Self {
-        let teams = settings.teams.into_iter();
-        let teams = teams.map(|team| (team.name.clone(), team));
-        let teams = teams.collect::<BTreeMap<_, _>>();
-        let keys = teams.values().flat_map(|team| {
+        let mut teams = settings.teams;
+        teams.sort_by(|one, other| one.name.cmp(&other.name));
+        let names = teams.iter().map(|team| team.name.clone()).zip(0..);
+        let keys = teams.iter().zip(0..).flat_map(|(team, position)| {
             let keys = team.keys.iter();
-            keys.map(|key| (*key, team.name.clone()))
+            keys.map(move |key| (*key, position))
         });
         Self {
+            by_name: names.collect(),
             by_key: keys.collect(),
             teams,
             anonymous_queues: settings.anonymous_queues.into_iter().collect(),
@@ -112,9 +147,13 @@
 
 impl From<TeamTable> for TeamSettings {
     fn from(table: TeamTable) -> Self {
+        let anonymous_queues = table.anonymous_queues.into_iter();
+        let mut anonymous_queues = anonymous_queues.collect::<Vec<_>>();
+        // All replicas write the same bytes.
+        anonymous_queues.sort_unstable();
         Self {
-            teams: table.teams.into_values().collect(),
-            anonymous_queues: table.anonymous_queues.into_iter().collect(),
+            teams: table.teams,
+            anonymous_queues,
         }
     }
 }
