--- a/lib/workflow/src/team_table.rs
+++ b/lib/workflow/src/team_table.rs
@@ -4,7 +4,7 @@
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{Name, TeamName};
 
-use crate::{KeyDigest, Team};
+use crate::{KeyDigest, Team, TeamConflict};
 
 /// Teams of a configuration, and the queues whose calls need no key.
 ///
@@ -27,19 +27,8 @@
 impl TeamTable {
     /// Creates a table, and refuses teams that share a name or a key.
     pub fn new(teams: Vec<Team>, anonymous_queues: Vec<Name>) -> Outcome<Self> {
-        let mut names = BTreeSet::new();
-        let mut keys = HashMap::new();
-        for team in &teams {
-            if !names.insert(&team.name) {
-                let cause = format!("team {} appears twice", team.name);
-                return Err(Failure::new(Code::BadEntry, cause));
-            }
-            for key in &team.keys {
-                if let Some(other) = keys.insert(key, &team.name) {
-                    let cause = format!("teams {other} and {} share a key", team.name);
-                    return Err(Failure::new(Code::BadEntry, cause));
-                }
-            }
+        if let Some(conflict) = TeamConflict::find(&teams).into_iter().next() {
+            return Err(Failure::new(Code::BadEntry, conflict.to_string()));
         }
         Ok(Self::from(TeamSettings {
             teams,
