--- a/cli/src/ctl/context.rs
+++ b/cli/src/ctl/context.rs
@@ -22,51 +22,36 @@
 }
 
 impl Context {
-    /// Adds the options that every subcommand has.
-    pub(super) fn options(options: &mut Options) {
+    /// Adds the options that every subcommand has, and those of subcommands that call hosts.
+    pub(super) fn options(options: &mut Options, calls_hosts: bool) {
+        if calls_hosts {
+            options
+                .optmulti(
+                    "",
+                    "host",
+                    "entry host to call; may be repeated, the first that answers is used \
+                     [TARRAGON_HOSTS, separated by commas]",
+                    "IP:PORT",
+                )
+                .optopt(
+                    "",
+                    "token-file",
+                    "file with the operators' token, mode 0600 [TARRAGON_TOKEN_FILE]",
+                    "FILE",
+                );
+        }
         options
-            .optmulti(
-                "",
-                "host",
-                "entry host to call; may be repeated, the first that answers is used \
-                 [TARRAGON_HOSTS, separated by commas]",
-                "IP:PORT",
-            )
-            .optopt(
-                "",
-                "token-file",
-                "file with the operators' token, mode 0600 [TARRAGON_TOKEN_FILE]",
-                "FILE",
-            )
             .optflag("", "json", "print JSON")
             .optflag("", "help", "print this help");
     }
 
-    /// Reads the common options.
-    pub(super) fn new(matches: &Matches) -> Result<Self, CtlError> {
-        let mut hosts = matches.opt_strs("host");
-        if hosts.is_empty() {
-            let listed = env::var("TARRAGON_HOSTS").unwrap_or_default();
-            let listed = listed.split(',').map(str::trim);
-            hosts.extend(listed.filter(|host| !host.is_empty()).map(str::to_owned));
-        }
-        if hosts.is_empty() {
-            return Err(CtlError::Usage(
-                "give --host IP:PORT or set TARRAGON_HOSTS".to_owned(),
-            ));
-        }
-        let hosts = hosts
-            .iter()
-            .map(|host| parsed(host, "--host"))
-            .collect::<Result<Vec<SocketAddr>, _>>()?;
-        let mut cfg = ClientConfig::new(hosts);
-        let file = matches
-            .opt_str("token-file")
-            .or_else(|| env::var("TARRAGON_TOKEN_FILE").ok());
-        if let Some(file) = file {
-            let token = Token::load(Path::new(&file)).map_err(CtlError::Usage)?;
-            cfg.token = Some(token.reveal().into());
-        }
+    /// Reads the common options; without `calls_hosts`, the client has no hosts.
+    pub(super) fn new(matches: &Matches, calls_hosts: bool) -> Result<Self, CtlError> {
+        let cfg = if calls_hosts {
+            client_config(matches)?
+        } else {
+            ClientConfig::new([])
+        };
         Ok(Self {
             client: Client::new(cfg),
             json: matches.opt_present("json"),
@@ -84,6 +69,34 @@
     }
 }
 
+/// The hosts to call and the token to call them with.
+fn client_config(matches: &Matches) -> Result<ClientConfig, CtlError> {
+    let mut hosts = matches.opt_strs("host");
+    if hosts.is_empty() {
+        let listed = env::var("TARRAGON_HOSTS").unwrap_or_default();
+        let listed = listed.split(',').map(str::trim);
+        hosts.extend(listed.filter(|host| !host.is_empty()).map(str::to_owned));
+    }
+    if hosts.is_empty() {
+        return Err(CtlError::Usage(
+            "give --host IP:PORT or set TARRAGON_HOSTS".to_owned(),
+        ));
+    }
+    let hosts = hosts
+        .iter()
+        .map(|host| parsed(host, "--host"))
+        .collect::<Result<Vec<SocketAddr>, _>>()?;
+    let mut cfg = ClientConfig::new(hosts);
+    let file = matches
+        .opt_str("token-file")
+        .or_else(|| env::var("TARRAGON_TOKEN_FILE").ok());
+    if let Some(file) = file {
+        let token = Token::load(Path::new(&file)).map_err(CtlError::Usage)?;
+        cfg.token = Some(token.reveal().into());
+    }
+    Ok(cfg)
+}
+
 /// The only operand of a subcommand.
 pub(super) fn operand<'a>(matches: &'a Matches, what: &str) -> Result<&'a str, CtlError> {
     match matches.free.as_slice() {
--- a/cli/src/ctl/mod.rs
+++ b/cli/src/ctl/mod.rs
@@ -1,8 +1,10 @@
 //! `tarragonctl`: one subcommand a file.
 //!
 //! Exit codes: 0 done, 1 refused, 2 wrong usage, 3 outcome not known, 4 not available, 5 not yet.
+//! `config check` has codes of its own: 0 clean, 1 warnings, 2 errors, 3 no answer.
 
 mod catalogue;
+mod config;
 mod context;
 mod ctl_error;
 mod executors;
@@ -29,9 +31,9 @@
 pub fn run(args: &[String]) -> ExitCode {
     let json = args.iter().any(|arg| arg == "--json");
     match dispatch(args) {
-        Ok(text) => {
+        Ok((text, exit_code)) => {
             output::print(&text);
-            ExitCode::SUCCESS
+            exit_code
         }
         Err(error) => {
             eprintln!("{}", error.render(json));
@@ -40,11 +42,11 @@
     }
 }
 
-fn dispatch(args: &[String]) -> Result<String, CtlError> {
+fn dispatch(args: &[String]) -> Result<(String, ExitCode), CtlError> {
     let found = registry::find(args);
     match args.first().map(String::as_str) {
-        Some("--version") => return Ok(format!("tarragonctl {}", env!("CARGO_PKG_VERSION"))),
-        Some("--help") | None => return Ok(registry::overview()),
+        Some("--version") => return Ok(done(format!("tarragonctl {}", env!("CARGO_PKG_VERSION")))),
+        Some("--help") | None => return Ok(done(registry::overview())),
         Some(_) => {}
     }
     let Some((subcommand, rest)) = found else {
@@ -57,13 +59,17 @@
         .parse(rest)
         .map_err(|e| CtlError::Usage(e.to_string()))?;
     if matches.opt_present("help") {
-        return Ok(registry::help(subcommand, &options));
+        return Ok(done(registry::help(subcommand, &options)));
     }
-    let cx = Context::new(&matches)?;
+    let cx = Context::new(&matches, subcommand.calls_hosts())?;
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Failure::new(Code::Internal, e.to_string()))?;
     let output = runtime.block_on(subcommand.run(&cx, &matches))?;
-    Ok(output.render(cx.json()))
+    Ok((output.render(cx.json()), output.exit_code()))
+}
+
+fn done(text: String) -> (String, ExitCode) {
+    (text, ExitCode::SUCCESS)
 }
--- a/cli/src/ctl/output.rs
+++ b/cli/src/ctl/output.rs
@@ -1,4 +1,7 @@
-use std::io::{self, Write};
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+};
 
 use serde::Serialize;
 use serde_json::Value;
@@ -8,6 +11,7 @@
 pub(super) struct Output {
     text: String,
     json: Value,
+    exit_code: u8,
 }
 
 impl Output {
@@ -20,9 +24,21 @@
         Self {
             text: text.into(),
             json: serde_json::to_value(value).unwrap_or_default(),
+            exit_code: 0,
         }
     }
 
+    /// Sets the exit code of a result that scripts tell apart from a success.
+    pub(super) fn with_exit_code(mut self, exit_code: u8) -> Self {
+        self.exit_code = exit_code;
+        self
+    }
+
+    /// Exit code of the process.
+    pub(super) fn exit_code(&self) -> ExitCode {
+        ExitCode::from(self.exit_code)
+    }
+
     /// A list with one line for each value.
     pub(super) fn table<T, const N: usize>(
         head: [&str; N],
--- a/cli/src/ctl/registry.rs
+++ b/cli/src/ctl/registry.rs
@@ -3,8 +3,8 @@
 use getopts::Options;
 
 use super::{
-    Context, Subcommand, catalogue, executors, hosts, jobs, log_level, members, quota, ready,
-    submit, workers,
+    Context, Subcommand, catalogue, config, executors, hosts, jobs, log_level, members, quota,
+    ready, submit, workers,
 };
 
 const ALL: &[&dyn Subcommand] = &[
@@ -14,6 +14,7 @@
     &catalogue::List,
     &catalogue::Put,
     &catalogue::Wait,
+    &config::Check,
     &executors::Drain,
     &executors::List,
     &executors::TakeBack,
@@ -46,7 +47,7 @@
 pub(super) fn options(subcommand: &dyn Subcommand) -> Options {
     let mut options = Options::new();
     subcommand.options(&mut options);
-    Context::options(&mut options);
+    Context::options(&mut options, subcommand.calls_hosts());
     options
 }
 
@@ -70,9 +71,11 @@
     let lines: Vec<_> = lines.collect();
     format!(
         "Usage: tarragonctl SUBCOMMAND [OPTIONS]\n\nSubcommands:\n{}\n\n\
-         Each subcommand has --host, --token-file, --json and --help.\n\
+         Each subcommand has --json and --help, and all but 'config check' have --host and \
+         --token-file.\n\
          Exit codes: 0 done, 1 refused, 2 wrong usage, 3 outcome not known, \
-         4 not available, 5 not yet.",
+         4 not available, 5 not yet.\n\
+         Exit codes of 'config check': 0 clean, 1 warnings, 2 errors or wrong usage, 3 no answer.",
         lines.join("\n")
     )
 }
--- a/cli/src/ctl/subcommand.rs
+++ b/cli/src/ctl/subcommand.rs
@@ -22,6 +22,11 @@
     /// Adds its own options.
     fn options(&self, _options: &mut Options) {}
 
+    /// Whether it calls the hosts that `--host` names. One that does not has no options for them.
+    fn calls_hosts(&self) -> bool {
+        true
+    }
+
     /// Does it.
     fn run<'a>(&'a self, cx: &'a Context, matches: &'a Matches) -> Run<'a>;
 }
--- a/cli/src/entryd/listeners.rs
+++ b/cli/src/entryd/listeners.rs
@@ -17,7 +17,7 @@
 const CONNECTIONS: usize = 1_500;
 
 /// Largest body that an interface takes, in bytes; a configuration has thousands of routes.
-const BODY_BYTES: usize = 4 << 20;
+pub(crate) const BODY_BYTES: usize = 4 << 20;
 
 /// Time after which an idle connection is closed; longer than callers keep theirs.
 const IDLE: Duration = Duration::from_secs(60);
--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -6,6 +6,8 @@
 mod listeners;
 mod reload;
 
+pub(crate) use listeners::BODY_BYTES;
+
 use std::{path::Path, process::ExitCode, sync::Arc, time::Instant};
 
 use getopts::Options;
--- a/lib/config-check/src/checked_configuration.rs
+++ b/lib/config-check/src/checked_configuration.rs
@@ -11,4 +11,6 @@
     pub queue_details: Vec<QueueDetails>,
     /// Teams in the order in which the operator lists them.
     pub teams: Vec<Team>,
+    /// Keys that no request can carry: position of the team, and of the key in the operator's list.
+    pub unmatchable_keys: Vec<(usize, usize)>,
 }
--- a/lib/config-check/src/finding.rs
+++ b/lib/config-check/src/finding.rs
@@ -32,6 +32,13 @@
         /// The team.
         team: usize,
     },
+    /// No request can carry the key.
+    UnmatchableKey {
+        /// The team.
+        team: usize,
+        /// Position of the key in the operator's list.
+        key: usize,
+    },
     /// Every queue accepts requests without a key, so none requires the keys of the team.
     UnrequiredKeys {
         /// The team.
--- a/lib/config-check/src/findings.rs
+++ b/lib/config-check/src/findings.rs
@@ -66,7 +66,10 @@
                 None
             }
         });
-    findings.collect()
+    let mut findings = findings.collect::<Vec<_>>();
+    let keys = checked.unmatchable_keys.iter();
+    findings.extend(keys.map(|&(team, key)| Finding::UnmatchableKey { team, key }));
+    findings
 }
 
 fn limits(queue: usize, model: &Queue, details: &QueueDetails) -> Vec<Finding> {
