--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -6,6 +6,7 @@
 mod bench_entry_host;
 mod class_outcome;
 mod commits;
+mod config_check;
 mod control;
 mod decisions;
 mod delay_proxy;
@@ -36,12 +37,17 @@
 
 type RunExperiment = fn(&Options) -> Report;
 
-const COMMANDS: [(&str, &str, RunExperiment); 11] = [
+const COMMANDS: [(&str, &str, RunExperiment); 12] = [
     (
         "commits",
         "catalogue changes through the replicated log",
         commits::run,
     ),
+    (
+        "config_check",
+        "time of a check of a configuration file",
+        config_check::run,
+    ),
     (
         "control",
         "control traffic, CPU time and memory of real processes by role",
--- a/cli/tests/bench.rs
+++ b/cli/tests/bench.rs
@@ -7,6 +7,7 @@
 
 /// Guards against a subcommand that fails or writes a result file that is not valid JSON.
 #[parameterized(
+    config_check = { "config_check", "2" },
     packing = { "packing", "2" },
     queue = { "queue", "2" },
 )]
