--- a/cli/src/ctl/config/check_report.rs
+++ b/cli/src/ctl/config/check_report.rs
@@ -1,4 +1,4 @@
-use std::{fmt::Write, net::SocketAddr};
+use std::net::SocketAddr;
 
 use serde::Serialize;
 use tarragon_platform::{ConfigChange, ConfigDifference, ConfigError, ConfigWarning};
@@ -112,23 +112,22 @@
     }
 
     fn summary(&self) -> String {
-        let mut summary = format!(
-            "{}: {} errors, {} warnings",
-            self.file,
-            self.errors.len(),
-            self.warnings.len()
-        );
-        if let Some(VersionInForce { address, version }) = self.in_force {
-            let count = self.differences.len();
-            let _infallible = write!(
-                summary,
-                ", {count} differences from version {version} in force at {address}"
-            );
-        }
-        summary
+        let errors = counted(self.errors.len(), "error");
+        let warnings = counted(self.warnings.len(), "warning");
+        let summary = format!("{}: {errors}, {warnings}", self.file);
+        let Some(VersionInForce { address, version }) = self.in_force else {
+            return summary;
+        };
+        let differences = counted(self.differences.len(), "difference");
+        format!("{summary}, {differences} from version {version} in force at {address}")
     }
 }
 
+fn counted(count: usize, noun: &str) -> String {
+    let ending = if count == 1 { "" } else { "s" };
+    format!("{count} {noun}{ending}")
+}
+
 fn describe(difference: &ConfigDifference) -> String {
     let entry = if difference.section.is_empty() {
         String::new()
