--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -74,7 +74,6 @@
                 configuration,
                 teams,
             } => {
-                let teams = Arc::new(teams);
                 self.put_configuration(Configuration {
                     teams,
                     ..configuration
@@ -427,7 +426,7 @@
     if configuration.teams.is_empty() {
         return Command::PutConfiguration(configuration);
     }
-    let teams = TeamTable::clone(&configuration.teams);
+    let teams = Arc::clone(&configuration.teams);
     Command::PutTeamConfiguration {
         configuration,
         teams,
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::AdviceRequest;
 use tarragon_names::{DomainName, HostName, MemberId, Millis, Name};
@@ -91,7 +93,7 @@
         /// The configuration without its teams.
         configuration: Configuration,
         /// Its teams.
-        teams: TeamTable,
+        teams: Arc<TeamTable>,
     },
 }
 
@@ -101,7 +103,7 @@
         if configuration.teams.is_empty() {
             return Self::PutConfiguration(configuration);
         }
-        let teams = TeamTable::clone(&configuration.teams);
+        let teams = Arc::clone(&configuration.teams);
         Self::PutTeamConfiguration {
             configuration,
             teams,
--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -340,7 +340,7 @@
     let teams = TeamTable::new(teams, vec![Name::from("q")]).expect("valid teams");
     let command = Command::PutTeamConfiguration {
         configuration,
-        teams,
+        teams: Arc::new(teams),
     };
     state.apply(version, &command);
 }
--- a/lib/workflow/src/command.rs
+++ b/lib/workflow/src/command.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use tarragon_names::{Name, TeamName};
 
@@ -72,7 +74,7 @@
         /// The configuration without its teams.
         configuration: Configuration,
         /// Its teams.
-        teams: TeamTable,
+        teams: Arc<TeamTable>,
     },
     /// Like `Submit`, for a job of a team.
     SubmitForTeam {
--- a/lib/workflow/src/team_table.rs
+++ b/lib/workflow/src/team_table.rs
@@ -1,10 +1,10 @@
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_names::{Name, TeamName};
 
-use crate::{KeyDigest, Team};
+use crate::{KeyDigest, Team, TeamConflict};
 
 /// Teams of a configuration, and the queues whose calls need no key.
 ///
@@ -36,22 +36,8 @@
         if teams.is_empty() {
             return Ok(Self::default());
         }
-        let mut names = BTreeSet::new();
-        let mut keys = HashMap::new();
-        for team in &teams {
-            if !names.insert(&team.name) {
-                let cause = format!("team {:?} appears twice", team.name.as_str());
-                return Err(Failure::new(Code::BadEntry, cause));
-            }
-            for key in &team.keys {
-                if let Some(other) = keys.insert(key, &team.name)
-                    && other != &team.name
-                {
-                    let (one, other) = (other.as_str(), team.name.as_str());
-                    let cause = format!("teams {one:?} and {other:?} share a key");
-                    return Err(Failure::new(Code::BadEntry, cause));
-                }
-            }
+        if let Some(conflict) = TeamConflict::find(&teams).into_iter().next() {
+            return Err(Failure::new(Code::BadEntry, conflict.to_string()));
         }
         Ok(Self::from(TeamSettings {
             teams,
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -79,7 +79,7 @@
                 configuration,
                 teams,
             } => self.put_configuration(&Configuration {
-                teams: Arc::new(teams.clone()),
+                teams: Arc::clone(teams),
                 ..configuration.clone()
             }),
             Command::Submit { job, queue, spec } => self.submit(*job, queue, None, spec, now_ms),
--- a/lib/workflow/tests/teams.rs
+++ b/lib/workflow/tests/teams.rs
@@ -160,7 +160,7 @@
     assert_eq!(digest, "Some([KeyDigest(..)])");
     let command = Command::PutTeamConfiguration {
         configuration: configuration.clone(),
-        teams: table,
+        teams: Arc::new(table),
     };
     let shown = format!(
         "{configuration:?} {command:?} {:?}",
@@ -191,7 +191,7 @@
     let teams = table(teams);
     let command = Command::PutTeamConfiguration {
         configuration,
-        teams,
+        teams: Arc::new(teams),
     };
     assert_eq!(state.apply(version, &command), Answer::Done);
 }
