--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -111,8 +111,6 @@
     pub(crate) sole_leader_since: Millis,
     /// Time of the next check for expired leases and overdue runs.
     pub(crate) next_expiry_at: Millis,
-    /// Time of the next search for runs that fall behind.
-    pub(crate) next_straggler_search_at: Millis,
     /// Earliest time of the next report on waiting steps.
     pub(crate) next_report_at: Millis,
     pub(crate) now: Millis,
@@ -176,7 +174,6 @@
             is_sole_leader: false,
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
-            next_straggler_search_at: Millis(0),
             next_report_at: Millis(0),
             now: Millis(0),
             now_ms: 0,
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -1,8 +1,8 @@
 //! Runs that stand still or take too long: suspects their workers and restarts the tasks elsewhere.
 //!
 //! Estimates of callers are often wrong by a factor of three and more, so a run that makes progress is
-//! left alone however long it takes, unless the other runs of its step show that it falls behind. Only a
-//! run without any report of its progress is judged by its estimate.
+//! left alone however long it takes. Only a run without any report of its progress is judged by its
+//! estimate.
 
 use std::collections::BTreeSet;
 
@@ -64,7 +64,7 @@
 
 impl Dispatcher {
     /// Suspects workers on which several jobs are late, and stops runs that exceed their estimate
-    /// by far or fall behind the others of their step, so that they start elsewhere.
+    /// by far, so that they start elsewhere.
     pub(crate) fn move_overdue_runs(&mut self) {
         let now = self.now;
         if now.since(self.sole_leader_since) < MIN_SOLE_LEADER_TIME {
@@ -103,7 +103,6 @@
         for (task, worker) in overdue {
             self.move_run(task, &worker, "overdue");
         }
-        self.move_stragglers();
     }
 
     /// Places nothing on a worker for a while, because its machine is about to go down for upkeep.
@@ -115,7 +114,7 @@
     }
 
     /// Stops a run so that its task starts elsewhere.
-    pub(crate) fn move_run(&mut self, task: TaskKey, worker: &WorkerName, cause: &str) {
+    fn move_run(&mut self, task: TaskKey, worker: &WorkerName, cause: &str) {
         let now = self.now;
         if let Some(plan) = self.plans.get_mut(&task.step) {
             plan.failed_on.insert(worker.clone());
@@ -146,7 +145,7 @@
 }
 
 /// Time since the placement of a run, if the run has an estimate and is running normally.
-pub(crate) fn running_time(view: &RunView, now: Millis) -> Option<Millis> {
+fn running_time(view: &RunView, now: Millis) -> Option<Millis> {
     // A throttled run takes longer through no fault of its worker.
     let is_running = !view.is_ended
         && view.rate.is_certainly(FULL_RATE)
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -106,7 +106,7 @@
     }
 
     /// Returns whether a step waits because the free capacity is left to more urgent steps.
-    pub(crate) fn must_leave_headroom(&self, plan: &StepPlan) -> bool {
+    fn must_leave_headroom(&self, plan: &StepPlan) -> bool {
         if plan.step().best_effort || plan.step().long_running {
             return false;
         }
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -242,8 +242,7 @@
                     if !matches!(view.start, StartState::Present { .. }) {
                         view.start = StartState::Present { since: now };
                     }
-                    if status.checkpoint.is_some() && view.checkpoint != status.checkpoint {
-                        view.checkpoint_percent = status.percent;
+                    if status.checkpoint.is_some() {
                         view.checkpoint.clone_from(&status.checkpoint);
                     }
                     view.progress.record(status.percent, now);
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -70,8 +70,6 @@
     pub(crate) resume_from: Option<Name>,
     /// Last checkpoint that a poll has listed.
     pub(crate) checkpoint: Option<Name>,
-    /// Progress when this checkpoint was listed first, in percent.
-    pub(crate) checkpoint_percent: u64,
     pub(crate) progress: RunProgress,
     pub(crate) rate: RunRate,
     /// CPU in use in thousandths of a core or, for a latency-sensitive run, its tail latency in
@@ -104,7 +102,6 @@
             placed_at: now,
             resume_from: None,
             checkpoint: None,
-            checkpoint_percent: 0,
             progress: RunProgress::default(),
             rate: RunRate::of_new_run(),
             usage_or_tail_ms: None,
--- a/lib/dispatch/src/step_durations.rs
+++ b/lib/dispatch/src/step_durations.rs
@@ -71,12 +71,6 @@
         median(durations).map(Millis)
     }
 
-    /// Durations of the runs of a step that have ended, on the mean worker.
-    pub(crate) fn all_on_mean_worker(&self, step: &StepKey) -> impl Iterator<Item = u64> {
-        let runs = self.by_step.get(step).into_iter().flatten();
-        runs.map(|run| run.on_mean_worker)
-    }
-
     /// Removes a step that is done or cancelled, and returns its runs.
     pub(crate) fn take(&mut self, step: &StepKey) -> Vec<StepRun> {
         self.by_step.remove(step).unwrap_or_default()
--- a/lib/dispatch/tests/loaded_cluster/mod.rs
+++ b/lib/dispatch/tests/loaded_cluster/mod.rs
@@ -41,12 +41,14 @@
     started_at: u64,
     outcome: Outcome,
     is_stopped: bool,
+    /// Share of the work that was done at the start, in percent.
+    resumed_percent: u64,
 }
 
 impl Running {
     fn percent(&self, now: u64) -> u64 {
-        let done = (now - self.started_at) * 100;
-        (done / self.outcome.duration_ms.max(1)).min(100)
+        let done = (now - self.started_at) * (100 - self.resumed_percent);
+        (self.resumed_percent + done / self.outcome.duration_ms.max(1)).min(100)
     }
 }
 
@@ -66,8 +68,6 @@
     pub started_at: Vec<u64>,
     /// Tasks that are done, with the times of their ends.
     pub done: BTreeMap<TaskKey, u64>,
-    /// Whether the runs save checkpoints.
-    pub is_checkpointing: bool,
     outcome: F,
     workers: BTreeMap<String, ModelWorker>,
 }
@@ -86,7 +86,6 @@
             started: Vec::new(),
             started_at: Vec::new(),
             done: BTreeMap::new(),
-            is_checkpointing: false,
             outcome,
             workers: names.collect(),
         }
@@ -124,11 +123,18 @@
         let now = self.harness.now;
         for order in self.harness.answer_starts(OrderOutcome::Accepted) {
             let outcome = (self.outcome)(&order);
+            let resumed_percent = order.checkpoint.as_ref().and_then(percent_of);
+            let resumed_percent = resumed_percent.unwrap_or(0);
+            let left = 100 - resumed_percent;
             let running = Running {
                 run: order.run,
                 started_at: now,
-                outcome,
+                outcome: Outcome {
+                    duration_ms: outcome.duration_ms * left / 100,
+                    ..outcome
+                },
                 is_stopped: false,
+                resumed_percent,
             };
             let worker = order.incarnation.worker.as_str();
             let worker = self.workers.get_mut(worker).expect("a known worker");
@@ -179,9 +185,7 @@
             let running = worker.running.iter().map(|(task, running)| RunStatus {
                 task: *task,
                 run: running.run,
-                checkpoint: self
-                    .is_checkpointing
-                    .then(|| Name::from(format!("at {}", running.percent(now)))),
+                checkpoint: Some(Name::from(format!("at {}", running.percent(now)))),
                 percent: running.percent(now),
                 usage_or_tail_ms: None,
             });
@@ -192,3 +196,8 @@
         }
     }
 }
+
+/// Share of the work that a checkpoint of these workers holds, in percent.
+fn percent_of(checkpoint: &Name) -> Option<u64> {
+    checkpoint.as_str().strip_prefix("at ")?.parse::<u64>().ok()
+}
