--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -20,10 +20,9 @@
     recent_placements::RecentPlacements,
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
-    step_durations::StepDurations,
     step_plan::StepPlan,
     team_quotas::TeamQuotas,
-    worker_speed::MeanSpeed,
+    worker_speed::WorkerSpeed,
     worker_table::WorkerTable,
 };
 
@@ -83,9 +82,7 @@
     /// Rate at which runs fail on all workers.
     pub(crate) failure_rate: FailureRate,
     /// Mean of the speeds of all workers.
-    pub(crate) mean_speed: MeanSpeed,
-    /// Durations of the runs of open steps.
-    pub(crate) step_durations: StepDurations,
+    pub(crate) mean_speed: WorkerSpeed,
     /// Priority of the least urgent queue.
     pub(crate) lowest_priority: u32,
     pub(crate) team_quotas: TeamQuotas,
@@ -158,8 +155,7 @@
             outputs: Vec::new(),
             retry_outcomes: RetryOutcomes::default(),
             failure_rate: FailureRate::default(),
-            mean_speed: MeanSpeed::default(),
-            step_durations: StepDurations::default(),
+            mean_speed: WorkerSpeed::default(),
             lowest_priority: 0,
             team_quotas: TeamQuotas::default(),
             capped_teams: CappedTeams::default(),
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -70,7 +70,6 @@
     }
 
     fn remove_plan(&mut self, key: &StepKey) {
-        self.learn_speeds(key);
         self.release_reservation(key);
         self.plans.remove(key);
     }
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -86,7 +86,6 @@
         self.open_polls.clear();
         self.placed.clear();
         self.plans.clear();
-        self.step_durations.clear();
         self.new_steps.clear();
         self.gang_claims = (u32::MAX, Claims::new());
         self.headroom = Headroom::default();
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -14,7 +14,6 @@
     packing::{Candidate, pack, pack_all},
     run_spec::RunSpec,
     run_view::RunView,
-    speed_rank::{SpeedClass, SpeedRank},
     step_plan::StepPlan,
     wait::Wait,
     worker_state::WorkerState,
@@ -165,8 +164,7 @@
         let step = plan.step();
         let need = step.reserved();
         let count = self.startable_tasks(plan);
-        let mut candidates = self.candidates(key, candidate_set, claims);
-        self.rank_by_speed(plan, &mut candidates);
+        let candidates = self.candidates(key, candidate_set, claims);
         let fit = |candidates: Vec<Candidate>| {
             if step.gang {
                 return pack_all(candidates, &need, count, step.same_rack);
@@ -232,12 +230,8 @@
             rack: state.record.rack.clone(),
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
-            is_throttled: step.best_effort && state.best_effort_rate < FULL_RATE,
-            is_failing: state.outcomes.failures_in_a_row > 0
-                && self.failure_rate.is_improbable(state.outcomes),
-            speed: state.speed.relative_to(self.mean_speed),
-            speed_class: SpeedClass::default(),
-            speed_rank: SpeedRank::default(),
+            is_slow: state.speed.is_slow(self.mean_speed)
+                || (step.best_effort && state.best_effort_rate < FULL_RATE),
         })
     }
 
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use tarragon_names::{Millis, WorkerName};
-use tarragon_workflow::{JobKey, RunEnd, RunEvent, StepSpec, WorkerIncarnation};
+use tarragon_workflow::{JobKey, RunEvent, StepSpec, WorkerIncarnation};
 
 use crate::{
     DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
@@ -15,6 +15,7 @@
     loss_cause::LossCause,
     run_view::{StartState, StopState},
     unexpected_runs::UnexpectedRuns,
+    worker_speed::WorkerSpeed,
     worker_state::WorkerState,
 };
 
@@ -161,11 +162,6 @@
                 checkpoint: finished_run.checkpoint.clone(),
             });
             self.report_end(incarnation, finished_run, listed);
-            if let Some(listed) = listed.filter(|listed| listed.is_comparable)
-                && finished_run.end == RunEnd::Done
-            {
-                self.record_duration(&finished_run.task, &incarnation.worker, listed.ran);
-            }
             if listed.is_some_and(|listed| listed.is_first) {
                 self.record_health(&finished_run.task, &incarnation.worker, finished_run.end);
             }
@@ -347,7 +343,8 @@
         self.needs_placement = true;
         self.update_quotas();
         self.expire_leases();
-        self.update_mean_speed();
+        let speeds = self.workers.iter().map(|(_, state)| state.speed.0);
+        self.mean_speed = WorkerSpeed(speeds.sum::<u64>() / (self.workers.len() as u64).max(1));
         self.relays.forget(self.now, self.cfg.relay_silence_limit);
         self.expire_pending_requests();
         let due = self.scheduled_jobs.iter().copied().collect::<Vec<JobKey>>();
--- a/lib/dispatch/src/listed_end.rs
+++ b/lib/dispatch/src/listed_end.rs
@@ -7,8 +7,6 @@
     pub(crate) is_expected: bool,
     /// Whether the worker lists the end for the first time.
     pub(crate) is_first: bool,
-    /// Whether the duration of the run can be compared with those of other runs of its step.
-    pub(crate) is_comparable: bool,
     /// Time since the placement of the run.
     pub(crate) ran: Millis,
     /// CPU or tail latency that the worker reported last.
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -1,12 +1,7 @@
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::collections::BTreeMap;
 
 use tarragon_names::{RackName, Resources, WorkerName};
 
-use crate::{
-    speed_rank::{SpeedClass, SpeedRank},
-    worker_speed::SpeedFactor,
-};
-
 /// A worker that may run tasks of a step.
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
@@ -15,15 +10,8 @@
     pub(crate) rack: Option<RackName>,
     /// Largest number of tasks of the step that the worker may run.
     pub(crate) limit: u32,
-    /// Whether best-effort tasks get less than their full rate there.
-    pub(crate) is_throttled: bool,
-    /// Whether more of the latest runs there have failed than the rate of all workers explains.
-    pub(crate) is_failing: bool,
-    /// Duration of tasks there.
-    pub(crate) speed: SpeedFactor,
-    pub(crate) speed_class: SpeedClass,
-    /// Position in the order that the speeds of the workers give for the step.
-    pub(crate) speed_rank: SpeedRank,
+    /// Whether tasks take longer there than on other workers.
+    pub(crate) is_slow: bool,
     /// Whether the worker is preferred, for example because it is near the data.
     pub(crate) is_preferred: bool,
 }
@@ -41,8 +29,8 @@
 
 /// Chooses workers for up to `count` tasks; fewer tasks are assigned if the capacity runs out.
 ///
-/// Preferred workers come first and failing ones last, then those whose speed suits the step best;
-/// within these groups the fullest come first, which keeps whole workers free for large tasks.
+/// Preferred workers come first and slow ones last; within these groups the fullest come first,
+/// which keeps whole workers free for large tasks.
 pub(crate) fn pack(
     mut candidates: Vec<Candidate>,
     need: &Resources,
@@ -51,13 +39,7 @@
     candidates.retain(|candidate| candidate.fits(need) > 0);
     candidates.sort_by_key(|c| {
         let free = (c.free.cpu_milli, c.free.memory_mb);
-        (
-            !c.is_preferred,
-            c.is_throttled,
-            c.is_failing,
-            c.speed_rank,
-            free,
-        )
+        (!c.is_preferred, c.is_slow, free)
     });
     let mut chosen = Vec::new();
     let mut left = count;
@@ -74,8 +56,7 @@
 
 /// Like `pack`, for tasks that must all run at once: assigns all of them or none.
 ///
-/// With `same_rack`, a single rack is used if one holds all tasks. Tasks that run together are as
-/// slow as the slowest, so workers of the same speed are used if they hold all tasks.
+/// With `same_rack`, a single rack is used if one holds all tasks.
 pub(crate) fn pack_all(
     candidates: Vec<Candidate>,
     need: &Resources,
@@ -98,26 +79,5 @@
             return Some(chosen);
         }
     }
-    let of_one_speed = by_speed(&candidates).into_iter();
-    let mut of_one_speed = of_one_speed.map(|alike| pack(alike, need, count));
-    if let Some(chosen) = of_one_speed.find(is_complete) {
-        return Some(chosen);
-    }
     Some(pack(candidates, need, count)).filter(is_complete)
 }
-
-/// Candidates of the same speed, those whose speed suits the step best first. Preferred workers of
-/// any speed go before that; none are returned beside them.
-fn by_speed(candidates: &[Candidate]) -> Vec<Vec<Candidate>> {
-    if candidates.iter().any(|candidate| candidate.is_preferred) {
-        return Vec::new();
-    }
-    let mut groups: BTreeMap<_, Vec<Candidate>> = BTreeMap::new();
-    for candidate in candidates {
-        // Of speeds that suit the step equally, the slowest comes first.
-        let class = Reverse(candidate.speed_class);
-        let group = (candidate.is_failing, candidate.speed_rank, class);
-        groups.entry(group).or_default().push(candidate.clone());
-    }
-    groups.into_values().collect()
-}
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -110,18 +110,6 @@
         }
     }
 
-    /// Returns whether the time since the placement tells how fast the worker is.
-    ///
-    /// The members of a gang take as long as the slowest one, a best-effort run may be throttled, a
-    /// resumed run has less work, and the placement of an earlier leader has no known time.
-    pub(crate) fn has_comparable_duration(&self) -> bool {
-        self.spec.estimate.0 > 0
-            && !self.spec.is_gang
-            && !self.spec.is_best_effort
-            && self.resume_from.is_none()
-            && self.start_may_arrive_until == Millis(0)
-    }
-
     pub(crate) fn request_stop(&mut self, now: Millis) {
         if self.stop == StopState::NotRequested {
             self.stop = StopState::Requested { at: now };
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -78,7 +78,7 @@
     /// Whether the lease has expired. The runs on the worker were declared lost, but for those that may be
     /// on an incarnation that nobody has noticed yet.
     pub(crate) is_lease_expired: bool,
-    /// Duration of runs on this worker, compared with those on other workers.
+    /// Duration of runs on this worker, relative to their estimates.
     pub(crate) speed: WorkerSpeed,
     /// Time at which the last successful run was reported.
     pub(crate) last_success_at: Millis,
@@ -254,17 +254,17 @@
         if view.run != ended.run {
             return None;
         }
-        let is_first = view.listed_end.replace(ended.number).is_none();
         let listed = ListedEnd {
             is_expected: !view.is_ended,
-            is_first,
-            is_comparable: is_first && view.has_comparable_duration(),
+            is_first: view.listed_end.replace(ended.number).is_none(),
             ran: now.since(view.placed_at),
             usage_or_tail_ms: view.usage_or_tail_ms,
         };
+        let estimate = view.spec.estimate;
         self.set_ended(&ended.task, true);
         if listed.is_first && ended.end == RunEnd::Done {
             self.last_success_at = now;
+            self.speed.record_run(listed.ran, estimate);
         }
         Some(listed)
     }
