--- a/lib/workflow/src/team_table.rs
+++ b/lib/workflow/src/team_table.rs
@@ -14,7 +14,13 @@
 pub struct TeamTable {
     /// Teams in the order of their names.
     teams: Vec<Team>,
-    /// Positions of the teams.
+    /// Boxed, because requests and commands hold tables.
+    index: Box<TeamIndex>,
+}
+
+/// Positions of the teams of a table, and the queues whose calls need no key.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct TeamIndex {
     by_name: HashMap<TeamName, usize>,
     by_key: HashMap<KeyDigest, usize>,
     anonymous_queues: HashSet<Name>,
@@ -71,11 +77,11 @@
 
     /// Returns a team by its name.
     pub fn get(&self, name: &TeamName) -> Option<&Team> {
-        self.teams.get(*self.by_name.get(name)?)
+        self.teams.get(*self.index.by_name.get(name)?)
     }
 
     fn team_with(&self, key: &KeyDigest) -> Option<&Team> {
-        self.teams.get(*self.by_key.get(key)?)
+        self.teams.get(*self.index.by_key.get(key)?)
     }
 
     /// Returns the team of a call for a queue; `None` if it needs no team.
@@ -87,7 +93,7 @@
             return Ok(None);
         }
         let Some(key) = key else {
-            if self.anonymous_queues.contains(queue) {
+            if self.index.anonymous_queues.contains(queue) {
                 return Ok(None);
             }
             return Err(Failure::new(Code::UnknownKey, "the call has no key"));
@@ -136,18 +142,21 @@
             let keys = team.keys.iter();
             keys.map(move |key| (*key, position))
         });
-        Self {
+        let index = TeamIndex {
             by_name: names.collect(),
             by_key: keys.collect(),
-            teams,
             anonymous_queues: settings.anonymous_queues.into_iter().collect(),
+        };
+        Self {
+            teams,
+            index: Box::new(index),
         }
     }
 }
 
 impl From<TeamTable> for TeamSettings {
     fn from(table: TeamTable) -> Self {
-        let anonymous_queues = table.anonymous_queues.into_iter();
+        let anonymous_queues = table.index.anonymous_queues.into_iter();
         let mut anonymous_queues = anonymous_queues.collect::<Vec<_>>();
         // All replicas write the same bytes.
         anonymous_queues.sort_unstable();
