--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -266,6 +266,7 @@
             ..configuration(None)
         };
         let teams = TeamTable::new(teams, Vec::new()).expect("the teams differ");
+        let teams = Arc::new(teams);
         self.commit(Command::PutTeamConfiguration {
             configuration,
             teams,
