--- a/cli/src/entryd/mod.rs
+++ b/cli/src/entryd/mod.rs
@@ -10,7 +10,7 @@
 
 use getopts::Options;
 use tarragon_codes::{Code, Failure, Outcome};
-use tarragon_entry::{EntryHost, EntryMetrics, EntryParts, ExternalServices};
+use tarragon_entry::{EntryConfig, EntryHost, EntryMetrics, EntryParts, ExternalServices};
 use tarragon_platform::{
     AdviceClient, HttpClient, MachineClient, PlatformSettings, WorkerClient, settings_path,
 };
@@ -137,7 +137,11 @@
         },
         disk: Arc::new(LocalDisk),
     };
-    let host = EntryHost::start(platform.entry.clone(), parts).await?;
+    let entry = EntryConfig {
+        avoids_interference: own.avoids_interference,
+        ..platform.entry.clone()
+    };
+    let host = EntryHost::start(entry, parts).await?;
     let listeners =
         Listeners::start(&own, &platform, &host, logs, metrics, replica_metrics).await?;
     let detail = format!(
--- a/lib/dispatch/src/config.rs
+++ b/lib/dispatch/src/config.rs
@@ -37,6 +37,8 @@
     pub expiry_interval: Millis,
     /// Time beyond its expected duration after which a request for advice counts as unanswered.
     pub advice_slack: Millis,
+    /// Whether images that slow each other down are detected and kept apart.
+    pub avoids_interference: bool,
 }
 
 impl Default for DispatchConfig {
@@ -58,6 +60,7 @@
             placement_interval: Millis(20),
             expiry_interval: Millis(100),
             advice_slack: Millis(800),
+            avoids_interference: false,
         }
     }
 }
--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
+    dispatcher_interference::Interference,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
     headroom::Headroom,
@@ -90,6 +91,8 @@
     pub(crate) headroom: Headroom,
     pub(crate) late_orders: LateOrders,
     pub(crate) recent_placements: RecentPlacements,
+    /// Images that slow each other down; `None` if they are not to be detected.
+    pub(crate) interference: Option<Interference>,
     /// Number of stop orders that were not accepted within the timeout of an order.
     pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
@@ -154,6 +157,7 @@
             headroom: Headroom::default(),
             late_orders: LateOrders::default(),
             recent_placements: RecentPlacements::default(),
+            interference: cfg.avoids_interference.then(Interference::default),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
             is_sole_leader: false,
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -91,5 +91,6 @@
         self.pending_requests.clear();
         self.relays = AdviceRelays::default();
         self.records.clear();
+        self.forget_interference();
     }
 }
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -141,16 +141,28 @@
 
     /// Chooses workers for the waiting tasks of a step. For a gang, all tasks must fit.
     pub(crate) fn choose_workers(
-        &self,
+        &mut self,
         key: &StepKey,
         candidate_set: CandidateSet,
         claims: &Claims,
+    ) -> Option<Vec<(WorkerName, u32)>> {
+        let candidates = self.candidates(key, candidate_set, claims);
+        if let Some(chosen) = self.choose_apart(key, candidate_set, &candidates) {
+            return Some(chosen);
+        }
+        self.fit(key, candidates)
+    }
+
+    /// Chooses workers for the waiting tasks of a step among candidates.
+    pub(crate) fn fit(
+        &self,
+        key: &StepKey,
+        candidates: Vec<Candidate>,
     ) -> Option<Vec<(WorkerName, u32)>> {
         let plan = self.plans.get(key)?;
         let step = plan.step();
         let need = step.reserved();
         let count = plan.waiting.len() as u32;
-        let candidates = self.candidates(key, candidate_set, claims);
         let fit = |candidates: Vec<Candidate>| {
             if step.gang {
                 return pack_all(candidates, &need, count, step.same_rack);
@@ -216,6 +228,7 @@
             rack: state.record.rack.clone(),
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
+            is_disturbed: false,
             is_slow: state.speed.is_slow(self.mean_speed)
                 || (step.best_effort && state.best_effort_rate < FULL_RATE),
         })
@@ -311,7 +324,7 @@
             let Some(state) = self.workers.get_mut(&worker) else {
                 continue;
             };
-            let mut view = RunView::new(run, spec, self.now);
+            let mut view = RunView::new(run, spec.clone(), self.now);
             view.ticket = ticket;
             view.resume_from = checkpoint;
             state.insert_run(task, view);
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -104,6 +104,7 @@
         }
         self.record_ends(incarnation, &answer.finished);
         self.reconcile_runs(incarnation, &answer, sent_at);
+        self.observe_interference(&incarnation.worker, &answer);
         self.throttle_best_effort(&incarnation.worker);
         if !was_unresponsive {
             self.record_removed_successions(incarnation, answer.started_ms);
@@ -349,6 +350,7 @@
             self.refresh_job(job);
         }
         self.move_overdue_runs();
+        self.evaluate_interference();
         // A quarantined worker is usable again from the time of its probe on: the next run that ends
         // there is the probe.
         self.health.take_due_probes(self.now, usize::MAX);
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod dispatcher_advice;
 mod dispatcher_health;
 mod dispatcher_inputs;
+mod dispatcher_interference;
 mod dispatcher_jobs;
 mod dispatcher_leadership;
 mod dispatcher_orders;
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -14,6 +14,8 @@
     pub(crate) is_slow: bool,
     /// Whether the worker is preferred, for example because it is near the data.
     pub(crate) is_preferred: bool,
+    /// Whether tasks there and those of the step slow each other down.
+    pub(crate) is_disturbed: bool,
 }
 
 impl Candidate {
@@ -29,8 +31,8 @@
 
 /// Chooses workers for up to `count` tasks; fewer tasks are assigned if the capacity runs out.
 ///
-/// Preferred workers come first and slow ones last; within these groups the fullest come first,
-/// which keeps whole workers free for large tasks.
+/// Preferred workers come first, disturbed ones after others, and slow ones last; within these groups
+/// the fullest come first, which keeps whole workers free for large tasks.
 pub(crate) fn pack(
     mut candidates: Vec<Candidate>,
     need: &Resources,
@@ -39,7 +41,7 @@
     candidates.retain(|candidate| candidate.fits(need) > 0);
     candidates.sort_by_key(|c| {
         let free = (c.free.cpu_milli, c.free.memory_mb);
-        (!c.is_preferred, c.is_slow, free)
+        (!c.is_preferred, c.is_disturbed, c.is_slow, free)
     });
     let mut chosen = Vec::new();
     let mut left = count;
--- a/lib/dispatch/src/run_spec.rs
+++ b/lib/dispatch/src/run_spec.rs
@@ -1,4 +1,4 @@
-use tarragon_names::{Millis, Resources};
+use tarragon_names::{Millis, Name, Resources};
 use tarragon_workflow::{Queue, StepSpec};
 
 /// Queue priority of a run whose queue is not known; every other priority is more urgent.
@@ -9,7 +9,7 @@
     clippy::struct_excessive_bools,
     reason = "each is an independent property of the step"
 )]
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RunSpec {
     /// Resources that a run occupies on its worker.
     pub(crate) need: Resources,
@@ -27,6 +27,9 @@
     pub(crate) is_gang: bool,
     /// Whether a stopped run resumes elsewhere from its checkpoint, and no other run ends with it.
     pub(crate) is_resumable: bool,
+    /// Program that the run executes; `None` for a run that takes no part in the detection of
+    /// interference.
+    pub(crate) image: Option<Name>,
 }
 
 impl RunSpec {
@@ -44,6 +47,7 @@
             is_bounded: step.long_running && step.max_unavailable.is_some(),
             is_gang: step.gang,
             is_resumable: step.checkpointing && !step.gang && !step.long_running,
+            image: step.image.clone(),
         }
     }
 }
--- a/lib/dispatch/tests/common/mod.rs
+++ b/lib/dispatch/tests/common/mod.rs
@@ -45,6 +45,7 @@
     pub uncommitted: Vec<Command>,
     /// Dispatcher of a host that applies the log while another one leads.
     follower: Dispatcher,
+    cfg: DispatchConfig,
 }
 
 pub fn incarnation(worker: &str) -> WorkerIncarnation {
@@ -137,13 +138,21 @@
     }
 
     pub fn with_advice(workers: &[WorkerRecord], advice: Option<AdviceTerms>) -> Self {
+        Self::with_config(workers, advice, DispatchConfig::default())
+    }
+
+    pub fn with_config(
+        workers: &[WorkerRecord],
+        advice: Option<AdviceTerms>,
+        cfg: DispatchConfig,
+    ) -> Self {
         let workflow_state = Arc::new(WorkflowState::new(120_000));
         workflow_state.apply(EPOCH_MS, &Command::PutConfiguration(configuration(advice)));
         for worker in workers {
             workflow_state.apply(EPOCH_MS, &Command::PutWorker(worker.clone()));
         }
         let mut harness = Self {
-            dispatcher: Dispatcher::new(DispatchConfig::default(), Arc::clone(&workflow_state)),
+            dispatcher: Dispatcher::new(cfg, Arc::clone(&workflow_state)),
             workflow_state: Arc::clone(&workflow_state),
             now: 1_000,
             term: 0,
@@ -157,7 +166,8 @@
             is_log_paused: false,
             is_sole_leader: true,
             uncommitted: Vec::new(),
-            follower: Dispatcher::new(DispatchConfig::default(), Arc::clone(&workflow_state)),
+            follower: Dispatcher::new(cfg, Arc::clone(&workflow_state)),
+            cfg,
         };
         harness.elect_new_leader();
         for worker in workers {
@@ -168,13 +178,13 @@
 
     /// Replaces the dispatcher by that of a new leader, which knows only the replicated state.
     pub fn elect_new_leader(&mut self) {
-        let new = Dispatcher::new(DispatchConfig::default(), Arc::clone(&self.workflow_state));
+        let new = Dispatcher::new(self.cfg, Arc::clone(&self.workflow_state));
         self.lead_with(new);
     }
 
     /// Replaces the dispatcher by that of a host that has applied the log so far.
     pub fn elect_follower(&mut self) {
-        let new = Dispatcher::new(DispatchConfig::default(), Arc::clone(&self.workflow_state));
+        let new = Dispatcher::new(self.cfg, Arc::clone(&self.workflow_state));
         let follower = std::mem::replace(&mut self.follower, new);
         self.lead_with(follower);
     }
--- a/lib/entry/src/active_replica.rs
+++ b/lib/entry/src/active_replica.rs
@@ -7,7 +7,7 @@
 use tarragon_agreement::{Recovered, Replica};
 use tarragon_codes::Outcome;
 use tarragon_discovery::LeaderHint;
-use tarragon_dispatch::Dispatcher;
+use tarragon_dispatch::{DispatchConfig, Dispatcher};
 use tarragon_names::{LogIndex, MemberId};
 use tarragon_replica::{Clock, ReplicaDriver, ReplicaHandle, ReplicaParts, StateMachine};
 use tarragon_storage::{FileStore, LogStore};
@@ -99,11 +99,15 @@
             ReplicaDriver::start(replica_parts, Box::new(store), applied_index);
         let available_tasks = Arc::new(AvailableTasks::default());
         let unstarted_jobs = Arc::new(UnstartedJobs::default());
+        let dispatch_config = DispatchConfig {
+            avoids_interference: self.cfg.avoids_interference,
+            ..timing.dispatch_config()
+        };
         let dispatch_parts = DispatchParts {
             workflow_state: Arc::clone(&workflow_state),
             available_tasks: Arc::clone(&available_tasks),
             unstarted_jobs: Arc::clone(&unstarted_jobs),
-            dispatcher: Dispatcher::new(timing.dispatch_config(), Arc::clone(&workflow_state)),
+            dispatcher: Dispatcher::new(dispatch_config, Arc::clone(&workflow_state)),
             handle: dispatch.clone(),
             replica: handle.clone(),
             mesh: Arc::clone(self.mesh),
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -114,6 +114,8 @@
                 next_count_at = now + COUNT_INTERVAL;
                 let counts = self.parts.dispatcher.unstarted_jobs();
                 self.parts.unstarted_jobs.set(counts);
+                let pairs = self.parts.dispatcher.interfering_pairs();
+                self.parts.metrics.interfering_pairs.set(pairs as i64);
             }
             let timer = self.parts.metrics.dispatch_step.start_timer();
             let now_ms = self.parts.clock.wall_ms();
--- a/lib/entry/src/entry_config.rs
+++ b/lib/entry/src/entry_config.rs
@@ -29,6 +29,8 @@
     pub max_descriptors: usize,
     /// Limits of the replicated state, derived from the disk and the memory of the host.
     pub state_limits: StateLimits,
+    /// Whether images that slow each other down on one worker are detected and kept apart.
+    pub avoids_interference: bool,
     /// Intervals and timeouts, derived from the bounds of the platform.
     pub timing: EntryTiming,
 }
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -33,6 +33,8 @@
     pub decisions: IntCounterVec,
     /// Seconds that one step of the dispatcher took.
     pub dispatch_step: Histogram,
+    /// Pairs of images that are kept apart while this host leads.
+    pub interfering_pairs: IntGauge,
     /// Messages on the links between hosts.
     pub link_messages: IntCounter,
     /// Bytes on the links between hosts.
@@ -117,6 +119,11 @@
                     .buckets(BUCKETS_S.to_vec()),
                 ),
             )?,
+            interfering_pairs: gauge(
+                &registry,
+                "tarragon_entry_interfering_pairs",
+                "Pairs of images that are kept apart",
+            )?,
             link_messages: counter(
                 &registry,
                 "tarragon_entry_link_messages_total",
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -279,6 +279,7 @@
             tolerated_failures: 1,
             max_descriptors: 1_024,
             state_limits: self.state_limits(),
+            avoids_interference: false,
             timing: EntryTiming {
                 bounds: Bounds {
                     machine_down_time: MACHINE_DOWN_TIME,
--- a/lib/settings/src/entry_settings.rs
+++ b/lib/settings/src/entry_settings.rs
@@ -5,6 +5,8 @@
 /// Settings that only the entry daemon has; the others come from the platform's settings.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EntrySettings {
+    /// Whether images that slow each other down on one worker are detected and kept apart.
+    pub avoids_interference: bool,
     /// Port that serves the metrics, on the address of the host.
     pub metrics_port: u16,
     /// Number of threads of the async runtime.
@@ -31,6 +33,7 @@
     }
 
     fn read(section: &Section<'_>) -> Option<Self> {
+        let avoids_interference = section.or_default("avoid_interference", false, parse::flag);
         let metrics_port = section.or_default("metrics_port", 9_464, parse::number(1, 65_535));
         let worker_threads = section.or_default("worker_threads", 2, parse::number(1, 64));
         let log = section.section("log");
@@ -38,6 +41,7 @@
         let log_lines_per_s = log.or_default("lines_per_s", 2_000, parse::number(10, 1_000_000));
         log.reject_unknown_keys();
         Some(Self {
+            avoids_interference,
             metrics_port: u16::try_from(metrics_port).ok()?,
             worker_threads,
             log_level,
--- a/lib/settings/src/parse.rs
+++ b/lib/settings/src/parse.rs
@@ -70,6 +70,14 @@
     Ok(addr)
 }
 
+/// Parses `true` or `false`.
+pub fn flag(value: &DeValue<'_>) -> Result<bool, String> {
+    match value {
+        DeValue::Boolean(is_set) => Ok(*is_set),
+        _ => Err("must be true or false".to_owned()),
+    }
+}
+
 /// Returns a parser of integers from `min` to `max`.
 pub fn number<T>(min: u64, max: u64) -> impl Fn(&DeValue<'_>) -> Result<T, String>
 where
