--- a/lib/interference/src/baseline.rs
+++ b/lib/interference/src/baseline.rs
@@ -1,7 +1,5 @@
 //! Speed of workers without a source, from the durations of runs of all images.
 
-use std::collections::BTreeMap;
-
 use crate::{run_report::StepId, sign_test::median};
 
 /// Least number of runs of a step, and of runs on a worker, that a baseline is drawn from.
@@ -18,56 +16,86 @@
     pub(crate) log_cost: f64,
 }
 
-/// Baseline of a worker.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct WorkerBaseline {
-    /// Logarithm of how much longer runs take there than elsewhere.
-    pub(crate) log_slowness: f64,
-    /// Number of comparisons that the baseline supports without its own error dominating them.
-    pub(crate) budget: usize,
+/// Speed of workers without the source, and how far it may be relied on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Baselines {
+    /// Logarithm of how much longer runs take on a worker than elsewhere, ordered by worker.
+    slowness: Vec<Median<u32>>,
 }
 
-/// Fits a median for each step and each worker to the durations of runs without the source.
-///
-/// The tasks of a step differ in nothing but their worker and chance, so what is left of the
-/// durations after the median of each step is the speed of the workers.
-pub(crate) fn worker_baselines(durations: &[Duration]) -> BTreeMap<u32, WorkerBaseline> {
-    let mut slowness = BTreeMap::<u32, f64>::new();
-    let mut baselines = BTreeMap::new();
-    for _ in 0..ROUNDS {
-        let mut by_step = BTreeMap::<StepId, Vec<f64>>::new();
-        for duration in durations {
-            let known = slowness.get(&duration.worker).copied().unwrap_or(0.0);
-            let steps = by_step.entry(duration.step).or_default();
-            steps.push(duration.log_cost - known);
+impl Baselines {
+    /// Fits a median for each step and each worker to the durations of runs without the source.
+    ///
+    /// The tasks of a step differ in nothing but their worker and chance, so what is left of the
+    /// durations after the median of each step is the speed of the workers.
+    pub(crate) fn fit(durations: &[Duration]) -> Self {
+        let mut fitted = Self::default();
+        for _ in 0..ROUNDS {
+            let costs = durations.iter().map(|duration| {
+                let known = find(&fitted.slowness, duration.worker);
+                let known = known.map_or(0.0, |at| fitted.slowness[at].value);
+                (duration.step, duration.log_cost - known)
+            });
+            let centers = medians(costs.collect());
+            let residuals = durations.iter().filter_map(|duration| {
+                let center = &centers[find(&centers, duration.step)?];
+                Some((duration.worker, duration.log_cost - center.value))
+            });
+            fitted.slowness = medians(residuals.collect());
         }
-        by_step.retain(|_, costs| costs.len() >= MIN_RUNS);
-        let centers = by_step
-            .into_iter()
-            .filter_map(|(step, mut costs)| Some((step, median(&mut costs)?)))
-            .collect::<BTreeMap<_, _>>();
-        let mut by_worker = BTreeMap::<u32, Vec<f64>>::new();
-        for duration in durations {
-            if let Some(center) = centers.get(&duration.step) {
-                let residuals = by_worker.entry(duration.worker).or_default();
-                residuals.push(duration.log_cost - center);
-            }
-        }
-        by_worker.retain(|_, residuals| residuals.len() >= MIN_RUNS);
-        baselines = by_worker
-            .into_iter()
-            .filter_map(|(worker, mut residuals)| {
-                let baseline = WorkerBaseline {
-                    log_slowness: median(&mut residuals)?,
-                    budget: residuals.len() / MIN_RUNS,
-                };
-                Some((worker, baseline))
-            })
-            .collect();
-        slowness = baselines
-            .iter()
-            .map(|(worker, baseline)| (*worker, baseline.log_slowness))
-            .collect();
+        fitted
+    }
+
+    /// Returns whether a comparison may use the baseline of a worker.
+    pub(crate) fn has_budget(&self, worker: u32) -> bool {
+        let at = find(&self.slowness, worker);
+        at.is_some_and(|at| self.slowness[at].runs >= MIN_RUNS)
+    }
+
+    /// Returns the baseline of a worker and takes the runs of one comparison from it, since its error
+    /// is common to all comparisons of a pair that use it.
+    pub(crate) fn take(&mut self, worker: u32) -> f64 {
+        let Some(at) = find(&self.slowness, worker) else {
+            return 0.0;
+        };
+        let baseline = &mut self.slowness[at];
+        baseline.runs = baseline.runs.saturating_sub(MIN_RUNS);
+        baseline.value
     }
-    baselines
+}
+
+/// Median of the values of a key.
+#[derive(Clone, Copy, Debug)]
+struct Median<K> {
+    key: K,
+    value: f64,
+    /// Number of runs behind it that no comparison has used.
+    runs: usize,
+}
+
+/// Medians of the values of each key that has enough of them, ordered by key.
+fn medians<K>(mut values: Vec<(K, f64)>) -> Vec<Median<K>>
+where
+    K: Copy + Ord,
+{
+    values.sort_unstable_by_key(|(key, _)| *key);
+    let groups = values.chunk_by(|(key, _), (other, _)| key == other);
+    let groups = groups.filter(|group| group.len() >= MIN_RUNS);
+    groups
+        .filter_map(|group| {
+            let mut values = group.iter().map(|(_, value)| *value).collect::<Vec<_>>();
+            Some(Median {
+                key: group[0].0,
+                value: median(&mut values)?,
+                runs: values.len(),
+            })
+        })
+        .collect()
+}
+
+fn find<K>(medians: &[Median<K>], key: K) -> Option<usize>
+where
+    K: Copy + Ord,
+{
+    medians.binary_search_by_key(&key, |median| median.key).ok()
 }
--- a/lib/interference/src/interference_table.rs
+++ b/lib/interference/src/interference_table.rs
@@ -26,9 +26,12 @@
 /// takes 3.2 s at most.
 const PASS_INTERVAL: Millis = Millis(100);
 
-/// Maximum number of durations and of spans that are kept of an image, the latest ones.
-const MAX_DURATIONS: usize = 256;
-const MAX_SPANS: usize = 512;
+/// Maximum number of durations, and of spans, that are kept. The images share them evenly, and each
+/// keeps its latest ones, so that the time of a pass has a bound whatever the number of images.
+const MAX_OBSERVATIONS: usize = 4_096;
+
+/// Maximum number of durations, and of spans, that are kept of an image.
+const MAX_OBSERVATIONS_OF_AN_IMAGE: usize = 512;
 
 /// Maximum number of runs that are tracked at the same time on all workers.
 const MAX_TRACKED_RUNS: usize = 8_192;
@@ -122,15 +125,12 @@
         let max_runs = MAX_TRACKED_RUNS.saturating_sub(others);
         let new = track.observe(now, &running, &ended, max_runs);
         self.tracked_runs = others + track.runs();
+        let share = self.share_of_an_image();
         for (slot, observation) in new.durations {
-            push_bounded(
-                &mut self.durations[slot.index()],
-                observation,
-                MAX_DURATIONS,
-            );
+            push_bounded(&mut self.durations[slot.index()], observation, share);
         }
         for (slot, observation) in new.spans {
-            push_bounded(&mut self.spans[slot.index()], observation, MAX_SPANS);
+            push_bounded(&mut self.spans[slot.index()], observation, share);
         }
     }
 
@@ -191,7 +191,7 @@
 
     /// Upper bound of the memory for observations, runs, pairs and names, in bytes.
     pub fn max_bytes() -> usize {
-        let observations = MAX_IMAGES * (MAX_DURATIONS + MAX_SPANS) * size_of::<Observation>();
+        let observations = 2 * MAX_OBSERVATIONS * size_of::<Observation>();
         let pair = size_of::<((Slot, Slot), PairState)>() + MAX_COMPARISONS * size_of::<Millis>();
         let pairs = MAX_IMAGES * MAX_IMAGES * pair;
         let runs = MAX_TRACKED_RUNS * WorkerTrack::BYTES_OF_A_RUN;
@@ -207,6 +207,12 @@
         observations + self.tracked_runs + self.pairs.len() + self.images.used().len()
     }
 
+    /// Number of durations, and of spans, that each image may keep.
+    fn share_of_an_image(&self) -> usize {
+        let images = self.images.used().len().max(1);
+        (MAX_OBSERVATIONS / images).min(MAX_OBSERVATIONS_OF_AN_IMAGE)
+    }
+
     fn slot_of(&mut self, report: &RunReport, now: Millis) -> Option<Slot> {
         let (slot, freed) = self.images.record(&report.image, now);
         self.clear_slots(freed);
@@ -240,8 +246,11 @@
 
     fn forget_expired(&mut self, now: Millis) -> Vec<PairChange> {
         let since = Millis(now.0.saturating_sub(RETENTION.0));
+        let share = self.share_of_an_image();
         for observations in self.durations.iter_mut().chain(&mut self.spans) {
-            while observations.front().is_some_and(|first| first.at < since) {
+            while observations.front().is_some_and(|first| first.at < since)
+                || observations.len() > share
+            {
                 observations.pop_front();
             }
         }
@@ -261,17 +270,16 @@
     }
 
     fn estimate(&self, source: Slot) -> BTreeMap<Slot, Estimate> {
-        let mut effects = [[0.0; MAX_IMAGES]; MAX_IMAGES];
+        let mut effects = vec![Vec::new(); MAX_IMAGES];
         for ((other, affected), state) in &self.pairs {
             if *other != source && is_kept(&state.estimate) {
-                effects[affected.index()][other.index()] = state.estimate.log_effect;
+                effects[affected.index()].push((*other, state.estimate.log_effect));
             }
         }
         let known_effect = |affected: Slot, observation: &Observation| {
-            let with = observation.neighbors.with;
-            let effects = &effects[affected.index()];
-            let sources = Slot::all().filter(|slot| with & slot.bit() != 0);
-            sources.map(|slot| effects[slot.index()]).sum()
+            let others = effects[affected.index()].iter();
+            let present = others.filter(|(other, _)| observation.neighbors.with & other.bit() != 0);
+            present.map(|(_, effect)| effect).sum()
         };
         let durations = flatten(&self.durations);
         let spans = flatten(&self.spans);
--- a/lib/interference/src/pairing.rs
+++ b/lib/interference/src/pairing.rs
@@ -5,11 +5,10 @@
 use tarragon_names::Millis;
 
 use crate::{
-    baseline::{Duration, WorkerBaseline, worker_baselines},
+    baseline::{Baselines, Duration},
     image_table::Slot,
     observation::{Exposure, Observation},
     pair::Estimate,
-    run_report::{RunKey, StepId},
     sign_test::{chance_of_at_least, median},
 };
 
@@ -71,13 +70,6 @@
         .collect()
 }
 
-/// Runs of a step with and without the source.
-#[derive(Default)]
-struct StepRuns {
-    with: Vec<(Millis, u32, f64)>,
-    without: Vec<(u32, f64)>,
-}
-
 /// Compares each run beside the source with another run of its step, which is used once, on the same
 /// worker if possible and otherwise after correction for the speed of both workers.
 ///
@@ -91,124 +83,97 @@
 ) where
     F: Fn(Slot, &Observation) -> f64,
 {
-    let mut without = Vec::new();
-    let mut steps = BTreeMap::<(Slot, StepId), StepRuns>::new();
-    for (slot, observation) in durations {
-        let exposure = observation.neighbors.exposure(source);
-        if exposure == Exposure::Unclear {
-            continue;
-        }
-        let log_cost = cost(*slot, observation);
-        let (step, worker) = (observation.run.step, observation.worker);
-        let runs = steps.entry((*slot, step)).or_default();
-        if exposure == Exposure::With {
-            runs.with.push((observation.at, worker, log_cost));
-        } else {
-            runs.without.push((worker, log_cost));
-            without.push(Duration {
-                step,
-                worker,
-                log_cost,
-            });
-        }
-    }
-    let all_baselines = worker_baselines(&without);
-    let mut baselines = BTreeMap::new();
+    let is_clear = |o: &Observation| o.neighbors.exposure(source) != Exposure::Unclear;
+    let clear = durations.iter().filter(|(_, o)| is_clear(o));
+    let clear = clear.map(|(slot, o)| {
+        let duration = Duration {
+            step: o.run.step,
+            worker: o.worker,
+            log_cost: cost(*slot, o),
+        };
+        let is_with = o.neighbors.exposure(source) == Exposure::With;
+        (*slot, duration, is_with.then_some(o.at))
+    });
+    let mut runs = clear.collect::<Vec<_>>();
+    runs.sort_by_key(|(slot, duration, _)| (*slot, duration.step));
+    let without = runs.iter().filter(|(.., with_at)| with_at.is_none());
+    let without = without.map(|(_, duration, _)| *duration);
+    let all_baselines = Baselines::fit(&without.collect::<Vec<_>>());
+    let mut baselines = Baselines::default();
     let mut last_affected = None;
-    for ((affected, _), mut runs) in steps {
+    for step in runs.chunk_by(|(a, x, _), (b, y, _)| (a, x.step) == (b, y.step)) {
+        let affected = step[0].0;
         if last_affected.replace(affected) != Some(affected) {
             baselines.clone_from(&all_baselines);
         }
-        if runs.with.is_empty() || runs.without.is_empty() {
+        let with = step.iter().filter_map(|(_, run, at)| Some((*run, (*at)?)));
+        let mut with = with.collect::<Vec<_>>();
+        let without = step.iter().filter(|(.., at)| at.is_none());
+        let mut without = without.map(|(_, run, _)| *run).collect::<Vec<_>>();
+        if with.is_empty() || without.is_empty() {
             continue;
         }
         let values = differences.entry(affected).or_default();
-        runs.with.retain(|(ended_at, worker, log_cost)| {
-            let same = runs.without.iter().position(|(other, _)| other == worker);
+        with.retain(|(run, ended_at)| {
+            let same = without.iter().position(|other| other.worker == run.worker);
             let Some(at) = same else {
                 return true;
             };
-            values.push((*ended_at, log_cost - runs.without.swap_remove(at).1));
+            values.push((*ended_at, run.log_cost - without.swap_remove(at).log_cost));
             false
         });
-        for (ended_at, worker, log_cost) in runs.with {
-            if !has_budget(&baselines, worker) {
+        for (run, ended_at) in with {
+            if !baselines.has_budget(run.worker) {
                 continue;
             }
-            let other = runs
-                .without
-                .iter()
-                .position(|(other, _)| has_budget(&baselines, *other));
-            let Some(at) = other else {
+            let mut others = without.iter();
+            let Some(at) = others.position(|other| baselines.has_budget(other.worker)) else {
                 break;
             };
-            let (other, other_log_cost) = runs.without.swap_remove(at);
-            let corrected = log_cost - use_baseline(&mut baselines, worker);
-            let other_corrected = other_log_cost - use_baseline(&mut baselines, other);
+            let other = without.swap_remove(at);
+            let corrected = run.log_cost - baselines.take(run.worker);
+            let other_corrected = other.log_cost - baselines.take(other.worker);
             values.push((ended_at, corrected - other_corrected));
         }
     }
 }
 
-fn has_budget(baselines: &BTreeMap<u32, WorkerBaseline>, worker: u32) -> bool {
-    let baseline = baselines.get(&worker);
-    baseline.is_some_and(|baseline| baseline.budget > 0)
-}
-
-/// Returns the baseline of a worker and takes one comparison from its budget, since the error of the
-/// baseline is common to all comparisons of a pair that use it.
-fn use_baseline(baselines: &mut BTreeMap<u32, WorkerBaseline>, worker: u32) -> f64 {
-    baselines.get_mut(&worker).map_or(0.0, |baseline| {
-        baseline.budget -= 1;
-        baseline.log_slowness
-    })
-}
-
-/// Spans of a run with and without the source.
-#[derive(Default)]
-struct RunSpans {
-    last_with: Millis,
-    worker: u32,
-    is_gang: bool,
-    with: Vec<f64>,
-    without: Vec<f64>,
-}
-
 /// Compares the spans of each run with the source with those without it. Worker, step and size of the
 /// input are the same in both.
 fn compare_spans<F>(source: Slot, spans: &Observations<'_>, cost: F, differences: &mut Differences)
 where
     F: Fn(Slot, &Observation) -> f64,
 {
-    let mut runs = BTreeMap::<(Slot, RunKey), RunSpans>::new();
-    for (slot, observation) in spans {
-        let run = runs.entry((*slot, observation.run)).or_default();
-        run.worker = observation.worker;
-        run.is_gang = observation.is_gang;
-        match observation.neighbors.exposure(source) {
-            Exposure::With => {
-                run.last_with = run.last_with.max(observation.at);
-                run.with.push(cost(*slot, observation));
-            }
-            Exposure::Without => run.without.push(cost(*slot, observation)),
-            Exposure::Unclear => {}
-        }
-    }
+    let mut spans = spans.clone();
+    // Latest runs first, since a worker contributes only some.
+    spans.sort_unstable_by_key(|(slot, span)| std::cmp::Reverse((*slot, span.run)));
     let mut used_on = BTreeMap::<(Slot, u32), usize>::new();
     let mut last_gang = None;
-    for ((affected, key), mut run) in runs {
-        let (Some(with), Some(without)) = (median(&mut run.with), median(&mut run.without)) else {
+    for run in spans.chunk_by(|(slot, a), (other, b)| (slot, a.run) == (other, b.run)) {
+        let (affected, first) = run[0];
+        let costs = |exposure| {
+            let spans = run.iter().map(|(_, span)| span);
+            let spans = spans.filter(|span| span.neighbors.exposure(source) == exposure);
+            spans.map(|span| cost(affected, span)).collect::<Vec<_>>()
+        };
+        let Some(with) = median(&mut costs(Exposure::With)) else {
+            continue;
+        };
+        let Some(without) = median(&mut costs(Exposure::Without)) else {
             continue;
         };
-        let used = used_on.entry((affected, run.worker)).or_default();
+        let used = used_on.entry((affected, first.worker)).or_default();
         // The members of a gang wait for each other, so one of them tells as much as all.
-        let is_repeated = run.is_gang && last_gang == Some(key.step);
+        let is_repeated = first.is_gang && last_gang == Some(first.run.step);
         if *used >= MAX_SPAN_PAIRS_PER_WORKER || is_repeated {
             continue;
         }
         *used += 1;
-        last_gang = run.is_gang.then_some(key.step);
+        last_gang = first.is_gang.then_some(first.run.step);
+        let with_source = run.iter().map(|(_, span)| span);
+        let with_source = with_source.filter(|s| s.neighbors.exposure(source) == Exposure::With);
+        let last = with_source.map(|span| span.at).max().unwrap_or_default();
         let values = differences.entry(affected).or_default();
-        values.push((run.last_with, with - without));
+        values.push((last, with - without));
     }
 }
--- a/lib/interference/tests/common/mod.rs
+++ b/lib/interference/tests/common/mod.rs
@@ -55,6 +55,8 @@
     /// Image of which a task serves on every second worker all the time.
     pub serving: Option<&'static str>,
     pub noise: Noise,
+    /// Whether workers report the progress of runs, not only their ends.
+    pub reports_progress: bool,
     /// Image that runs only on slow workers.
     pub on_slow_workers: Option<&'static str>,
     /// Image that is always placed beside another one, both with as many tasks.
@@ -70,6 +72,7 @@
     load_percent: 60,
     serving: None,
     noise: NOISE,
+    reports_progress: true,
     on_slow_workers: None,
     companion: None,
     keeps_apart: true,
@@ -251,6 +254,8 @@
                 continue;
             }
             worker.reported_at = now;
+            let reports_progress = self.setup.reports_progress;
+            let report_of = |run: &Run| report_of(run, reports_progress);
             let running = worker.runs.iter().map(report_of).collect::<Vec<_>>();
             let ended = std::mem::take(&mut worker.ended);
             let ended = ended.iter().map(|run| (report_of(run), true));
@@ -352,7 +357,7 @@
     }
 }
 
-fn report_of(run: &Run) -> RunReport {
+fn report_of(run: &Run, reports_progress: bool) -> RunReport {
     let is_serving = run.alone_ms.is_infinite();
     RunReport {
         run: run.key,
@@ -360,11 +365,35 @@
         since: Millis(run.since),
         work: if is_serving {
             Work::Tail(run.tail as u64)
-        } else {
+        } else if reports_progress {
             Work::Progress((run.done * 100.0) as u64)
+        } else {
+            Work::Unknown
         },
         has_comparable_duration: !is_serving,
         is_gang: false,
         is_throttled: false,
     }
 }
+
+/// Report of a task of the only step of a job, in the middle of its work.
+pub fn report(job: u64, index: u32, image: &Name, since: u64) -> RunReport {
+    let step = StepId {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    RunReport {
+        run: RunKey {
+            step,
+            index,
+            run: 1,
+        },
+        image: image.clone(),
+        since: Millis(since),
+        work: Work::Progress(50),
+        has_comparable_duration: true,
+        is_gang: false,
+        is_throttled: false,
+    }
+}
--- a/lib/interference/tests/false_alarms.rs
+++ b/lib/interference/tests/false_alarms.rs
@@ -37,6 +37,11 @@
     full_pool = { Setup { load_percent: 110, ..SETUP }, None },
     few_workers = { Setup { workers: 8, ..SETUP }, None },
     image_on_slow_workers_only = { Setup { on_slow_workers: Some("ada"), ..SETUP }, None },
+    image_on_slow_workers_only_without_progress = {
+        Setup { on_slow_workers: Some("ada"), load_percent: 60, reports_progress: false, ..SETUP },
+        None,
+    },
+    no_progress = { Setup { reports_progress: false, ..SETUP }, None },
     serving_tasks = { Setup { serving: Some("web"), ..SETUP }, None },
     other_image_disturbs = { SETUP, Some(("ada", "bek", 3.0)) },
     other_image_disturbs_and_meets = {
--- a/lib/interference/tests/limits.rs
+++ b/lib/interference/tests/limits.rs
@@ -2,35 +2,14 @@
 
 mod common;
 
-use common::{SETUP, Simulation};
-use tarragon_interference::{InterferenceTable, RunKey, RunReport, StepId, Work};
+use common::{SETUP, Simulation, report};
+use tarragon_interference::{InterferenceTable, RunReport};
 use tarragon_names::{Millis, Name, WorkerName};
 use yare::parameterized;
 
 /// Memory that the table may take of the 128 MB of a control host (docs/design.md).
 const MAX_BYTES: usize = 16 * 1024 * 1024;
 
-fn report(job: u64, index: u32, image: &Name, since: u64) -> RunReport {
-    let step = StepId {
-        job,
-        occurrence: 0,
-        step: 0,
-    };
-    RunReport {
-        run: RunKey {
-            step,
-            index,
-            run: 1,
-        },
-        image: image.clone(),
-        since: Millis(since),
-        work: Work::Progress(50),
-        has_comparable_duration: true,
-        is_gang: false,
-        is_throttled: false,
-    }
-}
-
 /// Reports `count` runs of images that no other report names.
 fn report_new_images<F>(table: &mut InterferenceTable, now: u64, count: u64, name: F)
 where
