--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 use crate::{
     AdviceRelays, DecisionEvent, DispatchConfig, Input, Output,
     capped_teams::CappedTeams,
+    dispatcher_interference::Interference,
     dispatcher_place::Claims,
     dispatcher_throttle::FULL_RATE,
     failure_rate::FailureRate,
@@ -98,6 +99,8 @@
     pub(crate) headroom: Headroom,
     pub(crate) late_orders: LateOrders,
     pub(crate) recent_placements: RecentPlacements,
+    /// Images that slow each other down; `None` if they are not to be detected.
+    pub(crate) interference: Option<Interference>,
     /// Number of stop orders that were not accepted within the timeout of an order.
     pub(crate) unaccepted_stops: usize,
     /// Earliest time of the next placement of all steps, so that many events share one placement.
@@ -165,6 +168,7 @@
             headroom: Headroom::default(),
             late_orders: LateOrders::default(),
             recent_placements: RecentPlacements::default(),
+            interference: cfg.avoids_interference.then(Interference::default),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
             is_sole_leader: false,
