dispatch: run failed tasks of wide steps again before others, on sure workers

Within a queue priority, and after the shares of teams, the waiting tasks of a step with several tasks that have run before are placed ahead of all other tasks, and no others of their step with them. They include tasks whose run was moved, lost or preempted. Gangs are left out, since all their members run again. Where a queue needs advice, tasks go ahead only if no others of their step wait, because a request for a few tasks would delay the one for the others.

Without the order, or without the choice of workers, a case of tests/retries.rs fails.

--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -12,6 +12,7 @@
     DecisionEvent, Dispatcher,
     dispatcher_throttle::FULL_RATE,
     packing::{Candidate, pack, pack_all},
+    placement_rank::PlacementRank,
     run_spec::RunSpec,
     run_view::RunView,
     step_plan::StepPlan,
@@ -59,7 +60,16 @@
                 order.push(Reverse(current));
                 continue;
             }
-            self.place_step(rank.key, &mut claims);
+            if rank.is_first_run {
+                self.place_step(rank.key, &mut claims);
+            } else {
+                self.place_retries(rank.key, &mut claims);
+                let others = PlacementRank {
+                    is_first_run: true,
+                    ..rank
+                };
+                order.push(Reverse(others));
+            }
             if !claims.is_empty() {
                 claims_priority = claims_priority.min(rank.priority);
             }
@@ -164,7 +174,8 @@
         let step = plan.step();
         let need = step.reserved();
         let count = self.startable_tasks(plan);
-        let candidates = self.candidates(key, candidate_set, claims);
+        let mut candidates = self.candidates(key, candidate_set, claims);
+        self.mark_unsure(plan, &mut candidates);
         let fit = |candidates: Vec<Candidate>| {
             if step.gang {
                 return pack_all(candidates, &need, count, step.same_rack);
@@ -230,6 +241,7 @@
             rack: state.record.rack.clone(),
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
+            is_unsure: false,
             is_slow: state.speed.is_slow(self.mean_speed)
                 || (step.best_effort && state.best_effort_rate < FULL_RATE),
         })
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -12,6 +12,8 @@
     pub(crate) limit: u32,
     /// Whether tasks take longer there than on other workers.
     pub(crate) is_slow: bool,
+    /// Whether a task that runs again may fail or be late there once more.
+    pub(crate) is_unsure: bool,
     /// Whether the worker is preferred, for example because it is near the data.
     pub(crate) is_preferred: bool,
 }
@@ -39,7 +41,7 @@
     candidates.retain(|candidate| candidate.fits(need) > 0);
     candidates.sort_by_key(|c| {
         let free = (c.free.cpu_milli, c.free.memory_mb);
-        (!c.is_preferred, c.is_slow, free)
+        (!c.is_preferred, c.is_unsure, c.is_slow, free)
     });
     let mut chosen = Vec::new();
     let mut left = count;
