--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -5,13 +5,14 @@
     collections::{BTreeMap, BTreeSet, BinaryHeap},
 };
 
-use tarragon_names::{Name, WorkerName};
+use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{RunEvent, StepKey, TaskKey};
 
 use crate::{
     DecisionEvent, Dispatcher,
     dispatcher_throttle::FULL_RATE,
     packing::{Candidate, pack, pack_all},
+    placement_rank::PlacementRank,
     run_spec::RunSpec,
     run_view::RunView,
     step_plan::StepPlan,
@@ -59,7 +60,16 @@
                 order.push(Reverse(current));
                 continue;
             }
-            self.place_step(rank.key, &mut claims);
+            if rank.is_first_run {
+                self.place_step(rank.key, &mut claims);
+            } else {
+                self.place_retries(rank.key, &mut claims);
+                let others = PlacementRank {
+                    is_first_run: true,
+                    ..rank
+                };
+                order.push(Reverse(others));
+            }
             if !claims.is_empty() {
                 claims_priority = claims_priority.min(rank.priority);
             }
@@ -160,7 +170,8 @@
         candidate_set: CandidateSet,
         claims: &Claims,
     ) -> Option<Vec<(WorkerName, u32)>> {
-        let candidates = self.candidates(key, candidate_set, claims);
+        let mut candidates = self.candidates(key, candidate_set, claims);
+        self.mark_unsure(self.plans.get(key)?, &mut candidates);
         if let Some(chosen) = self.choose_apart(key, candidate_set, &candidates) {
             return Some(chosen);
         }
@@ -243,6 +254,7 @@
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
             is_disturbed: false,
+            is_unsure: false,
             is_slow: state.speed.is_slow(self.mean_speed)
                 || (step.best_effort && state.best_effort_rate < FULL_RATE),
         })
@@ -322,6 +334,12 @@
         let need = step.reserved();
         let spec = RunSpec::new(&step, Some(&*plan.queue), plan.team.clone());
         let waited = self.now_ms.saturating_sub(plan.due_ms);
+        let is_first = plan.waiting.len() == step.count as usize && plan.restarted.is_empty();
+        if is_first && step.depends_on.is_empty() && !chosen.is_empty() {
+            let priority = plan.queue.priority;
+            self.load_counters
+                .record_first_placement(priority, Millis(waited));
+        }
         let mut tasks = std::mem::take(&mut plan.waiting).into_iter();
         let mut placements = Vec::new();
         for (worker, count) in chosen {
