--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -12,7 +12,6 @@
     DecisionEvent, Dispatcher,
     dispatcher_throttle::FULL_RATE,
     packing::{Candidate, pack, pack_all},
-    placement_rank::PlacementRank,
     run_spec::RunSpec,
     run_view::RunView,
     step_plan::StepPlan,
@@ -60,16 +59,7 @@
                 order.push(Reverse(current));
                 continue;
             }
-            if rank.is_first_run {
-                self.place_step(rank.key, &mut claims);
-            } else {
-                self.place_retries(rank.key, &mut claims);
-                let others = PlacementRank {
-                    is_first_run: true,
-                    ..rank
-                };
-                order.push(Reverse(others));
-            }
+            self.place_step(rank.key, &mut claims);
             if !claims.is_empty() {
                 claims_priority = claims_priority.min(rank.priority);
             }
@@ -170,8 +160,7 @@
         candidate_set: CandidateSet,
         claims: &Claims,
     ) -> Option<Vec<(WorkerName, u32)>> {
-        let mut candidates = self.candidates(key, candidate_set, claims);
-        self.mark_unsure(self.plans.get(key)?, &mut candidates);
+        let candidates = self.candidates(key, candidate_set, claims);
         if let Some(chosen) = self.choose_apart(key, candidate_set, &candidates) {
             return Some(chosen);
         }
@@ -254,7 +243,6 @@
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
             is_disturbed: false,
-            is_unsure: false,
             is_slow: state.speed.is_slow(self.mean_speed)
                 || (step.best_effort && state.best_effort_rate < FULL_RATE),
         })
@@ -334,12 +322,8 @@
         let need = step.reserved();
         let spec = RunSpec::new(&step, Some(&*plan.queue), plan.team.clone());
         let waited = self.now_ms.saturating_sub(plan.due_ms);
-        let is_first = plan.waiting.len() == step.count as usize && plan.restarted.is_empty();
-        if is_first && step.depends_on.is_empty() && !chosen.is_empty() {
-            let priority = plan.queue.priority;
-            self.load_counters
-                .record_first_placement(priority, Millis(waited));
-        }
+        let priority = plan.queue.priority;
+        let are_all_waiting = plan.waiting.len() == step.count as usize;
         let mut tasks = std::mem::take(&mut plan.waiting).into_iter();
         let mut placements = Vec::new();
         for (worker, count) in chosen {
@@ -351,6 +335,11 @@
         plan.waiting = tasks.collect();
         let tasks = placements.iter().map(|(index, ..)| *index);
         let runs = self.next_runs(key, step.gang, tasks);
+        let is_first = are_all_waiting && runs.first().is_some_and(|(run, _)| *run == 1);
+        if is_first && step.depends_on.is_empty() {
+            self.load_counters
+                .record_first_placement(priority, Millis(waited));
+        }
         for ((index, worker, ticket), (run, checkpoint)) in placements.into_iter().zip(runs) {
             let task = TaskKey { step: key, index };
             let Some(state) = self.workers.get_mut(&worker) else {
--- a/lib/dispatch/src/dispatcher_teams.rs
+++ b/lib/dispatch/src/dispatcher_teams.rs
@@ -23,15 +23,14 @@
     }
 
     /// Position of a step in the order of placement. Urgent queues come first, unless a team uses far
-    /// more than its share; within a queue priority, teams that use less of their share come first, tasks
-    /// of wide steps that run again come before others, and jobs that can no longer meet their objective come last.
+    /// more than its share; within a queue priority, teams that use less of their share come first, and
+    /// jobs that can no longer meet their objective come last.
     pub(crate) fn rank(&self, plan: &StepPlan) -> PlacementRank {
         let (gives_way, share_parts) = self.team_quotas.order(plan.team.as_ref());
         PlacementRank {
             gives_way,
             priority: plan.queue.priority,
             share_parts,
-            is_first_run: !plan.has_retries(),
             is_late: plan.is_late(self.now_ms),
             due_ms: plan.due_ms,
             key: plan.key,
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -3,10 +3,6 @@
 use tarragon_names::{RackName, Resources, WorkerName};
 
 /// A worker that may run tasks of a step.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each is an independent property of the worker"
-)]
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
     pub(crate) worker: WorkerName,
@@ -16,8 +12,6 @@
     pub(crate) limit: u32,
     /// Whether tasks take longer there than on other workers.
     pub(crate) is_slow: bool,
-    /// Whether a task that runs again may fail or be late there once more.
-    pub(crate) is_unsure: bool,
     /// Whether the worker is preferred, for example because it is near the data.
     pub(crate) is_preferred: bool,
     /// Whether tasks there and those of the step slow each other down.
@@ -47,13 +41,7 @@
     candidates.retain(|candidate| candidate.fits(need) > 0);
     candidates.sort_by_key(|c| {
         let free = (c.free.cpu_milli, c.free.memory_mb);
-        (
-            !c.is_preferred,
-            c.is_unsure,
-            c.is_disturbed,
-            c.is_slow,
-            free,
-        )
+        (!c.is_preferred, c.is_disturbed, c.is_slow, free)
     });
     let mut chosen = Vec::new();
     let mut left = count;
--- a/lib/dispatch/src/placement_rank.rs
+++ b/lib/dispatch/src/placement_rank.rs
@@ -9,8 +9,6 @@
     pub(crate) priority: u32,
     /// Parts of its share that the team uses; 0 without teams.
     pub(crate) share_parts: u64,
-    /// Whether no task of a wide step waits that runs again.
-    pub(crate) is_first_run: bool,
     /// Whether the job can no longer meet its objective.
     pub(crate) is_late: bool,
     /// Unix time at which the job was accepted or its occurrence was due.
