--- a/lib/interference/src/image_table.rs
+++ b/lib/interference/src/image_table.rs
@@ -54,18 +54,17 @@
 }
 
 impl ImageTable {
-    /// Counts a report of an image. Returns its slot, if it takes part, and the slots that were
-    /// freed.
-    pub(crate) fn record(&mut self, name: &Name, now: Millis) -> (Option<Slot>, u32) {
+    /// Counts a report of an image and returns the slots that were freed.
+    pub(crate) fn record(&mut self, name: &Name, now: Millis) -> u32 {
         if name.len() > MAX_NAME_BYTES {
-            return (None, 0);
+            return 0;
         }
         if let Some(slot) = self.slot(name) {
             if let Some(entry) = &mut self.entries[slot.index()] {
                 entry.weight = (entry.weight + 1).min(MAX_WEIGHT);
                 entry.last_seen = now;
             }
-            return (Some(slot), 0);
+            return 0;
         }
         let free = Slot::all().find(|slot| self.entries[slot.index()].is_none());
         if let Some(slot) = free {
@@ -74,12 +73,12 @@
                 weight: 1,
                 last_seen: now,
             });
-            return (Some(slot), 0);
+            return 0;
         }
         for entry in self.entries.iter_mut().flatten() {
             entry.weight -= 1;
         }
-        (None, self.free_where(|entry| entry.weight == 0))
+        self.free_where(|entry| entry.weight == 0)
     }
 
     /// Frees the slots of images that were not reported since `since`, and returns them.
--- a/lib/interference/src/interference_table.rs
+++ b/lib/interference/src/interference_table.rs
@@ -8,7 +8,7 @@
     observation::Observation,
     pair::{Estimate, PairState},
     pairing::{COMPARED_PERCENT, MAX_COMPARISONS, Observations, estimate_source},
-    worker_track::WorkerTrack,
+    worker_track::{SlottedReport, WorkerTrack},
 };
 
 /// Time for which an observation counts. Interference changes within seconds, and everything is
@@ -68,6 +68,8 @@
     spans: Vec<VecDeque<Observation>>,
     pairs: BTreeMap<(Slot, Slot), PairState>,
     known_pairs: usize,
+    /// Known pairs that were removed since the last pass because one of their images was.
+    forgotten: Vec<PairChange>,
     last_source: Option<Slot>,
     next_pass_at: Millis,
 }
@@ -83,6 +85,7 @@
             spans: vec![VecDeque::new(); MAX_IMAGES],
             pairs: BTreeMap::new(),
             known_pairs: 0,
+            forgotten: Vec::new(),
             last_source: None,
             next_pass_at: Millis(0),
         }
@@ -105,13 +108,14 @@
         {
             return;
         }
-        let running = running
-            .iter()
-            .map(|report| (report, self.slot_of(report, now)));
-        let running = running.collect::<Vec<_>>();
-        let ended = ended
-            .iter()
-            .map(|(report, is_success)| ((report, self.slot_of(report, now)), *is_success));
+        // A report may free the slot of an image, so all are counted before any slot is looked up.
+        for report in running.iter().chain(ended.iter().map(|(report, _)| report)) {
+            let freed = self.images.record(&report.image, now);
+            self.clear_slots(freed);
+        }
+        let slotted = |report| slotted(&self.images, report);
+        let running = running.iter().map(slotted).collect::<Vec<_>>();
+        let ended = ended.iter().map(|(report, end)| (slotted(report), *end));
         let ended = ended.collect::<Vec<_>>();
         if !is_known {
             self.last_worker_number = self.last_worker_number.wrapping_add(1);
@@ -141,7 +145,8 @@
             return Vec::new();
         }
         self.next_pass_at = now + PASS_INTERVAL;
-        let mut changes = self.forget_expired(now);
+        self.forget_expired(now);
+        let mut changes = std::mem::take(&mut self.forgotten);
         let used = self.images.used();
         let next = used.iter().find(|slot| Some(**slot) > self.last_source);
         let Some(source) = next.or(used.first()).copied() else {
@@ -159,13 +164,8 @@
 
     /// Returns the pairs that are kept apart.
     pub fn known_pairs(&self) -> Vec<Pair> {
-        let known = self.pairs.iter();
-        let known = known.filter(|(_, state)| state.is_known);
-        known
-            .filter_map(|((source, affected), state)| {
-                self.pair(*source, *affected, &state.estimate)
-            })
-            .collect()
+        let known = self.pairs.values().filter(|state| state.is_known);
+        known.map(|state| state.pair.clone()).collect()
     }
 
     /// Returns the number of pairs that are kept apart.
@@ -184,11 +184,6 @@
             .collect()
     }
 
-    /// Forgets everything.
-    pub fn clear(&mut self) {
-        *self = Self::default();
-    }
-
     /// Upper bound of the memory for observations, runs, pairs and names, in bytes.
     pub fn max_bytes() -> usize {
         let observations = 2 * MAX_OBSERVATIONS * size_of::<Observation>();
@@ -213,12 +208,6 @@
         (MAX_OBSERVATIONS / images).min(MAX_OBSERVATIONS_OF_AN_IMAGE)
     }
 
-    fn slot_of(&mut self, report: &RunReport, now: Millis) -> Option<Slot> {
-        let (slot, freed) = self.images.record(&report.image, now);
-        self.clear_slots(freed);
-        slot
-    }
-
     /// Removes all traces of the images that had these slots.
     fn clear_slots(&mut self, freed: u32) {
         if freed == 0 {
@@ -234,8 +223,14 @@
         for track in self.workers.values_mut() {
             track.clear_slots(freed);
         }
-        self.pairs
-            .retain(|(source, affected), _| freed & (source.bit() | affected.bit()) == 0);
+        let forgotten = &mut self.forgotten;
+        self.pairs.retain(|(source, affected), state| {
+            let is_freed = freed & (source.bit() | affected.bit()) != 0;
+            if is_freed && state.is_known {
+                forgotten.push(PairChange::Forgotten(state.pair.clone()));
+            }
+            !is_freed
+        });
         self.count_known();
     }
 
@@ -244,7 +239,7 @@
         self.known_pairs = known.filter(|state| state.is_known).count();
     }
 
-    fn forget_expired(&mut self, now: Millis) -> Vec<PairChange> {
+    fn forget_expired(&mut self, now: Millis) {
         let since = Millis(now.0.saturating_sub(RETENTION.0));
         let share = self.share_of_an_image();
         for observations in self.durations.iter_mut().chain(&mut self.spans) {
@@ -256,17 +251,8 @@
         }
         self.workers.retain(|_, track| track.observed_at >= since);
         self.tracked_runs = self.workers.values().map(WorkerTrack::runs).sum();
-        let before = self.known_pairs();
         let freed = self.images.forget_unseen(since);
         self.clear_slots(freed);
-        let lost = before.into_iter().filter(|pair| {
-            let slots = (
-                self.images.slot(&pair.source),
-                self.images.slot(&pair.affected),
-            );
-            slots.0.is_none() || slots.1.is_none()
-        });
-        lost.map(PairChange::Forgotten).collect()
     }
 
     fn estimate(&self, source: Slot) -> BTreeMap<Slot, Estimate> {
@@ -306,23 +292,23 @@
                 return None;
             }
             self.pairs.remove(&key);
-            let pair = self.pair(source, affected, &state.estimate)?;
-            return is_known.then_some(PairChange::Forgotten(pair));
+            return is_known.then_some(PairChange::Forgotten(state.pair));
         };
         let is_certain = estimate.chance <= MAX_KNOWN_CHANCE
             && estimate.log_effect >= (MIN_KNOWN_PERCENT / 100.0).ln();
         let in_a_row = before.map_or(0, |state| state.certain_in_a_row);
         let certain_in_a_row = if is_certain { in_a_row + 1 } else { 0 };
         let becomes_known = !is_known && certain_in_a_row >= MIN_CERTAIN_IN_A_ROW;
-        let pair = self.pair(source, affected, &estimate);
+        let pair = self.pair(source, affected, &estimate)?;
         let state = PairState {
+            pair: pair.clone(),
             supported_at: estimate.latest(),
             estimate,
             certain_in_a_row,
             is_known: is_known || becomes_known,
         };
         self.pairs.insert(key, state);
-        pair.filter(|_| becomes_known).map(PairChange::Known)
+        becomes_known.then_some(PairChange::Known(pair))
     }
 
     fn pair(&self, source: Slot, affected: Slot, estimate: &Estimate) -> Option<Pair> {
@@ -341,6 +327,10 @@
     estimate.chance <= MAX_KEPT_CHANCE && estimate.log_effect >= (COMPARED_PERCENT / 100.0).ln()
 }
 
+fn slotted<'a>(images: &ImageTable, report: &'a RunReport) -> SlottedReport<'a> {
+    (report, images.slot(&report.image))
+}
+
 fn push_bounded(
     observations: &mut VecDeque<Observation>,
     observation: Observation,
--- a/lib/interference/src/pair.rs
+++ b/lib/interference/src/pair.rs
@@ -53,6 +53,8 @@
 /// Estimate of a pair over time.
 #[derive(Clone, Debug)]
 pub(crate) struct PairState {
+    /// The pair with the last estimate.
+    pub(crate) pair: Pair,
     /// Last estimate that was certain enough to be kept.
     pub(crate) estimate: Estimate,
     /// Time of the last observation behind it.
--- a/lib/interference/src/worker_track.rs
+++ b/lib/interference/src/worker_track.rs
@@ -71,9 +71,10 @@
         ended: &[(SlottedReport<'_>, bool)],
         max_new: usize,
     ) -> NewObservations {
-        let from = std::mem::replace(&mut self.observed_at, now);
+        let mut from = std::mem::replace(&mut self.observed_at, now);
         if now.since(from) > MAX_REPORT_GAP {
             self.runs.clear();
+            from = now;
         }
         let mut previous = std::mem::take(&mut self.runs);
         let ended_reports = ended.iter().map(|(report, _)| *report);
