dispatch, interference, docs: names and comments after a read-through

Cause: a reader who had not seen the design stumbled on figurative names, on queries that change state, and on pages that contradicted the code. The weights of removed teams made the shares of the others smaller.

--- a/lib/dispatch/src/capped_teams.rs
+++ b/lib/dispatch/src/capped_teams.rs
@@ -1,7 +1,7 @@
 //! Teams whose urgent steps wait for their cap.
 //!
-//! Load pattern: a team at its cap has a gang that waits and small, less urgent steps. If these took each
-//! piece of the cap that ends of runs free, the gang would never find its whole need below the cap.
+//! A team at its cap may have a gang that waits and small, less urgent steps. If the smaller steps used
+//! each part of the cap as it becomes free, the gang would never start.
 
 use std::collections::BTreeMap;
 
--- a/lib/dispatch/src/dispatcher_interference.rs
+++ b/lib/dispatch/src/dispatcher_interference.rs
@@ -105,7 +105,7 @@
     /// down by stay apart. Returns `None` if that changes nothing.
     ///
     /// A gang is left alone: its members should start at once, and on few workers.
-    pub(crate) fn choose_apart(
+    pub(crate) fn choose_without_interference(
         &mut self,
         key: &StepKey,
         candidate_set: CandidateSet,
@@ -121,8 +121,8 @@
         let mut marked = candidates.to_vec();
         for candidate in &mut marked {
             let state = self.workers.get(&candidate.worker);
-            let met = state.and_then(|state| pair_met(state, image, &pairs));
-            candidate.is_disturbed = met.is_some();
+            let met = state.and_then(|state| interfering_pair_on(state, image, &pairs));
+            candidate.has_interfering_run = met.is_some();
         }
         let itself = pairs.iter().find(|pair| pair.source == pair.affected);
         let spread = itself.and_then(|_| self.fit_spread(key, &marked));
@@ -136,7 +136,7 @@
             let is_left = |worker: &WorkerName| chosen.iter().all(|(other, _)| other != worker);
             let left = otherwise.iter().map(|(worker, _)| worker);
             let left = left.filter(|worker| is_left(worker)).find_map(|worker| {
-                let pair = pair_met(self.workers.get(worker)?, image, &pairs)?;
+                let pair = interfering_pair_on(self.workers.get(worker)?, image, &pairs)?;
                 Some((worker, pair))
             });
             let cause = left.map(|(_, pair)| pair).or(itself).map(describe);
@@ -161,7 +161,10 @@
             return None;
         }
         let tasks = self.startable_tasks(self.plans.get(key)?);
-        let single = candidates.iter().filter(|c| !c.is_disturbed).cloned();
+        let single = candidates
+            .iter()
+            .filter(|c| !c.has_interfering_run)
+            .cloned();
         let single = single.map(|candidate| Candidate {
             limit: candidate.limit.min(1),
             ..candidate
@@ -173,7 +176,11 @@
 }
 
 /// Returns a pair of the image and of a run on the worker, if they slow each other down.
-fn pair_met<'a>(state: &WorkerState, image: &Name, pairs: &'a [Pair]) -> Option<&'a Pair> {
+fn interfering_pair_on<'a>(
+    state: &WorkerState,
+    image: &Name,
+    pairs: &'a [Pair],
+) -> Option<&'a Pair> {
     let runs = state.runs.values().filter(|view| !view.is_ended);
     let mut others = runs.filter_map(|view| view.spec.image.as_ref());
     others.find_map(|other| {
@@ -226,11 +233,11 @@
         source,
         affected,
         slowdown_percent,
-        certainty_permille,
+        p_value_permille,
         comparisons,
     } = pair;
     format!(
-        "{affected} beside {source} takes {slowdown_percent}% of its time, certain to \
-         {certainty_permille} in 1000 by {comparisons} comparisons"
+        "{affected} beside {source} takes {slowdown_percent}% of its time, \
+         p-value {p_value_permille} in 1000 from {comparisons} comparisons"
     )
 }
--- a/lib/dispatch/src/dispatcher_load.rs
+++ b/lib/dispatch/src/dispatcher_load.rs
@@ -5,7 +5,7 @@
 use crate::{DecisionEvent, Dispatcher};
 
 /// Time between two reports.
-const REPORT_INTERVAL: Millis = Millis(5_000);
+const LOAD_REPORT_INTERVAL: Millis = Millis(5_000);
 
 impl Dispatcher {
     /// Counts the capacity that is idle because it is reserved or claimed, and reports the counters
@@ -21,7 +21,7 @@
         }
         self.load_counters.record_idle(reserved, claimed, self.now);
         if self.now >= self.next_load_report_at {
-            self.next_load_report_at = self.now + REPORT_INTERVAL;
+            self.next_load_report_at = self.now + LOAD_REPORT_INTERVAL;
             let detail = self.load_counters.to_string();
             self.emit(DecisionEvent::new("load_counters", detail));
         }
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -70,7 +70,7 @@
     /// Places newly planned steps, without a placement of all steps.
     pub(crate) fn place_new_steps(&mut self) {
         for key in std::mem::take(&mut self.new_steps) {
-            if self.must_wait_for_share(&key) {
+            if self.defer_for_share(&key) {
                 self.needs_placement = true;
                 continue;
             }
@@ -130,7 +130,7 @@
         let Some(plan) = self.plans.get(&key) else {
             return;
         };
-        if plan.waiting.is_empty() || self.must_wait_for_cap(&key) {
+        if plan.waiting.is_empty() || self.defer_for_cap(&key) {
             return;
         }
         self.workers.update_index(self.now);
@@ -161,7 +161,7 @@
         claims: &Claims,
     ) -> Option<Vec<(WorkerName, u32)>> {
         let candidates = self.candidates(key, candidate_set, claims);
-        if let Some(chosen) = self.choose_apart(key, candidate_set, &candidates) {
+        if let Some(chosen) = self.choose_without_interference(key, candidate_set, &candidates) {
             return Some(chosen);
         }
         self.fit(key, candidates)
@@ -242,7 +242,7 @@
             rack: state.record.rack.clone(),
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
-            is_disturbed: false,
+            has_interfering_run: false,
             is_slow: state.speed.is_slow(self.mean_speed)
                 || (step.best_effort && state.best_effort_rate < FULL_RATE),
         })
--- a/lib/dispatch/src/dispatcher_preempt.rs
+++ b/lib/dispatch/src/dispatcher_preempt.rs
@@ -56,8 +56,12 @@
             now_ms + (self.cfg.stop_time + END_REPORT_SLACK + plan.step().estimate).0;
         let may_preempt =
             plan.queue.priority < lowest_priority && capacity_at_ms <= plan.objective_ms;
-        let gives_way = self.rank(plan).gives_way;
-        if !may_preempt || gives_way || now < plan.next_preemption_at || self.are_stops_stuck() {
+        let is_far_over_share = self.rank(plan).is_far_over_share;
+        if !may_preempt
+            || is_far_over_share
+            || now < plan.next_preemption_at
+            || self.are_stops_stuck()
+        {
             return false;
         }
         let step = plan.step();
--- a/lib/dispatch/src/dispatcher_teams.rs
+++ b/lib/dispatch/src/dispatcher_teams.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use tarragon_names::Resources;
+use tarragon_names::{Resources, TeamName};
 use tarragon_workflow::{JobKey, StepKey};
 
 use crate::{
@@ -19,18 +19,21 @@
         }
         let capacity = self.workers.iter().map(|(_, state)| state.record.capacity);
         let capacity = capacity.sum::<Resources>();
-        self.team_quotas.update(&teams, capacity);
+        let configuration = self.workflow_state.configuration();
+        let weights = configuration.teams.iter();
+        let total_weight = weights.map(|team| u128::from(team.weight)).sum();
+        self.team_quotas.update(&teams, total_weight, capacity);
     }
 
     /// Position of a step in the order of placement. Urgent queues come first, unless a team uses far
     /// more than its share; within a queue priority, teams that use less of their share come first, and
     /// jobs that can no longer meet their objective come last.
     pub(crate) fn rank(&self, plan: &StepPlan) -> PlacementRank {
-        let (gives_way, share_parts) = self.team_quotas.order(plan.team.as_ref());
+        let share_rank = self.team_quotas.share_rank(plan.team.as_ref());
         PlacementRank {
-            gives_way,
+            is_far_over_share: share_rank.is_far_over_share,
             priority: plan.queue.priority,
-            share_parts,
+            used_share_quarters: share_rank.used_share_quarters,
             is_late: plan.is_late(self.now_ms),
             due_ms: plan.due_ms,
             key: plan.key,
@@ -52,11 +55,11 @@
         allowed
     }
 
-    /// Returns whether a step must wait because its team is at its cap, or leaves the rest of the cap to a
-    /// more urgent step of the team. Reports it once.
-    pub(crate) fn must_wait_for_cap(&mut self, key: &StepKey) -> bool {
+    /// Makes a step wait, and releases its reservation, if its team is at its cap or the rest of the cap is
+    /// left to a more urgent step of the team. Returns whether the step waits.
+    pub(crate) fn defer_for_cap(&mut self, key: &StepKey) -> bool {
         let Some(plan) = self.plans.get(key) else {
-            return true;
+            return false;
         };
         let priority = plan.queue.priority;
         if let Some(team) = &plan.team
@@ -74,17 +77,18 @@
         true
     }
 
-    /// Returns whether a step gives way to the other teams until the next placement of all steps.
-    pub(crate) fn must_wait_for_share(&mut self, key: &StepKey) -> bool {
+    /// Makes a step wait for the next placement of all steps if its team gives way to all others. Returns
+    /// whether the step waits.
+    pub(crate) fn defer_for_share(&mut self, key: &StepKey) -> bool {
         let Some(plan) = self.plans.get(key) else {
             return false;
         };
-        let gives_way = self.rank(plan).gives_way;
-        if gives_way && plan.wait != Wait::TeamShare {
+        let is_deferred = self.rank(plan).is_far_over_share;
+        if is_deferred && plan.wait != Wait::TeamShare {
             self.report_team_wait(*key, Wait::TeamShare);
             self.set_wait(key, Wait::TeamShare);
         }
-        gives_way
+        is_deferred
     }
 
     fn report_team_wait(&mut self, key: StepKey, wait: Wait) {
@@ -103,7 +107,7 @@
         self.emit(DecisionEvent::new("step_waits_for_team", detail).job(key.job));
     }
 
-    /// Returns what each known team uses and waits for.
+    /// Returns what each team uses and waits for, that is configured or has runs or waiting tasks.
     pub fn team_reports(&self) -> Vec<TeamReport> {
         if !self.team_quotas.has_teams() {
             return Vec::new();
@@ -117,8 +121,14 @@
                 *capped += if plan.wait == Wait::TeamCap { tasks } else { 0 };
             }
         }
+        let configuration = self.workflow_state.configuration();
         let teams = self.workflow_state.teams();
-        let reports = teams.iter().map(|team| {
+        let shown = teams.iter().filter(|team| {
+            let is_idle = self.team_quotas.team(&team.name).used == Resources::ZERO;
+            let is_configured = configuration.teams.get(&team.name).is_some();
+            is_configured || !is_idle || waiting.contains_key(&team.name)
+        });
+        let reports = shown.map(|team| {
             let usage = self.team_quotas.team(&team.name);
             let (waiting_tasks, capped_tasks) =
                 waiting.get(&team.name).copied().unwrap_or_default();
@@ -135,7 +145,7 @@
     }
 
     /// Team of a job; `None` if its calls needed no key.
-    pub(crate) fn team_of(&self, job: JobKey) -> Option<tarragon_names::TeamName> {
+    pub(crate) fn team_of(&self, job: JobKey) -> Option<TeamName> {
         let team = self.workflow_state.with_job(job, |job| job.team.clone());
         team.flatten()
     }
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -72,7 +72,7 @@
             fence,
             self.now,
             earlier_lease,
-            Arc::clone(self.team_quotas.usage()),
+            Arc::clone(self.team_quotas.quotas()),
         );
         let is_going_down = self.workflow_state.is_going_down(state.incarnation());
         state.going_down_since = is_going_down.then_some(self.now);
--- a/lib/dispatch/src/failure_rate.rs
+++ b/lib/dispatch/src/failure_rate.rs
@@ -24,7 +24,7 @@
 /// failures that occur by chance also come close together.
 const MAX_EARLY_FAILURES: u32 = 3;
 
-/// Number of latest runs of a worker that are judged together.
+/// Number of latest runs of a worker that are judged together, as many as `failed` has bits.
 const JUDGED_RUNS: u32 = 8;
 
 /// Latest outcomes of the runs on a worker.
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -15,7 +15,7 @@
     /// Whether the worker is preferred, for example because it is near the data.
     pub(crate) is_preferred: bool,
     /// Whether tasks there and those of the step slow each other down.
-    pub(crate) is_disturbed: bool,
+    pub(crate) has_interfering_run: bool,
 }
 
 impl Candidate {
@@ -41,7 +41,7 @@
     candidates.retain(|candidate| candidate.fits(need) > 0);
     candidates.sort_by_key(|c| {
         let free = (c.free.cpu_milli, c.free.memory_mb);
-        (!c.is_preferred, c.is_disturbed, c.is_slow, free)
+        (!c.is_preferred, c.has_interfering_run, c.is_slow, free)
     });
     let mut chosen = Vec::new();
     let mut left = count;
--- a/lib/dispatch/src/placement_rank.rs
+++ b/lib/dispatch/src/placement_rank.rs
@@ -3,12 +3,12 @@
 /// Sort key of a step for placement; the step with the lowest key comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct PlacementRank {
-    /// Whether the team of the step uses so much that it gives way to all other teams.
-    pub(crate) gives_way: bool,
+    /// Whether the team of the step gives way to all other teams.
+    pub(crate) is_far_over_share: bool,
     /// Priority of the queue; 0 is the most urgent.
     pub(crate) priority: u32,
-    /// Parts of its share that the team uses; 0 without teams.
-    pub(crate) share_parts: u64,
+    /// Quarters of its share that the team uses; 0 without teams.
+    pub(crate) used_share_quarters: u64,
     /// Whether the job can no longer meet its objective.
     pub(crate) is_late: bool,
     /// Unix time at which the job was accepted or its occurrence was due.
--- a/lib/dispatch/src/team_quotas.rs
+++ b/lib/dispatch/src/team_quotas.rs
@@ -6,17 +6,15 @@
 use std::sync::Arc;
 
 use tarragon_names::{Resources, TeamName};
-use tarragon_queue::{Quota, Quotas, TeamUsage};
+use tarragon_queue::{FULL_SHARE, Quota, Quotas, TeamUsage};
 use tarragon_workflow::Team;
 
-/// Parts into which the share of a team is divided for the order of placement. Finer parts would order
-/// teams by single tasks instead of by objective.
+/// Parts into which the share of a team is divided for the order of placement. Much finer parts would
+/// order teams by single tasks instead of by objective.
 const SHARE_PARTS: u64 = 4;
 
-/// Share of a team that uses exactly its guarantee, as [`TeamUsage::dominant_share`] counts it.
-const FULL_SHARE: u64 = 1_000_000;
-
-/// Multiple of its share beyond which a team gives way to all others.
+/// Multiple of its share beyond which a team gives way to all others. Ordinary changes of demand stay
+/// below it.
 const EXCESSIVE_SHARES: u64 = 2;
 
 /// Part of all processor time, in percent, up to which a team may exceed its share and still keep the
@@ -24,6 +22,15 @@
 /// displaces others.
 const TOLERATED_EXCESS_PERCENT: u64 = 10;
 
+/// Position of a team's work in the order of placement; the team with the lowest comes first.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct ShareRank {
+    /// Whether the team uses so much that it gives way to all other teams.
+    pub(crate) is_far_over_share: bool,
+    /// Quarters of its share that the team uses.
+    pub(crate) used_share_quarters: u64,
+}
+
 /// Quotas of the teams, and their usage by the runs that may be on workers.
 #[derive(Clone, Debug)]
 pub(crate) struct TeamQuotas {
@@ -44,8 +51,8 @@
 }
 
 impl TeamQuotas {
-    /// Usage of the teams, which the state of each worker keeps up to date.
-    pub(crate) fn usage(&self) -> &Arc<Quotas> {
+    /// Quotas and usage of the teams. The state of each worker keeps the usage up to date.
+    pub(crate) fn quotas(&self) -> &Arc<Quotas> {
         &self.quotas
     }
 
@@ -54,12 +61,14 @@
         self.has_teams
     }
 
-    /// Sets the quotas of the teams: their caps, and shares of `capacity` by weight.
-    pub(crate) fn update(&mut self, teams: &[Arc<Team>], capacity: Resources) {
+    /// Sets the quotas of the known teams: their caps, and shares of `capacity` by weight.
+    ///
+    /// `total_weight` is that of the configured teams. A removed team keeps its share for the jobs that
+    /// it still has, without making those of the others smaller.
+    pub(crate) fn update(&mut self, teams: &[Arc<Team>], total_weight: u128, capacity: Resources) {
         self.capacity = capacity;
         self.has_teams = !teams.is_empty();
-        let weights = teams.iter().map(|team| u128::from(team.weight));
-        let total_weight = weights.sum::<u128>().max(1);
+        let total_weight = total_weight.max(1);
         for team in teams {
             let share = |amount: u64| {
                 let share = u128::from(amount) * u128::from(team.weight) / total_weight;
@@ -92,18 +101,19 @@
         u32::try_from(tasks).unwrap_or(u32::MAX)
     }
 
-    /// Position of a team's work in the order of placement: whether it gives way to all other teams, and
-    /// the parts of its share that it uses.
-    pub(crate) fn order(&self, team: Option<&TeamName>) -> (bool, u64) {
+    /// Position of a team's work in the order of placement; the first one without a team.
+    pub(crate) fn share_rank(&self, team: Option<&TeamName>) -> ShareRank {
         let Some(team) = team.filter(|_| self.has_teams) else {
-            return (false, 0);
+            return ShareRank::default();
         };
         let usage = self.team(team);
         let share = usage.dominant_share();
         let (used, guaranteed) = (usage.used.cpu_milli, usage.quota.guaranteed.cpu_milli);
         let tolerated = self.capacity.cpu_milli / 100 * TOLERATED_EXCESS_PERCENT;
-        let is_excessive =
-            share > EXCESSIVE_SHARES * FULL_SHARE && used.saturating_sub(guaranteed) > tolerated;
-        (is_excessive, share / (FULL_SHARE / SHARE_PARTS))
+        ShareRank {
+            is_far_over_share: share > EXCESSIVE_SHARES * FULL_SHARE
+                && used.saturating_sub(guaranteed) > tolerated,
+            used_share_quarters: share / (FULL_SHARE / SHARE_PARTS),
+        }
     }
 }
--- a/lib/dispatch/src/wait.rs
+++ b/lib/dispatch/src/wait.rs
@@ -8,9 +8,9 @@
     Placement,
     #[display("capacity that is left to more urgent steps")]
     Headroom,
-    #[display("capacity below the cap of its team")]
+    #[display("its team to fall below its cap")]
     TeamCap,
-    #[display("capacity beyond the share of its team")]
+    #[display("its team to fall below twice its share")]
     TeamShare,
     #[display("a relay")]
     Relay,
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -57,7 +57,7 @@
     unexpected: UnexpectedRuns,
     /// Usage of the teams on all workers. `insert_run`, `remove_run`, `set_ended`, `set_unexpected` and
     /// `release_usage` keep it consistent with the runs on this one.
-    team_usage: Arc<Quotas>,
+    quotas: Arc<Quotas>,
     /// Resources reserved for steps that wait for tickets or for preempted runs to end.
     pub(crate) reserved: BTreeMap<StepKey, Resources>,
     /// Resources that steps with an open request for advice may use here. Other requests name other
@@ -105,7 +105,7 @@
         fence: FencingToken,
         now: Millis,
         earlier_lease: EarlierLease,
-        team_usage: Arc<Quotas>,
+        quotas: Arc<Quotas>,
     ) -> Self {
         let last_proposed_end = record.acknowledged;
         Self {
@@ -126,7 +126,7 @@
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             unexpected: UnexpectedRuns::default(),
-            team_usage,
+            quotas,
             reserved: BTreeMap::new(),
             asked: BTreeMap::new(),
             preemptible: BTreeMap::new(),
@@ -285,24 +285,24 @@
         }
         self.used = self.used.saturating_sub(&spec.need);
         if let Some(team) = &spec.team {
-            self.team_usage.subtract_usage(team, &spec.need);
+            self.quotas.subtract_usage(team, &spec.need);
         }
     }
 
     fn occupy(&mut self, spec: &RunSpec) {
         self.used += spec.need;
         if let Some(team) = &spec.team {
-            self.team_usage.add_usage(team, &spec.need);
+            self.quotas.add_usage(team, &spec.need);
         }
     }
 
     /// Replaces the runs that the worker lists although the leader expects none there.
     pub(crate) fn set_unexpected(&mut self, unexpected: UnexpectedRuns) {
         for (team, resources) in &unexpected.by_team {
-            self.team_usage.add_usage(team, resources);
+            self.quotas.add_usage(team, resources);
         }
         for (team, resources) in &self.unexpected.by_team {
-            self.team_usage.subtract_usage(team, resources);
+            self.quotas.subtract_usage(team, resources);
         }
         self.unexpected = unexpected;
     }
@@ -313,7 +313,7 @@
         let runs = self.runs.values().filter(|view| !view.is_ended);
         for spec in runs.map(|view| &view.spec) {
             if let Some(team) = &spec.team {
-                self.team_usage.subtract_usage(team, &spec.need);
+                self.quotas.subtract_usage(team, &spec.need);
             }
         }
     }
--- a/lib/dispatch/tests/team_quotas.rs
+++ b/lib/dispatch/tests/team_quotas.rs
@@ -200,6 +200,16 @@
     assert!(of_b >= least, "{of_b} of 8 runs");
 }
 
+/// Guards against a removed team that makes the shares of the others smaller, and stays in the metrics.
+#[test]
+fn removed_team_takes_no_share() {
+    let mut harness = capped_harness();
+    harness.put_teams(3, vec![team("b", 1, 16)]);
+    let reports = harness.dispatcher.team_reports();
+    assert_eq!(reports.len(), 1, "{reports:?}");
+    assert_eq!(reports[0].share.cpu_milli, 16_000);
+}
+
 /// Guards against metrics that do not show what a team runs and waits for.
 #[test]
 fn report_shows_usage_and_waiting_tasks() {
--- a/lib/interference/src/baseline.rs
+++ b/lib/interference/src/baseline.rs
@@ -2,10 +2,12 @@
 
 use crate::{run_report::StepId, sign_test::median};
 
-/// Least number of runs of a step, and of runs on a worker, that a baseline is drawn from.
+/// Least number of runs of a step, and of runs on a worker, that a baseline is drawn from; a median of
+/// fewer is no better than a single run.
 const MIN_RUNS: usize = 3;
 
-/// Number of rounds in which the medians of steps and of workers are fitted to each other.
+/// Number of rounds in which the medians of steps and of workers are fitted to each other. The second
+/// one removes the speed of the workers from the medians of the steps.
 const ROUNDS: usize = 2;
 
 /// Duration of a run without the source.
@@ -47,14 +49,14 @@
     }
 
     /// Returns whether a comparison may use the baseline of a worker.
-    pub(crate) fn has_budget(&self, worker: u32) -> bool {
+    pub(crate) fn has_unused_runs(&self, worker: u32) -> bool {
         let at = find(&self.slowness, worker);
         at.is_some_and(|at| self.slowness[at].runs >= MIN_RUNS)
     }
 
     /// Returns the baseline of a worker and takes the runs of one comparison from it, since its error
     /// is common to all comparisons of a pair that use it.
-    pub(crate) fn take(&mut self, worker: u32) -> f64 {
+    pub(crate) fn consume(&mut self, worker: u32) -> f64 {
         let Some(at) = find(&self.slowness, worker) else {
             return 0.0;
         };
--- a/lib/interference/src/interference_table.rs
+++ b/lib/interference/src/interference_table.rs
@@ -43,13 +43,13 @@
 /// one and a half times its work, so a smaller one uses up less than half of what a caller allows.
 const MIN_KNOWN_PERCENT: f64 = 125.0;
 
-/// Greatest probability of chance with which a pair becomes known: that of seven comparisons that
+/// Greatest p-value with which a pair becomes known: that of seven comparisons that
 /// all agree.
-const MAX_KNOWN_CHANCE: f64 = 0.008;
+const MAX_KNOWN_P_VALUE: f64 = 0.008;
 
-/// Greatest probability of chance with which a pair stays known, and with which its effect is taken
+/// Greatest p-value with which a pair stays known, and with which its effect is taken
 /// off before other sources are judged: that of four comparisons that all agree.
-const MAX_KEPT_CHANCE: f64 = 0.07;
+const MAX_KEPT_P_VALUE: f64 = 0.07;
 
 /// Number of estimates in a row that must be certain before a pair becomes known. In between, the
 /// effects of other sources of the same slowdown are taken off.
@@ -262,14 +262,14 @@
                 effects[affected.index()].push((*other, state.estimate.log_effect));
             }
         }
-        let known_effect = |affected: Slot, observation: &Observation| {
+        let effect_of_others = |affected: Slot, observation: &Observation| {
             let others = effects[affected.index()].iter();
             let present = others.filter(|(other, _)| observation.neighbors.with & other.bit() != 0);
             present.map(|(_, effect)| effect).sum()
         };
         let durations = flatten(&self.durations);
         let spans = flatten(&self.spans);
-        estimate_source(source, &durations, &spans, known_effect)
+        estimate_source(source, &durations, &spans, effect_of_others)
     }
 
     fn update_pair(
@@ -294,7 +294,7 @@
             self.pairs.remove(&key);
             return is_known.then_some(PairChange::Forgotten(state.pair));
         };
-        let is_certain = estimate.chance <= MAX_KNOWN_CHANCE
+        let is_certain = estimate.p_value <= MAX_KNOWN_P_VALUE
             && estimate.log_effect >= (MIN_KNOWN_PERCENT / 100.0).ln();
         let in_a_row = before.map_or(0, |state| state.certain_in_a_row);
         let certain_in_a_row = if is_certain { in_a_row + 1 } else { 0 };
@@ -316,7 +316,7 @@
             source: self.images.name(source)?.clone(),
             affected: self.images.name(affected)?.clone(),
             slowdown_percent: (estimate.log_effect.exp() * 100.0).round() as u64,
-            certainty_permille: ((1.0 - estimate.chance) * 1_000.0).floor() as u64,
+            p_value_permille: (estimate.p_value * 1_000.0).ceil() as u64,
             comparisons: estimate.compared_at.len(),
         })
     }
@@ -324,7 +324,7 @@
 
 /// Returns whether an estimate is certain enough for a known pair to stay known.
 fn is_kept(estimate: &Estimate) -> bool {
-    estimate.chance <= MAX_KEPT_CHANCE && estimate.log_effect >= (COMPARED_PERCENT / 100.0).ln()
+    estimate.p_value <= MAX_KEPT_P_VALUE && estimate.log_effect >= (COMPARED_PERCENT / 100.0).ln()
 }
 
 fn slotted<'a>(images: &ImageTable, report: &'a RunReport) -> SlottedReport<'a> {
--- a/lib/interference/src/pair.rs
+++ b/lib/interference/src/pair.rs
@@ -9,8 +9,9 @@
     pub affected: Name,
     /// How much longer work takes beside the source, in percent; 100 for no effect.
     pub slowdown_percent: u64,
-    /// Probability, in thousandths, with which chance alone would not have shown the effect.
-    pub certainty_permille: u64,
+    /// Probability, in thousandths, of comparisons at least this clear without any effect; a lower one is
+    /// more certain.
+    pub p_value_permille: u64,
     /// Number of independent comparisons behind the estimate.
     pub comparisons: usize,
 }
@@ -29,8 +30,8 @@
 pub(crate) struct Estimate {
     /// Median of the comparisons, as the logarithm of the slowdown.
     pub(crate) log_effect: f64,
-    /// Probability with which chance alone would have shown the effect.
-    pub(crate) chance: f64,
+    /// Probability of comparisons at least this clear without any effect.
+    pub(crate) p_value: f64,
     /// Times of the observations with the source, one for each comparison.
     pub(crate) compared_at: Vec<Millis>,
 }
--- a/lib/interference/src/pairing.rs
+++ b/lib/interference/src/pairing.rs
@@ -1,4 +1,4 @@
-//! Comparisons of runs with and without a source, each independent of the others.
+//! Comparisons of runs with and without a source, each run in at most one comparison of each kind.
 
 use std::collections::BTreeMap;
 
@@ -33,18 +33,18 @@
 
 /// Estimates the effect of a source on all images.
 ///
-/// `known_effect` returns what other sources add to the logarithm of the cost of an observation, so
+/// `effect_of_others` returns what other sources add to the logarithm of the cost of an observation, so
 /// that their effect is not attributed to this one.
 pub(crate) fn estimate_source<F>(
     source: Slot,
     durations: &Observations<'_>,
     spans: &Observations<'_>,
-    known_effect: F,
+    effect_of_others: F,
 ) -> BTreeMap<Slot, Estimate>
 where
     F: Fn(Slot, &Observation) -> f64,
 {
-    let cost = |slot: Slot, o: &Observation| o.log_cost - known_effect(slot, o);
+    let cost = |slot: Slot, o: &Observation| o.log_cost - effect_of_others(slot, o);
     let mut differences = Differences::new();
     compare_durations(source, durations, cost, &mut differences);
     compare_spans(source, spans, cost, &mut differences);
@@ -62,7 +62,7 @@
             let above = values.iter().filter(|value| **value > least).count();
             let estimate = Estimate {
                 log_effect: median(&mut values)?,
-                chance: chance_of_at_least(above, values.len()),
+                p_value: chance_of_at_least(above, values.len()),
                 compared_at,
             };
             Some((affected, estimate))
@@ -123,16 +123,16 @@
             false
         });
         for (run, ended_at) in with {
-            if !baselines.has_budget(run.worker) {
+            if !baselines.has_unused_runs(run.worker) {
                 continue;
             }
             let mut others = without.iter();
-            let Some(at) = others.position(|other| baselines.has_budget(other.worker)) else {
+            let Some(at) = others.position(|other| baselines.has_unused_runs(other.worker)) else {
                 break;
             };
             let other = without.swap_remove(at);
-            let corrected = run.log_cost - baselines.take(run.worker);
-            let other_corrected = other.log_cost - baselines.take(other.worker);
+            let corrected = run.log_cost - baselines.consume(run.worker);
+            let other_corrected = other.log_cost - baselines.consume(other.worker);
             values.push((ended_at, corrected - other_corrected));
         }
     }
--- a/lib/queue/src/lib.rs
+++ b/lib/queue/src/lib.rs
@@ -35,5 +35,5 @@
 pub use queued_job::QueuedJob;
 pub use quota::Quota;
 pub use quotas::Quotas;
-pub use team_usage::TeamUsage;
+pub use team_usage::{FULL_SHARE, TeamUsage};
 pub use victim::Victim;
--- a/lib/queue/src/team_usage.rs
+++ b/lib/queue/src/team_usage.rs
@@ -2,8 +2,8 @@
 
 use crate::Quota;
 
-/// Share of a team that uses exactly its guarantee.
-const FULL_SHARE: u64 = 1_000_000;
+/// Share of a team that uses exactly its guarantee; see [`TeamUsage::dominant_share`].
+pub const FULL_SHARE: u64 = 1_000_000;
 
 /// Quota of a team and the resources that it uses.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
