--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -5,7 +5,7 @@
     collections::{BTreeMap, BTreeSet, BinaryHeap},
 };
 
-use tarragon_names::{Name, WorkerName};
+use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{RunEvent, StepKey, TaskKey};
 
 use crate::{
@@ -70,7 +70,7 @@
     /// Places newly planned steps, without a placement of all steps.
     pub(crate) fn place_new_steps(&mut self) {
         for key in std::mem::take(&mut self.new_steps) {
-            if self.must_wait_for_share(&key) {
+            if self.defer_for_share(&key) {
                 self.needs_placement = true;
                 continue;
             }
@@ -130,7 +130,7 @@
         let Some(plan) = self.plans.get(&key) else {
             return;
         };
-        if plan.waiting.is_empty() || self.must_wait_for_cap(&key) {
+        if plan.waiting.is_empty() || self.defer_for_cap(&key) {
             return;
         }
         self.workers.update_index(self.now);
@@ -155,16 +155,28 @@
 
     /// Chooses workers for the waiting tasks of a step. For a gang, all tasks must fit.
     pub(crate) fn choose_workers(
-        &self,
+        &mut self,
         key: &StepKey,
         candidate_set: CandidateSet,
         claims: &Claims,
+    ) -> Option<Vec<(WorkerName, u32)>> {
+        let candidates = self.candidates(key, candidate_set, claims);
+        if let Some(chosen) = self.choose_without_interference(key, candidate_set, &candidates) {
+            return Some(chosen);
+        }
+        self.fit(key, candidates)
+    }
+
+    /// Chooses workers for the waiting tasks of a step among candidates.
+    pub(crate) fn fit(
+        &self,
+        key: &StepKey,
+        candidates: Vec<Candidate>,
     ) -> Option<Vec<(WorkerName, u32)>> {
         let plan = self.plans.get(key)?;
         let step = plan.step();
         let need = step.reserved();
         let count = self.startable_tasks(plan);
-        let candidates = self.candidates(key, candidate_set, claims);
         let fit = |candidates: Vec<Candidate>| {
             if step.gang {
                 return pack_all(candidates, &need, count, step.same_rack);
@@ -230,6 +242,7 @@
             rack: state.record.rack.clone(),
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
+            has_interfering_run: false,
             is_slow: state.speed.is_slow(self.mean_speed)
                 || (step.best_effort && state.best_effort_rate < FULL_RATE),
         })
@@ -309,6 +322,8 @@
         let need = step.reserved();
         let spec = RunSpec::new(&step, Some(&*plan.queue), plan.team.clone());
         let waited = self.now_ms.saturating_sub(plan.due_ms);
+        let priority = plan.queue.priority;
+        let are_all_waiting = plan.waiting.len() == step.count as usize;
         let mut tasks = std::mem::take(&mut plan.waiting).into_iter();
         let mut placements = Vec::new();
         for (worker, count) in chosen {
@@ -320,6 +335,11 @@
         plan.waiting = tasks.collect();
         let tasks = placements.iter().map(|(index, ..)| *index);
         let runs = self.next_runs(key, step.gang, tasks);
+        let is_first = are_all_waiting && runs.first().is_some_and(|(run, _)| *run == 1);
+        if is_first && step.depends_on.is_empty() {
+            self.load_counters
+                .record_first_placement(priority, Millis(waited));
+        }
         for ((index, worker, ticket), (run, checkpoint)) in placements.into_iter().zip(runs) {
             let task = TaskKey { step: key, index };
             let Some(state) = self.workers.get_mut(&worker) else {
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -12,6 +12,7 @@
     backoff::backoff,
     earlier_lease::longest_on_slow_clock,
     listed_end::ListedEnd,
+    load_counters::StopCause,
     loss_cause::LossCause,
     run_view::{StartState, StopState},
     unexpected_runs::UnexpectedRuns,
@@ -105,6 +106,7 @@
         }
         self.record_ends(incarnation, &answer.finished);
         self.reconcile_runs(incarnation, &answer, sent_at);
+        self.observe_interference(&incarnation.worker, &answer);
         self.throttle_best_effort(&incarnation.worker);
         if !was_unresponsive {
             self.record_removed_successions(incarnation, answer.started_ms);
@@ -269,7 +271,7 @@
             } else if view.transferred_from.is_some() && !view.is_listed && !answer.is_truncated {
                 ended.push((*task, LossCause::Restarted));
             } else if view.start == StartState::Inherited {
-                view.request_stop(now);
+                view.request_stop(StopCause::NotListed, &mut self.load_counters, now);
             }
         }
         let (address, fence) = (state.record.address.clone(), state.fence);
@@ -352,6 +354,8 @@
             self.refresh_job(job);
         }
         self.move_overdue_runs();
+        self.evaluate_interference();
+        self.count_load();
         // A quarantined worker is usable again from the time of its probe on: the next run that ends
         // there is the probe.
         self.health.take_due_probes(self.now, usize::MAX);
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -1,11 +1,11 @@
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder, core::Collector,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
 };
 use tarragon_codes::{Code, Failure, Outcome};
 use tarragon_dispatch::{OrderOutcome, PollOutcome};
 
-use crate::{refused_calls::RefusedCalls, worker_order::OrderResult};
+use crate::{refused_calls::RefusedCalls, team_gauges::TeamGauges, worker_order::OrderResult};
 
 /// Upper bounds of the buckets of all histograms in seconds; the latency objectives of the
 /// requests lie between 0.25 s and 3 s.
@@ -21,6 +21,8 @@
     pub requests: IntCounterVec,
     /// Calls of callers that the leader refused for their team.
     pub refused_calls: RefusedCalls,
+    /// What the teams use and wait for.
+    pub team_gauges: TeamGauges,
     /// Seconds from the arrival of a request on this host to its answer, by kind.
     pub request_time: HistogramVec,
     /// Calls to workers and to the advice service, by kind and outcome.
@@ -35,6 +37,8 @@
     pub decisions: IntCounterVec,
     /// Seconds that one step of the dispatcher took.
     pub dispatch_step: Histogram,
+    /// Pairs of images that are kept apart while this host leads.
+    pub interfering_pairs: IntGauge,
     /// Messages on the links between hosts.
     pub link_messages: IntCounter,
     /// Bytes on the links between hosts.
@@ -84,6 +88,28 @@
                     &["team", "cause"],
                 ),
             )?),
+            team_gauges: TeamGauges::new(
+                register(
+                    &registry,
+                    IntGaugeVec::new(
+                        Opts::new(
+                            "tarragon_entry_team_cpu_milli",
+                            "Processor time of a team in thousandths of a core",
+                        ),
+                        &["team", "kind"],
+                    ),
+                )?,
+                register(
+                    &registry,
+                    IntGaugeVec::new(
+                        Opts::new(
+                            "tarragon_entry_team_waiting_tasks",
+                            "Tasks of a team that wait for a worker",
+                        ),
+                        &["team", "kind"],
+                    ),
+                )?,
+            ),
             request_time: register(
                 &registry,
                 histogram_by_kind("tarragon_entry_request_seconds", "Time of a request"),
@@ -129,6 +155,11 @@
                     .buckets(BUCKETS_S.to_vec()),
                 ),
             )?,
+            interfering_pairs: gauge(
+                &registry,
+                "tarragon_entry_interfering_pairs",
+                "Pairs of images that are kept apart",
+            )?,
             link_messages: counter(
                 &registry,
                 "tarragon_entry_link_messages_total",
