dispatch: run failed tasks of wide steps again before others, on sure workers

Within a queue priority, the waiting tasks of a step with several tasks that have run before are placed ahead of all other tasks, and no others of their step with them. They include tasks whose run was moved, lost or preempted. They go to workers that have completed runs, none of whose last eight runs has failed, and that are not slow. Gangs are left out, since all their members run again. Where a queue needs advice, tasks go ahead only if no others of their step wait, because a request for a few tasks would delay the one for the others.

--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    DecisionEvent, Dispatcher, advice::Advice, run_spec::RunSpec, run_view::StartState,
-    step_plan::StepPlan, wait::Wait,
+    DecisionEvent, Dispatcher, advice::Advice, retries::restarted_tasks, run_spec::RunSpec,
+    run_view::StartState, step_plan::StepPlan, wait::Wait,
 };
 
 impl Dispatcher {
@@ -97,10 +97,11 @@
                 Some(step) => step.waiting(),
                 None => (0..spec.steps[key.step as usize].count).collect(),
             };
+            let restarted = step.map(restarted_tasks).unwrap_or_default();
             let due_ms = job.accepted_ms.max(spec.due_ms(key.occurrence));
-            (waiting, spec, job.queue.clone(), due_ms)
+            (waiting, restarted, spec, job.queue.clone(), due_ms)
         });
-        let Some((mut waiting, spec, queue, due_ms)) = waiting else {
+        let Some((mut waiting, restarted, spec, queue, due_ms)) = waiting else {
             return;
         };
         waiting.retain(|index| {
@@ -117,6 +118,7 @@
         }
         if let Some(plan) = self.plans.get_mut(&key) {
             plan.waiting = waiting;
+            plan.restarted = restarted;
             return;
         }
         let Some(queue) = workflow_state.queue(&queue) else {
@@ -132,6 +134,7 @@
             due_ms,
             objective_ms: due_ms + allowed_ms,
             waiting,
+            restarted,
             advice: Advice::default(),
             failed_on: BTreeSet::new(),
             failed_tasks: BTreeMap::new(),
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -8,7 +8,7 @@
 use crate::{
     DecisionEvent, Dispatcher,
     dispatcher_throttle::FULL_RATE,
-    packing::{Candidate, pack, pack_all},
+    packing::{Candidate, Trust, pack, pack_all},
     run_spec::RunSpec,
     run_view::RunView,
     speed_rank::{SpeedClass, SpeedRank},
@@ -49,7 +49,11 @@
         self.update_headroom(order.iter().map(|(priority, .., key)| (*priority, *key)));
         let mut claims = Claims::new();
         let mut claims_priority = u32::MAX;
+        let mut retried = None;
         for (priority, .., key) in order {
+            if retried.replace(priority) != Some(priority) {
+                self.place_retries(priority, &mut claims);
+            }
             self.place_step(key, &mut claims);
             if !claims.is_empty() {
                 claims_priority = claims_priority.min(priority);
@@ -153,6 +157,7 @@
         let count = plan.waiting.len() as u32;
         let mut candidates = self.candidates(key, candidate_set, claims);
         self.rank_by_speed(plan, &mut candidates);
+        self.mark_unsure(plan, &mut candidates);
         let fit = |candidates: Vec<Candidate>| {
             if step.gang {
                 return pack_all(candidates, &need, count, step.same_rack);
@@ -212,6 +217,8 @@
         let limit = step.max_per_worker.map_or(u32::MAX, |most| {
             most.saturating_sub(state.running_tasks_of(&plan.key))
         });
+        let is_failing =
+            state.outcomes.failures_in_a_row > 0 && self.failure_rate.is_improbable(state.outcomes);
         Some(Candidate {
             worker: worker.clone(),
             free: state.free_for(&plan.key),
@@ -219,8 +226,11 @@
             limit,
             is_preferred: on_data_rack || plan.reserved.contains_key(worker),
             is_throttled: step.best_effort && state.best_effort_rate < FULL_RATE,
-            is_failing: state.outcomes.failures_in_a_row > 0
-                && self.failure_rate.is_improbable(state.outcomes),
+            trust: if is_failing {
+                Trust::Failing
+            } else {
+                Trust::Usual
+            },
             speed: state.speed.relative_to(self.mean_speed),
             speed_class: SpeedClass::default(),
             speed_rank: SpeedRank::default(),
--- a/lib/dispatch/src/dispatcher_stragglers.rs
+++ b/lib/dispatch/src/dispatcher_stragglers.rs
@@ -9,6 +9,7 @@
     Dispatcher,
     dispatcher_overdue::running_time,
     dispatcher_place::CandidateSet,
+    packing::Trust,
     run_view::{RunView, StartState, StopState},
     step_plan::StepPlan,
     straggler::{Straggler, expected_duration, max_moves, may_be_worth_moving},
@@ -149,7 +150,7 @@
         let mut candidates = self.candidates(&plan.key, candidate_set, claims);
         candidates.retain(|candidate| {
             candidate.worker != *current
-                && !candidate.is_failing
+                && candidate.trust != Trust::Failing
                 && !plan.failed_on.contains(&candidate.worker)
                 && candidate.fits(&need) > 0
         });
--- a/lib/dispatch/src/failure_rate.rs
+++ b/lib/dispatch/src/failure_rate.rs
@@ -63,6 +63,11 @@
         };
     }
 
+    /// Returns whether any run has ended.
+    pub(crate) fn has_runs(self) -> bool {
+        self.runs > 0
+    }
+
     /// Number of failures among the latest runs.
     pub(crate) fn failures(self) -> u32 {
         self.failed.count_ones()
--- a/lib/dispatch/src/packing.rs
+++ b/lib/dispatch/src/packing.rs
@@ -7,6 +7,17 @@
     worker_speed::SpeedFactor,
 };
 
+/// What the latest runs on a worker let expect of further ones; better expectations come first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Trust {
+    /// Nothing speaks against the worker.
+    Usual,
+    /// A task that runs again may fail or be late there once more.
+    Unsure,
+    /// More runs have failed than the rate of all workers explains.
+    Failing,
+}
+
 /// A worker that may run tasks of a step.
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
@@ -17,8 +28,8 @@
     pub(crate) limit: u32,
     /// Whether best-effort tasks get less than their full rate there.
     pub(crate) is_throttled: bool,
-    /// Whether more of the latest runs there have failed than the rate of all workers explains.
-    pub(crate) is_failing: bool,
+    /// What the latest runs there let expect of further ones.
+    pub(crate) trust: Trust,
     /// Duration of tasks there.
     pub(crate) speed: SpeedFactor,
     pub(crate) speed_class: SpeedClass,
@@ -51,13 +62,7 @@
     candidates.retain(|candidate| candidate.fits(need) > 0);
     candidates.sort_by_key(|c| {
         let free = (c.free.cpu_milli, c.free.memory_mb);
-        (
-            !c.is_preferred,
-            c.is_throttled,
-            c.is_failing,
-            c.speed_rank,
-            free,
-        )
+        (!c.is_preferred, c.is_throttled, c.trust, c.speed_rank, free)
     });
     let mut chosen = Vec::new();
     let mut left = count;
@@ -116,7 +121,7 @@
     for candidate in candidates {
         // Of speeds that suit the step equally, the slowest comes first.
         let class = Reverse(candidate.speed_class);
-        let group = (candidate.is_failing, candidate.speed_rank, class);
+        let group = (candidate.trust, candidate.speed_rank, class);
         groups.entry(group).or_default().push(candidate.clone());
     }
     groups.into_values().collect()
--- a/lib/dispatch/src/step_plan.rs
+++ b/lib/dispatch/src/step_plan.rs
@@ -22,6 +22,8 @@
     /// Unix time by which the job must end to count in full.
     pub(crate) objective_ms: u64,
     pub(crate) waiting: Vec<u32>,
+    /// Waiting tasks that have run before.
+    pub(crate) restarted: BTreeSet<u32>,
     pub(crate) advice: Advice,
     /// Workers on which a task of the step failed or took too long.
     pub(crate) failed_on: BTreeSet<WorkerName>,
@@ -50,6 +52,12 @@
         now_ms.saturating_sub(self.due_ms) > allowed * LONG_WAIT_PERCENT / 100
     }
 
+    /// Returns whether a task waits that has run before, while others of its step need not run again.
+    pub(crate) fn has_retries(&self) -> bool {
+        let is_wide = self.step().count > 1 && !self.step().gang;
+        is_wide && self.waiting.iter().any(|i| self.restarted.contains(i))
+    }
+
     /// Resources that all waiting tasks need.
     pub(crate) fn waiting_need(&self) -> Resources {
         self.step().reserved().times(self.waiting.len() as u64)
