dispatch: count idle reserved capacity, stopped runs and times to the first placement

Every 5 s the leader writes load_counters: processor time that was idle because it was reserved for steps or claimed for gangs, runs that were stopped by cause, and times from the acceptance of a job to the first placement of a step that waits for no other, by queue priority. The counts go on from the start of the process. Idle capacity is read with the check for expired leases, every 100 ms.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -16,6 +16,7 @@
     failure_rate::FailureRate,
     headroom::Headroom,
     late_orders::LateOrders,
+    load_counters::LoadCounters,
     recent_placements::RecentPlacements,
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
@@ -95,6 +96,7 @@
     pub(crate) needs_placement: bool,
     pub(crate) headroom: Headroom,
     pub(crate) late_orders: LateOrders,
+    pub(crate) load_counters: LoadCounters,
     pub(crate) recent_placements: RecentPlacements,
     /// Number of stop orders that were not accepted within the timeout of an order.
     pub(crate) unaccepted_stops: usize,
@@ -106,6 +108,8 @@
     pub(crate) sole_leader_since: Millis,
     /// Time of the next check for expired leases and overdue runs.
     pub(crate) next_expiry_at: Millis,
+    /// Time of the next report of the counters of load.
+    pub(crate) next_load_report_at: Millis,
     /// Time of the next search for runs that fall behind.
     pub(crate) next_straggler_search_at: Millis,
     /// Earliest time of the next report on waiting steps.
@@ -163,12 +167,14 @@
             needs_placement: false,
             headroom: Headroom::default(),
             late_orders: LateOrders::default(),
+            load_counters: LoadCounters::default(),
             recent_placements: RecentPlacements::default(),
             unaccepted_stops: 0,
             next_placement_at: Millis(0),
             is_sole_leader: false,
             sole_leader_since: Millis(0),
             next_expiry_at: Millis(0),
+            next_load_report_at: Millis(0),
             next_straggler_search_at: Millis(0),
             next_report_at: Millis(0),
             now: Millis(0),
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    DecisionEvent, Dispatcher, advice::Advice, retries::restarted_tasks, run_spec::RunSpec,
-    run_view::StartState, step_plan::StepPlan, wait::Wait,
+    DecisionEvent, Dispatcher, advice::Advice, load_counters::StopCause, retries::restarted_tasks,
+    run_spec::RunSpec, run_view::StartState, step_plan::StepPlan, wait::Wait,
 };
 
 impl Dispatcher {
@@ -206,13 +206,18 @@
                 JobPhase::Completed => false,
                 JobPhase::Pending | JobPhase::Running => is_done_elsewhere(),
             };
+            let cause = if phase.is_final() {
+                StopCause::JobEnded
+            } else {
+                StopCause::DoneElsewhere
+            };
             let state = self.workers.get_mut(&worker);
             if let Some(view) = state.and_then(|state| state.runs.get_mut(&task))
                 && must_stop
                 && !view.is_ended
                 && (phase.is_final() || view.start != StartState::Committing)
             {
-                view.request_stop(now);
+                view.request_stop(cause, &mut self.load_counters, now);
             }
         }
     }
@@ -320,7 +325,7 @@
                 && view.run != run
                 && !view.is_ended
             {
-                view.request_stop(now);
+                view.request_stop(StopCause::DoneElsewhere, &mut self.load_counters, now);
             }
         }
     }
@@ -342,7 +347,7 @@
                 && view.run == run
                 && !view.is_ended
             {
-                view.request_stop(now);
+                view.request_stop(StopCause::GangBroken, &mut self.load_counters, now);
             }
         }
     }
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -9,6 +9,7 @@
     DecisionEvent, Dispatcher, FinishedOrder, Input, OrderOutcome, Output, Refusal, StartOrder,
     StopOrder,
     backoff::backoff,
+    load_counters::StopCause,
     loss_cause::LossCause,
     run_view::{START_ORDER_LIFETIME, StartState, StopState},
 };
@@ -130,7 +131,7 @@
                     view.start = StartState::Unanswered { again_at: now };
                 }
                 if view.start_attempts >= self.cfg.max_unanswered_starts && !is_stale {
-                    view.request_stop(now);
+                    view.request_stop(StopCause::StartUnanswered, &mut self.load_counters, now);
                     view.start = StartState::Inherited;
                     self.stop_gang(task.step, run);
                 }
@@ -190,7 +191,7 @@
             {
                 // An earlier order for this run may still arrive; the stop prevents the run from
                 // starting.
-                view.request_stop(now);
+                view.request_stop(StopCause::StartUnanswered, &mut self.load_counters, now);
                 view.start = StartState::Inherited;
             }
         }
--- a/lib/dispatch/src/dispatcher_overdue.rs
+++ b/lib/dispatch/src/dispatcher_overdue.rs
@@ -12,6 +12,7 @@
 use crate::{
     DecisionEvent, Dispatcher,
     dispatcher_throttle::FULL_RATE,
+    load_counters::StopCause,
     run_view::{RunView, StartState, StopState},
     worker_state::WorkerState,
 };
@@ -101,7 +102,7 @@
             self.emit(event.worker(&worker).warning());
         }
         for (task, worker) in overdue {
-            self.move_run(task, &worker, "overdue");
+            self.move_run(task, &worker, StopCause::Overdue);
         }
         self.move_stragglers();
     }
@@ -115,7 +116,7 @@
     }
 
     /// Stops a run so that its task starts elsewhere.
-    pub(crate) fn move_run(&mut self, task: TaskKey, worker: &WorkerName, cause: &str) {
+    pub(crate) fn move_run(&mut self, task: TaskKey, worker: &WorkerName, cause: StopCause) {
         let now = self.now;
         if let Some(plan) = self.plans.get_mut(&task.step) {
             plan.failed_on.insert(worker.clone());
@@ -124,7 +125,7 @@
         let Some(view) = state.and_then(|state| state.runs.get_mut(&task)) else {
             return;
         };
-        view.request_stop(now);
+        view.request_stop(cause, &mut self.load_counters, now);
         let run = view.run;
         let detail = format!(
             "{cause}, {} ms for an estimate of {} ms, {}% done for {:?}, {:?} in use of {}",
--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use tarragon_names::{Name, WorkerName};
+use tarragon_names::{Millis, Name, WorkerName};
 use tarragon_workflow::{RunEvent, StepKey, TaskKey};
 
 use crate::{
@@ -311,6 +311,12 @@
         let need = step.reserved();
         let spec = RunSpec::new(&step, Some(&*plan.queue));
         let waited = self.now_ms.saturating_sub(plan.due_ms);
+        let is_first = plan.waiting.len() == step.count as usize && plan.restarted.is_empty();
+        if is_first && step.depends_on.is_empty() && !chosen.is_empty() {
+            let priority = plan.queue.priority;
+            self.load_counters
+                .record_first_placement(priority, Millis(waited));
+        }
         let mut tasks = std::mem::take(&mut plan.waiting).into_iter();
         let mut placements = Vec::new();
         for (worker, count) in chosen {
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -12,6 +12,7 @@
     backoff::backoff,
     earlier_lease::longest_on_slow_clock,
     listed_end::ListedEnd,
+    load_counters::StopCause,
     loss_cause::LossCause,
     run_view::{StartState, StopState},
     worker_state::WorkerState,
@@ -272,7 +273,7 @@
             } else if view.transferred_from.is_some() && !view.is_listed && !answer.is_truncated {
                 ended.push((*task, LossCause::Restarted));
             } else if view.start == StartState::Inherited {
-                view.request_stop(now);
+                view.request_stop(StopCause::NotListed, &mut self.load_counters, now);
             }
         }
         let (address, fence) = (state.record.address.clone(), state.fence);
@@ -353,6 +354,7 @@
             self.refresh_job(job);
         }
         self.move_overdue_runs();
+        self.count_load();
         // A quarantined worker is usable again from the time of its probe on: the next run that ends
         // there is the probe.
         self.health.take_due_probes(self.now, usize::MAX);
--- a/lib/dispatch/src/dispatcher_preempt.rs
+++ b/lib/dispatch/src/dispatcher_preempt.rs
@@ -6,6 +6,7 @@
 use crate::{
     DecisionEvent, Dispatcher,
     dispatcher_place::{CandidateSet, Claims},
+    load_counters::StopCause,
     packing::Candidate,
     worker_state::WorkerState,
 };
@@ -162,7 +163,7 @@
             }
             free += need;
             if let Some(view) = state.runs.get_mut(&task) {
-                view.request_stop(now);
+                view.request_stop(StopCause::Preempted, &mut self.load_counters, now);
                 stopped.push((task, view.run));
             }
         }
--- a/lib/dispatch/src/dispatcher_stragglers.rs
+++ b/lib/dispatch/src/dispatcher_stragglers.rs
@@ -9,6 +9,7 @@
     Dispatcher,
     dispatcher_overdue::running_time,
     dispatcher_place::CandidateSet,
+    load_counters::StopCause,
     packing::Trust,
     run_view::{RunView, StartState, StopState},
     step_plan::StepPlan,
@@ -46,7 +47,7 @@
         moved.sort_by_key(|(gain, _)| std::cmp::Reverse(*gain));
         moved.truncate(max_moves(runs, stopping));
         for (_, suspect) in moved {
-            self.move_run(suspect.task, &suspect.worker, "behind its step");
+            self.move_run(suspect.task, &suspect.worker, StopCause::BehindStep);
         }
     }
 
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -1,7 +1,12 @@
 use tarragon_names::{Millis, Name};
 use tarragon_workflow::WorkerIncarnation;
 
-use crate::{run_progress::RunProgress, run_rate::RunRate, run_spec::RunSpec};
+use crate::{
+    load_counters::{LoadCounters, StopCause},
+    run_progress::RunProgress,
+    run_rate::RunRate,
+    run_spec::RunSpec,
+};
 
 /// Highest run number of a task that may be preempted, so that every task ends eventually.
 const MAX_PREEMPTED_RUN: u32 = 3;
@@ -125,10 +130,17 @@
             && self.start_may_arrive_until == Millis(0)
     }
 
-    pub(crate) fn request_stop(&mut self, now: Millis) {
+    /// Requests the stop of the run, and counts its cause unless a stop was requested before.
+    pub(crate) fn request_stop(
+        &mut self,
+        cause: StopCause,
+        counters: &mut LoadCounters,
+        now: Millis,
+    ) {
         if self.stop == StopState::NotRequested {
             self.stop = StopState::Requested { at: now };
             self.stop_requested_at = now;
+            counters.record_stop(cause);
         }
     }
 
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -290,6 +290,14 @@
         free.saturating_sub(&self.unexpected)
     }
 
+    /// Processor time that no run uses: the part that is reserved for steps, and the rest.
+    pub(crate) fn idle_cpu(&self) -> (u64, u64) {
+        let idle = self.unoccupied().cpu_milli;
+        let reserved = self.reserved.values().copied().sum::<Resources>();
+        let idle_reserved = reserved.cpu_milli.min(idle);
+        (idle_reserved, idle - idle_reserved)
+    }
+
     /// Capacity that no run uses and no step has reserved or asked for.
     pub(crate) fn available(&self) -> Resources {
         let asked = self.asked.values().copied().sum::<Resources>();
