--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -161,6 +161,17 @@
         }
     }
 
+    /// Takes the disk away; the next start is not the first one of the system.
+    pub fn wipe(&self) {
+        let text = fs::read_to_string(&self.settings).unwrap_or_default();
+        let data_dir = text.lines().find_map(|line| line.strip_prefix("data_dir="));
+        if let Some(dir) = data_dir {
+            let _removed = fs::remove_dir_all(dir);
+            let _made = fs::create_dir_all(dir);
+        }
+        let _written = fs::write(&self.settings, text.replace("bootstrap=true", "bootstrap=false"));
+    }
+
     /// What the process wrote on a panic, or its last line.
     pub fn last_words(&self) -> String {
         let text = fs::read(&self.log).unwrap_or_default();
