--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 //! environment it leaves the disruption out.
 
 mod case_cancel;
+mod case_catch_up;
 mod case_foreign;
 mod deployment;
 mod hosts;
@@ -26,6 +27,7 @@
     let record = Path::new(record);
     match case.as_str() {
         "cancel" => case_cancel::run(record, has_trouble),
+        "catch-up" => case_catch_up::run(record, has_trouble),
         "foreign" => case_foreign::run(record, has_trouble),
         _ => {
             eprintln!("no case is named {case}");
