--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod case_catch_up;
 mod case_foreign;
 mod case_gang;
+mod case_late;
 mod deployment;
 mod hosts;
 mod http;
@@ -30,6 +31,7 @@
         "cancel" => case_cancel::run(record, has_trouble),
         "catch-up" => case_catch_up::run(record, has_trouble),
         "gang" => case_gang::run(record, has_trouble),
+        "late" => case_late::run(record, has_trouble),
         "foreign" => case_foreign::run(record, has_trouble),
         _ => {
             eprintln!("no case is named {case}");
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -1,7 +1,7 @@
 //! Executors that run tasks by the clock, as the platform's pages say, and a ledger of all runs.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, TcpListener},
     sync::{
         Arc, Mutex, MutexGuard,
@@ -30,6 +30,9 @@
 /// Ends listed in one answer.
 const MOST_ENDS: usize = 500;
 
+/// Time after which a call that gets no answer ends.
+const NO_ANSWER: Duration = Duration::from_millis(2_000);
+
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +52,13 @@
     pub done: BTreeMap<String, u64>,
     /// Tasks that ran at two places at the same time.
     pub doubled: Vec<String>,
+    /// Tasks whose end `done` has been taken note of.
+    pub noted: BTreeSet<String>,
+    /// Starts of tasks that had ended `done`, with that end taken note of.
+    pub again: Vec<String>,
+    /// Whether the next start of a task with the word "marked" gets no answer.
+    pub holds_marked: bool,
+    pub late: Option<LateStart>,
 }
 
 pub type SharedLedger = Arc<Mutex<Ledger>>;
@@ -73,8 +83,13 @@
     how: &'static str,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    /// Start of this life, in Unix milliseconds and on the steady clock.
+    born: u64,
+    begun: Instant,
+    /// Whether the executor is up; a crashed one answers nothing.
+    is_up: bool,
     fence: u64,
     lease_until: u64,
     runs: BTreeMap<String, Run>,
@@ -84,6 +99,38 @@
     seq: u64,
 }
 
+impl State {
+    /// A life that knows nothing of an earlier one.
+    fn new() -> Self {
+        Self {
+            born: unix_ms(),
+            begun: Instant::now(),
+            is_up: true,
+            fence: 0,
+            lease_until: 0,
+            runs: BTreeMap::new(),
+            highest: BTreeMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+            seq: 0,
+        }
+    }
+
+    /// Time on the clock of this life.
+    fn clock(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64 + 1_000
+    }
+}
+
+/// A start order that gets no answer and is carried out late.
+#[derive(Debug)]
+pub struct LateStart {
+    pub worker: String,
+    pub task: String,
+    pub sent_at: Instant,
+    body: Json,
+}
+
 /// What an executor tells of itself.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -94,8 +141,6 @@
     pub rack: String,
     pub cpu: u64,
     pub mem_mb: u64,
-    pub born: u64,
-    begun: Instant,
     state: Arc<Mutex<State>>,
     ledger: SharedLedger,
     record: Record,
@@ -130,9 +175,7 @@
             rack: place.rack,
             cpu: place.cpu,
             mem_mb: place.mem_mb,
-            born: unix_ms(),
-            begun: Instant::now(),
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(State::new())),
             ledger,
             record,
             stop: Arc::default(),
@@ -154,12 +197,16 @@
     fn announce(&self, controls: &[SocketAddr]) {
         let mut next = self.address.port() as usize;
         while !self.stop.load(Ordering::Relaxed) {
-            let seq = {
+            let (is_up, seq, born) = {
                 let mut state = lock(&self.state);
                 state.seq += 1;
-                state.seq
+                (state.is_up, state.seq, state.born)
             };
-            let body = self.heartbeat(&self.service, seq, self.born).to_string();
+            if !is_up {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            }
+            let body = self.heartbeat(&self.service, seq, born).to_string();
             let path = format!("/v1/instances/{}", self.id);
             for _ in 0..3 {
                 let control = controls[next % controls.len()];
@@ -203,14 +250,36 @@
                 ]),
             ),
             ("labels", Json::List(vec![text("a"), text(&self.rack)])),
-            ("clock_ms", number(self.clock())),
+            ("clock_ms", number(lock(&self.state).clock())),
             ("born", number(born)),
             ("seq", number(seq)),
         ])
     }
 
-    fn clock(&self) -> u64 {
-        self.begun.elapsed().as_millis() as u64 + 1_000
+    /// Ends this life with all that runs.
+    pub fn crash(&self) {
+        let mut state = lock(&self.state);
+        state.is_up = false;
+        let runs = std::mem::take(&mut state.runs);
+        let mut ledger = lock(&self.ledger);
+        for task in runs.into_keys() {
+            if let Some(active) = ledger.active.get_mut(&task) {
+                active.retain(|a| a.worker != self.id);
+            }
+        }
+        self.record.note(&format!("{} crashes", self.id));
+    }
+
+    /// Begins the next life under the same id and address.
+    pub fn restart(&self) {
+        *lock(&self.state) = State::new();
+        self.record
+            .note(&format!("{} is up again under its id", self.id));
+    }
+
+    /// Carries out a start order that got no answer.
+    pub fn carry_out(&self, late: &LateStart) -> (u16, String) {
+        self.start_run(&late.body)
     }
 
     /// Number of runs at work.
@@ -219,27 +288,59 @@
     }
 
     fn answer(&self, request: &Request) -> Answer {
+        if !lock(&self.state).is_up {
+            return None;
+        }
         if request.method == "GET" {
             return Some((200, "{}".to_owned()));
         }
         let expected = request.header("expect-instance");
         if !expected.is_empty() && expected != self.id {
-            let body = format!("{{\"clock_ms\":{}}}", self.clock());
-            return Some((421, body));
+            return Some((421, self.clock_body(&lock(&self.state))));
         }
         let Some(body) = Json::parse(&request.body) else {
             return Some((400, "{}".to_owned()));
         };
         match request.path.as_str() {
-            "/v1/run-start" => Some(self.start_run(&body)),
+            "/v1/run-start" => {
+                if self.holds_back(&body) {
+                    thread::sleep(NO_ANSWER);
+                    return None;
+                }
+                Some(self.start_run(&body))
+            }
             "/v1/run-stop" => Some(self.stop_run(&body)),
             "/v1/hold" => Some(self.hold(&body)),
-            _ => Some((200, format!("{{\"clock_ms\":{}}}", self.clock()))),
+            _ => Some((200, self.clock_body(&lock(&self.state)))),
         }
     }
 
-    fn refuse(&self, reason: &str) -> (u16, String) {
-        let clock = self.clock();
+    fn holds_back(&self, body: &Json) -> bool {
+        let mut ledger = lock(&self.ledger);
+        if !ledger.holds_marked || !body.get("spec").text().contains("marked") {
+            return false;
+        }
+        ledger.holds_marked = false;
+        let task = body.get("task").text().to_owned();
+        self.record.note(&format!(
+            "{} gives no answer to the start of {task}",
+            self.id
+        ));
+        ledger.late = Some(LateStart {
+            worker: self.id.clone(),
+            task,
+            sent_at: Instant::now(),
+            body: body.clone(),
+        });
+        true
+    }
+
+    fn clock_body(&self, state: &State) -> String {
+        format!("{{\"clock_ms\":{}}}", state.clock())
+    }
+
+    fn refuse(&self, state: &State, reason: &str) -> (u16, String) {
+        let clock = state.clock();
         (
             409,
             format!("{{\"clock_ms\":{clock},\"reason\":\"{reason}\"}}"),
@@ -257,7 +358,7 @@
 
     fn take_lease(&self, state: &mut State, body: &Json) {
         let until = body.get("deadline_ms").number();
-        let until = until.min(self.clock() + MAX_HOLD_MS);
+        let until = until.min(state.clock() + MAX_HOLD_MS);
         state.lease_until = state.lease_until.max(until);
     }
 
@@ -266,10 +367,10 @@
         self.end_runs(&mut state);
         let (task, run) = (body.get("task").text().to_owned(), body.get("run").number());
         if !self.take_fence(&mut state, body) {
-            return self.refuse("fence");
+            return self.refuse(&state, "fence");
         }
         self.take_lease(&mut state, body);
-        let clock = self.clock();
+        let clock = state.clock();
         let accepted = (200, format!("{{\"clock_ms\":{clock}}}"));
         if state
             .runs
@@ -284,10 +385,10 @@
             .is_some_and(|highest| run <= *highest);
         let is_running = state.runs.contains_key(&task);
         if is_old || is_running {
-            return self.refuse("old");
+            return self.refuse(&state, "old");
         }
         if body.get("deadline_ms").number() <= clock {
-            return self.refuse("late");
+            return self.refuse(&state, "late");
         }
         let takes = body
             .get("spec")
@@ -319,6 +420,14 @@
             self.record.note(&format!("TWO RUNS AT ONCE: {text}"));
             ledger.doubled.push(text);
         }
+        if ledger.noted.contains(&task) {
+            let text = format!(
+                "{task} starts as run {run} on {} after it was done",
+                self.id
+            );
+            self.record.note(&format!("START AFTER THE END: {text}"));
+            ledger.again.push(text);
+        }
         drop(ledger);
         let run = Run {
             number: run,
@@ -335,7 +444,7 @@
         self.end_runs(&mut state);
         let (task, run) = (body.get("task").text().to_owned(), body.get("run").number());
         if !self.take_fence(&mut state, body) {
-            return self.refuse("fence");
+            return self.refuse(&state, "fence");
         }
         self.record
             .note(&format!("{} is told to stop {task} run {run}", self.id));
@@ -346,7 +455,7 @@
         }
         let highest = state.highest.entry(task).or_default();
         *highest = run.max(*highest);
-        (200, format!("{{\"clock_ms\":{}}}", self.clock()))
+        (200, self.clock_body(&state))
     }
 
     fn hold(&self, body: &Json) -> (u16, String) {
@@ -356,10 +465,16 @@
             let mut state = lock(&self.state);
             self.end_runs(&mut state);
             if !self.take_fence(&mut state, body) {
-                return self.refuse("fence");
+                return self.refuse(&state, "fence");
             }
             self.take_lease(&mut state, body);
             let seen = body.get("ack_cursor").number();
+            let noted = state
+                .ends
+                .iter()
+                .filter(|end| end.number <= seen && end.how == "done");
+            let noted = noted.map(|end| end.task.clone()).collect::<Vec<_>>();
+            lock(&self.ledger).noted.extend(noted);
             state.ends.retain(|end| end.number > seen);
         }
         loop {
@@ -393,8 +508,8 @@
         });
         format!(
             "{{\"clock_ms\":{},\"born\":{},\"running\":[{}],\"finished\":[{}]}}",
-            self.clock(),
-            self.born,
+            state.clock(),
+            state.born,
             running.collect::<Vec<_>>().join(","),
             finished.collect::<Vec<_>>().join(",")
         )
@@ -402,7 +517,7 @@
 
     fn end_runs(&self, state: &mut State) {
         let now = Instant::now();
-        let has_lapsed = self.clock() > state.lease_until;
+        let has_lapsed = state.clock() > state.lease_until;
         let how = |run: &Run| {
             if run.stops_at.is_some_and(|at| at <= now) {
                 Some("stopped")
