dispatch: acknowledge no end while a start order of its task may arrive

Callers saw a finished task run again: its first start order got no answer, the second was accepted, the run ended done and the job was shown as completed.

Cause: the number up to which ends are acknowledged followed the record of each end at once. From the acknowledgement on, the platform counts every later start of the task as a second run, and no call can make an incarnation refuse an order that is its first call. Related: the next run of a task whose first one failed or was stopped was placed at once, beside an order for the first one that could still be carried out.

Change: tasks whose start order got no answer are remembered for as long as the order can be carried out, and recorded in the log, so that a later leader knows them. Their ends are recorded and shown at once, and acknowledged only after that time; their next run waits for it. Orders with a ticket, steps that allow copies and tasks that last are exempt. A new leader also holds the ends that it finds recorded and not acknowledged.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -24,6 +24,7 @@
     run_view::{StartState, StopState},
     step_plan::StepPlan,
     team_quotas::TeamQuotas,
+    unanswered_starts::UnansweredStarts,
     worker_speed::WorkerSpeed,
     worker_table::WorkerTable,
 };
@@ -99,6 +100,9 @@
     pub(crate) needs_placement: bool,
     pub(crate) headroom: Headroom,
     pub(crate) late_orders: LateOrders,
+    pub(crate) unanswered_starts: UnansweredStarts,
+    /// Tasks among them that are not proposed for the log yet.
+    pub(crate) new_unanswered_starts: Vec<TaskKey>,
     pub(crate) load_counters: LoadCounters,
     pub(crate) recent_placements: RecentPlacements,
     /// Images that slow each other down; `None` if they are not to be detected.
@@ -171,6 +175,8 @@
             needs_placement: false,
             headroom: Headroom::default(),
             late_orders: LateOrders::default(),
+            unanswered_starts: UnansweredStarts::default(),
+            new_unanswered_starts: Vec::new(),
             load_counters: LoadCounters::default(),
             recent_placements: RecentPlacements::default(),
             interference: cfg.avoids_interference.then(Interference::default),
@@ -307,7 +313,9 @@
             | Command::MachineRefused { .. }
             | Command::MachineDone { .. } => self.update_going_down(),
             // The next announcement of the later incarnation replaces the record of the earlier one.
-            Command::StartWave { .. } | Command::PutSuccession(_) => {}
+            Command::StartWave { .. }
+            | Command::PutSuccession(_)
+            | Command::StartsUnanswered(_) => {}
         }
     }
 
@@ -397,6 +405,11 @@
     }
 
     fn flush_records(&mut self) {
+        if !self.new_unanswered_starts.is_empty() {
+            let tasks = std::mem::take(&mut self.new_unanswered_starts);
+            self.outputs
+                .push(Output::Propose(Command::StartsUnanswered(tasks)));
+        }
         if !self.records.is_empty() {
             let records = std::mem::take(&mut self.records);
             self.outputs
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -109,6 +109,13 @@
             })
         });
         let step = &spec.steps[key.step as usize];
+        waiting.retain(|index| {
+            let task = TaskKey {
+                step: key,
+                index: *index,
+            };
+            !self.awaits_late_start(&task, step.long_running)
+        });
         if step.gang && waiting.len() < step.count as usize {
             // The members of a gang start together, so all members of its previous run must have
             // ended.
@@ -256,6 +263,7 @@
                     ..
                 } => {
                     jobs.insert(task.step.job);
+                    self.hold_end(incarnation, *number, task, *end);
                     self.ended_applied(task, *run, &incarnation.worker);
                     if let Some(state) = self.workers.get_mut(&incarnation.worker)
                         && *state.incarnation() == *incarnation
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -60,6 +60,7 @@
                 self.record_lost(task, placement.run, None);
             }
         }
+        self.inherit_unanswered_starts();
         for job in jobs {
             self.refresh_job(job);
         }
@@ -90,6 +91,8 @@
         self.gang_claims = (u32::MAX, Claims::new());
         self.headroom = Headroom::default();
         self.late_orders.clear();
+        self.unanswered_starts.clear();
+        self.new_unanswered_starts.clear();
         self.unaccepted_stops = 0;
         self.scheduled_jobs.clear();
         self.pending_requests.clear();
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -102,6 +102,9 @@
         outcome: OrderOutcome,
     ) {
         let now = self.now;
+        if outcome == OrderOutcome::Unanswered {
+            self.start_unanswered(task);
+        }
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
         };
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -23,6 +23,10 @@
 /// Margin added to the time within which a stopped run ends.
 const STOP_TIME_MARGIN: Millis = Millis(300);
 
+/// Time between two polls of a worker with ends that are not acknowledged yet. It lists them again in
+/// each answer, which comes at once.
+const HELD_END_POLL_PAUSE: Millis = Millis(100);
+
 /// Number of polls in a row that may fail to leave their host before the worker counts as silent.
 /// Its lease is not renewed meanwhile.
 const MAX_UNSENT_POLLS: u32 = 3;
@@ -88,8 +92,11 @@
         }
         state.record_clock(answer.clock_ms, now);
         state.last_contact = now;
-        state.confirmed_at = Some(sent_at);
+        let is_first_answer = state.confirmed_at.replace(sent_at).is_none();
         state.next_poll_at = now;
+        if state.held_ends.update(now) {
+            state.next_poll_at += HELD_END_POLL_PAUSE;
+        }
         let was_unresponsive = state.poll_failures > 0 || !state.is_synced;
         state.poll_failures = 0;
         state.unsent_polls = 0;
@@ -104,6 +111,9 @@
             );
             self.emit(DecisionEvent::new("worker_answers", detail).worker(&incarnation.worker));
         }
+        if is_first_answer {
+            self.hold_inherited_ends(incarnation, &answer.finished);
+        }
         self.record_ends(incarnation, &answer.finished);
         self.reconcile_runs(incarnation, &answer, sent_at);
         self.observe_interference(&incarnation.worker, &answer);
@@ -253,6 +263,7 @@
             }
         }
         let mut ended = Vec::new();
+        let mut unlisted = Vec::new();
         for (task, view) in &mut state.runs {
             if listed.contains(task) || view.is_ended {
                 continue;
@@ -271,6 +282,9 @@
             } else if view.transferred_from.is_some() && !view.is_listed && !answer.is_truncated {
                 ended.push((*task, LossCause::Restarted));
             } else if view.start == StartState::Inherited {
+                if view.stop == StopState::NotRequested {
+                    unlisted.push(*task);
+                }
                 view.request_stop(StopCause::NotListed, &mut self.load_counters, now);
             }
         }
@@ -291,6 +305,9 @@
                 timeout: self.cfg.order_timeout,
             }));
         }
+        for task in unlisted {
+            self.start_unanswered(task);
+        }
         for (task, cause) in ended {
             self.lose_run(task, &incarnation.worker, cause);
         }
@@ -345,6 +362,7 @@
         self.needs_placement = true;
         self.update_quotas();
         self.expire_leases();
+        self.expire_unanswered_starts();
         let speeds = self.workers.iter().map(|(_, state)| state.speed.0);
         self.mean_speed = WorkerSpeed(speeds.sum::<u64>() / (self.workers.len() as u64).max(1));
         self.relays.forget(self.now, self.cfg.relay_silence_limit);
@@ -391,7 +409,7 @@
                 // A worker that does not answer may have restarted. The acknowledgement would make its
                 // next incarnation forget an end with that number.
                 acknowledged: if is_responsive {
-                    state.record.acknowledged
+                    state.held_ends.acknowledged(state.record.acknowledged, now)
                 } else {
                     0
                 },
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -130,6 +130,11 @@
             state.lease_detail(self.now)
         );
         self.emit(DecisionEvent::new("worker_unseated", detail).worker(worker));
+        let sent = state.runs.iter();
+        let sent = sent.filter(|(_, view)| view.start == StartState::Sent);
+        for task in sent.map(|(task, _)| *task) {
+            self.start_unanswered(task);
+        }
         for (task, view) in &state.runs {
             self.placed.remove(&(*task, worker.clone()));
             if view.has_outstanding_start(self.now) {
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -9,6 +9,7 @@
     dispatcher_throttle::FULL_RATE,
     earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT, longest_on_slow_clock},
     failure_rate::RecentOutcomes,
+    held_ends::HeldEnds,
     listed_end::ListedEnd,
     run_spec::RunSpec,
     run_view::RunView,
@@ -50,6 +51,7 @@
     pub(crate) unsent_polls: u32,
     /// Highest number of an end that was proposed; the next poll waits for its commit.
     pub(crate) last_proposed_end: u64,
+    pub(crate) held_ends: HeldEnds,
     /// Runs by task. `insert_run`, `remove_run` and `set_ended` keep `used` consistent with them.
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Resources of the runs that have not ended.
@@ -123,6 +125,7 @@
             poll_failures: 0,
             unsent_polls: 0,
             last_proposed_end,
+            held_ends: HeldEnds::default(),
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             unexpected: UnexpectedRuns::default(),
--- a/lib/dispatch/tests/restarts.rs
+++ b/lib/dispatch/tests/restarts.rs
@@ -202,6 +202,14 @@
     }
     assert_eq!(harness.polls[0].acknowledged, 0);
     harness.answer_poll(NAME, &[], &[(7, task(1, 0, 0), 1, RunEnd::Done)]);
+    if is_new_leader {
+        // The leader before may have known of a start order that can still be carried out.
+        harness.advance(200);
+        assert_eq!(harness.polls[0].acknowledged, 6);
+        harness.answer_poll(NAME, &[], &[(7, task(1, 0, 0), 1, RunEnd::Done)]);
+        harness.advance(13_000);
+        harness.answer_poll(NAME, &[], &[(7, task(1, 0, 0), 1, RunEnd::Done)]);
+    }
     harness.advance(20);
     assert_eq!(harness.polls[0].acknowledged, 7);
     assert_eq!(harness.proposed.len(), 2, "placed and ended once");
--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -36,13 +36,15 @@
         let removed_workers = snapshot.removed_workers.clone();
         let successions = snapshot.successions.clone();
         let teams = snapshot.teams.clone();
+        let unanswered_starts = snapshot.unanswered_starts.clone();
         let parts = (snapshot, histories, removed_workers, successions);
-        // A state without teams has the form that earlier releases write.
-        let encoded = if teams == TeamRecords::default() {
+        // Parts at the end that hold nothing are left out, which is the form that earlier releases write.
+        let encoded = if !unanswered_starts.is_empty() {
+            record::encode(&(parts, teams, unanswered_starts))
+        } else if teams == TeamRecords::default() {
             record::encode(&parts)
         } else {
-            let (snapshot, histories, removed_workers, successions) = parts;
-            record::encode(&(snapshot, histories, removed_workers, successions, teams))
+            record::encode(&(parts, teams))
         };
         encoded.map_err(|e| Failure::new(Code::Internal, e.to_string()))
     }
@@ -66,8 +68,10 @@
     snapshot.removed_workers = removed_workers.unwrap_or_default();
     let (successions, rest) = decode_next(rest)?;
     snapshot.successions = successions.unwrap_or_default();
-    let (teams, _) = decode_next(rest)?;
+    let (teams, rest) = decode_next(rest)?;
     snapshot.teams = teams.unwrap_or_default();
+    let (unanswered_starts, _) = decode_next(rest)?;
+    snapshot.unanswered_starts = unanswered_starts.unwrap_or_default();
     Ok(snapshot)
 }
 
--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -421,3 +421,18 @@
     let request = record::encode(&request).expect("a message");
     assert_eq!((request[0], &request[1..]), (3, rest));
 }
+
+/// Guards against a host that forgets with a snapshot which start orders may still be carried out, and
+/// would acknowledge the ends of their tasks as the next leader.
+#[test]
+fn unanswered_starts_survive_a_snapshot() {
+    let log = WorkflowLog(Arc::new(state_without_failures()));
+    let command = Command::StartsUnanswered(vec![task()]);
+    log.0.apply(10, &command);
+    let stored = log.snapshot().expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&stored).expect("the snapshot is read");
+    assert_eq!(restored.0.snapshot(), log.0.snapshot());
+    assert_eq!(restored.0.unanswered_starts(11), [task()]);
+    assert_eq!(restored.0.unanswered_starts(30_000), []);
+}
--- a/lib/workflow/src/command.rs
+++ b/lib/workflow/src/command.rs
@@ -4,7 +4,7 @@
 use tarragon_names::{Name, TeamName};
 
 use crate::{
-    Configuration, JobKey, JobSpec, RunEvent, Succession, TeamTable, Wave, WaveKey,
+    Configuration, JobKey, JobSpec, RunEvent, Succession, TaskKey, TeamTable, Wave, WaveKey,
     WorkerIncarnation, WorkerRecord,
 };
 
@@ -87,4 +87,7 @@
         /// Description from the caller.
         spec: JobSpec,
     },
+    /// Records tasks for which a start order got no answer and may be carried out late. Later leaders learn
+    /// of such orders from this alone.
+    StartsUnanswered(Vec<TaskKey>),
 }
--- a/lib/workflow/src/workflow_snapshot.rs
+++ b/lib/workflow/src/workflow_snapshot.rs
@@ -4,15 +4,15 @@
 use tarragon_names::{Name, WorkerName};
 
 use crate::{
-    Configuration, Job, JobKey, Queue, RemovedWorker, Succession, TaskHistory, TeamRecords, Wave,
-    WaveKey, WorkerRecord,
+    Configuration, Job, JobKey, Queue, RemovedWorker, Succession, TaskHistory, TaskKey,
+    TeamRecords, Wave, WaveKey, WorkerRecord,
 };
 
 /// Serializable copy of a whole [`WorkflowState`](crate::WorkflowState).
 ///
 /// Its serialized form is followed by those of its [`histories`](Self::histories), of
-/// [`removed_workers`](Self::removed_workers), [`successions`](Self::successions) and
-/// [`teams`](Self::teams).
+/// [`removed_workers`](Self::removed_workers), [`successions`](Self::successions),
+/// [`teams`](Self::teams) and [`unanswered_starts`](Self::unanswered_starts).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkflowSnapshot {
     /// Configuration in force at the time of the snapshot.
@@ -36,6 +36,9 @@
     /// Teams, and the teams of the jobs.
     #[serde(skip)]
     pub teams: TeamRecords,
+    /// Tasks for which a start order got no answer lately, with the times of their records.
+    #[serde(skip)]
+    pub unanswered_starts: BTreeMap<TaskKey, u64>,
 }
 
 impl WorkflowSnapshot {
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     Answer, Command, Configuration, Job, JobKey, JobPhase, JobSpec, MachinePhase, Queue, RunEffect,
-    RunEvent, Team, TeamRecords, TeamTable, Wave, WaveKey, WorkerIncarnation, WorkerRecord,
-    WorkflowSnapshot, job_table::JobTable, worker_records::WorkerRecords,
+    RunEvent, TaskKey, Team, TeamRecords, TeamTable, Wave, WaveKey, WorkerIncarnation,
+    WorkerRecord, WorkflowSnapshot, job_table::JobTable, worker_records::WorkerRecords,
 };
 
 /// Number of shards of the job table.
@@ -27,13 +27,16 @@
 /// every job, so small ones stay until there are enough of them.
 const MAX_REMOVED_TEAM_BYTES: usize = 256 << 10;
 
+/// Time for which the state remembers that a start order got no answer, in milliseconds.
+const UNANSWERED_RETENTION_MS: u64 = 15_000;
+
 /// Maximum attempts for a job whose queue is unknown. Such a job exists only if the log is damaged.
 const FALLBACK_MAX_ATTEMPTS: u32 = 1;
 
 /// Replicated state of the jobs, the configuration, the workers and the waves of upkeep.
 ///
-/// Lock order: configuration, queues, teams, jobs, workers, waves, incarnations going down. Each lock is held only for one
-/// operation.
+/// Lock order: configuration, queues, teams, jobs, workers, waves, incarnations going down,
+/// unanswered starts. Each lock is held only for one operation.
 #[derive(Debug)]
 pub struct WorkflowState {
     /// Minimum time for which an ended job is retained, in milliseconds. Expired jobs are
@@ -48,6 +51,9 @@
     waves: Mutex<BTreeMap<WaveKey, Wave>>,
     /// Incarnations on machines whose upkeep is ordered and not confirmed; follows from the waves.
     going_down: Mutex<BTreeSet<WorkerIncarnation>>,
+    /// Tasks for which a start order got no answer lately, with the unix times in milliseconds of their
+    /// records.
+    unanswered_starts: Mutex<BTreeMap<TaskKey, u64>>,
     now_ms: AtomicU64,
 }
 
@@ -63,6 +69,7 @@
             workers: Mutex::default(),
             waves: Mutex::default(),
             going_down: Mutex::default(),
+            unanswered_starts: Mutex::default(),
             now_ms: AtomicU64::new(0),
         }
     }
@@ -118,6 +125,7 @@
                     phase => phase,
                 })
             }
+            Command::StartsUnanswered(tasks) => self.record_unanswered_starts(tasks, now_ms),
             Command::PutSuccession(succession) => {
                 self.workers.lock().put_succession(succession);
                 Answer::Done
@@ -215,6 +223,22 @@
         self.workers.lock().rivals(incarnation)
     }
 
+    /// Returns the tasks for which a start order got no answer lately, at the unix time `now_ms`.
+    pub fn unanswered_starts(&self, now_ms: u64) -> Vec<TaskKey> {
+        let oldest_ms = now_ms.saturating_sub(UNANSWERED_RETENTION_MS);
+        let recorded = self.unanswered_starts.lock();
+        let recent = recorded.iter().filter(|(_, at_ms)| **at_ms >= oldest_ms);
+        recent.map(|(task, _)| *task).collect()
+    }
+
+    fn record_unanswered_starts(&self, tasks: &[TaskKey], now_ms: u64) -> Answer {
+        let oldest_ms = now_ms.saturating_sub(UNANSWERED_RETENTION_MS);
+        let mut recorded = self.unanswered_starts.lock();
+        recorded.retain(|_, at_ms| *at_ms >= oldest_ms);
+        recorded.extend(tasks.iter().map(|task| (*task, now_ms)));
+        Answer::Done
+    }
+
     /// Returns all waves of upkeep, including completed ones, whose machines may be dropped.
     pub fn waves(&self) -> BTreeMap<WaveKey, Wave> {
         self.waves.lock().clone()
@@ -265,6 +289,7 @@
             removed_workers,
             successions,
             teams,
+            unanswered_starts: self.unanswered_starts.lock().clone(),
         }
     }
 
@@ -317,6 +342,7 @@
             snapshot.successions,
         );
         *self.waves.lock() = snapshot.waves;
+        *self.unanswered_starts.lock() = snapshot.unanswered_starts;
         self.update_going_down();
         self.now_ms.store(snapshot.now_ms, Ordering::Relaxed);
     }
