entry: remove no worker for what a heartbeat of another writer says

Cause: HeartbeatTracker took any heartbeat at the address of a recorded worker as the proof that this worker had ended and proposed its removal, which the dispatcher takes as the end of all runs. It did not look at the service either, so a heartbeat with the name of a worker and an unknown service replaced its record in the same way.

Change: a heartbeat of a pool that the configuration does not name, or that moves a recorded incarnation to another pool, is refused with 503. A heartbeat at the address of another worker makes the leader call that worker at once. If it answers, nothing happens; if another one answers in its place, it has ended and the worker of the heartbeat takes its place, without waiting for its next heartbeat. Silence proves nothing, and the lease of the silent worker is waited for as before.

--- a/lib/dispatch/src/dispatcher_inputs.rs
+++ b/lib/dispatch/src/dispatcher_inputs.rs
@@ -29,6 +29,7 @@
                 incarnation,
                 leaves_in,
             } => self.heartbeat_received(&incarnation, leaves_in),
+            Input::AddressClaimed { holder, claim } => self.address_claimed(&holder, claim),
             Input::PollFinished {
                 fence,
                 incarnation,
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -170,7 +170,7 @@
     ) {
         let now = self.now;
         if refusal == Refusal::OtherIncarnation {
-            self.remove_incarnation(incarnation, "another incarnation answers");
+            self.another_worker_answers(incarnation);
             return;
         }
         if let Some(plan) = self.plans.get_mut(&task.step) {
@@ -217,7 +217,7 @@
             return;
         };
         if outcome == OrderOutcome::Refused(Refusal::OtherIncarnation) {
-            self.remove_incarnation(incarnation, "another incarnation answers");
+            self.another_worker_answers(incarnation);
             return;
         }
         if outcome == OrderOutcome::Refused(Refusal::Fence) {
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -55,7 +55,7 @@
         let answer = match outcome {
             PollOutcome::Answered(answer) => answer,
             PollOutcome::OtherIncarnation => {
-                self.remove_incarnation(incarnation, "another incarnation answers");
+                self.another_worker_answers(incarnation);
                 return;
             }
             PollOutcome::Fenced => {
@@ -92,6 +92,9 @@
         }
         state.record_clock(answer.clock_ms, now);
         state.last_contact = now;
+        state
+            .address_claim
+            .take_if(|claim| sent_at >= claim.received_at);
         let is_first_answer = state.confirmed_at.replace(sent_at).is_none();
         state.next_poll_at = now;
         if state.held_ends.update(now) {
--- a/lib/dispatch/src/dispatcher_workers.rs
+++ b/lib/dispatch/src/dispatcher_workers.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use tarragon_names::WorkerName;
-use tarragon_workflow::{TaskKey, WorkerIncarnation, WorkerRecord};
+use tarragon_workflow::{Command, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{
-    DecisionEvent, Dispatcher, FencingToken,
+    DecisionEvent, Dispatcher, FencingToken, Output,
+    address_claim::AddressClaim,
     earlier_lease::EarlierLease,
     run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
     worker_state::WorkerState,
@@ -53,6 +54,44 @@
         }
     }
 
+    /// Handles the announcement of a worker at the address at which another one is recorded. The recorded
+    /// one is called at once; if it answers, the announcement has no effect.
+    pub(crate) fn address_claimed(&mut self, holder: &WorkerIncarnation, claim: WorkerRecord) {
+        let now = self.now;
+        let Some(state) = self.workers.get_incarnation_mut(holder) else {
+            return;
+        };
+        state.next_poll_at = now;
+        let detail = format!(
+            "{} announces itself at {}",
+            claim.incarnation, claim.address
+        );
+        state.address_claim = Some(AddressClaim {
+            record: claim,
+            received_at: now,
+        });
+        let event = DecisionEvent::new("address_claimed", detail);
+        self.emit(event.worker(&holder.worker));
+    }
+
+    /// Handles the answer of another worker at the address of this one, which has ended. The worker that has
+    /// announced itself there takes its place.
+    pub(crate) fn another_worker_answers(&mut self, incarnation: &WorkerIncarnation) {
+        let state = self.workers.get_incarnation_mut(incarnation);
+        let claim = state.and_then(|state| state.address_claim.take());
+        self.remove_incarnation(incarnation, "another incarnation answers");
+        if let Some(claim) = claim {
+            let detail = format!(
+                "{} takes the place of {incarnation}",
+                claim.record.incarnation
+            );
+            let event = DecisionEvent::new("worker_announced", detail);
+            self.emit(event.worker(&claim.record.incarnation.worker));
+            let command = Command::PutWorker(claim.record);
+            self.outputs.push(Output::Propose(command));
+        }
+    }
+
     pub(crate) fn add_worker(&mut self, record: WorkerRecord) {
         self.emit(
             DecisionEvent::new(
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 use tarragon_names::{DomainName, HostName, Millis, Name, WorkerName};
-use tarragon_workflow::{Answer, Command, TaskKey, WorkerIncarnation};
+use tarragon_workflow::{Answer, Command, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{FencingToken, FinishedOrder, PollOutcome};
 
@@ -36,6 +36,13 @@
         /// Shortest time until the worker leaves; `None` if it is not leaving.
         leaves_in: Option<Millis>,
     },
+    /// A worker announced itself at the address at which another one is recorded.
+    AddressClaimed {
+        /// Incarnation that is recorded at the address.
+        holder: WorkerIncarnation,
+        /// Announcement of the other worker.
+        claim: WorkerRecord,
+    },
     /// A host announced that it can relay requests for advice and deliver orders.
     HostSeen {
         /// Host that may relay requests.
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! connections. A decision about a run is committed to the log before its worker gets an order, and
 //! the end of a run is acknowledged to its worker only after it was committed.
 
+mod address_claim;
 mod advice;
 mod advice_relays;
 mod backoff;
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     DispatchConfig, FencingToken, FinishedRun,
+    address_claim::AddressClaim,
     dispatcher_throttle::FULL_RATE,
     earlier_lease::{EarlierLease, LEASE_MARGIN, SLOWEST_CLOCK_PERCENT, longest_on_slow_clock},
     failure_rate::RecentOutcomes,
@@ -52,6 +53,8 @@
     /// Highest number of an end that was proposed; the next poll waits for its commit.
     pub(crate) last_proposed_end: u64,
     pub(crate) held_ends: HeldEnds,
+    /// Worker that has announced itself at the address of this one.
+    pub(crate) address_claim: Option<AddressClaim>,
     /// Runs by task. `insert_run`, `remove_run` and `set_ended` keep `used` consistent with them.
     pub(crate) runs: BTreeMap<TaskKey, RunView>,
     /// Resources of the runs that have not ended.
@@ -126,6 +129,7 @@
             unsent_polls: 0,
             last_proposed_end,
             held_ends: HeldEnds::default(),
+            address_claim: None,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             unexpected: UnexpectedRuns::default(),
--- a/lib/entry/src/heartbeat_tracker.rs
+++ b/lib/entry/src/heartbeat_tracker.rs
@@ -13,8 +13,14 @@
     Stale,
     /// The heartbeat repeats the recorded state.
     Unchanged,
-    /// The commands record the changes; they are to be proposed in this order.
-    Changed(Vec<Command>),
+    /// No pool of the configuration has the name in the heartbeat, or the incarnation belongs to another
+    /// one. The heartbeat has no effect.
+    UnknownPool,
+    /// Another worker is recorded at the address. The heartbeat has no effect before a call to that worker
+    /// is answered by another one.
+    AddressTaken(WorkerIncarnation),
+    /// The command records the change.
+    Changed(Command),
 }
 
 /// Compares heartbeats with the replicated state; they may arrive late and out of order.
@@ -39,6 +45,9 @@
         if let Some(known) = &known
             && known.incarnation == record.incarnation
         {
+            if known.pool != record.pool {
+                return HeartbeatEffect::UnknownPool;
+            }
             // Once an incarnation has announced that it leaves, it stays draining.
             record.is_draining |= known.is_draining;
             record.acknowledged = known.acknowledged;
@@ -48,30 +57,21 @@
             if *known == record {
                 return HeartbeatEffect::Unchanged;
             }
+        } else if !is_configured(workflow_state, &record) {
+            return HeartbeatEffect::UnknownPool;
         }
-        let others = workflow_state.workers();
-        let others = others
-            .iter()
-            .filter(|other| other.incarnation.worker != record.incarnation.worker)
-            .filter(|other| other.address == record.address);
-        let mut commands = Vec::new();
-        for other in others {
-            // Two incarnations cannot share an address, so the one that started earlier has ended. If the
-            // wall clock went back between their starts, the later one waits here until a poll for the
-            // other one, which now meets the later one, has its record removed.
-            if other.incarnation.started_ms > record.incarnation.started_ms {
-                return HeartbeatEffect::Stale;
-            }
-            commands.push(Command::RemoveWorker(other.incarnation.clone()));
+        // Two incarnations cannot share an address, so one of them has ended. Which one, only the worker
+        // at that address can tell.
+        if let Some(other) = other_at_address(workflow_state, &record) {
+            return HeartbeatEffect::AddressTaken(other);
         }
         self.record_sequence(report);
-        commands.push(Command::PutWorker(WorkerRecord {
+        HeartbeatEffect::Changed(Command::PutWorker(WorkerRecord {
             acknowledged: known
                 .filter(|known| known.incarnation == record.incarnation)
                 .map_or(0, |known| known.acknowledged),
             ..record
-        }));
-        HeartbeatEffect::Changed(commands)
+        }))
     }
 
     /// Records the sequence number of a heartbeat.
@@ -91,3 +91,22 @@
         is_newest
     }
 }
+
+/// Returns whether the configuration names the pool of a worker. Before the first configuration, any pool
+/// may be named later.
+fn is_configured(workflow_state: &WorkflowState, record: &WorkerRecord) -> bool {
+    let configuration = workflow_state.configuration();
+    let mut pools = configuration.pools.iter();
+    configuration.version == 0 || pools.any(|pool| pool.pool == record.pool)
+}
+
+/// Returns the incarnation of another worker that is recorded at the address of this one.
+fn other_at_address(
+    workflow_state: &WorkflowState,
+    record: &WorkerRecord,
+) -> Option<WorkerIncarnation> {
+    let workers = workflow_state.workers().into_iter();
+    let mut others = workers.filter(|other| other.incarnation.worker != record.incarnation.worker);
+    let other = others.find(|other| other.address == record.address);
+    other.map(|other| other.incarnation)
+}
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -8,7 +8,7 @@
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_workflow::{
     Answer, Command, Configuration, JobKey, JobPhase, JobSpec, KeyDigest, TeamTable, Wave, WaveKey,
-    WorkflowState,
+    WorkerRecord, WorkflowState,
 };
 
 use crate::{
@@ -290,18 +290,16 @@
 
     async fn record_heartbeat(&self, report: WorkerReport) -> Outcome<Reply> {
         let incarnation = report.record.incarnation.clone();
-        let commands = match self.heartbeats.effect_of(&self.workflow_state, &report) {
-            HeartbeatEffect::Stale => Vec::new(),
-            HeartbeatEffect::Unchanged => {
-                let incarnation = incarnation.clone();
-                let leaves_in = report.leaves_in;
-                self.dispatch.send(Input::HeartbeatReceived {
-                    incarnation,
-                    leaves_in,
-                });
-                Vec::new()
+        match self.heartbeats.effect_of(&self.workflow_state, &report) {
+            HeartbeatEffect::Stale => return Ok(self.announced_reply()),
+            HeartbeatEffect::Unchanged => {}
+            HeartbeatEffect::UnknownPool => return self.refuse_unknown_pool(&report),
+            HeartbeatEffect::AddressTaken(holder) => {
+                let claim = report.record;
+                self.dispatch.send(Input::AddressClaimed { holder, claim });
+                return Ok(self.announced_reply());
             }
-            HeartbeatEffect::Changed(commands) => {
+            HeartbeatEffect::Changed(command) => {
                 let event = Event::info("worker_announced").worker(incarnation.worker.clone());
                 let record = &report.record;
                 let labels = record.labels.iter().map(|label| &**label);
@@ -314,14 +312,8 @@
                     report.sequence
                 );
                 self.events.emit(&event.detail(detail));
-                commands
+                self.propose(command).await?;
             }
-        };
-        if commands.is_empty() {
-            return Ok(self.announced_reply());
-        }
-        for command in commands {
-            self.propose(command).await?;
         }
         let leaves_in = report.leaves_in;
         self.dispatch.send(Input::HeartbeatReceived {
@@ -331,6 +323,19 @@
         Ok(self.announced_reply())
     }
 
+    /// Refuses the heartbeat of a worker that serves no pool of the configuration. A worker whose pool is
+    /// configured later repeats its heartbeat.
+    fn refuse_unknown_pool(&self, report: &WorkerReport) -> Outcome<Reply> {
+        let WorkerRecord {
+            incarnation, pool, ..
+        } = &report.record;
+        let event = Event::warning("heartbeat_refused").worker(incarnation.worker.clone());
+        let detail = format!("{incarnation} of pool {pool}, which is not configured");
+        self.events.emit(&event.detail(detail));
+        let failure = Failure::new(Code::CatalogueNotFresh, "the service is not configured");
+        Err(failure.retry_after(RETRY_AFTER_MS))
+    }
+
     fn announced_reply(&self) -> Reply {
         Reply::Announced {
             heartbeat_address: self.heartbeat_address.clone(),
