dispatch: open a bounded number of occurrences of a scheduled job

Cause: Job::ready_steps returned the steps of every occurrence that was due, and the dispatcher kept a plan for each. next_due_ms walked all occurrences ten times a second. A job without a start time began in 1970.

The next due time is computed, and a job is looked at when an occurrence is due or ends or room is made. Passed occurrences are late by their own objectives and queue from the time at which they are opened, so that neither they nor the jobs that come later wait for good. The sum of the estimates of a job saturates.

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
     headroom::Headroom,
     late_orders::LateOrders,
     load_counters::LoadCounters,
+    open_occurrences::OpenOccurrences,
     recent_placements::RecentPlacements,
     retry_outcomes::RetryOutcomes,
     run_view::{StartState, StopState},
@@ -71,8 +72,10 @@
     /// Placed tasks with their workers, ordered by task.
     pub(crate) placed: BTreeSet<(TaskKey, WorkerName)>,
     pub(crate) plans: BTreeMap<StepKey, StepPlan>,
-    /// Jobs with occurrences that are due in the future.
-    pub(crate) scheduled_jobs: BTreeSet<JobKey>,
+    /// Unix times in milliseconds at which jobs have to be looked at again, because another occurrence is
+    /// due then or may be opened.
+    pub(crate) scheduled_jobs: BTreeMap<JobKey, u64>,
+    pub(crate) open_occurrences: OpenOccurrences,
     pub(crate) relays: AdviceRelays,
     pub(crate) pending_requests: BTreeMap<u64, PendingRequest>,
     pub(crate) last_request_id: u64,
@@ -157,7 +160,8 @@
             open_polls: BTreeMap::new(),
             placed: BTreeSet::new(),
             plans: BTreeMap::new(),
-            scheduled_jobs: BTreeSet::new(),
+            scheduled_jobs: BTreeMap::new(),
+            open_occurrences: OpenOccurrences::default(),
             relays: AdviceRelays::default(),
             pending_requests: BTreeMap::new(),
             last_request_id: 0,
--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -7,7 +7,7 @@
 
 use tarragon_names::{Millis, WorkerName};
 use tarragon_workflow::{
-    JobKey, JobPhase, RunEffect, RunEnd, RunEvent, StepKey, StepProgress, TaskKey, TaskPhase,
+    JobKey, JobPhase, RunEffect, RunEnd, RunEvent, StepKey, TaskKey, TaskPhase,
 };
 
 use crate::{
@@ -22,14 +22,23 @@
         let now_ms = self.now_ms;
         let workflow_state = Arc::clone(&self.workflow_state);
         let known = workflow_state.with_job(key, |job| {
-            let ready = job.ready_steps(now_ms);
-            (job.phase, ready, job.next_due_ms(now_ms).is_some())
+            let tasks = job.spec.tasks();
+            let limit = self.open_occurrences.limit(key, tasks);
+            let open = job.open_occurrences(now_ms, limit);
+            self.open_occurrences.record(key, open.len(), tasks);
+            let is_crowded = open.len() >= limit && self.open_occurrences.is_crowded(key, tasks);
+            let next_ms = if is_crowded {
+                Some(now_ms)
+            } else {
+                job.next_due_ms(now_ms)
+            };
+            (job.phase, job.ready_steps(&open), next_ms)
         });
-        let Some((phase, ready, has_scheduled)) = known else {
+        let Some((phase, ready, next_ms)) = known else {
             return;
         };
-        if has_scheduled {
-            self.scheduled_jobs.insert(key);
+        if let Some(next_ms) = next_ms {
+            self.scheduled_jobs.insert(key, next_ms);
         } else {
             self.scheduled_jobs.remove(&key);
         }
@@ -50,6 +59,17 @@
         self.needs_placement = true;
     }
 
+    /// Updates the jobs of which another occurrence is due or may be opened.
+    pub(crate) fn refresh_due_jobs(&mut self) {
+        let now_ms = self.now_ms;
+        let due = self.scheduled_jobs.iter();
+        let due = due.filter(|(_, at_ms)| **at_ms <= now_ms);
+        let due = due.map(|(job, _)| *job).collect::<Vec<_>>();
+        for job in due {
+            self.refresh_job(job);
+        }
+    }
+
     fn plans_of(&self, job: JobKey) -> BTreeSet<StepKey> {
         let first = StepKey {
             job,
@@ -61,12 +81,10 @@
     }
 
     fn is_step_done(&self, key: &StepKey) -> bool {
-        let is_done = self.workflow_state.with_job(key.job, |job| {
-            let occurrence = job.occurrences.get(&key.occurrence)?;
-            let step = occurrence.steps.get(key.step as usize);
-            Some(occurrence.is_done || step.is_some_and(StepProgress::is_done))
-        });
-        is_done.flatten().unwrap_or(false)
+        let is_done = self
+            .workflow_state
+            .with_job(key.job, |job| job.is_step_done(key));
+        is_done.unwrap_or(false)
     }
 
     fn remove_plan(&mut self, key: &StepKey) {
@@ -96,12 +114,25 @@
                 Some(step) => step.waiting(),
                 None => (0..spec.steps[key.step as usize].count).collect(),
             };
-            let due_ms = job.accepted_ms.max(spec.due_ms(key.occurrence));
-            (waiting, spec, job.queue.clone(), job.team.clone(), due_ms)
+            let occurrence_due_ms = if spec.repeat_count == 0 {
+                job.accepted_ms
+            } else {
+                spec.due_ms(key.occurrence)
+            };
+            // Occurrences that were due before the job came take their turn among the jobs that come
+            // while they wait to be opened.
+            let due_ms = if occurrence_due_ms < job.accepted_ms {
+                self.now_ms
+            } else {
+                occurrence_due_ms
+            };
+            let due = (occurrence_due_ms, due_ms);
+            (waiting, spec, job.queue.clone(), job.team.clone(), due)
         });
-        let Some((mut waiting, spec, queue, team, due_ms)) = waiting else {
+        let Some((mut waiting, spec, queue, team, due)) = waiting else {
             return;
         };
+        let (occurrence_due_ms, due_ms) = due;
         waiting.retain(|index| {
             !self.has_committing_run(&TaskKey {
                 step: key,
@@ -128,16 +159,17 @@
         let Some(queue) = workflow_state.queue(&queue) else {
             return;
         };
-        let total_estimate_ms = spec.steps.iter().map(|step| step.estimate.0).sum::<u64>();
-        let allowed_ms =
-            total_estimate_ms * queue.stretch_permille / 1_000 + queue.target_latency.0;
+        let estimates = spec.steps.iter().map(|step| step.estimate.0);
+        let total_estimate_ms = estimates.fold(0, u64::saturating_add);
+        let stretched_ms = total_estimate_ms.saturating_mul(queue.stretch_permille) / 1_000;
+        let allowed_ms = stretched_ms.saturating_add(queue.target_latency.0);
         let plan = StepPlan {
             key,
             queue,
             spec,
             team,
             due_ms,
-            objective_ms: due_ms + allowed_ms,
+            objective_ms: occurrence_due_ms.saturating_add(allowed_ms),
             waiting,
             advice: Advice::default(),
             failed_on: BTreeSet::new(),
--- a/lib/dispatch/src/dispatcher_leadership.rs
+++ b/lib/dispatch/src/dispatcher_leadership.rs
@@ -95,6 +95,7 @@
         self.new_unanswered_starts.clear();
         self.unaccepted_stops = 0;
         self.scheduled_jobs.clear();
+        self.open_occurrences.clear();
         self.pending_requests.clear();
         self.relays = AdviceRelays::default();
         self.records.clear();
--- a/lib/dispatch/src/dispatcher_polls.rs
+++ b/lib/dispatch/src/dispatcher_polls.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use tarragon_names::{Millis, WorkerName};
-use tarragon_workflow::{JobKey, RunEvent, StepSpec, WorkerIncarnation};
+use tarragon_workflow::{RunEvent, StepSpec, WorkerIncarnation};
 
 use crate::{
     DecisionEvent, Dispatcher, FinishedRun, Output, PollAnswer, PollCall, PollOutcome, RunStatus,
@@ -370,10 +370,7 @@
         self.mean_speed = WorkerSpeed(speeds.sum::<u64>() / (self.workers.len() as u64).max(1));
         self.relays.forget(self.now, self.cfg.relay_silence_limit);
         self.expire_pending_requests();
-        let due = self.scheduled_jobs.iter().copied().collect::<Vec<JobKey>>();
-        for job in due {
-            self.refresh_job(job);
-        }
+        self.refresh_due_jobs();
         self.move_overdue_runs();
         self.evaluate_interference();
         self.count_load();
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -41,6 +41,7 @@
 mod load_counters;
 mod loss_cause;
 mod nameable_workers;
+mod open_occurrences;
 mod order;
 mod output;
 mod packing;
--- a/lib/entry/src/workflow_log.rs
+++ b/lib/entry/src/workflow_log.rs
@@ -37,9 +37,12 @@
         let successions = snapshot.successions.clone();
         let teams = snapshot.teams.clone();
         let unanswered_starts = snapshot.unanswered_starts.clone();
+        let done_occurrences = snapshot.done_occurrences.clone();
         let parts = (snapshot, histories, removed_workers, successions);
         // Parts at the end that hold nothing are left out, which is the form that earlier releases write.
-        let encoded = if !unanswered_starts.is_empty() {
+        let encoded = if !done_occurrences.is_empty() {
+            record::encode(&(parts, teams, unanswered_starts, done_occurrences))
+        } else if !unanswered_starts.is_empty() {
             record::encode(&(parts, teams, unanswered_starts))
         } else if teams == TeamRecords::default() {
             record::encode(&parts)
@@ -70,8 +73,10 @@
     snapshot.successions = successions.unwrap_or_default();
     let (teams, rest) = decode_next(rest)?;
     snapshot.teams = teams.unwrap_or_default();
-    let (unanswered_starts, _) = decode_next(rest)?;
+    let (unanswered_starts, rest) = decode_next(rest)?;
     snapshot.unanswered_starts = unanswered_starts.unwrap_or_default();
+    let (done_occurrences, _) = decode_next(rest)?;
+    snapshot.done_occurrences = done_occurrences.unwrap_or_default();
     Ok(snapshot)
 }
 
--- a/lib/entry/tests/workflow_log.rs
+++ b/lib/entry/tests/workflow_log.rs
@@ -436,3 +436,49 @@
     assert_eq!(restored.0.unanswered_starts(11), [task()]);
     assert_eq!(restored.0.unanswered_starts(30_000), []);
 }
+
+/// Guards against a task that runs again after a restart of the hosts, because the snapshot lost which
+/// occurrences of its job are done.
+#[parameterized(
+    in_the_form_of_earlier_releases = { 1_000 },
+    stored_apart = { 1_001 },
+)]
+fn done_occurrences_survive_the_log(count: u32) {
+    let state = WorkflowState::new(RETENTION_MS);
+    state.apply(1, &Command::PutConfiguration(configuration()));
+    let spec = JobSpec {
+        repeat_count: u32::MAX,
+        ..spec()
+    };
+    let (job, queue) = (JobKey(1), Name::from("q"));
+    state.apply(1, &Command::Submit { job, queue, spec });
+    let in_occurrence = |occurrence| {
+        let mut task = task();
+        task.step.occurrence = occurrence;
+        task
+    };
+    for occurrence in 0..count {
+        let task = in_occurrence(occurrence);
+        let placed = RunEvent::Placed {
+            task,
+            run: 1,
+            incarnation: incarnation(1),
+        };
+        let ended = RunEvent::Ended {
+            incarnation: incarnation(1),
+            number: u64::from(occurrence) + 1,
+            task,
+            run: 1,
+            end: RunEnd::Done,
+            checkpoint: None,
+        };
+        state.apply(2, &Command::RunEvents(vec![placed, ended]));
+    }
+    let log = WorkflowLog(Arc::new(state));
+    let stored = log.snapshot().expect("a snapshot");
+    let restored = WorkflowLog(Arc::new(WorkflowState::new(RETENTION_MS)));
+    restored.restore(&stored).expect("the snapshot is read");
+    let open = restored.0.with_job(job, |job| job.open_occurrences(10, 1));
+    assert_eq!(open, Some(vec![count]));
+    assert_eq!(restored.0.snapshot(), log.0.snapshot());
+}
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -4,10 +4,13 @@
 use tarragon_names::{Name, TeamName};
 
 use crate::{
-    JobKey, JobPhase, JobSpec, Occurrence, Placement, RunEffect, RunEnd, RunEvent, StepKey,
-    StepSpec, TaskHistory, TaskKey, TaskPhase, TaskProgress,
+    JobKey, JobPhase, JobSpec, Occurrence, OccurrenceSet, Placement, RunEffect, RunEnd, RunEvent,
+    StepKey, StepProgress, StepSpec, TaskHistory, TaskKey, TaskPhase, TaskProgress,
 };
 
+/// Largest number of done occurrences of a job that a snapshot stores in the form of earlier releases.
+const MAX_LISTED_DONE: u64 = 1_000;
+
 /// A step whose tasks may be started now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReadyStep {
@@ -36,8 +39,11 @@
     pub accepted_ms: u64,
     /// Unix time at which the job ended, in milliseconds; 0 before.
     pub ended_ms: u64,
-    /// Occurrences of which at least one task was placed, by number.
+    /// Occurrences of which at least one task was placed and that are not done, by number.
     pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences that are done. Snapshots store them apart.
+    #[serde(skip)]
+    pub(crate) done: OccurrenceSet,
 }
 
 impl Job {
@@ -57,6 +63,7 @@
             accepted_ms,
             ended_ms: 0,
             occurrences: BTreeMap::new(),
+            done: OccurrenceSet::default(),
         }
     }
 
@@ -77,14 +84,13 @@
                 .any(TaskProgress::has_started)
         };
         let mut occurrences = self.occurrences.values();
-        self.phase.is_final() || occurrences.any(|o| o.is_done || tasks(o))
+        self.phase.is_final() || !self.done.is_empty() || occurrences.any(tasks)
     }
 
     /// Number of tasks whose progress the job holds, or will hold once its first task is placed; 0
     /// after its details were dropped.
     pub fn held_tasks(&self) -> u64 {
-        let open = self.occurrences.values().filter(|o| !o.is_done).count() as u64;
-        self.spec.tasks() * open.max(1)
+        self.spec.tasks() * self.occurrences.len().max(1) as u64
     }
 
     /// Returns whether the job has a task with this key.
@@ -94,23 +100,51 @@
             && step.is_some_and(|step| key.index < step.count)
     }
 
-    /// Returns the steps of due occurrences that have waiting tasks and whose dependencies are
-    /// done.
-    pub fn ready_steps(&self, now_ms: u64) -> Vec<ReadyStep> {
+    /// Returns whether all tasks of a step are done.
+    pub fn is_step_done(&self, key: &StepKey) -> bool {
+        let occurrence = self.occurrences.get(&key.occurrence);
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get(key.step as usize));
+        self.done.contains(key.occurrence) || step.is_some_and(StepProgress::is_done)
+    }
+
+    /// Returns the open occurrences that are due: those that have begun, and the first other ones, up to
+    /// `max_open` together. What is returned does not grow with the number of occurrences that are due.
+    pub fn open_occurrences(&self, now_ms: u64, max_open: usize) -> Vec<u32> {
         if self.phase.is_final() {
             return Vec::new();
         }
-        let mut ready = Vec::new();
-        for occurrence in 0..self.spec.occurrences() {
-            if self.spec.due_ms(occurrence) > now_ms {
-                break;
+        let mut open = self.occurrences.keys().copied().collect::<Vec<_>>();
+        let mut next = self.done.next_absent(0);
+        while let Some(occurrence) = next
+            && open.len() < max_open
+            && occurrence < self.spec.occurrences()
+            && self.spec.due_ms(occurrence) <= now_ms
+        {
+            if !self.occurrences.contains_key(&occurrence) {
+                open.push(occurrence);
             }
+            let following = occurrence.checked_add(1);
+            next = following.and_then(|following| self.done.next_absent(following));
+        }
+        open
+    }
+
+    /// Returns the steps of these occurrences that have waiting tasks and whose dependencies are done.
+    pub fn ready_steps(&self, occurrences: &[u32]) -> Vec<ReadyStep> {
+        let mut ready = Vec::new();
+        for occurrence in occurrences.iter().copied() {
             let begun = self.occurrences.get(&occurrence);
+            let is_done = begun.map(Occurrence::done_steps);
             for (step, spec) in (0..).zip(&self.spec.steps) {
+                let is_ready = match &is_done {
+                    Some(is_done) => spec.depends_on.iter().all(|on| is_done[*on as usize]),
+                    None => spec.depends_on.is_empty(),
+                };
+                if !is_ready {
+                    continue;
+                }
                 let waiting = match begun {
-                    Some(begun) if !begun.is_ready(&self.spec, step) => continue,
                     Some(begun) => begun.steps[step as usize].waiting().len(),
-                    None if !spec.depends_on.is_empty() => continue,
                     None => spec.count as usize,
                 };
                 if waiting > 0 {
@@ -129,12 +163,10 @@
     /// Returns the unix time in milliseconds at which the next occurrence is due; None if no
     /// further occurrence follows.
     pub fn next_due_ms(&self, now_ms: u64) -> Option<u64> {
-        if self.phase.is_final() || self.spec.repeat_count == 0 {
+        if self.phase.is_final() {
             return None;
         }
-        (0..self.spec.occurrences())
-            .map(|occurrence| self.spec.due_ms(occurrence))
-            .find(|due| *due > now_ms)
+        self.spec.next_due_ms(now_ms)
     }
 
     /// Returns the tasks that are placed on workers and whose ends are not recorded.
@@ -215,6 +247,25 @@
         tasks.for_each(TaskProgress::assume_history);
     }
 
+    /// Adds the done occurrences to the others if there are few of them, which is the form that earlier
+    /// releases read. Returns the others.
+    pub(crate) fn list_done(&mut self) -> Option<OccurrenceSet> {
+        if self.done.len() > MAX_LISTED_DONE {
+            return Some(self.done.clone());
+        }
+        let done = self.done.iter().map(|number| (number, Occurrence::done()));
+        self.occurrences.extend(done);
+        None
+    }
+
+    /// Takes the done occurrences of a snapshot from the others.
+    pub(crate) fn unlist_done(&mut self) {
+        let listed = self.occurrences.extract_if(.., |_, o| o.is_done);
+        for (number, _) in listed {
+            self.done.insert(number);
+        }
+    }
+
     pub(crate) fn cancel(&mut self, now_ms: u64) {
         self.end(JobPhase::Cancelled, now_ms);
     }
@@ -263,7 +314,7 @@
     }
 
     fn apply_placed(&mut self, key: &TaskKey, run: u32, incarnation: crate::WorkerIncarnation) {
-        if self.phase.is_final() || !self.has_task(key) {
+        if self.phase.is_final() || !self.has_task(key) || self.done.contains(key.step.occurrence) {
             return;
         }
         let spec = Arc::clone(&self.spec);
@@ -271,9 +322,6 @@
             .occurrences
             .entry(key.step.occurrence)
             .or_insert_with(|| Occurrence::new(&spec));
-        if occurrence.is_done {
-            return;
-        }
         let task = &mut occurrence.steps[key.step.step as usize].tasks[key.index as usize];
         if task.phase == TaskPhase::Waiting && run > task.last_run {
             task.last_run = run;
@@ -303,9 +351,9 @@
         let failures = step.failures(step_spec);
         let is_failure = end == RunEnd::Failed && !step_spec.long_running;
         let has_failed = is_failure && failures >= max_attempts;
-        if occurrence.steps.iter().all(crate::StepProgress::is_done) {
-            occurrence.is_done = true;
-            occurrence.steps = Vec::new();
+        if occurrence.steps.iter().all(StepProgress::is_done) {
+            self.occurrences.remove(&key.step.occurrence);
+            self.done.insert(key.step.occurrence);
         }
         let effect = (has_failed && !self.phase.is_final()).then_some(RunEffect::JobFailed {
             task: *key,
@@ -316,8 +364,8 @@
         if effect.is_some() {
             self.end(JobPhase::Failed, now_ms);
         }
-        let done = self.occurrences.values().filter(|o| o.is_done).count();
-        if done == spec.occurrences() as usize && !self.phase.is_final() {
+        let are_all_done = self.done.len() == u64::from(spec.occurrences());
+        if are_all_done && !self.phase.is_final() {
             self.end(JobPhase::Completed, now_ms);
         }
         self.drop_details();
@@ -334,6 +382,7 @@
     fn drop_details(&mut self) {
         if self.phase.is_final() && self.occurrences.values().all(Occurrence::is_idle) {
             self.occurrences.clear();
+            self.done = OccurrenceSet::default();
             self.spec = Arc::new(JobSpec::default());
         }
     }
--- a/lib/workflow/src/job_spec.rs
+++ b/lib/workflow/src/job_spec.rs
@@ -58,6 +58,20 @@
         self.repeat_count.max(1)
     }
 
+    /// Unix time at which the first occurrence after `now_ms` is due, in milliseconds; `None` if none
+    /// follows.
+    pub fn next_due_ms(&self, now_ms: u64) -> Option<u64> {
+        if self.repeat_count == 0 {
+            return None;
+        }
+        let passed = match now_ms.checked_sub(self.first_at_ms) {
+            None => 0,
+            Some(elapsed) => elapsed.checked_div(self.interval.0)?.saturating_add(1),
+        };
+        let next = u32::try_from(passed).ok()?;
+        (next < self.occurrences()).then(|| self.due_ms(next))
+    }
+
     /// Unix time at which an occurrence is due, in milliseconds; 0 for a job that runs once.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         if self.repeat_count == 0 {
--- a/lib/workflow/src/occurrence.rs
+++ b/lib/workflow/src/occurrence.rs
@@ -5,9 +5,9 @@
 /// One execution of all steps of a job.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Occurrence {
-    /// Progress of each step; emptied when all are done, to save memory.
+    /// Progress of each step; empty if all are done.
     pub steps: Vec<StepProgress>,
-    /// Whether all tasks are done.
+    /// Whether all tasks are done. Only snapshots hold such occurrences.
     pub is_done: bool,
 }
 
@@ -19,13 +19,16 @@
         }
     }
 
-    /// Returns whether all steps that the step with this number depends on are done.
-    pub fn is_ready(&self, spec: &JobSpec, step: u32) -> bool {
-        let earlier_steps = spec.steps[step as usize].depends_on.iter();
-        !self.is_done
-            && earlier_steps
-                .map(|earlier| &self.steps[*earlier as usize])
-                .all(StepProgress::is_done)
+    pub(crate) fn done() -> Self {
+        Self {
+            steps: Vec::new(),
+            is_done: true,
+        }
+    }
+
+    /// Tells of each step whether it is done.
+    pub fn done_steps(&self) -> Vec<bool> {
+        self.steps.iter().map(StepProgress::is_done).collect()
     }
 
     /// Returns whether no task has a run that may still be going on.
--- a/lib/workflow/src/workflow_snapshot.rs
+++ b/lib/workflow/src/workflow_snapshot.rs
@@ -4,15 +4,16 @@
 use tarragon_names::{Name, WorkerName};
 
 use crate::{
-    Configuration, Job, JobKey, Queue, RemovedWorker, Succession, TaskHistory, TaskKey,
-    TeamRecords, Wave, WaveKey, WorkerRecord,
+    Configuration, Job, JobKey, OccurrenceSet, Queue, RemovedWorker, Succession, TaskHistory,
+    TaskKey, TeamRecords, Wave, WaveKey, WorkerRecord,
 };
 
 /// Serializable copy of a whole [`WorkflowState`](crate::WorkflowState).
 ///
 /// Its serialized form is followed by those of its [`histories`](Self::histories), of
 /// [`removed_workers`](Self::removed_workers), [`successions`](Self::successions),
-/// [`teams`](Self::teams) and [`unanswered_starts`](Self::unanswered_starts).
+/// [`teams`](Self::teams), [`unanswered_starts`](Self::unanswered_starts) and
+/// [`done_occurrences`](Self::done_occurrences).
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkflowSnapshot {
     /// Configuration in force at the time of the snapshot.
@@ -39,6 +40,9 @@
     /// Tasks for which a start order got no answer lately, with the times of their records.
     #[serde(skip)]
     pub unanswered_starts: BTreeMap<TaskKey, u64>,
+    /// Done occurrences of the jobs with so many that `jobs` does not list them.
+    #[serde(skip)]
+    pub done_occurrences: Vec<(JobKey, OccurrenceSet)>,
 }
 
 impl WorkflowSnapshot {
--- a/lib/workflow/src/workflow_state.rs
+++ b/lib/workflow/src/workflow_state.rs
@@ -269,6 +269,10 @@
         let mut jobs = Vec::new();
         self.for_each_job(|job| jobs.push(job.clone()));
         let teams = self.team_records(&jobs);
+        let done_occurrences = jobs
+            .iter_mut()
+            .filter_map(|job| Some((job.key, job.list_done()?)))
+            .collect();
         let queues = self.queues.read();
         let (workers, removed_workers, successions) = {
             let workers = self.workers.lock();
@@ -290,6 +294,7 @@
             successions,
             teams,
             unanswered_starts: self.unanswered_starts.lock().clone(),
+            done_occurrences,
         }
     }
 
@@ -331,10 +336,15 @@
             .map(|(name, queue)| (name, Arc::new(queue)))
             .collect();
         self.jobs.for_each(JobTable::clear);
-        for job in snapshot.jobs {
+        for mut job in snapshot.jobs {
             let key = job.key;
+            job.unlist_done();
             self.jobs.with(&key, |jobs| jobs.insert(job));
         }
+        for (key, done) in snapshot.done_occurrences {
+            self.jobs
+                .with(&key, |jobs| jobs.update(key, |job| job.done = done));
+        }
         self.restore_teams(snapshot.teams);
         *self.workers.lock() = WorkerRecords::new(
             snapshot.workers,
--- a/lib/workflow/tests/workflow_state.rs
+++ b/lib/workflow/tests/workflow_state.rs
@@ -260,7 +260,9 @@
     };
     submit(&state, spec);
     let ready = |now_ms| {
-        let steps = state.with_job(JobKey(1), |job| job.ready_steps(now_ms));
+        let steps = state.with_job(JobKey(1), |job| {
+            job.ready_steps(&job.open_occurrences(now_ms, usize::MAX))
+        });
         let steps = steps.unwrap().into_iter();
         steps
             .map(|s| (s.key.occurrence, s.key.step))
