dispatch: plan the steps of a job from one reading

Cause: refresh_job read which steps of a job are ready, released the lock of its shard, and plan_step took it again for each step and indexed the description by the step. The thread that applies the log may cancel the job in between, and the description of an ended job is dropped.

Change: the phase, description, queue, team and waiting tasks of a job are read at once, and plan_step reads nothing more.

--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -7,43 +7,25 @@
 
 use tarragon_names::{Millis, WorkerName};
 use tarragon_workflow::{
-    JobKey, JobPhase, RunEffect, RunEnd, RunEvent, StepKey, TaskKey, TaskPhase,
+    JobKey, JobPhase, ReadyStep, RunEffect, RunEnd, RunEvent, StepKey, TaskKey, TaskPhase,
 };
 
 use crate::{
-    DecisionEvent, Dispatcher, advice::Advice, load_counters::StopCause, run_spec::RunSpec,
-    run_view::StartState, step_plan::StepPlan, wait::Wait,
+    DecisionEvent, Dispatcher, advice::Advice, job_reading::JobReading, load_counters::StopCause,
+    run_spec::RunSpec, run_view::StartState, step_plan::StepPlan, wait::Wait,
 };
 
 impl Dispatcher {
     /// Updates the plans and runs of a job from its replicated state: plans the steps that are
     /// ready, and stops the runs that are no longer needed.
     pub(crate) fn refresh_job(&mut self, key: JobKey) {
-        let now_ms = self.now_ms;
-        let workflow_state = Arc::clone(&self.workflow_state);
-        let known = workflow_state.with_job(key, |job| {
-            let tasks = job.spec.tasks();
-            let limit = self.open_occurrences.limit(key, tasks);
-            let open = job.open_occurrences(now_ms, limit);
-            self.open_occurrences.record(key, open.len(), tasks);
-            let is_crowded = open.len() >= limit && self.open_occurrences.is_crowded(key, tasks);
-            let next_ms = if is_crowded {
-                Some(now_ms)
-            } else {
-                job.next_due_ms(now_ms)
-            };
-            (job.phase, job.ready_steps(&open), next_ms)
-        });
-        let Some((phase, ready, next_ms)) = known else {
+        let Some(reading) = self.read_job(key) else {
             return;
         };
-        if let Some(next_ms) = next_ms {
-            self.scheduled_jobs.insert(key, next_ms);
-        } else {
-            self.scheduled_jobs.remove(&key);
-        }
+        let phase = reading.phase;
         self.stop_superseded_runs(key, phase);
-        let ready = ready.iter().map(|step| step.key).collect::<BTreeSet<_>>();
+        let ready = reading.ready.iter().map(|step| step.key);
+        let ready = ready.collect::<BTreeSet<_>>();
         let known = self.plans_of(key);
         for step in known.difference(&ready) {
             let is_over = phase.is_final() || self.is_step_done(step);
@@ -53,12 +35,38 @@
                 plan.waiting.clear();
             }
         }
-        for step in ready {
-            self.plan_step(step);
+        for step in &reading.ready {
+            self.plan_step(&reading, step);
         }
         self.needs_placement = true;
     }
 
+    /// Reads a job, and records when it has to be looked at again. Returns `None` if it is not known.
+    fn read_job(&mut self, key: JobKey) -> Option<JobReading> {
+        let now_ms = self.now_ms;
+        let open_occurrences = &mut self.open_occurrences;
+        let reading = self.workflow_state.with_job(key, |job| {
+            let tasks = job.spec.tasks();
+            let limit = open_occurrences.limit(key, tasks);
+            let reading = JobReading::of(job, now_ms, limit);
+            open_occurrences.record(key, reading.open, tasks);
+            let is_crowded = reading.open >= limit && open_occurrences.is_crowded(key, tasks);
+            (reading, is_crowded)
+        });
+        let (reading, is_crowded) = reading?;
+        let next_ms = if is_crowded {
+            Some(now_ms)
+        } else {
+            reading.next_due_ms
+        };
+        if let Some(next_ms) = next_ms {
+            self.scheduled_jobs.insert(key, next_ms);
+        } else {
+            self.scheduled_jobs.remove(&key);
+        }
+        Some(reading)
+    }
+
     /// Updates the jobs of which another occurrence is due or may be opened.
     pub(crate) fn refresh_due_jobs(&mut self) {
         let now_ms = self.now_ms;
@@ -104,48 +112,18 @@
         }
     }
 
-    fn plan_step(&mut self, key: StepKey) {
-        let workflow_state = Arc::clone(&self.workflow_state);
-        let waiting = workflow_state.with_job(key.job, |job| {
-            let occurrence = job.occurrences.get(&key.occurrence);
-            let step = occurrence.and_then(|occurrence| occurrence.steps.get(key.step as usize));
-            let spec = Arc::clone(&job.spec);
-            let waiting = match step {
-                Some(step) => step.waiting(),
-                None => (0..spec.steps[key.step as usize].count).collect(),
-            };
-            let occurrence_due_ms = if spec.repeat_count == 0 {
-                job.accepted_ms
-            } else {
-                spec.due_ms(key.occurrence)
-            };
-            // Occurrences that were due before the job came take their turn among the jobs that come
-            // while they wait to be opened.
-            let due_ms = if occurrence_due_ms < job.accepted_ms {
-                self.now_ms
-            } else {
-                occurrence_due_ms
-            };
-            let due = (occurrence_due_ms, due_ms);
-            (waiting, spec, job.queue.clone(), job.team.clone(), due)
-        });
-        let Some((mut waiting, spec, queue, team, due)) = waiting else {
+    fn plan_step(&mut self, reading: &JobReading, ready: &ReadyStep) {
+        let key = ready.key;
+        let Some(step) = reading.spec.steps.get(key.step as usize) else {
             return;
         };
-        let (occurrence_due_ms, due_ms) = due;
-        waiting.retain(|index| {
-            !self.has_committing_run(&TaskKey {
-                step: key,
-                index: *index,
-            })
-        });
-        let step = &spec.steps[key.step as usize];
+        let mut waiting = ready.waiting.clone();
         waiting.retain(|index| {
             let task = TaskKey {
                 step: key,
                 index: *index,
             };
-            !self.awaits_late_start(&task, step.long_running)
+            !self.has_committing_run(&task) && !self.awaits_late_start(&task, step.long_running)
         });
         if step.gang && waiting.len() < step.count as usize {
             // The members of a gang start together, so all members of its previous run must have
@@ -156,18 +134,26 @@
             plan.waiting = waiting;
             return;
         }
-        let Some(queue) = workflow_state.queue(&queue) else {
+        let Some(queue) = self.workflow_state.queue(&reading.queue) else {
             return;
         };
-        let estimates = spec.steps.iter().map(|step| step.estimate.0);
+        let occurrence_due_ms = reading.due_ms(key.occurrence);
+        // Occurrences that were due before the job came take their turn among the jobs that come while they
+        // wait to be opened.
+        let due_ms = if occurrence_due_ms < reading.accepted_ms {
+            self.now_ms
+        } else {
+            occurrence_due_ms
+        };
+        let estimates = reading.spec.steps.iter().map(|step| step.estimate.0);
         let total_estimate_ms = estimates.fold(0, u64::saturating_add);
         let stretched_ms = total_estimate_ms.saturating_mul(queue.stretch_permille) / 1_000;
         let allowed_ms = stretched_ms.saturating_add(queue.target_latency.0);
         let plan = StepPlan {
             key,
             queue,
-            spec,
-            team,
+            spec: Arc::clone(&reading.spec),
+            team: reading.team.clone(),
             due_ms,
             objective_ms: occurrence_due_ms.saturating_add(allowed_ms),
             waiting,
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod headroom;
 mod held_ends;
 mod input;
+mod job_reading;
 mod late_orders;
 mod listed_end;
 mod load_counters;
--- a/lib/workflow/src/job.rs
+++ b/lib/workflow/src/job.rs
@@ -12,12 +12,12 @@
 const MAX_LISTED_DONE: u64 = 1_000;
 
 /// A step whose tasks may be started now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReadyStep {
     /// Identifier of the step.
     pub key: StepKey,
-    /// Number of tasks that wait for a worker; at least 1.
-    pub waiting: usize,
+    /// Indexes of the tasks that wait for a worker; at least one.
+    pub waiting: Vec<u32>,
 }
 
 /// An accepted job and its progress.
@@ -137,17 +137,20 @@
             let is_done = begun.map(Occurrence::done_steps);
             for (step, spec) in (0..).zip(&self.spec.steps) {
                 let is_ready = match &is_done {
-                    Some(is_done) => spec.depends_on.iter().all(|on| is_done[*on as usize]),
+                    Some(is_done) => {
+                        let mut earlier = spec.depends_on.iter();
+                        earlier.all(|step| is_done.get(*step as usize) == Some(&true))
+                    }
                     None => spec.depends_on.is_empty(),
                 };
                 if !is_ready {
                     continue;
                 }
                 let waiting = match begun {
-                    Some(begun) => begun.steps[step as usize].waiting().len(),
-                    None => spec.count as usize,
+                    Some(begun) => begun.waiting(step),
+                    None => (0..spec.count).collect(),
                 };
-                if waiting > 0 {
+                if !waiting.is_empty() {
                     let key = StepKey {
                         job: self.key,
                         occurrence,
--- a/lib/workflow/src/occurrence.rs
+++ b/lib/workflow/src/occurrence.rs
@@ -26,6 +26,12 @@
         }
     }
 
+    /// Indexes of the tasks of a step that wait for a worker.
+    pub fn waiting(&self, step: u32) -> Vec<u32> {
+        let step = self.steps.get(step as usize);
+        step.map(StepProgress::waiting).unwrap_or_default()
+    }
+
     /// Tells of each step whether it is done.
     pub fn done_steps(&self) -> Vec<bool> {
         self.steps.iter().map(StepProgress::is_done).collect()
--- a/lib/workflow/src/step_progress.rs
+++ b/lib/workflow/src/step_progress.rs
@@ -46,7 +46,8 @@
                 .max()
                 .unwrap_or(0)
         } else {
-            1 + self.tasks[index as usize].last_run
+            let task = self.tasks.get(index as usize);
+            1 + task.map_or(0, |task| task.last_run)
         }
     }
 
@@ -57,7 +58,8 @@
             // the same one.
             self.tasks.iter().find_map(|task| task.checkpoint.clone())
         } else {
-            self.tasks[index as usize].checkpoint.clone()
+            let task = self.tasks.get(index as usize);
+            task.and_then(|task| task.checkpoint.clone())
         }
     }
 
