replica: start one link for a host that several threads meet at once

Links::connect looked for the host under one lock and inserted its queue under the next one; a second thread then replaced the queue of the first one's link and started none itself.

Change: the queue is inserted only if the host has none, under one lock.

--- a/lib/replica/src/links.rs
+++ b/lib/replica/src/links.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, VecDeque, hash_map::Entry},
     future::ready,
     net::SocketAddr,
     sync::Arc,
@@ -65,9 +65,11 @@
             return;
         }
         let (queue, rx) = LinkQueue::new();
-        if self.queues.write().insert(host.clone(), queue).is_some() {
-            return;
-        }
+        // Another thread may have started a link since the check. Its queue has to stay.
+        match self.queues.write().entry(host.clone()) {
+            Entry::Occupied(_) => return,
+            Entry::Vacant(vacant) => vacant.insert(queue),
+        };
         let link = Link {
             own_host: self.own_host.clone(),
             host: host.clone(),
--- a/lib/replica/tests/links.rs
+++ b/lib/replica/tests/links.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Barrier,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -189,3 +189,41 @@
     };
     assert_eq!(arrived, call(8));
 }
+
+/// Guards against a host to which nothing is ever sent, because two threads have met it at the same time
+/// and one has replaced the queue of the other's link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn host_that_several_threads_meet_at_once_is_linked() {
+    const THREADS: usize = 4;
+    const HOSTS: usize = 500;
+    let observer = Arc::<DropCount>::default();
+    let stop = CancellationToken::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let own_host = HostName::from("h1");
+    let links = Arc::new(Links::new(
+        own_host,
+        TIMING,
+        Arc::clone(&observer) as _,
+        stop.clone(),
+    ));
+    let barrier = Arc::new(Barrier::new(THREADS));
+    let host = |number| HostName::from(format!("other-{number}"));
+    let threads = (0..THREADS).map(|_| {
+        let (links, barrier) = (Arc::clone(&links), Arc::clone(&barrier));
+        tokio::task::spawn_blocking(move || {
+            for number in 0..HOSTS {
+                barrier.wait();
+                links.connect(&host(number), address);
+            }
+        })
+    });
+    for thread in threads.collect::<Vec<_>>() {
+        thread.await.unwrap();
+    }
+    // The queue of a link that is gone refuses each message.
+    (0..HOSTS).for_each(|number| links.send(&host(number), call(1)));
+    assert_eq!(observer.0.load(Ordering::Relaxed), 0);
+    stop.cancel();
+}
