dispatch: look again only at jobs with further occurrences

While the open occurrences of all scheduled jobs reached their bound, every job counted as waiting for room, also one that runs once, and was looked at ten times a second. Found by reading, before it was released. A job whose occurrences are all open is left out now. No behavior that callers see changes.

--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -50,7 +50,8 @@
             let limit = open_occurrences.limit(key, tasks);
             let reading = JobReading::of(job, now_ms, limit);
             open_occurrences.record(key, reading.open, tasks);
-            let is_crowded = reading.open >= limit && open_occurrences.is_crowded(key, tasks);
+            let may_open_more = (limit..job.spec.occurrences() as usize).contains(&reading.open);
+            let is_crowded = may_open_more && open_occurrences.is_crowded(key, tasks);
             (reading, is_crowded)
         });
         let (reading, is_crowded) = reading?;
--- a/lib/dispatch/src/dispatcher_late_starts.rs
+++ b/lib/dispatch/src/dispatcher_late_starts.rs
@@ -7,7 +7,7 @@
 
 use crate::{DecisionEvent, Dispatcher, FinishedRun};
 
-/// Longest time after its timeout for which the platform may carry out an order, in milliseconds: it is
+/// Longest time after its timeout for which an order may be carried out. The platform carries orders out
 /// at most 12 s late.
 const LATE_START_LIMIT: Millis = Millis(12_500);
 
--- a/lib/dispatch/src/open_occurrences.rs
+++ b/lib/dispatch/src/open_occurrences.rs
@@ -2,7 +2,7 @@
 
 use tarragon_workflow::JobKey;
 
-/// Number of tasks in the open occurrences of a job, beside its first ones.
+/// Number of tasks in the open occurrences of a job, beside its first one.
 const MAX_TASKS_PER_JOB: u64 = 256;
 
 /// Number of tasks in the open occurrences of all jobs, beside the first one of each.
