--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -121,6 +121,8 @@
     pub worker_mem_mb: u64,
     /// Address of the platform's interface for machines, if the case has one.
     pub has_cloud: bool,
+    /// Hosts that the settings name as seeds.
+    pub seeds: [usize; 3],
 }
 
 impl Cell {
@@ -143,7 +145,7 @@
         let net = 16 + (pid % 200) as u8;
         let ports = free_ports(net, plan);
         let count = plan.with_disk + plan.without_disk;
-        let seeds = (0..3.min(plan.with_disk)).map(|i| format!("{}:{}", Self::host_ip(net, i), ports.control));
+        let seeds = plan.seeds.iter().map(|i| format!("{}:{}", Self::host_ip(net, *i), ports.control));
         let seeds = seeds.collect::<Vec<_>>().join(",");
         let mut hosts = Vec::new();
         for index in 0..count {
--- a/review/standin-3/cloud.rs
+++ b/review/standin-3/cloud.rs
@@ -54,6 +54,8 @@
     pub breaks_of_one: Mutex<Vec<String>>,
     pub maintenance: Duration,
     on_upkeep: Mutex<Option<Box<dyn Fn(&Upkeep) + Send + Sync>>>,
+    /// Order that is carried out when the case says so.
+    held: Mutex<Option<(String, u64, Json)>>,
 }
 
 pub fn machine_name(worker: usize) -> String {
@@ -74,6 +76,7 @@
             breaks_of_one: Mutex::default(),
             maintenance: Duration::from_secs(2),
             on_upkeep: Mutex::default(),
+            held: Mutex::default(),
         });
         let answering = Arc::clone(&cloud);
         let handler = Arc::new(move |req: &Message| answering.answer(req));
@@ -106,6 +109,35 @@
         });
     }
 
+    /// Crashes the executor of a machine, which is down until `bring_up`.
+    pub fn crash_until_told(&self, machine: &str) {
+        let worker = {
+            let mut machines = self.machines.lock().unwrap();
+            let m = machines.get_mut(machine).unwrap();
+            m.state = State::Down;
+            Arc::clone(&m.worker)
+        };
+        worker.crash("crash");
+    }
+
+    pub fn bring_up(&self, machine: &str) {
+        self.up(machine);
+    }
+
+    /// Number of other machines that are down for an upkeep.
+    pub fn others_in_upkeep(&self, machine: &str) -> usize {
+        let machines = self.machines.lock().unwrap();
+        machines.iter().filter(|(n, m)| *n != machine && m.state == State::Upkeep).count()
+    }
+
+    /// Carries out the order that got no answer.
+    pub fn carry_out_held(self: &Arc<Self>) {
+        let held = self.held.lock().unwrap().take();
+        if let Some((holder, fence, body)) = held {
+            self.upkeep(&holder, fence, &body, true);
+        }
+    }
+
     fn up(&self, machine: &str) {
         let worker = {
             let mut machines = self.machines.lock().unwrap();
@@ -145,7 +177,16 @@
         let holder = req.header("Holder").unwrap_or("").to_owned();
         let fence = req.header("Fence-Token").and_then(|f| f.parse().ok()).unwrap_or(0);
         let trouble = self.trouble.lock().unwrap().clone();
-        if let Some(late) = trouble.and_then(|t| t(&path, &body)) {
+        let late = trouble.and_then(|t| t(&path, &body));
+        if late == Some(Duration::MAX) {
+            self.world.note(&format!(
+                "upkeep of {} for wave {} by {holder} with token {fence} gets no answer",
+                body.text("machine"), body.u64("wave")
+            ));
+            *self.held.lock().unwrap() = Some((holder, fence, body));
+            return Reply::Silence;
+        }
+        if let Some(late) = late {
             self.world.note(&format!(
                 "upkeep of {} for wave {} by {holder} with token {fence} gets no answer and is carried out {} ms later",
                 body.text("machine"), body.u64("wave"), late.as_millis()
--- a/review/standin-3/lasting.rs
+++ b/review/standin-3/lasting.rs
@@ -32,6 +32,7 @@
         worker_cpu: 32_000,
         worker_mem_mb: 65_536,
         has_cloud: false,
+        seeds: [0, 1, 2],
     };
     let cell = Cell::new(world, &plan);
     cell.begin(&config(
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,12 +3,15 @@
 //! does the same without the disruption.
 
 mod cell;
+mod chaos;
 mod cloud;
 mod http;
 mod json;
 mod lasting;
 mod pending;
+mod seeds;
 mod waves;
+mod withdrawn;
 mod worker;
 mod world;
 
@@ -22,6 +25,9 @@
     let is_broken = match case.as_str() {
         "pending" => pending::run(&world, trouble),
         "waves" => waves::run(&world, trouble),
+        "chaos" => chaos::run(&world, trouble),
+        "seeds" => seeds::run(&world, trouble),
+        "withdrawn" => withdrawn::run(&world, trouble),
         "lasting" => lasting::run(&world, trouble),
         _ => cell::broke_down("no such case"),
     };
--- a/review/standin-3/pending.rs
+++ b/review/standin-3/pending.rs
@@ -29,6 +29,7 @@
         worker_cpu: 32_000,
         worker_mem_mb: 65_536,
         has_cloud: false,
+        seeds: [0, 1, 2],
     };
     let cell = Arc::new(Cell::new(world, &plan));
     cell.begin(&config(1, &[Route { prefix: PREFIX, priority: 0, max_attempts: 4 }]));
--- a/review/standin-3/waves.rs
+++ b/review/standin-3/waves.rs
@@ -21,7 +21,7 @@
 
 pub fn run(world: &Arc<World>, trouble: bool) -> bool {
     let mode = std::env::var("MODE").unwrap_or_default();
-    let plan = Plan { with_disk: 4, without_disk: 5, workers: 10, worker_cpu: 32_000, worker_mem_mb: 65_536, has_cloud: true };
+    let plan = Plan { with_disk: 4, without_disk: 5, workers: 10, worker_cpu: 32_000, worker_mem_mb: 65_536, has_cloud: true, seeds: [0, 1, 2] };
     let cell = Arc::new(Cell::new(world, &plan));
     let (cloud, mut server) = Cloud::start(&cell);
     cell.begin(&config(1, &[Route { prefix: PREFIX, priority: 0, max_attempts: 4 }]));
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -365,6 +365,7 @@
                         to: None,
                         how: String::new(),
                         late,
+                        acked: false,
                     });
                 }
             }
@@ -384,6 +385,9 @@
             }
             "/v1/hold" => {
                 let acknowledged = body.u64("ack_cursor");
+                for (_, task, run, _) in life.finished.iter().filter(|(n, ..)| *n <= acknowledged) {
+                    self.world.run_acked(task, *run, self.index, life.born);
+                }
                 life.finished.retain(|(n, ..)| *n > acknowledged);
                 let wait = Duration::from_millis(body.u64("wait_ms").min(2_000));
                 let born = life.born;
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -20,6 +20,8 @@
     pub how: String,
     /// Whether the order was carried out late.
     pub late: bool,
+    /// Whether its end was acknowledged.
+    pub acked: bool,
 }
 
 pub struct World {
@@ -82,6 +84,16 @@
         }
     }
 
+    pub fn run_acked(&self, task: &str, run: u32, worker: usize, born: u64) {
+        let mut runs = self.runs.lock().unwrap();
+        for r in runs.iter_mut().rev() {
+            if r.task == task && r.run == run && r.worker == worker && r.born == born {
+                r.acked = true;
+                return;
+            }
+        }
+    }
+
     /// Whether a task of this job has begun before the time `at`.
     pub fn has_begun(&self, job: &str, at: u64) -> bool {
         let runs = self.runs.lock().unwrap();
