--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -142,8 +142,7 @@
         if let Err(e) = fs::create_dir_all(&dir) {
             broke_down(&format!("{}: {e}", dir.display()));
         }
-        let net = 16 + (pid % 200) as u8;
-        let ports = free_ports(net, plan);
+        let (net, ports) = free_ports(plan);
         let count = plan.with_disk + plan.without_disk;
         let seeds = plan.seeds.iter().map(|i| format!("{}:{}", Self::host_ip(net, *i), ports.control));
         let seeds = seeds.collect::<Vec<_>>().join(",");
@@ -252,16 +251,23 @@
 
     /// Hands a job in, at other hosts after no response, and returns whether it was accepted.
     pub fn submit(&self, host: usize, path: &str, job: &str) -> bool {
+        self.submit_told(host, path, job).0
+    }
+
+    /// Like `submit`; tells also whether every attempt was rejected.
+    pub fn submit_told(&self, host: usize, path: &str, job: &str) -> (bool, bool) {
+        let mut is_rejected = true;
         for attempt in 0..5 {
             let answer = self.client(host + attempt, "POST", path, job);
             let status = answer.map(|a| a.status());
             self.world.note(&format!("POST {path} at host {}: {status:?}", (host + attempt) % self.hosts.len()));
             if status.is_some_and(|s| (200..300).contains(&s)) {
-                return true;
+                return (true, false);
             }
+            is_rejected &= status.is_some_and(|s| s == 503 || (400..500).contains(&s));
             thread::sleep(Duration::from_millis(100));
         }
-        false
+        (false, is_rejected)
     }
 
     /// The host that leads, by its own metrics page; used only to choose whom a disruption strikes.
@@ -285,11 +291,13 @@
     }
 }
 
-/// Ports that are free on the addresses of the case, as far as a look tells.
-fn free_ports(net: u8, plan: &Plan) -> Ports {
+/// A part of the loopback range and ports that are free there, as far as a look tells.
+fn free_ports(plan: &Plan) -> (u8, Ports) {
+    let pid = std::process::id();
     let hosts = plan.with_disk + plan.without_disk;
-    'base: for attempt in 0..50u16 {
-        let base = 20_000 + (std::process::id() as u16 % 97) * 100 + attempt * 40;
+    'next: for attempt in 0..200u32 {
+        let net = 16 + ((pid + attempt * 7) % 200) as u8;
+        let base = 20_000 + ((pid + attempt * 13) % 97 * 100) as u16;
         let ports = Ports {
             front: base,
             ready: base + 1,
@@ -302,16 +310,16 @@
             let ip = Cell::host_ip(net, index);
             for port in [ports.front, ports.ready, ports.control, ports.peer, 9_464] {
                 if TcpListener::bind((ip, port)).is_err() {
-                    continue 'base;
+                    continue 'next;
                 }
             }
         }
         for index in 0..plan.workers {
             if TcpListener::bind((Cell::worker_ip(net, index), ports.worker)).is_err() {
-                continue 'base;
+                continue 'next;
             }
         }
-        return ports;
+        return (net, ports);
     }
     broke_down("no free ports")
 }
--- a/review/standin-3/chaos.rs
+++ b/review/standin-3/chaos.rs
@@ -29,12 +29,13 @@
     let dues = Arc::new(Mutex::new(BTreeMap::<String, (u64, u64)>::new()));
     let accepted = Arc::new(Mutex::new(Vec::<(String, String, &'static str)>::new()));
     let cancelled = Arc::new(Mutex::new(BTreeMap::<String, u64>::new()));
+    let rejected = Arc::new(Mutex::new(Vec::<String>::new()));
     let traffic = Duration::from_secs(40);
     let begun = Instant::now();
     let unix0 = unix_ms() - world.now();
     let mut senders = Vec::new();
     for s in 0..4u64 {
-        let (cell, dues, accepted, cancelled, world) = (Arc::clone(&cell), Arc::clone(&dues), Arc::clone(&accepted), Arc::clone(&cancelled), Arc::clone(world));
+        let (cell, rejected, dues, accepted, cancelled, world) = (Arc::clone(&cell), Arc::clone(&rejected), Arc::clone(&dues), Arc::clone(&accepted), Arc::clone(&cancelled), Arc::clone(world));
         let mut rng = Rng(seed.wrapping_mul(31).wrapping_add(s * 7919 + 13) | 1);
         senders.push(thread::spawn(move || {
             let mut n = 0u64;
@@ -59,7 +60,11 @@
                     ("cancel", "/b/", r#"{"spec":"work=6000","steps":[{"count":3,"cpu":700,"mem_mb":512,"estimate_ms":6000}]}"#.to_owned())
                 };
                 let full = format!("{path}{id}");
-                if cell.submit(host, &full, &job) {
+                let (ok, is_rejected) = cell.submit_told(host, &full, &job);
+                if is_rejected {
+                    rejected.lock().unwrap().push(id.clone());
+                }
+                if ok {
                     accepted.lock().unwrap().push((id.clone(), full.clone(), kind));
                     if kind == "cancel" {
                         thread::sleep(Duration::from_millis(300));
@@ -88,6 +93,49 @@
         }));
     }
     let over = Arc::new(AtomicBool::new(false));
+    // An operator, and readers of the configuration.
+    let acked = Arc::new(Mutex::new(Vec::<(u64, u64)>::new()));
+    let stale = Arc::new(Mutex::new(Vec::<String>::new()));
+    {
+        let (cell, acked, over) = (Arc::clone(&cell), Arc::clone(&acked), Arc::clone(&over));
+        thread::spawn(move || {
+            let mut v = 1;
+            while !over.load(Ordering::Acquire) {
+                v += 1;
+                let text = config(v, &[
+                    Route { prefix: "/a/", priority: 0, max_attempts: 4 },
+                    Route { prefix: "/b/", priority: 1, max_attempts: 4 },
+                ]);
+                for k in 0..30 {
+                    let a = cell.put_config((v as usize * 5 + k) % 9, &text, Duration::from_secs(1));
+                    cell.world.note(&format!("PUT config {v}: {:?}", a.as_ref().map(|a| a.status())));
+                    if a.is_some_and(|a| a.status() == 200) {
+                        acked.lock().unwrap().push((cell.world.now(), v));
+                        break;
+                    }
+                    thread::sleep(Duration::from_millis(100));
+                }
+                thread::sleep(Duration::from_millis(150));
+            }
+        });
+    }
+    for r in 0..3usize {
+        let (cell, acked, over, stale) = (Arc::clone(&cell), Arc::clone(&acked), Arc::clone(&over), Arc::clone(&stale));
+        thread::spawn(move || {
+            let mut n = r;
+            while !over.load(Ordering::Acquire) {
+                n += 1;
+                let sent = cell.world.now();
+                let a = crate::http::call(&cell.control(n * 4 + r), "GET", "/v1/config", &[], "", Duration::from_secs(8));
+                if let Some(a) = a.filter(|a| a.status() == 200) {
+                    let v = Json::parse(&a.body).map_or(0, |j| j.u64("version"));
+                    let least = acked.lock().unwrap().iter().filter(|(at, _)| at + 2000 < sent).map(|(_, v)| *v).max().unwrap_or(1);
+                    if v < least { stale.lock().unwrap().push(format!("CONFIG: read of version {v} sent at {sent}, {least} was acknowledged 2 s before")); }
+                }
+                thread::sleep(Duration::from_millis(30));
+            }
+        });
+    }
     if mode.contains("late") || mode.contains("lost") {
         let lost = mode.contains("lost");
         let all = lost || mode.contains("hold");
@@ -162,6 +210,15 @@
     }
     let now = world.now();
     let runs = world.runs.lock().unwrap().clone();
+    bad.extend(stale.lock().unwrap().drain(..));
+    for id in rejected.lock().unwrap().iter() {
+        if runs.iter().any(|r| r.task.starts_with(id.as_str())) { bad.push(format!("REFUSED {id} was rejected each time and ran")); }
+    }
+    let newest = acked.lock().unwrap().last().map_or(0, |(_, v)| *v);
+    let a = crate::http::call(&cell.control(3), "GET", "/v1/config", &[], "", Duration::from_secs(3));
+    let v = a.and_then(|a| Json::parse(&a.body)).map_or(0, |j| j.u64("version"));
+    if v < newest { bad.push(format!("CONFIG: {v} at the end, {newest} acknowledged")); }
+    world.tell(&format!("{} rejected, {newest} configurations", rejected.lock().unwrap().len()));
     for (id, _, kind) in &all {
         if *kind == "lasting" {
             let up = runs.iter().filter(|r| r.task.starts_with(id.as_str()) && r.to.is_none()).count();
