--- a/review/standin-3/chaos.rs
+++ b/review/standin-3/chaos.rs
@@ -161,6 +161,22 @@
             thread::sleep(Duration::from_millis(200 + rng.next() % 2500));
             cell.hosts[l].start();
         }
+        if mode.contains("long") || mode.contains("wipe") {
+            let h = if rng.share() < 0.5 { l.unwrap_or(0) } else { rng.next() as usize % 4 };
+            world.note(&format!("host {h} is lost"));
+            cell.hosts[h].end();
+            if mode.contains("wipe") {
+                let _ = std::fs::remove_dir_all(cell.dir.join(format!("data-{h}")));
+                let _ = std::fs::create_dir_all(cell.dir.join(format!("data-{h}")));
+                let text = std::fs::read_to_string(&cell.hosts[h].settings).unwrap().replace("bootstrap=true", "bootstrap=false");
+                std::fs::write(&cell.hosts[h].settings, text).unwrap();
+                thread::sleep(Duration::from_millis(100 + rng.next() % 2000));
+            } else {
+                thread::sleep(Duration::from_millis(2000 + rng.next() % 6000));
+            }
+            cell.hosts[h].start();
+            thread::sleep(Duration::from_millis(4200));
+        }
         if mode.contains("herd") {
             world.note("all hosts are killed");
             for h in &cell.hosts { h.end(); }
@@ -226,6 +242,21 @@
         }
     }
     cell.finish();
+    for (id, _, kind) in &all {
+        let most = match *kind { "lasting" => 1, "spread" => 2, _ => continue };
+        let of_job: Vec<_> = runs.iter().filter(|r| r.task.starts_with(id.as_str())).collect();
+        for r in &of_job {
+            let beside = of_job.iter().filter(|o| o.worker == r.worker && o.from <= r.from && o.to.unwrap_or(now) > r.from).count();
+            if beside > most { bad.push(format!("ROUTE {} on w{}: {beside} tasks, at most {most}; late {}", r.task, r.worker, r.late)); }
+        }
+    }
+    for r in &runs {
+        let cpu = |id: &str| match all.iter().find(|(i, ..)| id.starts_with(i.as_str())).map(|(_, _, k)| *k) {
+            Some("quick") => 1000, Some("chain") => if id.split('.').nth(2) == Some("0") { 1000 } else { 500 }, Some("timed") => 500, Some("lasting") => 300, _ => 700,
+        };
+        let used: u64 = runs.iter().filter(|o| o.worker == r.worker && o.from <= r.from && o.to.unwrap_or(now) > r.from).map(|o| cpu(&o.task)).sum();
+        if used > 16_000 { bad.push(format!("LIMIT? {} on w{}: {used}", r.task, r.worker)); }
+    }
     let mut by_task = BTreeMap::<&str, Vec<&crate::world::Run>>::new();
     for r in &runs { by_task.entry(&r.task).or_default().push(r); }
     for (task, rs) in &by_task {
--- a/review/standin-3/cloud.rs
+++ b/review/standin-3/cloud.rs
@@ -98,6 +98,9 @@
         let worker = {
             let mut machines = self.machines.lock().unwrap();
             let m = machines.get_mut(machine).unwrap();
+            if m.state != State::Up {
+                return;
+            }
             m.state = State::Down;
             Arc::clone(&m.worker)
         };
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod chaos;
 mod cloud;
+mod form;
 mod http;
 mod json;
 mod lasting;
@@ -28,6 +29,7 @@
         "chaos" => chaos::run(&world, trouble),
         "seeds" => seeds::run(&world, trouble),
         "withdrawn" => withdrawn::run(&world, trouble),
+        "form" => form::run(&world, trouble),
         "lasting" => lasting::run(&world, trouble),
         _ => cell::broke_down("no such case"),
     };
