--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Plays the case 'lasting'; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# Plays the case 'seeds'; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/harness lasting review/13/record.txt
+exec target/review-3/harness seeds review/13/record.txt
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Plays the case 'seeds'; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# Plays the case 'pending'; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/harness seeds review/14/record.txt
+exec target/review-3/harness pending review/14/record.txt
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,6 +2,7 @@
 //! exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 it
 //! does the same without the disruption.
 
+mod behind;
 mod cell;
 mod chaos;
 mod cloud;
@@ -30,6 +31,7 @@
         "seeds" => seeds::run(&world, trouble),
         "withdrawn" => withdrawn::run(&world, trouble),
         "form" => form::run(&world, trouble),
+        "behind" => behind::run(&world, trouble),
         "lasting" => lasting::run(&world, trouble),
         _ => cell::broke_down("no such case"),
     };
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -73,6 +73,8 @@
     server: Mutex<Option<Server>>,
     trouble: Mutex<Option<Trouble>>,
     over: AtomicBool,
+    /// Whether nothing passes between the executor and the hosts.
+    cut: AtomicBool,
     lives: Mutex<u32>,
 }
 
@@ -103,6 +105,7 @@
             server: Mutex::default(),
             trouble: Mutex::default(),
             over: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
             lives: Mutex::default(),
         });
         let ticking = Arc::clone(&worker);
@@ -121,6 +124,11 @@
         *self.trouble.lock().unwrap() = trouble;
     }
 
+    pub fn set_cut(&self, cut: bool) {
+        self.world.note(&format!("w{} is {}", self.index, if cut { "cut off" } else { "connected again" }));
+        self.cut.store(cut, Ordering::Release);
+    }
+
     pub fn is_up(&self) -> bool {
         self.life.lock().unwrap().is_some()
     }
@@ -213,7 +221,7 @@
                     (l.id.clone(), body)
                 })
             };
-            let Some((id, body)) = beat else {
+            let Some((id, body)) = beat.filter(|_| !self.cut.load(Ordering::Acquire)) else {
                 thread::sleep(Duration::from_millis(20));
                 continue;
             };
@@ -277,6 +285,9 @@
     }
 
     fn answer(self: &Arc<Self>, req: &Message) -> Reply {
+        if self.cut.load(Ordering::Acquire) {
+            return Reply::Silence;
+        }
         let path = req.path().to_owned();
         if path == "/health" {
             return Reply::Answer(200, "{}".to_owned());
@@ -305,7 +316,11 @@
             });
             return Reply::Silence;
         }
-        self.carry_out(&path, expected.as_deref(), &body, false)
+        let reply = self.carry_out(&path, expected.as_deref(), &body, false);
+        if self.cut.load(Ordering::Acquire) {
+            return Reply::Silence;
+        }
+        reply
     }
 
     fn carry_out(&self, path: &str, expected: Option<&str>, body: &Json, late: bool) -> Reply {
