--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -2,7 +2,6 @@
 //! machines, an operator and clients.
 
 use std::{
-    collections::BTreeMap,
     fs,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
@@ -32,14 +31,25 @@
 pub const HOST: &str = "orders.example";
 const ZONES: [&str; 4] = ["lukang-a", "lukang-b", "hemei", "changhua-city"];
 
+/// Processes that were started and not waited for, and the folder of the case.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+/// Ends the script, and the processes that it started, because the case could not run.
 pub fn broke_down(cause: &str) -> ! {
     eprintln!("the case could not run: {cause}");
+    for id in STARTED.lock().unwrap().iter() {
+        // SAFETY: a call without memory; the process is a child that was not waited for.
+        unsafe { kill(*id as i32, SIGKILL) };
+    }
+    if let Some(folder) = FOLDER.lock().unwrap().as_ref() {
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(2);
 }
 
 /// One entry host.
 pub struct Host {
-    pub index: usize,
     pub ip: Ipv4Addr,
     pub settings: PathBuf,
     child: Mutex<Option<Child>>,
@@ -64,7 +74,10 @@
             .stderr(log)
             .spawn();
         match command {
-            Ok(child) => *self.child.lock().unwrap() = Some(child),
+            Ok(child) => {
+                STARTED.lock().unwrap().push(child.id());
+                *self.child.lock().unwrap() = Some(child);
+            }
             Err(e) => broke_down(&format!("target/release/tarragon-entryd: {e}")),
         }
     }
@@ -81,14 +94,7 @@
         if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
             let _ = child.wait();
-        }
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&self) -> bool {
-        match self.child.lock().unwrap().as_mut() {
-            Some(child) => child.try_wait().is_ok_and(|status| status.is_some()),
-            None => false,
+            STARTED.lock().unwrap().retain(|id| *id != child.id());
         }
     }
 }
@@ -142,6 +148,7 @@
         if let Err(e) = fs::create_dir_all(&dir) {
             broke_down(&format!("{}: {e}", dir.display()));
         }
+        *FOLDER.lock().unwrap() = Some(dir.clone());
         let (net, ports) = free_ports(plan);
         let count = plan.with_disk + plan.without_disk;
         let seeds = plan.seeds.iter().map(|i| format!("{}:{}", Self::host_ip(net, *i), ports.control));
@@ -180,7 +187,7 @@
             if let Err(e) = fs::write(&settings, text) {
                 broke_down(&e.to_string());
             }
-            hosts.push(Host { index, ip, settings, child: Mutex::default() });
+            hosts.push(Host { ip, settings, child: Mutex::default() });
         }
         let control: Vec<_> = hosts.iter().map(|h| format!("{}:{}", h.ip, ports.control)).collect();
         let workers = (0..plan.workers)
@@ -350,8 +357,6 @@
 /// The bounds of the site, as its settings files hold them.
 const BOUNDS: &str = "bounds.seed_lag_s=3\nbounds.reuse_after_s=2\nbounds.contact_ms=3000\nbounds.ack_ms=4000\nbounds.catch_up_s=4\nbounds.drain_ms=2000\nbounds.grace_s=6\nbounds.loss_slack_ms=200\nbounds.config_apply_ms=2000\nbounds.rollback_slack_ms=250\nbounds.max_stretch_ms=5000\nbounds.recovery_s=12\nbounds.max_hold_ms=10000\nbounds.stop_ms=900\nbounds.gang_timeout_ms=3000\nbounds.cancel_ms=3000\nbounds.visible_ms=3000\nbounds.early_ms=250\nbounds.finish_s=14\nbounds.status_s=120\nbounds.far_factor=1.5\nbounds.checkpoint_interval_s=1\nbounds.restore_ms=250\nbounds.notice_ms=4500\nbounds.migrate_s=1.5\nbounds.maintenance_s=2\nbounds.require_fencing=true\nbounds.lease_ms=3000\nbounds.thaw_slack_ms=300\nbounds.pace_ms=100\nbounds.harm_ms=4000\n";
 
-pub type Answers = Mutex<BTreeMap<String, u64>>;
-
 pub fn pending_count(answer: &Message) -> Option<u64> {
     if answer.status() != 200 {
         return None;
--- a/review/standin-3/cloud.rs
+++ b/review/standin-3/cloud.rs
@@ -35,6 +35,7 @@
 }
 
 /// An upkeep that began.
+#[allow(dead_code)]
 #[derive(Clone, Debug)]
 pub struct Upkeep {
     pub machine: String,
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -26,10 +26,6 @@
         found.next().map(|(_, v)| v.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
-
     pub fn path(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
     }
--- a/review/standin-3/json.rs
+++ b/review/standin-3/json.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+#[allow(dead_code)]
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    cell::broke_down,
     http::{self, Message, Reply, Server},
     json::{Json, quote},
     world::{Run, World, unix_ms},
@@ -48,7 +49,6 @@
     last_end: u64,
     /// Highest run of a task that was stopped or ended here.
     over: HashMap<String, u32>,
-    draining: bool,
     seq: u64,
 }
 
@@ -155,7 +155,6 @@
             finished: Vec::new(),
             last_end: 0,
             over: HashMap::new(),
-            draining: false,
             seq: 0,
         };
         self.world.note(&format!("worker w{} starts as {id}, born {}, at {}", self.index, life.born, self.addr));
@@ -164,10 +163,7 @@
         let handler: http::Handler = Arc::new(move |req| answering.answer(req));
         match Server::start(self.addr, handler) {
             Ok(server) => *self.server.lock().unwrap() = Some(server),
-            Err(e) => {
-                eprintln!("worker at {}: {e}", self.addr);
-                std::process::exit(2);
-            }
+            Err(e) => broke_down(&format!("worker at {}: {e}", self.addr)),
         }
     }
 
@@ -186,12 +182,6 @@
         }
     }
 
-    pub fn drain(&self) {
-        if let Some(life) = self.life.lock().unwrap().as_mut() {
-            life.draining = true;
-        }
-    }
-
     pub fn finish(&self) {
         self.over.store(true, Ordering::Release);
         self.crash("script over");
@@ -206,11 +196,10 @@
                 life.as_mut().map(|l| {
                     l.seq += 1;
                     let body = format!(
-                        "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\"state\":\"{}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":{},\"gpu\":0}},\"labels\":[\"a\",{}],\"clock_ms\":{},\"born\":{},\"seq\":{}}}",
+                        "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":{},\"gpu\":0}},\"labels\":[\"a\",{}],\"clock_ms\":{},\"born\":{},\"seq\":{}}}",
                         quote(&self.service),
                         self.addr,
                         quote(&self.zone),
-                        if l.draining { "draining" } else { "ready" },
                         self.cpu,
                         self.mem_mb,
                         quote(&self.rack),
