--- a/review/standin-3/lasting.rs
+++ b/review/standin-3/lasting.rs
@@ -1,4 +1,5 @@
-//! TWICE: a task that lasts is started elsewhere while a start order for it may still be carried out.
+//! TWICE: a task that lasts is started elsewhere while a start order for it may still be carried out,
+//! and the order is carried out on the next life of its executor, behind a cut.
 
 use std::{
     sync::{
@@ -20,15 +21,17 @@
 const ID: &str = "000000000000c001";
 /// Time after which the unanswered orders are carried out; the pages allow 2 to 12 s.
 const LATE_MS: u64 = 7_000;
-/// Times after the first unanswered order at which the executor crashes and is back.
+/// Times after the first unanswered order. The cut lasts 4.1 s, as on the site.
+const CUT_MS: u64 = 5_800;
 const CRASH_MS: u64 = 6_000;
-const BACK_MS: u64 = 8_000;
+const BACK_MS: u64 = 6_500;
+const HEALED_MS: u64 = 9_900;
 
 pub fn run(world: &Arc<World>, trouble: bool) -> bool {
     let plan = Plan {
         with_disk: 4,
         without_disk: 5,
-        workers: 8,
+        workers: 12,
         worker_cpu: 32_000,
         worker_mem_mb: 65_536,
         has_cloud: false,
@@ -86,12 +89,17 @@
         let wait_until = |ms: u64| {
             thread::sleep((ordered + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
         };
+        wait_until(CUT_MS);
+        world.tell(&format!("executor w{index} is cut off"));
+        cell.workers[index].set_cut(true);
         wait_until(CRASH_MS);
-        world.tell(&format!("executor w{index} crashes"));
         cell.workers[index].crash("crash");
         wait_until(BACK_MS);
-        world.tell(&format!("executor w{index} starts again under its id"));
+        world.tell(&format!("executor w{index} starts again under its id, behind the cut"));
         cell.workers[index].start(true);
+        wait_until(HEALED_MS);
+        world.tell("the cut has healed");
+        cell.workers[index].set_cut(false);
     }
     thread::sleep(Duration::from_secs(18).saturating_sub(begun.elapsed()));
     let now = world.now();
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -297,7 +297,7 @@
             let worker = Arc::clone(self);
             thread::spawn(move || {
                 thread::sleep(late);
-                // Waits for the next life if the executor is down, as a packet does that is sent again.
+                // A proxy on the machine of the executor holds the order and hands it to the life that is up then.
                 while !worker.is_up() && !worker.over.load(Ordering::Acquire) {
                     thread::sleep(Duration::from_micros(200));
                 }
