--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod lasting;
+mod odd;
 mod pending;
 mod seeds;
 mod waves;
@@ -32,6 +33,7 @@
         "withdrawn" => withdrawn::run(&world, trouble),
         "form" => form::run(&world, trouble),
         "behind" => behind::run(&world, trouble),
+        "odd" => odd::run(&world, trouble),
         "lasting" => lasting::run(&world, trouble),
         _ => cell::broke_down("no such case"),
     };
