dispatch: let tasks that last wait for late orders as well

Two start orders had no answer, the next run was started elsewhere 4 s later, and the first worker restarted behind a cut and carried an order out.

Cause: awaits_late_start let tasks that last off, because their users would miss them for longer than after the loss of a worker.

Change: the exception is gone, and the wait is made rarer: a run of a task that lasts, without ticket and outside of a gang, is ordered up to five times to a worker that answers polls before it is given up. The order repeats the same run, which a worker takes once.

--- a/lib/dispatch/src/dispatcher_jobs.rs
+++ b/lib/dispatch/src/dispatcher_jobs.rs
@@ -124,8 +124,7 @@
                 step: key,
                 index: *index,
             };
-            let is_late = !step.long_running && self.awaits_late_start(&task);
-            !self.has_committing_run(&task) && !is_late
+            !self.has_committing_run(&task) && !self.awaits_late_start(&task)
         });
         if step.gang && waiting.len() < step.count as usize {
             // The members of a gang start together, so all members of its previous run must have
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -6,12 +6,12 @@
 use tarragon_workflow::{Command, TaskKey, WorkerIncarnation, WorkflowState};
 
 use crate::{
-    DecisionEvent, Dispatcher, FinishedOrder, Input, OrderOutcome, Output, Refusal, StartOrder,
-    StopOrder,
+    DecisionEvent, DispatchConfig, Dispatcher, FinishedOrder, Input, OrderOutcome, Output, Refusal,
+    StartOrder, StopOrder,
     backoff::backoff,
     load_counters::StopCause,
     loss_cause::LossCause,
-    run_view::{START_ORDER_LIFETIME, StartState, StopState},
+    run_view::{RunView, START_ORDER_LIFETIME, StartState, StopState},
 };
 
 /// Time without placements on a worker that refused a start as unhealthy or full.
@@ -21,6 +21,11 @@
 /// log.
 const REFUSED_STEP_PAUSE: Millis = Millis(100);
 
+/// Number of start orders of one run of a task that lasts which may stay unanswered. Its next run waits for
+/// seconds until none of them can be carried out, and its users miss it, so the same run is ordered again
+/// for longer.
+const MAX_UNANSWERED_STARTS_OF_LASTING: u32 = 5;
+
 impl Dispatcher {
     /// Handles a committed placement: the start order may be sent, unless the job has ended in the
     /// meantime.
@@ -133,7 +138,7 @@
                 if !is_stale {
                     view.start = StartState::Unanswered { again_at: now };
                 }
-                if view.start_attempts >= self.cfg.max_unanswered_starts && !is_stale {
+                if view.start_attempts >= max_unanswered_starts(&self.cfg, view) && !is_stale {
                     view.request_stop(StopCause::StartUnanswered, &mut self.load_counters, now);
                     view.start = StartState::Inherited;
                     self.stop_gang(task.step, run);
@@ -390,6 +395,17 @@
     }
 }
 
+/// Number of start orders of a run that may stay unanswered before the run is stopped.
+fn max_unanswered_starts(cfg: &DispatchConfig, view: &RunView) -> u32 {
+    // The other members of a gang wait for the run, and a ticket shuts out late orders.
+    let is_patient = view.spec.is_long_running && !view.spec.is_gang && view.ticket.is_none();
+    if is_patient {
+        MAX_UNANSWERED_STARTS_OF_LASTING.max(cfg.max_unanswered_starts)
+    } else {
+        cfg.max_unanswered_starts
+    }
+}
+
 /// Payload for the start of a task; `None` once all tasks of its occurrence are done.
 fn payload_of(workflow_state: &WorkflowState, task: &TaskKey) -> Option<Name> {
     let payload = workflow_state.with_job(task.step.job, |job| {
--- a/lib/dispatch/src/run_spec.rs
+++ b/lib/dispatch/src/run_spec.rs
@@ -25,6 +25,8 @@
     pub(crate) is_best_effort: bool,
     /// Whether the number of unavailable runs of the step is bounded.
     pub(crate) is_bounded: bool,
+    /// Whether the run lasts until its job is cancelled.
+    pub(crate) is_long_running: bool,
     /// Whether the run works only while all tasks of its step are present.
     pub(crate) is_gang: bool,
     /// Whether a stopped run resumes elsewhere from its checkpoint, and no other run ends with it.
@@ -48,6 +50,7 @@
             target: step.target_latency.filter(|_| step.long_running),
             is_best_effort: step.best_effort,
             is_bounded: step.long_running && step.max_unavailable.is_some(),
+            is_long_running: step.long_running,
             is_gang: step.gang,
             is_resumable: step.checkpointing && !step.gang && !step.long_running,
             image: step.image.clone(),
--- a/lib/dispatch/tests/late_starts.rs
+++ b/lib/dispatch/tests/late_starts.rs
@@ -176,7 +176,7 @@
         Ended::Failed, StepSpec { allow_duplicates: true, ..step(1, 4) }, false
     },
     failed_task_that_lasts = {
-        Ended::Failed, StepSpec { long_running: true, ..step(1, 4) }, false
+        Ended::Failed, StepSpec { long_running: true, ..step(1, 4) }, true
     },
 )]
 fn next_run_waits_until_no_order_may_arrive(ended: Ended, spec: StepSpec, waits: bool) {
@@ -242,6 +242,7 @@
 /// incarnation that no call reaches, and it goes on under its lease beside the next run elsewhere.
 #[parameterized(
     ordinary_task = { step(1, 4) },
+    task_that_lasts = { StepSpec { long_running: true, ..step(1, 4) } },
 )]
 fn next_run_waits_for_the_lease_of_a_late_run(spec: StepSpec) {
     let mut harness = started_after_an_unanswered_order(spec);
@@ -323,6 +324,26 @@
     assert!(waited < LATEST_ORDER_MS + 2_000, "late, after {waited} ms");
 }
 
+/// Guards against a task that lasts and has no run for seconds, because two start orders in a row had no
+/// answer: the same run is ordered again.
+#[test]
+fn task_that_lasts_is_ordered_to_its_worker_again() {
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(1, 4)
+    };
+    let mut harness = Harness::new(&[worker(NAME, 8), worker(OTHER, 8)]);
+    harness.submit(1, vec![lasting]);
+    let first = harness.answer_starts(OrderOutcome::Unanswered);
+    harness.answer_starts(OrderOutcome::Unanswered);
+    harness.advance(40);
+    let third = harness.answer_starts(OrderOutcome::Accepted);
+    assert_eq!(third.len(), 1);
+    assert_eq!(third[0].run, 1);
+    assert_eq!(third[0].incarnation, first[0].incarnation);
+    assert!(harness.stops.is_empty(), "{:?}", harness.stops);
+}
+
 /// Guards against the same under a leader that follows the one whose order had no answer: the run is found
 /// on its worker and ends under the new leader.
 #[parameterized(
--- a/lib/dispatch/tests/returning_workers_search.rs
+++ b/lib/dispatch/tests/returning_workers_search.rs
@@ -30,9 +30,9 @@
 
 /// Seeds in which a late order reaches a restarted worker before any poll does and runs a task again,
 /// now or in an earlier release. Whether one shows it depends on all decisions before. 2058: the run goes
-/// on under its lease beside the next one.
+/// on under its lease beside the next one. 2682: the task lasts, and its next run did not wait.
 const SEEDS_OF_LATE_ORDERS: &[u64] = &[
-    28, 33, 86, 115, 129, 134, 145, 167, 190, 224, 371, 465, 918, 2_058,
+    28, 33, 86, 115, 129, 134, 145, 167, 190, 224, 371, 465, 918, 2_058, 2_682,
 ];
 
 /// Seeds that failed when the order of incarnations rested on their start times alone: a done task ran
