entry: form the group although most seeds, or all, have no disk

Cause: each seed with a disk founds the group with all seeds as voters, and a host without a disk holds no replica and never votes.

Change: a bootstrap member forms the group alone once all others have announced that they hold no replica; where no seed has a disk, a host with one does, if all seeds leave it to that host. The leader refuses configurations, jobs and waves until the group has three voters, for 10 s at most.

--- a/lib/agreement/src/event.rs
+++ b/lib/agreement/src/event.rs
@@ -83,6 +83,12 @@
         /// Log position and member list of the snapshot.
         meta: SnapshotMeta,
     },
+    /// The caller knows that no other replica can form the group. A replica that holds nothing becomes its
+    /// only voter; any other ignores the event.
+    FormAlone {
+        /// Host of this replica.
+        host: HostName,
+    },
     /// Leadership should move to the most up-to-date voter. There is no answer; a replica that is
     /// not the leader ignores the event.
     TransferLeadership,
--- a/lib/agreement/src/replica.rs
+++ b/lib/agreement/src/replica.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use tarragon_names::{HostName, LogIndex, MemberId, Millis, Term};
 
 use crate::{
-    Action, Config, Event, MemberStatus, Members, PeerMsg, Recovered, ReplicaRole,
-    ReplicationStatus, SnapshotMeta, campaign::Campaign, core::Core, jitter::Jitter,
+    Action, Config, Event, Member, MemberStatus, Members, PeerMsg, Recovered, ReplicaRole,
+    ReplicationStatus, Role, SnapshotMeta, campaign::Campaign, core::Core, jitter::Jitter,
     leader::Leader, log::Log, vote_state::VoteState,
 };
 
@@ -222,6 +223,7 @@
             Event::VoteSynced { term, voted_for } => self.on_vote_synced(term, voted_for),
             Event::SnapshotSaved { meta } => self.on_snapshot_saved(&meta),
             Event::DiskState { is_full } => self.core.is_disk_full = is_full,
+            Event::FormAlone { host } => self.form_alone(host),
             Event::Propose { token, records } => match &mut self.role_state {
                 RoleState::Leader(leader) => leader.propose(&mut self.core, token, records),
                 _ => self.core.refuse(token, self.leader),
@@ -434,6 +436,26 @@
         }
     }
 
+    /// Makes this replica the only voter of a new group, unless it holds entries or follows a leader.
+    fn form_alone(&mut self, host: HostName) {
+        let holds_nothing = self.core.log.last_index() == LogIndex(0);
+        if !holds_nothing || self.leader.is_some() || self.core.is_disk_full {
+            return;
+        }
+        let role = Role::Voter;
+        let by_id = BTreeMap::from([(self.core.id, Member { host, role })]);
+        let meta = SnapshotMeta {
+            members: Members { by_id },
+            ..SnapshotMeta::default()
+        };
+        self.become_follower(None);
+        self.core.log.reset_to_snapshot(meta.clone(), LogIndex(0));
+        let state = Bytes::new();
+        self.core
+            .actions
+            .push(Action::InstallSnapshot { meta, state });
+    }
+
     /// Returns whether this replica may start an election: its vote for itself has to be saved.
     fn can_campaign(&self) -> bool {
         self.core.is_voter() && !self.core.is_disk_full
--- a/lib/agreement/tests/group/follower.rs
+++ b/lib/agreement/tests/group/follower.rs
@@ -144,3 +144,43 @@
         .step(Millis(10) + election_max, Event::Tick);
     assert_eq!(follower.replica.leader(), None);
 }
+
+/// Host of the replica that forms a group.
+fn form_alone() -> Event {
+    let host = "a".into();
+    Event::FormAlone { host }
+}
+
+/// Guards against a bootstrap member that waits for ever for others without a replica.
+#[test]
+fn replica_that_holds_nothing_forms_the_group_alone() {
+    let mut follower = Follower::new();
+    let id = follower.replica.id();
+    follower.acknowledged(form_alone());
+    let voters = follower.replica.members().voters().collect::<Vec<_>>();
+    assert_eq!(voters, [id]);
+    let election_max = Config::default().election_max;
+    let now = Millis(10) + election_max;
+    follower.replica.step(now, Event::Tick);
+    let (term, voted_for) = (follower.replica.term(), Some(id));
+    follower
+        .replica
+        .step(now, Event::VoteSynced { term, voted_for });
+    assert_eq!(follower.replica.leader(), Some(id));
+}
+
+/// Guards against a second group beside the one whose entries or leader a replica already knows.
+#[test]
+fn replica_of_a_group_does_not_form_another_one() {
+    let mut follower = Follower::new();
+    let before = follower.replica.members().clone();
+    assert_eq!(follower.append(1, vec![]), Some(0));
+    follower.acknowledged(form_alone());
+    assert_eq!(*follower.replica.members(), before);
+    follower.append(1, vec![Payload::Noop]);
+    let election_max = Config::default().election_max;
+    let now = Millis(10) + election_max + election_max;
+    follower.replica.step(now, Event::Tick);
+    follower.replica.step(now, form_alone());
+    assert_eq!(*follower.replica.members(), before);
+}
--- a/lib/discovery/src/host_table.rs
+++ b/lib/discovery/src/host_table.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns whether a host holds a replica; `None` if it has not announced itself to this host.
+    pub fn has_replica(&self, host: &HostName) -> Option<bool> {
+        self.announced.get(host).copied()
+    }
+
     /// Returns the hosts to which `own` announces itself in a round. `is_in_touch` tells whether the
     /// leader answered recently; otherwise another host may have become the leader.
     ///
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -32,6 +32,7 @@
     budgeted_calls::BudgetedCalls,
     deliverer::Deliverer,
     formation::open_store,
+    group_formation::GroupFormation,
     host_directory::{self, HostDirectory},
     inbound::Inbound,
     link_monitor::LinkMonitor,
@@ -76,6 +77,7 @@
     pub(crate) deliverer: Arc<Deliverer>,
     heartbeats: Mutex<HeartbeatCache<WorkerRecord>>,
     clock: Arc<dyn Clock>,
+    pub(crate) formation: GroupFormation,
     is_stopping: AtomicBool,
     stop: CancellationToken,
 }
@@ -142,6 +144,7 @@
             external: parts.external,
             metrics: parts.metrics,
             replica,
+            formation: GroupFormation::default(),
             is_stopping: AtomicBool::new(false),
             stop: stop.clone(),
             cfg,
@@ -275,6 +278,9 @@
                 .request_advice(call.step, call.workers, timeout);
             return Ok(Reply::Advice(answer.await));
         }
+        if let Request::FormGroup { host } = &request {
+            return Ok(self.answer_formation(host));
+        }
         if let Request::Hello(hello) = &request {
             self.directory.add_announced_host(hello);
         }
--- a/lib/entry/src/host_directory.rs
+++ b/lib/entry/src/host_directory.rs
@@ -9,7 +9,7 @@
 use tarragon_discovery::{HostTable, LeaderAnswer};
 use tarragon_names::HostName;
 use tarragon_telemetry::Event;
-use tokio::time::interval;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::{Hello, Reply, Request, entry_host::EntryHost};
@@ -42,6 +42,16 @@
         self.last_contact.lock().map(|at| at.elapsed())
     }
 
+    /// Returns the time since the start of the host.
+    pub(crate) fn age(&self) -> Duration {
+        self.created_at.elapsed()
+    }
+
+    /// Returns whether a host holds a replica; `None` if it has not announced itself to this host.
+    pub(crate) fn has_replica(&self, host: &HostName) -> Option<bool> {
+        self.hosts.lock().has_replica(host)
+    }
+
     /// Records an answer of the leader. Returns whether it is the first one, and the time since the one
     /// before or since the start.
     fn record_welcome(&self, members: BTreeSet<HostName>) -> (bool, Duration) {
@@ -63,10 +73,12 @@
 /// While no leader is known, the host announces itself to some of the other hosts, whose answers
 /// name the leader.
 pub(crate) async fn announce(host: Arc<EntryHost>, stop: CancellationToken) {
-    let mut ticks = interval(host.cfg.timing.hello_interval());
+    let mut pause = Duration::ZERO;
     let mut round = 0;
     let mut was_ready = false;
-    while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+    while stop.run_until_cancelled(sleep(pause)).await.is_some() {
+        stop.run_until_cancelled(host.form_group()).await;
+        pause = host.hello_pause();
         let leader = host.known_leader().map(|(_, leader)| leader);
         let targets = {
             let hosts = host.directory.hosts.lock();
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -195,6 +195,7 @@
             Ok(reservation) => reservation,
             Err(failure) => return self.if_still_leader(Err(failure)),
         };
+        self.check_formed().await?;
         let detail = self.submission_detail(&call, &spec);
         match self.propose(submit_command(&call, job, spec)).await? {
             Answer::NoSuchQueue => return Err(Failure::of(Code::NoEntry)),
@@ -280,6 +281,7 @@
         if version <= self.workflow_state.configuration().version {
             return self.if_still_leader(Ok(Reply::Done));
         }
+        self.check_formed().await?;
         let answer = self.propose(put_command(configuration)).await?;
         let version_in_force = self.workflow_state.configuration().version;
         let event = Event::info("configuration_put");
@@ -370,6 +372,7 @@
             wave.machines.len(),
             wave.max_machines_down
         );
+        self.check_formed().await?;
         self.propose(Command::StartWave { key, wave }).await?;
         self.events.emit(&event.detail(detail));
         Ok(Reply::Done)
@@ -404,6 +407,16 @@
         })
     }
 
+    /// Refuses what would be lost with one disk while the group forms.
+    async fn check_formed(&self) -> Outcome<()> {
+        if self.voter_manager.is_forming().await? {
+            let cause = "the group has too few voters so far";
+            let failure = Failure::new(Code::CatalogueNotFresh, cause);
+            return Err(failure.retry_after(RETRY_AFTER_MS));
+        }
+        Ok(())
+    }
+
     pub(crate) async fn propose(&self, command: Command) -> Outcome<Answer> {
         let at_ms = self.clock.wall_ms();
         self.replica
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod entry_timing;
 mod external_services;
 mod formation;
+mod group_formation;
 mod heartbeat_tracker;
 mod host_directory;
 mod inbound;
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -95,6 +95,11 @@
         /// Its teams.
         teams: Arc<TeamTable>,
     },
+    /// A host asks a seed without a replica whether it may form the group alone.
+    FormGroup {
+        /// Host that asks.
+        host: HostName,
+    },
 }
 
 impl Request {
@@ -158,6 +163,7 @@
             Self::ReadStatus { .. }
             | Self::ReadConfiguration
             | Self::CheckWave(_)
+            | Self::FormGroup { .. }
             | Self::Advise(_) => false,
             Self::WithKey { request, .. } => request.changes_state(),
         }
@@ -178,6 +184,7 @@
             Self::CheckWave(_) => "look_at_wave",
             Self::Hello(_) => "hello",
             Self::Advise(_) => "advise",
+            Self::FormGroup { .. } => "form_group",
         }
     }
 }
--- a/lib/entry/src/voter_manager.rs
+++ b/lib/entry/src/voter_manager.rs
@@ -1,4 +1,8 @@
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use parking_lot::Mutex;
 use tarragon_codes::Outcome;
@@ -17,6 +21,12 @@
 /// Timeout of a read of the member list and of a change to it.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Smallest number of voters that tolerates the loss of one.
+const MIN_SAFE_VOTERS: usize = 3;
+
+/// Time for which a group with fewer voters waits for others before it commits what callers send.
+const MAX_FORMING_TIME: Duration = Duration::from_secs(10);
+
 /// Registers hosts, and replaces and adds voters while this host leads.
 #[derive(Debug)]
 pub(crate) struct VoterManager {
@@ -31,6 +41,8 @@
     domains: Mutex<BTreeMap<HostName, DomainName>>,
     /// Voters at the last check; empty before the first one.
     voters: Mutex<Vec<MemberId>>,
+    /// Time at which this leader first found too few voters to tolerate a loss.
+    forming_since: Mutex<Option<Instant>>,
 }
 
 impl VoterManager {
@@ -48,6 +60,7 @@
             announced_ids: Mutex::default(),
             domains: Mutex::default(),
             voters: Mutex::default(),
+            forming_since: Mutex::default(),
         }
     }
 
@@ -79,6 +92,20 @@
         self.voters.lock().clone()
     }
 
+    /// Returns whether the group tolerates no loss yet and others may join it soon, because one host has
+    /// formed it alone. What is committed now would be lost with a disk.
+    pub(crate) async fn is_forming(&self) -> Outcome<bool> {
+        if self.target_voters < MIN_SAFE_VOTERS || self.voters.lock().len() >= MIN_SAFE_VOTERS {
+            return Ok(false);
+        }
+        let members = self.replica.status(REPLICA_TIMEOUT).await?.members;
+        if members.voters().count() >= MIN_SAFE_VOTERS {
+            return Ok(false);
+        }
+        let mut since = self.forming_since.lock();
+        Ok(since.get_or_insert_with(Instant::now).elapsed() < MAX_FORMING_TIME)
+    }
+
     /// Checks the voters once per interval until `stop` is cancelled; skips the check while
     /// `is_leader` returns false.
     pub(crate) async fn run<F>(self: Arc<Self>, is_leader: F, stop: CancellationToken)
--- a/lib/entry/tests/formation.rs
+++ b/lib/entry/tests/formation.rs
@@ -2,16 +2,20 @@
 
 mod common;
 
-use std::fs;
+use std::{fs, time::Duration};
 
 use common::{Cell, wait_until};
 use tarragon_codes::Code;
-use tarragon_entry::open_store;
+use tarragon_entry::{Reply, Request, open_store};
 use tarragon_names::MemberId;
 use tarragon_storage::LocalDisk;
 use tarragon_telemetry::NullSink;
+use tokio::time::sleep;
 use yare::parameterized;
 
+/// Number of attempts to put the first configuration; far more than needed on an idle machine.
+const MAX_ATTEMPTS: usize = 200;
+
 /// Guards against bootstrap members that elect no leader, and against hosts that do not find it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn all_hosts_find_the_leader_of_a_new_cell() {
@@ -45,6 +49,39 @@
     cell.stop();
 }
 
+/// Guards against a cell that never elects a leader because most of the seeds, or all, have no disk, and
+/// against one that accepts a configuration which the loss of its first voter takes away.
+#[parameterized(
+    one_seed_with_disk = { 140, &[1, 5, 6] },
+    no_seed_with_disk = { 150, &[5, 6, 7] },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn cell_forms_although_seeds_have_no_disk(cell_number: u8, seeds: &[u8]) {
+    let mut cell = Cell::new(cell_number);
+    for host in 1..=7 {
+        cell.start(host, host <= 4, true, seeds).await;
+    }
+    // The operator sends the configuration until it is accepted.
+    let configuration = Cell::configuration(1, "{}");
+    let mut attempts = 0;
+    while cell.try_call(7, configuration.clone()).await != Some(Reply::Done) {
+        attempts += 1;
+        assert!(attempts < MAX_ATTEMPTS, "no configuration was accepted");
+        sleep(Duration::from_millis(50)).await;
+    }
+    wait_until("all hosts find the leader", || cell.all_ready()).await;
+    let leader = cell.leader().expect("a leader");
+    cell.stop_host(leader);
+    cell.wipe(leader);
+    wait_until("another host leads", || {
+        cell.leader().is_some() && cell.all_ready()
+    })
+    .await;
+    let configuration = cell.call(6, Request::ReadConfiguration).await;
+    assert_eq!(configuration, Reply::Configuration("{}".into()));
+    cell.stop();
+}
+
 /// Guards against a host that does not become a voter again after the loss of its disk: it has to
 /// join with a new identity and replace its old one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/lib/replica/src/handle.rs
+++ b/lib/replica/src/handle.rs
@@ -125,6 +125,11 @@
         wait_for(rx, call_timeout).await
     }
 
+    /// Tells the replica that no other one can form the group; `host` is its own host.
+    pub fn form_alone(&self, host: HostName) -> Outcome<()> {
+        self.send(Input::Event(Event::FormAlone { host }))
+    }
+
     /// Asks the replica to transfer leadership to another voter, if it is the leader.
     pub fn transfer_leadership(&self) {
         let _send_result = self.tx.try_send(Input::Event(Event::TransferLeadership));
