dispatch: count unstarted jobs from all placed ones, not from their states

Cause: the count was the union of the states in which a job may wait; tasks that wait for late orders were added later and are in none of them.

Change: all jobs of which a task was placed, less those that show that they have begun. A host that does not lead counts nothing, as before.

Evidence: job_that_waits_for_a_late_order_counts_as_unstarted failed before (0 in place of 1).

--- a/lib/dispatch/src/dispatcher.rs
+++ b/lib/dispatch/src/dispatcher.rs
@@ -264,31 +264,27 @@
     /// Counts the jobs of which tasks were placed but none was certainly started, by queue.
     ///
     /// The log knows only that the tasks were placed. Their workers may not have answered, or may not
-    /// have been reached.
+    /// have been reached. The count rests on what shows that a job has begun and on no state in which its
+    /// tasks may wait, so that none is left out.
     pub fn unstarted_jobs(&self) -> BTreeMap<Name, u64> {
-        let mut started = BTreeSet::new();
-        let mut unstarted = BTreeSet::new();
+        let mut counts = BTreeMap::new();
+        if self.term.is_none() {
+            return counts;
+        }
+        let mut begun = BTreeSet::new();
         for (_, state) in self.workers.iter() {
             for (task, view) in &state.runs {
                 if view.is_listed || matches!(view.start, StartState::Present { .. }) {
-                    started.insert(task.step.job);
-                } else if !view.is_ended {
-                    unstarted.insert(task.step.job);
+                    begun.insert(task.step.job);
                 }
             }
         }
-        let waiting = self.plans.values().filter(|plan| !plan.waiting.is_empty());
-        unstarted.extend(waiting.map(|plan| plan.key.job));
-        let mut counts = BTreeMap::new();
-        for job in unstarted.difference(&started) {
-            let queue = self.workflow_state.with_job(*job, |job| {
-                let is_unstarted = job.phase == JobPhase::Running && !job.has_started();
-                is_unstarted.then(|| job.queue.clone())
-            });
-            if let Some(queue) = queue.flatten() {
-                *counts.entry(queue).or_default() += 1;
+        self.workflow_state.for_each_job(|job| {
+            let is_placed = job.phase == JobPhase::Running;
+            if is_placed && !begun.contains(&job.key) && !job.has_started() {
+                *counts.entry(job.queue.clone()).or_default() += 1;
             }
-        }
+        });
         counts
     }
 
--- a/lib/dispatch/tests/runs.rs
+++ b/lib/dispatch/tests/runs.rs
@@ -486,6 +486,27 @@
     assert_eq!(counts.values().sum::<u64>(), expected, "{counts:?}");
 }
 
+/// Guards against a job that is not counted as waiting although its only task waits until no late order
+/// for its first run can be carried out any more.
+#[test]
+fn job_that_waits_for_a_late_order_counts_as_unstarted() {
+    let mut harness = Harness::new(&[worker("w1", 8)]);
+    harness.submit(1, vec![step(1, 4)]);
+    for _ in 0..2 {
+        harness.answer_starts(OrderOutcome::Unanswered);
+        harness.advance(20);
+    }
+    harness.answer_stops(OrderOutcome::Accepted);
+    harness.advance(1_300);
+    // The first of these polls was sent before the stop was accepted.
+    harness.answer_poll("w1", &[], &[]);
+    harness.answer_poll("w1", &[], &[]);
+    harness.advance(100);
+    assert_eq!((harness.lost_runs(), harness.starts.len()), (1, 0));
+    let counts = harness.dispatcher.unstarted_jobs();
+    assert_eq!(counts.values().sum::<u64>(), 1, "{counts:?}");
+}
+
 /// Guards against more work on a worker than it holds while a run goes on there that the leader does
 /// not expect, for example one whose start order was carried out late.
 #[parameterized(
