dispatch: claim no worker for a gang that tasks that last keep too full

Cause: a claim counts with a worker as if it were empty, also where tasks that last are at work, which never leave room.

Change: it counts with the capacity beside them.

Evidence: gang_claims_no_worker_that_tasks_that_last_keep_too_full failed before (the small job was not started).

--- a/lib/dispatch/src/dispatcher_place.rs
+++ b/lib/dispatch/src/dispatcher_place.rs
@@ -275,15 +275,16 @@
             let Some(state) = self.workers.get(&candidate.worker) else {
                 continue;
             };
-            let empty_worker = Candidate {
-                free: state.record.capacity,
+            // Tasks that last never leave room to the gang.
+            let emptied = Candidate {
+                free: state.capacity_beside_lasting(),
                 ..candidate
             };
-            let fits = empty_worker.fits(&need);
+            let fits = emptied.fits(&need);
             if fits == 0 {
                 continue;
             }
-            claimed.push(empty_worker.worker);
+            claimed.push(emptied.worker);
             left = left.saturating_sub(fits);
             if left == 0 {
                 claims.extend(claimed);
--- a/lib/dispatch/src/worker_state.rs
+++ b/lib/dispatch/src/worker_state.rs
@@ -13,7 +13,7 @@
     held_ends::HeldEnds,
     listed_end::ListedEnd,
     run_spec::RunSpec,
-    run_view::RunView,
+    run_view::{RunView, StopState},
     unexpected_runs::UnexpectedRuns,
     unusable::Unusable,
     worker_speed::WorkerSpeed,
@@ -338,6 +338,16 @@
         free.saturating_sub(&self.unexpected.total)
     }
 
+    /// Capacity that is free once all runs have ended that end by themselves.
+    pub(crate) fn capacity_beside_lasting(&self) -> Resources {
+        let lasting = self.runs.values().filter(|view| {
+            let is_kept = view.stop == StopState::NotRequested && !view.is_ended;
+            is_kept && view.spec.is_long_running
+        });
+        let lasting = lasting.map(|view| view.spec.need).sum::<Resources>();
+        self.record.capacity.saturating_sub(&lasting)
+    }
+
     /// Processor time that no run uses: the part that is reserved for steps, and the rest.
     pub(crate) fn idle_cpu(&self) -> (u64, u64) {
         let idle = self.unoccupied().cpu_milli;
--- a/lib/dispatch/tests/gangs.rs
+++ b/lib/dispatch/tests/gangs.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Harness, step, task, worker};
+use common::{Harness, LOW_QUEUE, step, task, worker};
 use tarragon_dispatch::{FinishedOrder, Input, OrderOutcome, StartOrder};
 use tarragon_names::Name;
 use tarragon_workflow::{Command, RunEnd, RunEvent, StepSpec};
@@ -120,3 +120,35 @@
     let stopped = harness.stops.iter().filter(|order| order.run == 2);
     assert!(stopped.count() >= second.len());
 }
+
+/// Number of workers of which a gang may claim one.
+const CLAIMABLE_WORKERS: u32 = 9;
+
+/// Guards against a gang that fits only where tasks that last are at work, and that keeps all workers free
+/// for ever: less urgent jobs would start no more.
+#[test]
+fn gang_claims_no_worker_that_tasks_that_last_keep_too_full() {
+    let workers = (1..=CLAIMABLE_WORKERS).map(|number| worker(&format!("w{number}"), 8));
+    let mut harness = Harness::new(&workers.collect::<Vec<_>>());
+    let one_each = |spec| StepSpec {
+        max_per_worker: Some(1),
+        ..spec
+    };
+    let lasting = one_each(StepSpec {
+        long_running: true,
+        ..step(CLAIMABLE_WORKERS, 1)
+    });
+    harness.submit(1, vec![lasting]);
+    let placed = harness.answer_starts(OrderOutcome::Accepted);
+    assert_eq!(placed.len(), CLAIMABLE_WORKERS as usize);
+    let gang = one_each(StepSpec {
+        gang: true,
+        ..step(CLAIMABLE_WORKERS, 8)
+    });
+    harness.submit(2, vec![gang]);
+    harness.advance(200);
+    harness.submit_to(LOW_QUEUE, 3, vec![step(1, 2)]);
+    harness.advance(200);
+    let jobs = harness.starts.iter().map(|order| order.task.step.job.0);
+    assert_eq!(jobs.collect::<Vec<_>>(), [3]);
+}
