dispatch: inherit a possible start once for each run

A run that was already declared lost was recorded again in each check until its record was applied. Found on reading the change again; no caller saw it.

--- a/lib/dispatch/src/dispatcher_late_starts.rs
+++ b/lib/dispatch/src/dispatcher_late_starts.rs
@@ -70,7 +70,8 @@
         let state = self.workers.get(worker);
         let view = state.and_then(|state| state.runs.get(&task));
         let is_possible = view.is_some_and(|view| {
-            view.start == StartState::Inherited && view.may_be_on_unnoticed_incarnation()
+            let is_inherited = view.start == StartState::Inherited && !view.is_ended;
+            is_inherited && view.may_be_on_unnoticed_incarnation()
         });
         if is_possible {
             let target = self.order_target(worker);
