entry: let the test of a cell without seeds on disks repeat its requests

The test read the configuration once, right after the host that had formed the group was lost, and took a refusal with a time to come back (5101) for a fault: readiness lags behind the loss of a leader. It repeats the request now, as the operator does, and still checks what is read.

--- a/lib/entry/tests/formation.rs
+++ b/lib/entry/tests/formation.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 use yare::parameterized;
 
-/// Number of attempts to put the first configuration; far more than needed on an idle machine.
+/// Number of attempts of the operator; far more than needed on an idle machine.
 const MAX_ATTEMPTS: usize = 200;
 
 /// Guards against bootstrap members that elect no leader, and against hosts that do not find it.
@@ -49,6 +49,17 @@
     cell.stop();
 }
 
+/// Sends a request of the operator, who repeats it while it is refused with a time to come back.
+async fn call_until_answered(cell: &Cell, host: u8, request: &Request) -> Reply {
+    for _ in 0..MAX_ATTEMPTS {
+        if let Some(reply) = cell.try_call(host, request.clone()).await {
+            return reply;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("no answer to {request:?}");
+}
+
 /// Guards against a cell that never elects a leader because most of the seeds, or all, have no disk, and
 /// against one that accepts a configuration which the loss of its first voter takes away.
 #[parameterized(
@@ -61,23 +72,14 @@
     for host in 1..=7 {
         cell.start(host, host <= 4, true, seeds).await;
     }
-    // The operator sends the configuration until it is accepted.
     let configuration = Cell::configuration(1, "{}");
-    let mut attempts = 0;
-    while cell.try_call(7, configuration.clone()).await != Some(Reply::Done) {
-        attempts += 1;
-        assert!(attempts < MAX_ATTEMPTS, "no configuration was accepted");
-        sleep(Duration::from_millis(50)).await;
-    }
+    let accepted = call_until_answered(&cell, 7, &configuration).await;
+    assert_eq!(accepted, Reply::Done);
     wait_until("all hosts find the leader", || cell.all_ready()).await;
     let leader = cell.leader().expect("a leader");
     cell.stop_host(leader);
     cell.wipe(leader);
-    wait_until("another host leads", || {
-        cell.leader().is_some() && cell.all_ready()
-    })
-    .await;
-    let configuration = cell.call(6, Request::ReadConfiguration).await;
+    let configuration = call_until_answered(&cell, 6, &Request::ReadConfiguration).await;
     assert_eq!(configuration, Reply::Configuration("{}".into()));
     cell.stop();
 }
