entry: count orders without an answer by delivering host and cause

The log names no delivering host for an order without an answer, so hosts that are too slow could not be told from workers that do not answer.

The leader counts each such order by the host that delivers it and by cause (worker_timeout, host_timeout, link_down), and logs the hosts with such orders every 5 s beside the mean and longest time of their answered orders: those of a host that is too slow take long as well, those of a host with a silent worker do not. Each host has a histogram of the time that orders wait in its own queue.

--- a/lib/entry/src/budgeted_calls.rs
+++ b/lib/entry/src/budgeted_calls.rs
@@ -168,7 +168,11 @@
         R: Send,
     {
         let begun = Instant::now();
-        let Some(_open) = self.open(worker, urgency, max_time).await else {
+        let opened = self.open(worker, urgency, max_time).await;
+        let waits = &self.metrics.order_wait;
+        let wait = waits.with_label_values(&[urgency.label()]);
+        wait.observe(begun.elapsed().as_secs_f64());
+        let Some(_open) = opened else {
             return not_sent;
         };
         let left = max_time.saturating_sub(begun.elapsed());
--- a/lib/entry/src/delivery.rs
+++ b/lib/entry/src/delivery.rs
@@ -3,8 +3,8 @@
     sync::Arc,
 };
 
-use tarragon_delivery::{DeliveryLimits, DeliveryRoutes};
-use tarragon_dispatch::Input;
+use tarragon_delivery::{DeliveryCounters, DeliveryLimits, DeliveryRoutes};
+use tarragon_dispatch::{Input, OrderOutcome};
 use tarragon_names::{HostName, Millis};
 use tarragon_telemetry::{Event, EventSink};
 use tarragon_wire::peer::PeerEvent;
@@ -30,10 +30,26 @@
 /// Interval between two assignments of the workers while no host comes or goes.
 const ASSIGN_INTERVAL: Millis = Millis(1_000);
 
+/// Interval between two reports of the hosts whose orders were not all answered.
+const REPORT_INTERVAL: Millis = Millis(5_000);
+
+/// Cause of an order without an answer, by which the metrics tell them apart.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+enum UnansweredCause {
+    /// The delivering host reports that the worker did not answer in time.
+    WorkerTimeout,
+    /// The delivering host reported nothing in time.
+    HostTimeout,
+    /// The link to the delivering host is down.
+    LinkDown,
+}
+
 /// An order that a host was asked to deliver.
 #[derive(Debug)]
 struct PendingOrder {
     host: HostName,
+    sent_at: Millis,
     deadline: Millis,
     key: OrderKey,
 }
@@ -52,9 +68,11 @@
     last_results: BTreeMap<HostName, Millis>,
     /// Orders of the current step, by delivering host.
     batches: BTreeMap<HostName, Vec<(u64, WorkerOrder)>>,
+    counters: DeliveryCounters,
     last_id: u64,
     next_check_at: Millis,
     next_assign_at: Millis,
+    next_report_at: Millis,
 }
 
 impl Delivery {
@@ -78,9 +96,11 @@
             deadlines: BTreeSet::new(),
             last_results: BTreeMap::new(),
             batches: BTreeMap::new(),
+            counters: DeliveryCounters::default(),
             last_id: first_id,
             next_check_at: Millis(0),
             next_assign_at: Millis(0),
+            next_report_at: Millis(0),
         }
     }
 
@@ -99,6 +119,7 @@
                 self.deadlines.clear();
                 self.last_results.clear();
                 self.batches.clear();
+                self.counters.take_report();
             }
             _ => {}
         }
@@ -119,6 +140,7 @@
         let deadline = now + order.timeout() + DELIVERY_SLACK;
         let pending = PendingOrder {
             host: host.clone(),
+            sent_at: now,
             deadline,
             key: OrderKey::of(&order),
         };
@@ -156,12 +178,46 @@
             if self.pending.get(&id).is_none_or(|o| o.host != *host) {
                 continue;
             }
-            inputs.extend(self.remove(id).and_then(|key| key.input(result)));
             self.last_results.insert(host.clone(), now);
+            if let Some(order) = self.remove(id) {
+                self.count(&order, &result, now);
+                inputs.extend(order.key.input(result));
+            }
         }
         inputs
     }
 
+    /// Counts the result of an order to change a run.
+    fn count(&mut self, order: &PendingOrder, result: &OrderResult, now: Millis) {
+        match result {
+            OrderResult::Order(outcome) if outcome.is_answer() => {
+                let time = now.since(order.sent_at);
+                self.counters.record_answered(&order.host, time);
+            }
+            OrderResult::Order(OrderOutcome::Unanswered) => {
+                self.count_unanswered(&order.host, UnansweredCause::WorkerTimeout);
+            }
+            OrderResult::Order(_) | OrderResult::Poll(_) => {}
+        }
+    }
+
+    fn count_unanswered(&mut self, host: &HostName, cause: UnansweredCause) {
+        self.counters.record_unanswered(host);
+        let labels = [host.as_str(), &cause.to_string()];
+        let counter = self.metrics.unanswered_orders.with_label_values(&labels);
+        counter.inc();
+    }
+
+    /// Writes the hosts to the log that did not get an answer to each order since the last report.
+    fn report(&mut self) {
+        for (host, counts) in self.counters.take_report() {
+            if counts.unanswered > 0 {
+                let event = Event::info("orders_unanswered").peer(host);
+                self.events.emit(&event.detail(counts.to_string()));
+            }
+        }
+    }
+
     /// Assigns workers to hosts if hosts have changed, and returns the results of the orders whose
     /// delivery failed.
     pub(crate) fn check(&mut self, now: Millis) -> Vec<Input> {
@@ -176,6 +232,10 @@
             self.assign(now);
         }
         self.metrics.pending_orders.set(self.pending.len() as i64);
+        if now >= self.next_report_at {
+            self.next_report_at = now + REPORT_INTERVAL;
+            self.report();
+        }
         failed
     }
 
@@ -198,7 +258,10 @@
             self.host_failed(&host, "its link is down", now);
             let orders = self.pending.iter().filter(|(_, o)| o.host == host);
             let ids = orders.map(|(id, _)| *id).collect::<Vec<_>>();
-            inputs.extend(ids.into_iter().filter_map(|id| self.fail(id)));
+            inputs.extend(
+                ids.into_iter()
+                    .filter_map(|id| self.fail(id, UnansweredCause::LinkDown)),
+            );
             self.last_results.remove(&host);
         }
         inputs
@@ -216,7 +279,7 @@
                     self.host_failed(&host, "it reports no results", now);
                 }
             }
-            inputs.extend(self.fail(id));
+            inputs.extend(self.fail(id, UnansweredCause::HostTimeout));
             self.deadlines.remove(&(deadline, id));
         }
         inputs
@@ -232,16 +295,19 @@
     }
 
     /// Ends a pending order whose result is not known.
-    fn fail(&mut self, id: u64) -> Option<Input> {
-        let key = self.remove(id)?;
+    fn fail(&mut self, id: u64, cause: UnansweredCause) -> Option<Input> {
+        let PendingOrder { host, key, .. } = self.remove(id)?;
         let result = key.undelivered();
         self.metrics.count_result(key.label(), &result);
+        if matches!(result, OrderResult::Order(_)) {
+            self.count_unanswered(&host, cause);
+        }
         key.input(result)
     }
 
-    fn remove(&mut self, id: u64) -> Option<OrderKey> {
+    fn remove(&mut self, id: u64) -> Option<PendingOrder> {
         let order = self.pending.remove(&id)?;
         self.deadlines.remove(&(order.deadline, id));
-        Some(order.key)
+        Some(order)
     }
 }
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -29,6 +29,10 @@
     pub external_calls: IntCounterVec,
     /// Seconds that an order to a worker or a call to the advice service took, by kind.
     pub external_call_time: HistogramVec,
+    /// Orders to workers without an answer, by the host that delivers them and by cause.
+    pub unanswered_orders: IntCounterVec,
+    /// Seconds that an order to a worker waited on this host for the end of other calls, by kind.
+    pub order_wait: HistogramVec,
     /// Ends of runs in the answers to polls, by kind of end. A worker repeats an end until the end
     /// is committed, and each repetition counts.
     pub run_ends: IntCounterVec,
@@ -128,6 +132,23 @@
                 &registry,
                 histogram_by_kind("tarragon_entry_outside_seconds", "Time of a call outside"),
             )?,
+            unanswered_orders: register(
+                &registry,
+                IntCounterVec::new(
+                    Opts::new(
+                        "tarragon_entry_unanswered_orders_total",
+                        "Orders to workers without an answer",
+                    ),
+                    &["host", "cause"],
+                ),
+            )?,
+            order_wait: register(
+                &registry,
+                histogram_by_kind(
+                    "tarragon_entry_order_wait_seconds",
+                    "Time that an order waited for other calls",
+                ),
+            )?,
             run_ends: register(
                 &registry,
                 IntCounterVec::new(
--- a/lib/entry/src/worker_order.rs
+++ b/lib/entry/src/worker_order.rs
@@ -107,12 +107,7 @@
 
     /// Label of the order in metrics.
     pub(crate) fn label(&self) -> &'static str {
-        match self.urgency {
-            Urgency::Poll => "hold",
-            Urgency::Stop => "stop",
-            Urgency::Start => "start",
-            Urgency::Throttle => "pace",
-        }
+        self.urgency.label()
     }
 
     /// Result of an order whose delivery failed. An order to change a run may have reached the
