delivery: divide the workers among hosts by what they can carry

Cause: above 100 workers the leader handed each worker to one small host of its failure domain, one host for 24 workers, and hashing gave some more. The choice was made by the kind of host, for 150 hosts and 1,100 workers, and nobody measured what a host carries. On hosts with 0.09 of a core and 1.5 Mbit/s the answers took 155 to 325 ms on average and up to 1.1 s, where a first order waits 200 ms.

Change: each host announces processor and link, which its settings name. All hosts of a failure domain but the leader share its workers in proportion, none gets more than a tenth above its share, and a host whose answers take long is counted with less until they do not.

--- a/cli/src/bench/dispatch_simulation.rs
+++ b/cli/src/bench/dispatch_simulation.rs
@@ -13,7 +13,7 @@
     Output, PollAnswer, PollCall, PollOutcome, RunStatus, StartOrder,
 };
 use tarragon_names::{
-    DomainName, HostName, Millis, Name, PoolName, RackName, Resources, WorkerName,
+    DomainName, HostCapacity, HostName, Millis, Name, PoolName, RackName, Resources, WorkerName,
 };
 use tarragon_workflow::{
     AdviceTerms, Command, Configuration, JobKey, JobPhase, JobSpec, Queue, RunEnd, StepSpec,
@@ -515,6 +515,10 @@
         host: HostName::from(format!("10.0.0.{index}:1")),
         domain: DomainName::from("d"),
         is_large: index < 5,
+        capacity: HostCapacity {
+            processor_milli: 1_000,
+            link_kbps: 1_000_000,
+        },
     }
 }
 
--- a/lib/delivery/src/delivery_limits.rs
+++ b/lib/delivery/src/delivery_limits.rs
@@ -5,8 +5,6 @@
 pub struct DeliveryLimits {
     /// Number of workers up to which the leader calls all workers itself.
     pub direct_workers: usize,
-    /// Number of workers that one host delivers to, if there are enough hosts.
-    pub workers_per_host: usize,
     /// Time since a host was last seen after which it delivers nothing.
     pub silence_limit: Millis,
     /// Time for which a host delivers nothing after a failed delivery.
@@ -17,7 +15,6 @@
     fn default() -> Self {
         Self {
             direct_workers: 100,
-            workers_per_host: 24,
             silence_limit: Millis(3_000),
             failed_host_pause: Millis(2_000),
         }
--- a/lib/delivery/src/lib.rs
+++ b/lib/delivery/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod budget_limits;
 mod delivery_counters;
+mod delivery_host;
 mod delivery_limits;
 mod delivery_routes;
 mod heartbeat_cache;
+mod host_speed;
 mod order_budget;
 mod urgency;
 
@@ -18,5 +20,6 @@
 pub use delivery_limits::DeliveryLimits;
 pub use delivery_routes::DeliveryRoutes;
 pub use heartbeat_cache::HeartbeatCache;
+pub use host_speed::HostSpeed;
 pub use order_budget::{Admission, OrderBudget};
 pub use urgency::Urgency;
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -1,5 +1,5 @@
 use serde::{Deserialize, Serialize};
-use tarragon_names::{DomainName, HostName, Millis, Name, WorkerName};
+use tarragon_names::{DomainName, HostCapacity, HostName, Millis, Name, WorkerName};
 use tarragon_workflow::{Answer, Command, TaskKey, WorkerIncarnation, WorkerRecord};
 
 use crate::{FencingToken, FinishedOrder, PollOutcome};
@@ -51,6 +51,8 @@
         domain: DomainName,
         /// Whether it is one of the larger hosts, which hold a replica.
         is_large: bool,
+        /// What the host may use of its machine.
+        capacity: HostCapacity,
     },
     /// A host is stopping and relays no more requests.
     HostStops(HostName),
--- a/lib/dispatch/tests/advice.rs
+++ b/lib/dispatch/tests/advice.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{Harness, step, worker};
+use common::{HOST_CAPACITY, Harness, step, worker};
 use tarragon_dispatch::Input;
 use tarragon_names::{DomainName, HostName, Millis};
 use tarragon_workflow::{AdviceTerms, StepSpec};
@@ -38,6 +38,7 @@
             host: HostName::from(format!("10.0.1.{host}:1")),
             domain: DomainName::from("zilina"),
             is_large: false,
+            capacity: HOST_CAPACITY,
         });
     }
     harness
--- a/lib/entry/src/delivery.rs
+++ b/lib/entry/src/delivery.rs
@@ -87,7 +87,7 @@
         first_id: u64,
     ) -> Self {
         Self {
-            routes: DeliveryRoutes::new(limits),
+            routes: DeliveryRoutes::new(limits, mesh.links.own_host().clone()),
             mesh,
             workflow_state,
             events,
@@ -110,8 +110,9 @@
             Input::HostSeen {
                 host,
                 domain,
-                is_large,
-            } => self.routes.host_seen(host, domain, *is_large, now),
+                capacity,
+                ..
+            } => self.routes.host_seen(host, domain, *capacity, now),
             Input::HostStops(host) => self.routes.host_stopped(host),
             Input::LostLeadership => {
                 self.routes.clear();
@@ -193,6 +194,7 @@
             OrderResult::Order(outcome) if outcome.is_answer() => {
                 let time = now.since(order.sent_at);
                 self.counters.record_answered(&order.host, time);
+                self.routes.order_answered(&order.host, time);
             }
             OrderResult::Order(OrderOutcome::Unanswered) => {
                 self.count_unanswered(&order.host, UnansweredCause::WorkerTimeout);
@@ -228,7 +230,10 @@
         let mut failed = self.fail_unreachable_hosts(now);
         failed.extend(self.fail_overdue_orders(now));
         if self.routes.is_changed() || now >= self.next_assign_at {
-            self.next_assign_at = now + ASSIGN_INTERVAL;
+            if now >= self.next_assign_at {
+                self.next_assign_at = now + ASSIGN_INTERVAL;
+                self.routes.end_period();
+            }
             self.assign(now);
         }
         self.metrics.pending_orders.set(self.pending.len() as i64);
--- a/lib/entry/src/entry_config.rs
+++ b/lib/entry/src/entry_config.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, path::PathBuf};
 
-use tarragon_names::{DomainName, HostName, Name};
+use tarragon_names::{DomainName, HostCapacity, HostName, Name};
 use tarragon_replica::StateLimits;
 
 use crate::EntryTiming;
@@ -27,6 +27,8 @@
     pub tolerated_failures: usize,
     /// Number of files and connections that the process may have open.
     pub max_descriptors: usize,
+    /// What the process may use of its machine.
+    pub capacity: HostCapacity,
     /// Limits of the replicated state, derived from the disk and the memory of the host.
     pub state_limits: StateLimits,
     /// Whether images that slow each other down on one worker are detected and kept apart.
--- a/lib/entry/src/entry_host.rs
+++ b/lib/entry/src/entry_host.rs
@@ -319,6 +319,7 @@
             host: self.cfg.host.clone(),
             domain: self.cfg.domain.clone(),
             member: self.member(),
+            capacity: self.cfg.capacity,
             is_stopping: self.is_stopping.load(Ordering::Acquire),
         }
     }
--- a/lib/entry/src/leader_service.rs
+++ b/lib/entry/src/leader_service.rs
@@ -395,6 +395,7 @@
                 host,
                 domain: hello.domain.clone(),
                 is_large: hello.member.is_some(),
+                capacity: hello.capacity,
             }
         });
         let members = self.voter_manager.register_host(hello).await?;
--- a/lib/entry/src/request.rs
+++ b/lib/entry/src/request.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use tarragon_dispatch::AdviceRequest;
-use tarragon_names::{DomainName, HostName, MemberId, Millis, Name};
+use tarragon_names::{DomainName, HostCapacity, HostName, MemberId, Millis, Name};
 use tarragon_workflow::{
     Configuration, JobSpec, KeyDigest, TeamTable, Wave, WaveKey, WorkerRecord,
 };
@@ -16,6 +16,8 @@
     pub domain: DomainName,
     /// Identity of the host's replica; `None` on a host without a disk.
     pub member: Option<MemberId>,
+    /// What the host may use of its machine.
+    pub capacity: HostCapacity,
     /// Whether the host is stopping; it then relays no more requests for advice.
     pub is_stopping: bool,
 }
--- a/lib/entry/tests/common/mod.rs
+++ b/lib/entry/tests/common/mod.rs
@@ -31,7 +31,9 @@
     AdviceCalls, Bounds, EntryConfig, EntryHost, EntryMetrics, EntryParts, EntryTiming,
     ExternalServices, Reply, Request, WorkerReport,
 };
-use tarragon_names::{DomainName, HostName, Millis, Name, PoolName, Resources, WorkerName};
+use tarragon_names::{
+    DomainName, HostCapacity, HostName, Millis, Name, PoolName, Resources, WorkerName,
+};
 use tarragon_replica::StateLimits;
 use tarragon_storage::{Disk, DiskUsage, LocalDisk};
 use tarragon_telemetry::Metrics;
@@ -278,6 +280,10 @@
             is_first_start,
             tolerated_failures: 1,
             max_descriptors: 1_024,
+            capacity: HostCapacity {
+                processor_milli: 1_000,
+                link_kbps: 1_000_000,
+            },
             state_limits: self.state_limits(),
             avoids_interference: false,
             timing: EntryTiming {
--- a/lib/names/src/lib.rs
+++ b/lib/names/src/lib.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod class;
 mod fence;
+mod host_capacity;
 mod id;
 mod job_id;
 mod millis;
@@ -18,6 +19,7 @@
 pub use attempt::Attempt;
 pub use class::Class;
 pub use fence::Fence;
+pub use host_capacity::HostCapacity;
 pub use id::{LogIndex, MemberId, Revision, Term};
 pub use job_id::JobId;
 pub use millis::{LEASE_MARGIN, MAX_CLOCK_DRIFT_PERCENT, Millis};
