entry: use late answers, and repeat orders within a budget elsewhere

Callers saw checks finish seconds late: an order without an answer in time was sent again to the host that was too slow already, then its run and its gang were stopped, and the next run of a task without a ticket waited 12.5 s.

Cause: a call was given up at its timeout. Its answer was lost and its connection closed, so the repeat cost the same host a new connection.

Change: a call stays open for 600 ms after the order has counted as unanswered. A late answer keeps the run (StartOrderSettled), and an order that was answered or certainly not sent no longer delays acknowledgements and next runs. An order accepted for a run that was stopped meanwhile proves nothing and settles nothing. Repeated start orders go through another host of the failure domain, at most one for ten answered ones of that host and 20 saved up; without budget they count as not sent and are tried again later. An order waits at most half of its timeout for other calls and is then not sent, which is known.

Evidence: late_answers. With the handler of late answers taken out, three of its five cases fail: the run is ordered again, its end is not acknowledged, and a next run waits. repeat_budget bounds the repeats.

--- a/lib/delivery/src/lib.rs
+++ b/lib/delivery/src/lib.rs
@@ -13,6 +13,7 @@
 mod heartbeat_cache;
 mod host_speed;
 mod order_budget;
+mod repeat_budget;
 mod urgency;
 
 pub use budget_limits::BudgetLimits;
@@ -22,4 +23,5 @@
 pub use heartbeat_cache::HeartbeatCache;
 pub use host_speed::HostSpeed;
 pub use order_budget::{Admission, OrderBudget};
+pub use repeat_budget::RepeatBudget;
 pub use urgency::Urgency;
--- a/lib/dispatch/src/dispatcher_inputs.rs
+++ b/lib/dispatch/src/dispatcher_inputs.rs
@@ -20,6 +20,7 @@
             // current term.
             Input::PollFinished { fence, .. } if self.term != Some(fence.term()) => {}
             Input::StartOrderFinished(order)
+            | Input::StartOrderSettled(order)
             | Input::StopOrderFinished(order)
             | Input::ThrottleOrderFinished(order)
                 if self.term != Some(order.fence.term()) => {}
@@ -46,6 +47,7 @@
                 let outcome = self.outcome_in_term(&order);
                 self.start_order_finished(&order.incarnation, order.task, order.run, outcome);
             }
+            Input::StartOrderSettled(order) => self.start_order_settled(&order),
             Input::StopOrderFinished(order) => {
                 let outcome = self.outcome_in_term(&order);
                 self.stop_order_finished(&order.incarnation, order.task, order.run, outcome);
--- a/lib/dispatch/src/dispatcher_late_starts.rs
+++ b/lib/dispatch/src/dispatcher_late_starts.rs
@@ -6,8 +6,10 @@
 use tarragon_workflow::{RunEnd, TaskKey, WorkerIncarnation};
 
 use crate::{
-    DecisionEvent, Dispatcher, FinishedRun, PollAnswer, earlier_lease::longest_on_slow_clock,
-    run_view::StartState, unanswered_starts::OrderTarget,
+    DecisionEvent, Dispatcher, FinishedOrder, FinishedRun, OrderOutcome, PollAnswer,
+    earlier_lease::longest_on_slow_clock,
+    run_view::{StartState, StopState},
+    unanswered_starts::OrderTarget,
 };
 
 /// Longest time after its timeout for which a call may be carried out. The platform carries calls out
@@ -50,6 +52,47 @@
         self.record_late_start(task, target, self.now + LATE_CALL_LIMIT);
     }
 
+    /// Records that a start order of this host got no answer in time. Its answer may still come.
+    pub(crate) fn start_awaits_answer(&mut self, task: TaskKey, worker: &WorkerName) {
+        let traits = self.step_traits(&task);
+        if let Some(target) = self.order_target(worker)
+            && traits.is_none_or(|traits| traits.is_repeatable)
+        {
+            let until = self.now + LATE_CALL_LIMIT;
+            self.unanswered_starts
+                .record_open_order(task, target, until);
+            self.new_unanswered_starts.push(task);
+        }
+    }
+
+    /// Handles the answer to a start order that had counted as unanswered: the order can no longer be
+    /// carried out, and a run that it has started goes on.
+    ///
+    /// An order that was accepted for a run that was stopped meanwhile proves nothing: the stop may have
+    /// been accepted by an earlier incarnation than the order.
+    pub(crate) fn start_order_settled(&mut self, order: &FinishedOrder) {
+        let FinishedOrder {
+            incarnation, task, ..
+        } = order;
+        let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
+            return;
+        };
+        let view = state.runs.get(task).filter(|view| view.run == order.run);
+        let is_expected =
+            view.is_some_and(|view| !view.is_ended && view.stop == StopState::NotRequested);
+        if order.outcome == OrderOutcome::Accepted && !is_expected {
+            return;
+        }
+        if let Some(target) = self.order_target(&incarnation.worker)
+            && self.unanswered_starts.settle_open_order(task, &target)
+        {
+            self.refresh_job(task.step.job);
+        }
+        if order.outcome == OrderOutcome::Accepted {
+            self.start_order_finished(incarnation, *task, order.run, order.outcome);
+        }
+    }
+
     /// Records a start order that a worker may carry out until the time `until`.
     pub(crate) fn record_late_start(
         &mut self,
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -108,7 +108,7 @@
     ) {
         let now = self.now;
         if outcome == OrderOutcome::Unanswered {
-            self.start_unanswered(task, &incarnation.worker);
+            self.start_awaits_answer(task, &incarnation.worker);
         }
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
@@ -365,10 +365,11 @@
                         cfg.order_timeout
                     };
                     let (ticket, checkpoint) = (view.ticket.clone(), view.resume_from.clone());
-                    due.push((*task, view.run, ticket, checkpoint, timeout));
+                    let is_repeated = view.start_attempts > 1;
+                    due.push((*task, view.run, ticket, checkpoint, timeout, is_repeated));
                 }
             }
-            for (task, run, ticket, checkpoint, timeout) in due {
+            for (task, run, ticket, checkpoint, timeout, is_repeated) in due {
                 if let Some(lease_until_ms) = state.grant_lease(now, cfg.lease)
                     && let Some(payload) = payload_of(&workflow_state, &task)
                 {
@@ -383,6 +384,7 @@
                         checkpoint,
                         ticket,
                         timeout,
+                        is_repeated,
                     });
                 }
             }
--- a/lib/dispatch/src/input.rs
+++ b/lib/dispatch/src/input.rs
@@ -67,6 +67,9 @@
     },
     /// An order to start a run was answered or timed out.
     StartOrderFinished(FinishedOrder),
+    /// A worker answered an order to start a run after the order had counted as unanswered, or the order
+    /// certainly did not leave its host.
+    StartOrderSettled(FinishedOrder),
     /// An order to stop a run was answered or timed out.
     StopOrderFinished(FinishedOrder),
     /// An order to change the rate of a run was answered or timed out.
--- a/lib/dispatch/src/order.rs
+++ b/lib/dispatch/src/order.rs
@@ -27,6 +27,8 @@
     pub ticket: Option<Name>,
     /// Time after which the order counts as unanswered.
     pub timeout: Millis,
+    /// Whether an earlier order for the run got no answer.
+    pub is_repeated: bool,
 }
 
 /// Order to stop a run, or to refuse it if its start order arrives later.
--- a/lib/dispatch/src/unanswered_starts.rs
+++ b/lib/dispatch/src/unanswered_starts.rs
@@ -28,6 +28,10 @@
     pub(crate) until: Millis,
     /// Latest time at which a call with a lease was sent to the worker, if its record was removed since.
     pub(crate) last_lease_call_at: Millis,
+    /// Orders of this host whose answers may still come.
+    open_orders: u32,
+    /// Whether there is another order, whose answer never comes.
+    has_unknown_order: bool,
 }
 
 /// Tasks for which a start order got no answer, and where the order may still be carried out or its run
@@ -44,7 +48,37 @@
 }
 
 impl UnansweredStarts {
+    /// Records an order whose answer never comes.
     pub(crate) fn record(&mut self, task: TaskKey, target: Option<OrderTarget>, until: Millis) {
+        self.entry(task, target, until).has_unknown_order = true;
+    }
+
+    /// Records an order whose answer may still come.
+    pub(crate) fn record_open_order(&mut self, task: TaskKey, target: OrderTarget, until: Millis) {
+        self.entry(task, Some(target), until).open_orders += 1;
+    }
+
+    /// Removes an order that was answered late. Returns whether no order for the task to the target is left.
+    pub(crate) fn settle_open_order(&mut self, task: &TaskKey, target: &OrderTarget) -> bool {
+        let targets = self.by_task.get_mut(task);
+        let orders = targets.and_then(|targets| targets.get_mut(&Some(target.clone())));
+        let Some(orders) = orders else {
+            return false;
+        };
+        orders.open_orders = orders.open_orders.saturating_sub(1);
+        if orders.open_orders > 0 || orders.has_unknown_order {
+            return false;
+        }
+        self.settle_target(task, target);
+        true
+    }
+
+    fn entry(
+        &mut self,
+        task: TaskKey,
+        target: Option<OrderTarget>,
+        until: Millis,
+    ) -> &mut LateStart {
         if let Some(target) = &target {
             let tasks = self.by_address.entry(target.address.clone());
             tasks.or_default().insert(task);
@@ -52,6 +86,7 @@
         let targets = self.by_task.entry(task).or_default();
         let order = targets.entry(target).or_default();
         order.until = until.max(order.until);
+        order
     }
 
     /// Records when the last call with a lease was sent to a worker whose record is removed.
@@ -124,6 +159,14 @@
         self.drop_if_settled(task, Some(address));
     }
 
+    /// Removes the orders for a task to a target.
+    fn settle_target(&mut self, task: &TaskKey, target: &OrderTarget) {
+        if let Some(targets) = self.by_task.get_mut(task) {
+            targets.remove(&Some(target.clone()));
+        }
+        self.drop_if_settled(task, Some(&target.address));
+    }
+
     /// Removes the orders whose runs have ended by `now`, according to `ends_by`, and returns their tasks.
     pub(crate) fn expire<F>(&mut self, now: Millis, ends_by: F) -> Vec<TaskKey>
     where
--- a/lib/entry/src/budgeted_calls.rs
+++ b/lib/entry/src/budgeted_calls.rs
@@ -14,7 +14,7 @@
 use tarragon_dispatch::{
     OrderOutcome, PollCall, PollOutcome, StartOrder, StopOrder, ThrottleOrder,
 };
-use tarragon_names::WorkerName;
+use tarragon_names::{Millis, WorkerName};
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::{EntryMetrics, WorkerCalls};
@@ -154,12 +154,12 @@
         admission
     }
 
-    /// Opens a call, makes it with the time that is left, and ends it.
+    /// Opens a call within `max_wait`, makes it with the time that is left of `max_time`, and ends it.
     async fn call<C, R>(
         self,
         worker: WorkerName,
         urgency: Urgency,
-        max_time: Duration,
+        (max_wait, max_time): (Duration, Duration),
         not_sent: R,
         call: C,
     ) -> R
@@ -168,7 +168,7 @@
         R: Send,
     {
         let begun = Instant::now();
-        let opened = self.open(worker, urgency, max_time).await;
+        let opened = self.open(worker, urgency, max_wait).await;
         let waits = &self.metrics.order_wait;
         let wait = waits.with_label_values(&[urgency.label()]);
         wait.observe(begun.elapsed().as_secs_f64());
@@ -180,6 +180,12 @@
     }
 }
 
+/// Longest time that an order may wait for other calls to end: half of its timeout. One that waits longer
+/// is not sent, which is known, where an answer would hardly come in time.
+fn max_wait(timeout: Millis) -> Duration {
+    Duration::from_millis(timeout.0 / 2)
+}
+
 impl WorkerCalls for BudgetedCalls {
     fn start(&self, order: StartOrder, timeout: Duration) -> BoxFuture<'static, OrderOutcome> {
         let (calls, worker) = (self.clone(), order.incarnation.worker.clone());
@@ -187,7 +193,7 @@
             .call(
                 worker,
                 Urgency::Start,
-                timeout,
+                (max_wait(order.timeout), timeout),
                 OrderOutcome::NotSent,
                 |inner, left| inner.start(order, left),
             )
@@ -200,7 +206,7 @@
             .call(
                 worker,
                 Urgency::Stop,
-                timeout,
+                (max_wait(order.timeout), timeout),
                 OrderOutcome::NotSent,
                 |inner, left| inner.stop(order, left),
             )
@@ -217,7 +223,7 @@
             .call(
                 worker,
                 Urgency::Throttle,
-                timeout,
+                (max_wait(order.timeout), timeout),
                 OrderOutcome::NotSent,
                 |inner, left| inner.throttle(order, left),
             )
@@ -230,7 +236,7 @@
             .call(
                 worker,
                 Urgency::Poll,
-                timeout,
+                (timeout, timeout),
                 PollOutcome::NotSent,
                 |inner, left| inner.poll(call, left),
             )
--- a/lib/entry/src/deliverer.rs
+++ b/lib/entry/src/deliverer.rs
@@ -57,11 +57,13 @@
         for (id, order) in batch.orders {
             let (deliverer, leader) = (Arc::clone(self), leader.clone());
             let key = OrderKey::of(&order);
-            let result = order.send(self.workers.as_ref());
             tokio::spawn(async move {
-                let result = result.await;
-                deliverer.metrics.count_result(key.label(), &result);
-                deliverer.add_result(leader, id, result);
+                let workers = Arc::clone(&deliverer.workers);
+                let report = |result| {
+                    deliverer.metrics.count_result(key.label(), &result);
+                    deliverer.add_result(leader.clone(), id, result);
+                };
+                order.send(workers.as_ref(), report).await;
             });
         }
     }
--- a/lib/entry/src/delivery.rs
+++ b/lib/entry/src/delivery.rs
@@ -3,7 +3,7 @@
     sync::Arc,
 };
 
-use tarragon_delivery::{DeliveryCounters, DeliveryLimits, DeliveryRoutes};
+use tarragon_delivery::{DeliveryCounters, DeliveryLimits, DeliveryRoutes, RepeatBudget};
 use tarragon_dispatch::{Input, OrderOutcome};
 use tarragon_names::{HostName, Millis};
 use tarragon_telemetry::{Event, EventSink};
@@ -14,7 +14,7 @@
     EntryMetrics,
     mesh::{self, Mesh},
     order_batch::OrderBatch,
-    worker_order::{OrderKey, OrderResult, WorkerOrder},
+    worker_order::{LATE_ANSWER_TIME, OrderKey, OrderResult, WorkerOrder},
 };
 
 /// Time that an order may take beyond its own timeout, for the frames to the delivering host and
@@ -54,6 +54,14 @@
     key: OrderKey,
 }
 
+/// An order that counts as unanswered and may still be answered.
+#[derive(Debug)]
+struct LateOrder {
+    order: PendingOrder,
+    /// Time after which an answer is no longer awaited.
+    until: Millis,
+}
+
 /// Delivery of the leader's orders through other hosts.
 #[derive(Debug)]
 pub(crate) struct Delivery {
@@ -64,6 +72,10 @@
     metrics: EntryMetrics,
     pending: BTreeMap<u64, PendingOrder>,
     deadlines: BTreeSet<(Millis, u64)>,
+    late: BTreeMap<u64, LateOrder>,
+    repeat_budgets: BTreeMap<HostName, RepeatBudget>,
+    /// Results of orders that were not given to a host.
+    not_sent: Vec<Input>,
     /// Time of the last result of each host that has pending orders.
     last_results: BTreeMap<HostName, Millis>,
     /// Orders of the current step, by delivering host.
@@ -94,6 +106,9 @@
             metrics,
             pending: BTreeMap::new(),
             deadlines: BTreeSet::new(),
+            late: BTreeMap::new(),
+            repeat_budgets: BTreeMap::new(),
+            not_sent: Vec::new(),
             last_results: BTreeMap::new(),
             batches: BTreeMap::new(),
             counters: DeliveryCounters::default(),
@@ -118,6 +133,9 @@
                 self.routes.clear();
                 self.pending.clear();
                 self.deadlines.clear();
+                self.late.clear();
+                self.repeat_budgets.clear();
+                self.not_sent.clear();
                 self.last_results.clear();
                 self.batches.clear();
                 self.counters.take_report();
@@ -128,14 +146,25 @@
 
     /// Queues an order for the host that delivers to its worker. Returns the order if this host calls
     /// the worker itself.
+    ///
+    /// A repeated order goes to another host, unless that host has used up its budget of repeats.
     pub(crate) fn queue(&mut self, order: WorkerOrder, now: Millis) -> Option<WorkerOrder> {
-        let Some(host) = self.routes.host_of(order.worker()) else {
-            return Some(order);
+        let host = if order.is_repeated() {
+            self.routes.repeat_host_of(order.worker())
+        } else {
+            self.routes.host_of(order.worker())
         };
-        if host == self.mesh.links.own_host() {
+        let Some(host) = host.cloned() else {
             return Some(order);
+        };
+        if order.is_repeated() {
+            let budget = self.repeat_budgets.entry(host.clone()).or_default();
+            if !budget.try_take() {
+                let result = OrderResult::Order(OrderOutcome::NotSent);
+                self.not_sent.extend(OrderKey::of(&order).input(result));
+                return None;
+            }
         }
-        let host = host.clone();
         self.last_id = self.last_id.wrapping_add(1);
         let id = self.last_id;
         let deadline = now + order.timeout() + DELIVERY_SLACK;
@@ -176,30 +205,69 @@
     ) -> Vec<Input> {
         let mut inputs = Vec::new();
         for (id, result) in results {
-            if self.pending.get(&id).is_none_or(|o| o.host != *host) {
-                continue;
+            let is_late = self.late.get(&id).is_some_and(|o| o.order.host == *host);
+            let is_pending = self.pending.get(&id).is_some_and(|o| o.host == *host);
+            if is_late || is_pending {
+                self.last_results.insert(host.clone(), now);
             }
-            self.last_results.insert(host.clone(), now);
-            if let Some(order) = self.remove(id) {
+            if is_late {
+                inputs.extend(self.take_late_result(id, &result, now));
+            } else if is_pending && let Some(order) = self.remove(id) {
                 self.count(&order, &result, now);
-                inputs.extend(order.key.input(result));
+                inputs.extend(order.key.clone().input(result.clone()));
+                self.await_late_answer(id, order, &result, now);
             }
         }
         inputs
     }
 
+    /// Keeps an order that was not answered in time, because its answer may still come.
+    fn await_late_answer(
+        &mut self,
+        id: u64,
+        order: PendingOrder,
+        result: &OrderResult,
+        now: Millis,
+    ) {
+        if matches!(result, OrderResult::Order(OrderOutcome::Unanswered)) {
+            let until = now + LATE_ANSWER_TIME + DELIVERY_SLACK;
+            self.late.insert(id, LateOrder { order, until });
+        }
+    }
+
+    /// Takes the result of an order that counts as unanswered.
+    fn take_late_result(&mut self, id: u64, result: &OrderResult, now: Millis) -> Option<Input> {
+        let (OrderResult::Order(outcome) | OrderResult::LateOrder(outcome)) = *result else {
+            return None;
+        };
+        if outcome == OrderOutcome::Unanswered {
+            return None;
+        }
+        let LateOrder { order, .. } = self.late.remove(&id)?;
+        if outcome.is_answer() {
+            self.count_answered(&order, now);
+        }
+        order.key.input(OrderResult::LateOrder(outcome))
+    }
+
+    fn count_answered(&mut self, order: &PendingOrder, now: Millis) {
+        let time = now.since(order.sent_at);
+        self.counters.record_answered(&order.host, time);
+        self.routes.order_answered(&order.host, time);
+        let budget = self.repeat_budgets.entry(order.host.clone());
+        budget.or_default().record_answer();
+    }
+
     /// Counts the result of an order to change a run.
     fn count(&mut self, order: &PendingOrder, result: &OrderResult, now: Millis) {
         match result {
             OrderResult::Order(outcome) if outcome.is_answer() => {
-                let time = now.since(order.sent_at);
-                self.counters.record_answered(&order.host, time);
-                self.routes.order_answered(&order.host, time);
+                self.count_answered(order, now);
             }
             OrderResult::Order(OrderOutcome::Unanswered) => {
                 self.count_unanswered(&order.host, UnansweredCause::WorkerTimeout);
             }
-            OrderResult::Order(_) | OrderResult::Poll(_) => {}
+            OrderResult::Order(_) | OrderResult::LateOrder(_) | OrderResult::Poll(_) => {}
         }
     }
 
@@ -223,11 +291,13 @@
     /// Assigns workers to hosts if hosts have changed, and returns the results of the orders whose
     /// delivery failed.
     pub(crate) fn check(&mut self, now: Millis) -> Vec<Input> {
+        let mut failed = std::mem::take(&mut self.not_sent);
         if now < self.next_check_at {
-            return Vec::new();
+            return failed;
         }
         self.next_check_at = now + CHECK_INTERVAL;
-        let mut failed = self.fail_unreachable_hosts(now);
+        self.late.retain(|_, order| now < order.until);
+        failed.extend(self.fail_unreachable_hosts(now));
         failed.extend(self.fail_overdue_orders(now));
         if self.routes.is_changed() || now >= self.next_assign_at {
             if now >= self.next_assign_at {
@@ -265,7 +335,7 @@
             let ids = orders.map(|(id, _)| *id).collect::<Vec<_>>();
             inputs.extend(
                 ids.into_iter()
-                    .filter_map(|id| self.fail(id, UnansweredCause::LinkDown)),
+                    .filter_map(|id| self.fail(id, UnansweredCause::LinkDown, now)),
             );
             self.last_results.remove(&host);
         }
@@ -284,7 +354,7 @@
                     self.host_failed(&host, "it reports no results", now);
                 }
             }
-            inputs.extend(self.fail(id, UnansweredCause::HostTimeout));
+            inputs.extend(self.fail(id, UnansweredCause::HostTimeout, now));
             self.deadlines.remove(&(deadline, id));
         }
         inputs
@@ -300,13 +370,15 @@
     }
 
     /// Ends a pending order whose result is not known.
-    fn fail(&mut self, id: u64, cause: UnansweredCause) -> Option<Input> {
-        let PendingOrder { host, key, .. } = self.remove(id)?;
+    fn fail(&mut self, id: u64, cause: UnansweredCause, now: Millis) -> Option<Input> {
+        let order = self.remove(id)?;
+        let key = order.key.clone();
         let result = key.undelivered();
         self.metrics.count_result(key.label(), &result);
         if matches!(result, OrderResult::Order(_)) {
-            self.count_unanswered(&host, cause);
+            self.count_unanswered(&order.host, cause);
         }
+        self.await_late_answer(id, order, &result, now);
         key.input(result)
     }
 
--- a/lib/entry/src/dispatch_loop.rs
+++ b/lib/entry/src/dispatch_loop.rs
@@ -4,7 +4,7 @@
         mpsc::{Receiver, RecvTimeoutError},
     },
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tarragon_dispatch::{AdviceRequest, Dispatcher, Input, Output};
@@ -181,16 +181,18 @@
         };
         let (handle, metrics) = (self.parts.handle.clone(), self.parts.metrics.clone());
         let key = OrderKey::of(&order);
-        let result = order.send(self.parts.external.workers.as_ref());
+        let workers = Arc::clone(&self.parts.external.workers);
         self.parts.runtime.spawn(async move {
             let time = metrics.external_call_time.with_label_values(&[key.label()]);
-            let timer = time.start_timer();
-            let result = result.await;
-            drop(timer);
-            metrics.count_result(key.label(), &result);
-            if let Some(input) = key.input(result) {
-                handle.send(input);
-            }
+            let begun = Instant::now();
+            let report = |result| {
+                time.observe(begun.elapsed().as_secs_f64());
+                metrics.count_result(key.label(), &result);
+                if let Some(input) = key.clone().input(result) {
+                    handle.send(input);
+                }
+            };
+            order.send(workers.as_ref(), report).await;
         });
     }
 
--- a/lib/entry/src/entry_metrics.rs
+++ b/lib/entry/src/entry_metrics.rs
@@ -263,6 +263,7 @@
             OrderResult::Poll(PollOutcome::Unanswered) => "unanswered".to_owned(),
             OrderResult::Poll(PollOutcome::NotSent) => "not_sent".to_owned(),
             OrderResult::Order(OrderOutcome::Refused(refusal)) => refusal.to_string(),
+            OrderResult::LateOrder(_) => "late".to_owned(),
             OrderResult::Order(outcome) => outcome.to_string(),
         };
         self.external_calls.with_label_values(&[kind, &label]).inc();
--- a/lib/entry/src/worker_order.rs
+++ b/lib/entry/src/worker_order.rs
@@ -9,12 +9,17 @@
 };
 use tarragon_names::{Millis, WorkerName};
 use tarragon_workflow::{TaskKey, WorkerIncarnation};
+use tokio::time::timeout;
 
 use crate::WorkerCalls;
 
 /// Time that a poll may take in addition to the delay that the worker is allowed.
 const POLL_SLACK: Millis = Millis(600);
 
+/// Time after its timeout for which the answer to an order is awaited. An answer that comes late spares a
+/// repeat, and its connection is kept.
+pub(crate) const LATE_ANSWER_TIME: Millis = Millis(600);
+
 /// An order of the leader to a worker.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) enum WorkerOrder {
@@ -35,6 +40,11 @@
         &incarnation.worker
     }
 
+    /// Whether an earlier order for the same run got no answer.
+    pub(crate) fn is_repeated(&self) -> bool {
+        matches!(self, Self::Start(order) if order.is_repeated)
+    }
+
     /// Time after which the order counts as unanswered.
     pub(crate) fn timeout(&self) -> Millis {
         match self {
@@ -45,9 +55,38 @@
         }
     }
 
-    /// Calls the worker.
-    pub(crate) fn send(self, workers: &dyn WorkerCalls) -> BoxFuture<'static, OrderResult> {
-        let timeout = Duration::from_millis(self.timeout().0);
+    /// Calls the worker and reports the result. An order that gets no answer in time is reported as
+    /// unanswered, and reported again if its answer comes within [`LATE_ANSWER_TIME`].
+    pub(crate) async fn send<F>(self, workers: &dyn WorkerCalls, mut report: F)
+    where
+        F: FnMut(OrderResult),
+    {
+        let is_poll = matches!(self, Self::Poll(_));
+        let limit = Duration::from_millis(self.timeout().0);
+        let mut call = self.call(workers);
+        if is_poll {
+            report(call.await);
+            return;
+        }
+        if let Ok(result) = timeout(limit, &mut call).await {
+            report(result);
+            return;
+        }
+        report(OrderResult::Order(OrderOutcome::Unanswered));
+        if let OrderResult::Order(outcome) = call.await
+            && outcome != OrderOutcome::Unanswered
+        {
+            report(OrderResult::LateOrder(outcome));
+        }
+    }
+
+    /// Calls the worker; the call of an order to change a run may take longer than the order.
+    fn call(self, workers: &dyn WorkerCalls) -> BoxFuture<'static, OrderResult> {
+        let timeout = match &self {
+            Self::Poll(_) => self.timeout(),
+            _ => self.timeout() + LATE_ANSWER_TIME,
+        };
+        let timeout = Duration::from_millis(timeout.0);
         match self {
             Self::Poll(call) => workers.poll(call, timeout).map(OrderResult::Poll).boxed(),
             Self::Start(order) => workers
@@ -68,6 +107,8 @@
 pub(crate) enum OrderResult {
     Poll(PollOutcome),
     Order(OrderOutcome),
+    /// Outcome of an order that was reported as unanswered before.
+    LateOrder(OrderOutcome),
 }
 
 /// Identifies an order while its result is awaited.
@@ -121,7 +162,7 @@
     }
 
     /// Returns the input that reports the result to the dispatcher; `None` if the result is that of
-    /// another kind of order.
+    /// another kind of order, or changes nothing.
     pub(crate) fn input(self, result: OrderResult) -> Option<Input> {
         let Self {
             urgency,
@@ -144,8 +185,8 @@
                     outcome,
                 })
             }
-            (Urgency::Stop, Some((task, run)), OrderResult::Order(outcome)) => {
-                Input::StopOrderFinished(FinishedOrder {
+            (Urgency::Start, Some((task, run)), OrderResult::LateOrder(outcome)) => {
+                Input::StartOrderSettled(FinishedOrder {
                     fence,
                     incarnation,
                     task,
@@ -153,6 +194,23 @@
                     outcome,
                 })
             }
+            // The order was or will be repeated after another result.
+            (Urgency::Stop, Some(_), OrderResult::LateOrder(outcome))
+                if outcome != OrderOutcome::Accepted =>
+            {
+                return None;
+            }
+            (
+                Urgency::Stop,
+                Some((task, run)),
+                OrderResult::Order(outcome) | OrderResult::LateOrder(outcome),
+            ) => Input::StopOrderFinished(FinishedOrder {
+                fence,
+                incarnation,
+                task,
+                run,
+                outcome,
+            }),
             (Urgency::Throttle, Some((task, run)), OrderResult::Order(outcome)) => {
                 Input::ThrottleOrderFinished(FinishedOrder {
                     fence,
