dispatch: let late answers count once no order of the run is under way

Cause: a late answer to the first start order removed the record of unanswered orders while the repeat was under way. An end that was listed before the repeat timed out was then acknowledged, although a restarted worker might still carry the repeat out. An order whose worker had no record any more was not recorded either.

Change: a late answer is deferred until the result of the last order of its run is known. An order to a worker without a record is recorded as before.

Evidence: end_is_not_acknowledged_while_the_repeat_is_under_way fails when the answer counts at once.

--- a/lib/dispatch/src/dispatcher_inputs.rs
+++ b/lib/dispatch/src/dispatcher_inputs.rs
@@ -46,6 +46,7 @@
             Input::StartOrderFinished(order) => {
                 let outcome = self.outcome_in_term(&order);
                 self.start_order_finished(&order.incarnation, order.task, order.run, outcome);
+                self.settle_late_answers(&order);
             }
             Input::StartOrderSettled(order) => self.start_order_settled(&order),
             Input::StopOrderFinished(order) => {
--- a/lib/dispatch/src/dispatcher_late_starts.rs
+++ b/lib/dispatch/src/dispatcher_late_starts.rs
@@ -54,10 +54,12 @@
 
     /// Records that a start order of this host got no answer in time. Its answer may still come.
     pub(crate) fn start_awaits_answer(&mut self, task: TaskKey, worker: &WorkerName) {
+        let Some(target) = self.order_target(worker) else {
+            self.start_unanswered(task, worker);
+            return;
+        };
         let traits = self.step_traits(&task);
-        if let Some(target) = self.order_target(worker)
-            && traits.is_none_or(|traits| traits.is_repeatable)
-        {
+        if traits.is_none_or(|traits| traits.is_repeatable) {
             let until = self.now + LATE_CALL_LIMIT;
             self.unanswered_starts
                 .record_open_order(task, target, until);
@@ -77,22 +79,44 @@
         let Some(state) = self.workers.get_incarnation_mut(incarnation) else {
             return;
         };
-        let view = state.runs.get(task).filter(|view| view.run == order.run);
-        let is_expected =
-            view.is_some_and(|view| !view.is_ended && view.stop == StopState::NotRequested);
+        let view = state.runs.get_mut(task);
+        let view = view.filter(|view| view.run == order.run);
+        let is_expected = view
+            .as_ref()
+            .is_some_and(|view| !view.is_ended && view.stop == StopState::NotRequested);
         if order.outcome == OrderOutcome::Accepted && !is_expected {
             return;
         }
-        if let Some(target) = self.order_target(&incarnation.worker)
-            && self.unanswered_starts.settle_open_order(task, &target)
-        {
-            self.refresh_job(task.step.job);
+        let is_deferred = view.is_some_and(|view| view.late_answers.defer());
+        if !is_deferred {
+            self.settle_order(task, &incarnation.worker);
         }
         if order.outcome == OrderOutcome::Accepted {
             self.start_order_finished(incarnation, *task, order.run, order.outcome);
         }
     }
 
+    /// Settles the orders of a run that were answered late, now that the result of its last order is here.
+    pub(crate) fn settle_late_answers(&mut self, last: &FinishedOrder) {
+        let state = self.workers.get_incarnation_mut(&last.incarnation);
+        let view = state.and_then(|state| state.runs.get_mut(&last.task));
+        let Some(view) = view.filter(|view| view.run == last.run) else {
+            return;
+        };
+        for _ in 0..view.late_answers.order_finished() {
+            self.settle_order(&last.task, &last.incarnation.worker);
+        }
+    }
+
+    /// Removes an order for a task that was answered late.
+    fn settle_order(&mut self, task: &TaskKey, worker: &WorkerName) {
+        if let Some(target) = self.order_target(worker)
+            && self.unanswered_starts.settle_open_order(task, &target)
+        {
+            self.refresh_job(task.step.job);
+        }
+    }
+
     /// Records a start order that a worker may carry out until the time `until`.
     pub(crate) fn record_late_start(
         &mut self,
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -357,6 +357,7 @@
                     && again_at <= now
                 {
                     view.start = StartState::Sent;
+                    view.late_answers.order_sent();
                     view.start_attempts += 1;
                     view.start_may_arrive_until = now + START_ORDER_LIFETIME;
                     let timeout = if view.start_attempts == 1 {
--- a/lib/dispatch/src/lib.rs
+++ b/lib/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod held_ends;
 mod input;
 mod job_reading;
+mod late_answers;
 mod late_orders;
 mod listed_end;
 mod load_counters;
--- a/lib/dispatch/src/run_view.rs
+++ b/lib/dispatch/src/run_view.rs
@@ -2,6 +2,7 @@
 use tarragon_workflow::WorkerIncarnation;
 
 use crate::{
+    late_answers::LateAnswers,
     load_counters::{LoadCounters, StopCause},
     run_progress::RunProgress,
     run_rate::RunRate,
@@ -61,6 +62,8 @@
     pub(crate) stop_requested_at: Millis,
     /// Whether one of these start orders got no answer.
     pub(crate) has_unanswered_start: bool,
+    /// Late answers to start orders that count as unanswered.
+    pub(crate) late_answers: LateAnswers,
     /// Time until which a start order that was sent and has no answer may arrive; 0 if there is none.
     pub(crate) start_may_arrive_until: Millis,
     /// Earlier incarnation of the worker on which the run was placed; `None` if it is the present
@@ -100,6 +103,7 @@
             failed_stops: 0,
             stop_requested_at: Millis(0),
             has_unanswered_start: false,
+            late_answers: LateAnswers::default(),
             start_may_arrive_until: Millis(0),
             transferred_from: None,
             is_listed: false,
--- a/lib/dispatch/tests/late_answers.rs
+++ b/lib/dispatch/tests/late_answers.rs
@@ -56,11 +56,15 @@
 #[test]
 fn late_answer_keeps_the_run_and_settles_the_order() {
     let (mut harness, order) = with_an_unanswered_order();
-    harness.starts.clear();
+    let repeat = harness.starts.remove(0);
     harness.input(Input::StartOrderSettled(finished(
         &order,
         OrderOutcome::Accepted,
     )));
+    harness.input(Input::StartOrderFinished(finished(
+        &repeat,
+        OrderOutcome::NotSent,
+    )));
     harness.advance(REPEAT_MS);
     assert!(harness.starts.is_empty(), "the order was repeated");
     assert!(harness.stops.is_empty());
@@ -88,6 +92,24 @@
     )));
 }
 
+/// Guards against an end that is acknowledged while a repeat is under way, because the first order was
+/// answered late.
+#[test]
+fn end_is_not_acknowledged_while_the_repeat_is_under_way() {
+    let (mut harness, order) = with_an_unanswered_order();
+    let repeat = harness.starts.remove(0);
+    harness.input(Input::StartOrderSettled(finished(
+        &order,
+        OrderOutcome::Accepted,
+    )));
+    assert!(!is_acknowledged_within(&mut harness, &order, 500));
+    harness.input(Input::StartOrderFinished(finished(
+        &repeat,
+        OrderOutcome::Unanswered,
+    )));
+    assert!(!is_acknowledged_within(&mut harness, &order, 500));
+}
+
 /// Guards against a next run beside the one of a late order: only an answer that proves that nothing was
 /// started ends the wait once the run was stopped.
 #[parameterized(
