workflow: one file for each part of the state's methods

Cause: each feature added its methods to workflow_state.rs.

Nothing but visibility within the crate changes.

Evidence: formatter and linter are clean, and all tests of tarragon-workflow, tarragon-dispatch and five test files of tarragon-entry pass.

--- a/lib/workflow/src/lib.rs
+++ b/lib/workflow/src/lib.rs
@@ -42,6 +42,10 @@
 mod worker_records;
 mod workflow_snapshot;
 mod workflow_state;
+mod workflow_state_configuration;
+mod workflow_state_snapshot;
+mod workflow_state_unanswered;
+mod workflow_state_waves;
 
 pub use advice_terms::AdviceTerms;
 pub use answer::Answer;
