delivery: decide who repeats an order beside who delivers it

Callers see no change. The budget of repeats and the choice of the host for a repeat stood in tarragon-entry beside the links, where no test without a host reached them.

Cause: the budget was added where the order is queued.

Change: DeliveryRoutes::route returns OrderRoute (leader, host, over budget); the budget is part of the host that it limits, so that it goes when the host goes. PendingOrders holds the orders whose results are awaited, with their deadlines and late answers; Delivery sends, counts and reports. CallTimes names what was a pair of durations, the labels of metrics are back in tarragon-entry, and the constant of the score has a name.

One difference: a repeat for a host that has stopped since the last assignment counts as not sent and is tried again; before, it was sent to that host.

Evidence: repeats_stay_within_the_budget_of_their_host replays 10,000 unanswered orders on the decision alone: at most 20 repeats a host, while first orders still have a route.

--- a/lib/delivery/src/delivery_host.rs
+++ b/lib/delivery/src/delivery_host.rs
@@ -1,6 +1,6 @@
 use tarragon_names::{DomainName, HostCapacity, Millis};
 
-use crate::HostSpeed;
+use crate::{HostSpeed, RepeatBudget};
 
 /// Processor time that one call to a worker a second takes, in thousandths of a core, with its part of the
 /// frames between hosts.
@@ -18,6 +18,7 @@
     /// The host delivers nothing before this time.
     pub(crate) not_before: Millis,
     pub(crate) speed: HostSpeed,
+    pub(crate) repeat_budget: RepeatBudget,
 }
 
 impl DeliveryHost {
--- a/lib/delivery/src/delivery_routes.rs
+++ b/lib/delivery/src/delivery_routes.rs
@@ -5,15 +5,18 @@
 
 use tarragon_names::{DomainName, HostCapacity, HostName, Millis, WorkerName};
 
-use crate::{DeliveryLimits, HostSpeed, delivery_host::DeliveryHost};
+use crate::{DeliveryLimits, HostSpeed, OrderRoute, RepeatBudget, delivery_host::DeliveryHost};
 
 /// Workers that a host may get beyond its share, in percent of the share. Without the limit, hashing
 /// gives some hosts twice their share.
 const SHARE_LIMIT_PERCENT: u64 = 110;
 
+/// Bits of a hash from which a score is made: as many as the mantissa of a floating-point number holds.
+const SCORE_BITS: u32 = 53;
+
 /// Hosts that deliver to one worker.
 #[derive(Clone, Debug)]
-struct Route {
+struct WorkerHosts {
     host: HostName,
     /// Host that repeats an order, if there is another one.
     repeat_host: Option<HostName>,
@@ -42,7 +45,7 @@
     leader: HostName,
     hosts: BTreeMap<HostName, DeliveryHost>,
     /// Hosts of each worker; the leader itself calls the workers that are not listed.
-    routes: HashMap<WorkerName, Route>,
+    routes: HashMap<WorkerName, WorkerHosts>,
     /// Whether the hosts changed since the last assignment.
     is_changed: bool,
 }
@@ -78,6 +81,7 @@
             last_seen_at: now,
             not_before: now,
             speed: HostSpeed::default(),
+            repeat_budget: RepeatBudget::default(),
         };
         self.hosts.insert(name.clone(), host);
         self.is_changed = true;
@@ -106,6 +110,7 @@
     pub fn order_answered(&mut self, name: &HostName, time: Millis) {
         if let Some(host) = self.hosts.get_mut(name) {
             host.speed.record_answer(time);
+            host.repeat_budget.record_answer();
         }
     }
 
@@ -160,6 +165,30 @@
         self.routes.get(worker).map(|route| &route.host)
     }
 
+    /// Decides who sends an order to a worker.
+    ///
+    /// An order that got no answer is repeated through another host, as long as that one has budget left.
+    pub fn route(&mut self, worker: &WorkerName, is_repeated: bool) -> OrderRoute {
+        let host = if is_repeated {
+            self.repeat_host_of(worker)
+        } else {
+            self.host_of(worker)
+        };
+        let Some(host) = host.cloned() else {
+            return OrderRoute::Leader;
+        };
+        if is_repeated && !self.try_repeat(&host) {
+            return OrderRoute::OverBudget;
+        }
+        OrderRoute::Host(host)
+    }
+
+    /// Uses one repeat of the host; false if none is left.
+    fn try_repeat(&mut self, host: &HostName) -> bool {
+        let host = self.hosts.get_mut(host);
+        host.is_some_and(|host| host.repeat_budget.try_take())
+    }
+
     /// Returns the host that repeats an order that the delivering host got no answer to: another one, which
     /// may be less busy and has connections of its own.
     pub fn repeat_host_of(&self, worker: &WorkerName) -> Option<&HostName> {
@@ -202,7 +231,7 @@
 }
 
 /// Chooses the hosts of a worker: the one with the highest score that has room, and the best other one.
-fn choose(candidates: &mut [Candidate<'_>], worker: &WorkerName) -> Option<Route> {
+fn choose(candidates: &mut [Candidate<'_>], worker: &WorkerName) -> Option<WorkerHosts> {
     let scores = candidates.iter().map(|host| score(host, worker));
     let mut ranked = scores.enumerate().collect::<Vec<_>>();
     ranked.sort_by(|(_, a), (_, b)| b.total_cmp(a));
@@ -210,7 +239,7 @@
     let best = ranked.clone().find(|index| candidates[*index].room > 0)?;
     candidates[best].room -= 1;
     let other = ranked.find(|index| *index != best);
-    Some(Route {
+    Some(WorkerHosts {
         host: candidates[best].name.clone(),
         repeat_host: other.map(|index| candidates[index].name.clone()),
     })
@@ -222,6 +251,7 @@
     host.name.hash(&mut hasher);
     worker.hash(&mut hasher);
     // Uniform between 0 and 1, neither included.
-    let uniform = ((hasher.finish() >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    let bits = hasher.finish() >> (u64::BITS - SCORE_BITS);
+    let uniform = (bits as f64 + 0.5) / (1_u64 << SCORE_BITS) as f64;
     host.weight as f64 / -uniform.ln()
 }
--- a/lib/delivery/src/lib.rs
+++ b/lib/delivery/src/lib.rs
@@ -13,6 +13,7 @@
 mod heartbeat_cache;
 mod host_speed;
 mod order_budget;
+mod order_route;
 mod repeat_budget;
 mod urgency;
 
@@ -23,5 +24,6 @@
 pub use heartbeat_cache::HeartbeatCache;
 pub use host_speed::HostSpeed;
 pub use order_budget::{Admission, OrderBudget};
+pub use order_route::OrderRoute;
 pub use repeat_budget::RepeatBudget;
 pub use urgency::Urgency;
--- a/lib/delivery/src/urgency.rs
+++ b/lib/delivery/src/urgency.rs
@@ -10,15 +10,3 @@
     /// Order to change the rate of a run.
     Throttle,
 }
-
-impl Urgency {
-    /// Label of such an order in metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Poll => "hold",
-            Self::Stop => "stop",
-            Self::Start => "start",
-            Self::Throttle => "pace",
-        }
-    }
-}
--- a/lib/delivery/tests/delivery_routes.rs
+++ b/lib/delivery/tests/delivery_routes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use tarragon_delivery::{DeliveryLimits, DeliveryRoutes};
+use tarragon_delivery::{DeliveryLimits, DeliveryRoutes, OrderRoute};
 use tarragon_names::{DomainName, HostCapacity, HostName, Millis, WorkerName};
 use yare::parameterized;
 
@@ -121,6 +121,23 @@
     }
 }
 
+/// Guards against repeats that fill the hosts of a deployment in which no order is answered.
+#[test]
+fn repeats_stay_within_the_budget_of_their_host() {
+    let mut routes = routes(45, 350);
+    let mut repeats = BTreeMap::<HostName, usize>::new();
+    for (worker, _) in workers(350).iter().cycle().take(10_000) {
+        if let OrderRoute::Host(host) = routes.route(worker, true) {
+            *repeats.entry(host).or_default() += 1;
+        }
+    }
+    assert!(repeats.values().all(|count| *count <= 20), "{repeats:?}");
+    let (worker, _) = &workers(1)[0];
+    assert_eq!(routes.route(worker, true), OrderRoute::OverBudget);
+    let host = routes.host_of(worker).cloned().unwrap();
+    assert_eq!(routes.route(worker, false), OrderRoute::Host(host));
+}
+
 /// Guards against a host that is slower than it announces and keeps its share, or never gets it back.
 #[test]
 fn slow_host_has_fewer_workers_until_it_is_fast_again() {
--- a/lib/entry/src/budgeted_calls.rs
+++ b/lib/entry/src/budgeted_calls.rs
@@ -17,7 +17,34 @@
 use tarragon_names::{Millis, WorkerName};
 use tokio::{sync::oneshot, time::timeout};
 
-use crate::{EntryMetrics, WorkerCalls};
+use crate::{EntryMetrics, WorkerCalls, worker_order::kind_label};
+
+/// Times of a call, both from its request on.
+#[derive(Clone, Copy, Debug)]
+struct CallTimes {
+    /// Time within which the call has to be opened.
+    max_wait: Duration,
+    /// Time within which the call has to end.
+    max_time: Duration,
+}
+
+impl CallTimes {
+    /// Times of an order to change a run. One that has waited for half of its timeout is not sent, which is
+    /// known, where an answer would hardly come in time.
+    fn of_order(timeout: Millis, max_time: Duration) -> Self {
+        Self {
+            max_wait: Duration::from_millis(timeout.0 / 2),
+            max_time,
+        }
+    }
+
+    fn of_poll(max_time: Duration) -> Self {
+        Self {
+            max_wait: max_time,
+            max_time,
+        }
+    }
+}
 
 struct WaitingCall {
     worker: WorkerName,
@@ -154,12 +181,12 @@
         admission
     }
 
-    /// Opens a call within `max_wait`, makes it with the time that is left of `max_time`, and ends it.
+    /// Opens a call, makes it with the time that is left, and ends it.
     async fn call<C, R>(
         self,
         worker: WorkerName,
         urgency: Urgency,
-        (max_wait, max_time): (Duration, Duration),
+        times: CallTimes,
         not_sent: R,
         call: C,
     ) -> R
@@ -168,24 +195,18 @@
         R: Send,
     {
         let begun = Instant::now();
-        let opened = self.open(worker, urgency, max_wait).await;
+        let opened = self.open(worker, urgency, times.max_wait).await;
         let waits = &self.metrics.order_wait;
-        let wait = waits.with_label_values(&[urgency.label()]);
+        let wait = waits.with_label_values(&[kind_label(urgency)]);
         wait.observe(begun.elapsed().as_secs_f64());
         let Some(_open) = opened else {
             return not_sent;
         };
-        let left = max_time.saturating_sub(begun.elapsed());
+        let left = times.max_time.saturating_sub(begun.elapsed());
         call(Arc::clone(&self.inner), left).await
     }
 }
 
-/// Longest time that an order may wait for other calls to end: half of its timeout. One that waits longer
-/// is not sent, which is known, where an answer would hardly come in time.
-fn max_wait(timeout: Millis) -> Duration {
-    Duration::from_millis(timeout.0 / 2)
-}
-
 impl WorkerCalls for BudgetedCalls {
     fn start(&self, order: StartOrder, timeout: Duration) -> BoxFuture<'static, OrderOutcome> {
         let (calls, worker) = (self.clone(), order.incarnation.worker.clone());
@@ -193,7 +214,7 @@
             .call(
                 worker,
                 Urgency::Start,
-                (max_wait(order.timeout), timeout),
+                CallTimes::of_order(order.timeout, timeout),
                 OrderOutcome::NotSent,
                 |inner, left| inner.start(order, left),
             )
@@ -206,7 +227,7 @@
             .call(
                 worker,
                 Urgency::Stop,
-                (max_wait(order.timeout), timeout),
+                CallTimes::of_order(order.timeout, timeout),
                 OrderOutcome::NotSent,
                 |inner, left| inner.stop(order, left),
             )
@@ -223,7 +244,7 @@
             .call(
                 worker,
                 Urgency::Throttle,
-                (max_wait(order.timeout), timeout),
+                CallTimes::of_order(order.timeout, timeout),
                 OrderOutcome::NotSent,
                 |inner, left| inner.throttle(order, left),
             )
@@ -236,7 +257,7 @@
             .call(
                 worker,
                 Urgency::Poll,
-                (timeout, timeout),
+                CallTimes::of_poll(timeout),
                 PollOutcome::NotSent,
                 |inner, left| inner.poll(call, left),
             )
--- a/lib/entry/src/delivery.rs
+++ b/lib/entry/src/delivery.rs
@@ -1,9 +1,6 @@
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
-use tarragon_delivery::{DeliveryCounters, DeliveryLimits, DeliveryRoutes, RepeatBudget};
+use tarragon_delivery::{DeliveryCounters, DeliveryLimits, DeliveryRoutes, OrderRoute};
 use tarragon_dispatch::{Input, OrderOutcome};
 use tarragon_names::{HostName, Millis};
 use tarragon_telemetry::{Event, EventSink};
@@ -14,6 +11,7 @@
     EntryMetrics,
     mesh::{self, Mesh},
     order_batch::OrderBatch,
+    pending_orders::{PendingOrder, PendingOrders},
     worker_order::{LATE_ANSWER_TIME, OrderKey, OrderResult, WorkerOrder},
 };
 
@@ -45,23 +43,6 @@
     LinkDown,
 }
 
-/// An order that a host was asked to deliver.
-#[derive(Debug)]
-struct PendingOrder {
-    host: HostName,
-    sent_at: Millis,
-    deadline: Millis,
-    key: OrderKey,
-}
-
-/// An order that counts as unanswered and may still be answered.
-#[derive(Debug)]
-struct LateOrder {
-    order: PendingOrder,
-    /// Time after which an answer is no longer awaited.
-    until: Millis,
-}
-
 /// Delivery of the leader's orders through other hosts.
 #[derive(Debug)]
 pub(crate) struct Delivery {
@@ -70,10 +51,7 @@
     workflow_state: Arc<WorkflowState>,
     events: Arc<dyn EventSink>,
     metrics: EntryMetrics,
-    pending: BTreeMap<u64, PendingOrder>,
-    deadlines: BTreeSet<(Millis, u64)>,
-    late: BTreeMap<u64, LateOrder>,
-    repeat_budgets: BTreeMap<HostName, RepeatBudget>,
+    orders: PendingOrders,
     /// Results of orders that were not given to a host.
     not_sent: Vec<Input>,
     /// Time of the last result of each host that has pending orders.
@@ -104,10 +82,7 @@
             workflow_state,
             events,
             metrics,
-            pending: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
-            late: BTreeMap::new(),
-            repeat_budgets: BTreeMap::new(),
+            orders: PendingOrders::default(),
             not_sent: Vec::new(),
             last_results: BTreeMap::new(),
             batches: BTreeMap::new(),
@@ -131,10 +106,7 @@
             Input::HostStops(host) => self.routes.host_stopped(host),
             Input::LostLeadership => {
                 self.routes.clear();
-                self.pending.clear();
-                self.deadlines.clear();
-                self.late.clear();
-                self.repeat_budgets.clear();
+                self.orders.clear();
                 self.not_sent.clear();
                 self.last_results.clear();
                 self.batches.clear();
@@ -146,25 +118,16 @@
 
     /// Queues an order for the host that delivers to its worker. Returns the order if this host calls
     /// the worker itself.
-    ///
-    /// A repeated order goes to another host, unless that host has used up its budget of repeats.
     pub(crate) fn queue(&mut self, order: WorkerOrder, now: Millis) -> Option<WorkerOrder> {
-        let host = if order.is_repeated() {
-            self.routes.repeat_host_of(order.worker())
-        } else {
-            self.routes.host_of(order.worker())
-        };
-        let Some(host) = host.cloned() else {
-            return Some(order);
-        };
-        if order.is_repeated() {
-            let budget = self.repeat_budgets.entry(host.clone()).or_default();
-            if !budget.try_take() {
+        let host = match self.routes.route(order.worker(), order.is_repeated()) {
+            OrderRoute::Leader => return Some(order),
+            OrderRoute::Host(host) => host,
+            OrderRoute::OverBudget => {
                 let result = OrderResult::Order(OrderOutcome::NotSent);
                 self.not_sent.extend(OrderKey::of(&order).input(result));
                 return None;
             }
-        }
+        };
         self.last_id = self.last_id.wrapping_add(1);
         let id = self.last_id;
         let deadline = now + order.timeout() + DELIVERY_SLACK;
@@ -174,8 +137,7 @@
             deadline,
             key: OrderKey::of(&order),
         };
-        self.pending.insert(id, pending);
-        self.deadlines.insert((deadline, id));
+        self.orders.insert(id, pending);
         self.last_results.entry(host.clone()).or_insert(now);
         self.batches.entry(host).or_default().push((id, order));
         None
@@ -205,14 +167,11 @@
     ) -> Vec<Input> {
         let mut inputs = Vec::new();
         for (id, result) in results {
-            let is_late = self.late.get(&id).is_some_and(|o| o.order.host == *host);
-            let is_pending = self.pending.get(&id).is_some_and(|o| o.host == *host);
-            if is_late || is_pending {
+            if self.orders.is_late(host, id) {
                 self.last_results.insert(host.clone(), now);
-            }
-            if is_late {
                 inputs.extend(self.take_late_result(id, &result, now));
-            } else if is_pending && let Some(order) = self.remove(id) {
+            } else if let Some(order) = self.orders.remove_of(host, id) {
+                self.last_results.insert(host.clone(), now);
                 self.count(&order, &result, now);
                 inputs.extend(order.key.clone().input(result.clone()));
                 self.await_late_answer(id, order, &result, now);
@@ -231,7 +190,7 @@
     ) {
         if matches!(result, OrderResult::Order(OrderOutcome::Unanswered)) {
             let until = now + LATE_ANSWER_TIME + DELIVERY_SLACK;
-            self.late.insert(id, LateOrder { order, until });
+            self.orders.await_late_answer(id, order, until);
         }
     }
 
@@ -243,7 +202,7 @@
         if outcome == OrderOutcome::Unanswered {
             return None;
         }
-        let LateOrder { order, .. } = self.late.remove(&id)?;
+        let order = self.orders.remove_late(id)?;
         if outcome.is_answer() {
             self.count_answered(&order, now);
         }
@@ -254,8 +213,6 @@
         let time = now.since(order.sent_at);
         self.counters.record_answered(&order.host, time);
         self.routes.order_answered(&order.host, time);
-        let budget = self.repeat_budgets.entry(order.host.clone());
-        budget.or_default().record_answer();
     }
 
     /// Counts the result of an order to change a run.
@@ -296,7 +253,7 @@
             return failed;
         }
         self.next_check_at = now + CHECK_INTERVAL;
-        self.late.retain(|_, order| now < order.until);
+        self.orders.expire_late(now);
         failed.extend(self.fail_unreachable_hosts(now));
         failed.extend(self.fail_overdue_orders(now));
         if self.routes.is_changed() || now >= self.next_assign_at {
@@ -306,7 +263,7 @@
             }
             self.assign(now);
         }
-        self.metrics.pending_orders.set(self.pending.len() as i64);
+        self.metrics.pending_orders.set(self.orders.len() as i64);
         if now >= self.next_report_at {
             self.next_report_at = now + REPORT_INTERVAL;
             self.report();
@@ -331,12 +288,9 @@
         let mut inputs = Vec::new();
         for host in down {
             self.host_failed(&host, "its link is down", now);
-            let orders = self.pending.iter().filter(|(_, o)| o.host == host);
-            let ids = orders.map(|(id, _)| *id).collect::<Vec<_>>();
-            inputs.extend(
-                ids.into_iter()
-                    .filter_map(|id| self.fail(id, UnansweredCause::LinkDown, now)),
-            );
+            for id in self.orders.ids_of(&host) {
+                inputs.extend(self.fail(id, UnansweredCause::LinkDown, now));
+            }
             self.last_results.remove(&host);
         }
         inputs
@@ -344,18 +298,12 @@
 
     fn fail_overdue_orders(&mut self, now: Millis) -> Vec<Input> {
         let mut inputs = Vec::new();
-        while let Some((deadline, id)) = self.deadlines.first().copied()
-            && deadline <= now
-        {
-            if let Some(order) = self.pending.get(&id) {
-                let host = order.host.clone();
-                let last_result = self.last_results.get(&host).copied();
-                if last_result.is_none_or(|at| now.since(at) > MAX_RESULT_SILENCE) {
-                    self.host_failed(&host, "it reports no results", now);
-                }
+        while let Some((id, host)) = self.orders.first_overdue(now) {
+            let last_result = self.last_results.get(&host).copied();
+            if last_result.is_none_or(|at| now.since(at) > MAX_RESULT_SILENCE) {
+                self.host_failed(&host, "it reports no results", now);
             }
             inputs.extend(self.fail(id, UnansweredCause::HostTimeout, now));
-            self.deadlines.remove(&(deadline, id));
         }
         inputs
     }
@@ -363,7 +311,7 @@
     fn host_failed(&mut self, host: &HostName, cause: &str, now: Millis) {
         if self.routes.host_failed(host, now) {
             let event = Event::warning("delivering_host_failed").peer(host.clone());
-            let pending = self.pending.values().filter(|o| o.host == *host).count();
+            let pending = self.orders.ids_of(host).len();
             self.events
                 .emit(&event.detail(format!("{cause}, {pending} orders pending")));
         }
@@ -371,7 +319,7 @@
 
     /// Ends a pending order whose result is not known.
     fn fail(&mut self, id: u64, cause: UnansweredCause, now: Millis) -> Option<Input> {
-        let order = self.remove(id)?;
+        let order = self.orders.remove(id)?;
         let key = order.key.clone();
         let result = key.undelivered();
         self.metrics.count_result(key.label(), &result);
@@ -381,10 +329,4 @@
         self.await_late_answer(id, order, &result, now);
         key.input(result)
     }
-
-    fn remove(&mut self, id: u64) -> Option<PendingOrder> {
-        let order = self.pending.remove(&id)?;
-        self.deadlines.remove(&(order.deadline, id));
-        Some(order)
-    }
 }
--- a/lib/entry/src/lib.rs
+++ b/lib/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod link_monitor;
 mod mesh;
 mod order_batch;
+mod pending_orders;
 mod refused_calls;
 mod reply;
 mod request;
--- a/lib/entry/src/worker_order.rs
+++ b/lib/entry/src/worker_order.rs
@@ -111,6 +111,16 @@
     LateOrder(OrderOutcome),
 }
 
+/// Label in metrics of orders of this urgency.
+pub(crate) fn kind_label(urgency: Urgency) -> &'static str {
+    match urgency {
+        Urgency::Poll => "hold",
+        Urgency::Stop => "stop",
+        Urgency::Start => "start",
+        Urgency::Throttle => "pace",
+    }
+}
+
 /// Identifies an order while its result is awaited.
 #[derive(Clone, Debug)]
 pub(crate) struct OrderKey {
@@ -148,7 +158,7 @@
 
     /// Label of the order in metrics.
     pub(crate) fn label(&self) -> &'static str {
-        self.urgency.label()
+        kind_label(self.urgency)
     }
 
     /// Result of an order whose delivery failed. An order to change a run may have reached the
