dispatch: name the parts of a due start, one check for late orders

Callers see no change. A start order that is due travelled as a tuple of six, and the check whether a late order may start a task again stood twice.

Change: DueStart, and may_start_again in place of both checks.

--- a/lib/dispatch/src/dispatcher_late_starts.rs
+++ b/lib/dispatch/src/dispatcher_late_starts.rs
@@ -58,8 +58,7 @@
             self.start_unanswered(task, worker);
             return;
         };
-        let traits = self.step_traits(&task);
-        if traits.is_none_or(|traits| traits.is_repeatable) {
+        if self.may_start_again(&task) {
             let until = self.now + LATE_CALL_LIMIT;
             self.unanswered_starts
                 .record_open_order(task, target, until);
@@ -124,13 +123,18 @@
         target: Option<OrderTarget>,
         until: Millis,
     ) {
-        let traits = self.step_traits(&task);
-        if traits.is_none_or(|traits| traits.is_repeatable) {
+        if self.may_start_again(&task) {
             self.unanswered_starts.record(task, target, until);
             self.new_unanswered_starts.push(task);
         }
     }
 
+    /// Returns whether a late order may start the task again.
+    fn may_start_again(&self, task: &TaskKey) -> bool {
+        let traits = self.step_traits(task);
+        traits.is_none_or(|traits| traits.is_repeatable)
+    }
+
     /// Records the start order that an earlier leader may have sent for a run on a silent worker. That leader
     /// may have ended before it recorded that the order had no answer.
     pub(crate) fn inherit_possible_start(&mut self, task: TaskKey, worker: &WorkerName) {
--- a/lib/dispatch/src/dispatcher_orders.rs
+++ b/lib/dispatch/src/dispatcher_orders.rs
@@ -26,6 +26,16 @@
 /// for longer.
 const MAX_UNANSWERED_STARTS_OF_LASTING: u32 = 5;
 
+/// A start order that is to be sent now.
+struct DueStart {
+    task: TaskKey,
+    run: u32,
+    ticket: Option<Name>,
+    checkpoint: Option<Name>,
+    timeout: Millis,
+    is_repeated: bool,
+}
+
 impl Dispatcher {
     /// Handles a committed placement: the start order may be sent, unless the job has ended in the
     /// meantime.
@@ -367,25 +377,32 @@
                     };
                     let (ticket, checkpoint) = (view.ticket.clone(), view.resume_from.clone());
                     let is_repeated = view.start_attempts > 1;
-                    due.push((*task, view.run, ticket, checkpoint, timeout, is_repeated));
+                    due.push(DueStart {
+                        task: *task,
+                        run: view.run,
+                        ticket,
+                        checkpoint,
+                        timeout,
+                        is_repeated,
+                    });
                 }
             }
-            for (task, run, ticket, checkpoint, timeout, is_repeated) in due {
+            for start in due {
                 if let Some(lease_until_ms) = state.grant_lease(now, cfg.lease)
-                    && let Some(payload) = payload_of(&workflow_state, &task)
+                    && let Some(payload) = payload_of(&workflow_state, &start.task)
                 {
                     starts.push(StartOrder {
                         incarnation: state.record.incarnation.clone(),
                         address: state.record.address.clone(),
-                        task,
-                        run,
+                        task: start.task,
+                        run: start.run,
                         payload,
                         lease_until_ms,
                         fence: state.fence,
-                        checkpoint,
-                        ticket,
-                        timeout,
-                        is_repeated,
+                        checkpoint: start.checkpoint,
+                        ticket: start.ticket,
+                        timeout: start.timeout,
+                        is_repeated: start.is_repeated,
                     });
                 }
             }
--- a/lib/dispatch/src/unanswered_starts.rs
+++ b/lib/dispatch/src/unanswered_starts.rs
@@ -21,10 +21,10 @@
     }
 }
 
-/// A start order without an answer.
+/// Start orders for one task to one worker that got no answer in time.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct LateStart {
-    /// Time until which the order may be carried out.
+    /// Time until which one of the orders may be carried out.
     pub(crate) until: Millis,
     /// Latest time at which a call with a lease was sent to the worker, if its record was removed since.
     pub(crate) last_lease_call_at: Millis,
--- a/lib/dispatch/tests/late_answers.rs
+++ b/lib/dispatch/tests/late_answers.rs
@@ -27,13 +27,18 @@
     let mut harness = Harness::new(&[worker(NAME, 8), worker("w2", 8)]);
     harness.submit(1, vec![step(1, 4)]);
     let order = harness.starts.remove(0);
-    harness.input(Input::StartOrderFinished(finished(
-        &order,
-        OrderOutcome::Unanswered,
-    )));
+    result(&mut harness, &order, OrderOutcome::Unanswered);
     (harness, order)
 }
 
+fn result(harness: &mut Harness, order: &StartOrder, outcome: OrderOutcome) {
+    harness.input(Input::StartOrderFinished(finished(order, outcome)));
+}
+
+fn late_answer(harness: &mut Harness, order: &StartOrder, outcome: OrderOutcome) {
+    harness.input(Input::StartOrderSettled(finished(order, outcome)));
+}
+
 /// Lets the worker of the order list the end of its run until it is acknowledged, for `millis` at most.
 fn is_acknowledged_within(harness: &mut Harness, order: &StartOrder, millis: u64) -> bool {
     let name = order.incarnation.worker.as_str().to_owned();
@@ -57,14 +62,8 @@
 fn late_answer_keeps_the_run_and_settles_the_order() {
     let (mut harness, order) = with_an_unanswered_order();
     let repeat = harness.starts.remove(0);
-    harness.input(Input::StartOrderSettled(finished(
-        &order,
-        OrderOutcome::Accepted,
-    )));
-    harness.input(Input::StartOrderFinished(finished(
-        &repeat,
-        OrderOutcome::NotSent,
-    )));
+    late_answer(&mut harness, &order, OrderOutcome::Accepted);
+    result(&mut harness, &repeat, OrderOutcome::NotSent);
     harness.advance(REPEAT_MS);
     assert!(harness.starts.is_empty(), "the order was repeated");
     assert!(harness.stops.is_empty());
@@ -77,19 +76,9 @@
     let (mut harness, order) = with_an_unanswered_order();
     let repeat = harness.starts.remove(0);
     assert!(repeat.is_repeated);
-    harness.input(Input::StartOrderSettled(finished(
-        &order,
-        OrderOutcome::Accepted,
-    )));
-    harness.input(Input::StartOrderFinished(finished(
-        &repeat,
-        OrderOutcome::Unanswered,
-    )));
+    late_answer(&mut harness, &order, OrderOutcome::Accepted);
+    result(&mut harness, &repeat, OrderOutcome::Unanswered);
     assert!(!is_acknowledged_within(&mut harness, &order, 1_000));
-    harness.input(Input::StartOrderSettled(finished(
-        &repeat,
-        OrderOutcome::Accepted,
-    )));
 }
 
 /// Guards against an end that is acknowledged while a repeat is under way, because the first order was
@@ -98,15 +87,9 @@
 fn end_is_not_acknowledged_while_the_repeat_is_under_way() {
     let (mut harness, order) = with_an_unanswered_order();
     let repeat = harness.starts.remove(0);
-    harness.input(Input::StartOrderSettled(finished(
-        &order,
-        OrderOutcome::Accepted,
-    )));
+    late_answer(&mut harness, &order, OrderOutcome::Accepted);
     assert!(!is_acknowledged_within(&mut harness, &order, 500));
-    harness.input(Input::StartOrderFinished(finished(
-        &repeat,
-        OrderOutcome::Unanswered,
-    )));
+    result(&mut harness, &repeat, OrderOutcome::Unanswered);
     assert!(!is_acknowledged_within(&mut harness, &order, 500));
 }
 
@@ -120,13 +103,10 @@
 fn next_run_waits_unless_the_late_answer_is_a_refusal(outcome: OrderOutcome, is_free: bool) {
     let (mut harness, order) = with_an_unanswered_order();
     let repeat = harness.starts.remove(0);
-    harness.input(Input::StartOrderFinished(finished(
-        &repeat,
-        OrderOutcome::Unanswered,
-    )));
+    result(&mut harness, &repeat, OrderOutcome::Unanswered);
     harness.answer_stops(OrderOutcome::Accepted);
-    harness.input(Input::StartOrderSettled(finished(&order, outcome)));
-    harness.input(Input::StartOrderSettled(finished(&repeat, outcome)));
+    late_answer(&mut harness, &order, outcome);
+    late_answer(&mut harness, &repeat, outcome);
     for _ in 0..20 {
         harness.advance(100);
         for name in [NAME, "w2"] {
